--- /dev/null
+++ b/Makefile
@@ -0,0 +1,20 @@
+LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+# Tests listed in KNOWN-RED.txt as "test: NAME" are passed over and printed.
+RED  := $(shell sed -n 's/^test: *\([A-Za-z0-9_]*\).*/\1/p' KNOWN-RED.txt | paste -sd'|' -)
+SKIP := $(if $(RED),-skip '^($(RED))$$')
+
+.PHONY: build test lint generate
+
+build:
+	go build -o yuccaport .
+
+test:
+	@sed -n '/^test:/s/^/known red, passed over: /p' KNOWN-RED.txt
+	go test -count=1 -timeout 20m $(SKIP) ./...
+
+lint:
+	test -z "$$(gofmt -l main.go src)"
+	$(LINT) run --allow-parallel-runners ./...
+
+generate:
+	go generate ./...
--- /dev/null
+++ b/src/platform/doc.go
@@ -0,0 +1,2 @@
+// Package platform is the interface to the key-value service that keeps what must last.
+package platform
--- /dev/null
+++ b/src/roster/view.go
@@ -0,0 +1,36 @@
+package roster
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/yuccaport/yuccaport/src/wire"
+)
+
+// View is the roster at one moment; it is never changed once built.
+type View struct {
+	Digest    uint64
+	Members   []wire.Member            // not dead, by ascending ID
+	ByService map[string][]wire.Member // the same members, by service
+	byID      map[uint64]int
+}
+
+// NewView returns the view of a set of members, which it sorts in place.
+func NewView(digest uint64, members []wire.Member) *View {
+	slices.SortFunc(members, func(a, b wire.Member) int { return cmp.Compare(a.ID, b.ID) })
+	v := &View{Digest: digest, Members: members, ByService: map[string][]wire.Member{}, byID: make(map[uint64]int, len(members))}
+	for i, m := range members {
+		v.ByService[m.Service] = append(v.ByService[m.Service], m)
+		v.byID[m.ID] = i
+	}
+	return v
+}
+
+// Member returns the member with an ID.
+func (v *View) Member(id uint64) (wire.Member, bool) {
+	i, ok := v.byID[id]
+	if !ok {
+		return wire.Member{}, false
+	}
+	return v.Members[i], true
+}
--- /dev/null
+++ b/src/settings/doc.go
@@ -0,0 +1,2 @@
+// Package settings reads and checks the TOML settings of a daemon.
+package settings
--- /dev/null
+++ b/src/wire/call.go
@@ -0,0 +1,72 @@
+package wire
+
+//go:generate go tool -modfile=../../tools/go.mod msgp -tests=false -io=false
+
+// Field is one HTTP header field.
+type Field struct {
+	Name  string `msg:"name"`
+	Value string `msg:"value"`
+}
+
+// CallHead opens a call on a link.
+type CallHead struct {
+	Target     uint64  `msg:"target"`   // id of the member meant; any other refuses the call as not run
+	TraceID    string  `msg:"trace_id"` // joins the decision lines of a call across daemons
+	Service    string  `msg:"service"`
+	Route      string  `msg:"route"`
+	Method     string  `msg:"method"`
+	Host       string  `msg:"host"`
+	URI        string  `msg:"uri"` // path and query as the caller sent them
+	Fields     []Field `msg:"fields"`
+	BodyLength int64   `msg:"body_length"` // bytes, -1 when unknown
+	TimeoutMS  int64   `msg:"timeout_ms"`  // time left for this attempt when it was sent
+	Priority   uint8   `msg:"priority"`    // 0 is served first
+	Idempotent bool    `msg:"idempotent"`
+	Depth      uint8   `msg:"depth"`       // calls above this one in a chain
+	RetryLayer bool    `msg:"retry_layer"` // an earlier daemon in the chain already retries
+	Attempt    uint8   `msg:"attempt"`
+	Version    uint64  `msg:"version"` // configuration version the choice was made with
+}
+
+// ReplyHead opens the answer to a call.
+type ReplyHead struct {
+	Status     uint16  `msg:"status"`
+	Fields     []Field `msg:"fields"`
+	BodyLength int64   `msg:"body_length"` // bytes, -1 when unknown
+	Load       Load    `msg:"load"`
+}
+
+// Load is what the daemon beside a backend server knows of its free capacity.
+type Load struct {
+	Free    int16 `msg:"free"`    // slots free now, negative when calls are queued
+	Slots   int16 `msg:"slots"`   // slots in all
+	Backlog int32 `msg:"backlog"` // milliseconds a call that came now would wait
+}
+
+// RefusalReason tells why a call was refused.
+type RefusalReason uint8
+
+// The reasons for a refusal.
+const (
+	ReasonNone RefusalReason = iota
+	ReasonQueueFull
+	ReasonDeadline
+	ReasonLeaving
+	ReasonWrongMember
+	ReasonNotReady
+	ReasonConnect
+	ReasonShed
+	ReasonLinkLost
+	ReasonLimit
+	ReasonCancelled
+	ReasonTimeout
+	ReasonCut
+)
+
+// Refusal ends a call without a whole answer.
+type Refusal struct {
+	Reason       RefusalReason `msg:"reason"`
+	MayHaveRun   bool          `msg:"may_have_run"` // false: the backend server did not begin to run the call
+	RetryAfterMS int64         `msg:"retry_after_ms"`
+	Load         Load          `msg:"load"`
+}
--- /dev/null
+++ b/src/wire/update.go
@@ -0,0 +1,40 @@
+package wire
+
+//go:generate go tool -modfile=../../tools/go.mod msgp -tests=false -io=false
+
+// Body is one service document as its team wrote it.
+type Body struct {
+	Service string `msg:"service"`
+	Version uint64 `msg:"version"` // configuration version that accepted this document
+	Digest  string `msg:"digest"`
+	Data    []byte `msg:"data"`
+}
+
+// Update carries a daemon from one configuration version to a later one.
+type Update struct {
+	Schema  uint16   `msg:"schema"`
+	From    uint64   `msg:"from"`    // 0 for a full copy
+	Version uint64   `msg:"version"` // version reached
+	Digest  uint64   `msg:"digest"`  // digest of the whole configuration reached
+	Bodies  []Body   `msg:"bodies"`  // changed documents, or all of them in a full copy
+	Removed []string `msg:"removed"`
+}
+
+// Push is an Update with the part of the tree that its receiver serves.
+type Push struct {
+	Update  Update   `msg:"update"`
+	Subtree []uint64 `msg:"subtree"` // member ids the receiver passes the update on to
+}
+
+// Pull asks a peer for an Update.
+type Pull struct {
+	Have uint64 `msg:"have"` // version in force at the asker, 0 for none
+}
+
+// PullReply answers a Pull.
+type PullReply struct {
+	Update    Update `msg:"update"`
+	Current   bool   `msg:"current"`    // the peer is not ahead of the asker
+	BusyNext  uint64 `msg:"busy_next"`  // member to ask instead, 0 for none
+	BusyAfter int64  `msg:"busy_after"` // milliseconds to wait before asking again, 0 when not busy
+}
