--- /dev/null
+++ b/src/document/defaults.go
@@ -0,0 +1,83 @@
+package document
+
+import (
+	"fmt"
+	"time"
+)
+
+// The values that a document leaves out.
+const (
+	DefaultDrainGrace = 2 * time.Second
+	DefaultQueue      = 64 // calls
+	DefaultQueueWait  = 500 * time.Millisecond
+	DefaultTimeout    = 2 * time.Second
+	DefaultDeadline   = 5 * time.Second
+	DefaultAttempts   = 2
+	DefaultWeight     = 1
+)
+
+// setDefaults fills in what the file leaves out; what it writes, zero included, stays for check.
+func (d *Document) setDefaults() {
+	if !d.keys.has("hosts") {
+		d.Hosts = []string{d.Service}
+	}
+	if !d.keys.has("drain_grace") {
+		d.DrainGrace = Duration(DefaultDrainGrace)
+	}
+	if !d.keys.has("limits.queue") {
+		d.Limits.Queue = DefaultQueue
+	}
+	if !d.keys.has("limits.queue_wait") {
+		d.Limits.QueueWait = Duration(DefaultQueueWait)
+	}
+	if len(d.Routes) == 0 {
+		d.Routes = []Route{{}}
+	}
+	for i := range d.Routes {
+		d.Routes[i].setDefaults(d.keys, fmt.Sprintf("route[%d]", i), d.Service)
+	}
+}
+
+func (r *Route) setDefaults(keys index, path, service string) {
+	if !keys.has(path + ".prefix") {
+		r.Prefix = "/"
+	}
+	if r.Name == "" {
+		r.Name = r.Prefix
+	}
+	if len(r.Targets) == 0 {
+		r.Targets = []Target{{Service: service, Weight: DefaultWeight}}
+	}
+	for j := range r.Targets {
+		r.Targets[j].setDefaults(keys, fmt.Sprintf("%s.targets[%d]", path, j))
+	}
+	r.setTimes(keys.has(path+".timeout"), keys.has(path+".deadline"))
+	if !keys.has(path + ".priority") {
+		r.Priority = PriorityNormal
+	}
+	if !keys.has(path + ".retry.attempts") {
+		r.Retry.Attempts = DefaultAttempts
+	}
+	if !keys.has(path + ".locality") {
+		r.Locality = LocalityPrefer
+	}
+}
+
+// setTimes keeps a default within the time that the file writes.
+func (r *Route) setTimes(timeout, deadline bool) {
+	if !timeout {
+		r.Timeout = Duration(DefaultTimeout)
+	}
+	if !deadline {
+		r.Deadline = max(Duration(DefaultDeadline), r.Timeout)
+	}
+	if !timeout {
+		r.Timeout = min(r.Timeout, r.Deadline)
+	}
+}
+
+func (t *Target) setDefaults(keys index, path string) {
+	if t.Weight == 0 && !keys.has(path+".weight") {
+		t.Weight = DefaultWeight
+	}
+}
--- a/src/document/document.go
+++ b/src/document/document.go
@@ -7,6 +7,9 @@
 	DrainGrace Duration `toml:"drain_grace"` // time a leaving backend server still takes calls already sent
 	Limits     Limits   `toml:"limits"`
 	Routes     []Route  `toml:"route"` // the longest matching prefix is taken
+
+	file string // where it was read from, for messages
+	keys index
 }
 
 // Limits bounds what one backend server of the service takes on.
--- a/src/wire/head_gen.go
+++ b/src/wire/head_gen.go
@@ -40,13 +40,11 @@
 	o = append(o, 0xa7, 0x72, 0x65, 0x74, 0x69, 0x72, 0x65, 0x64)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Retired)))
 	for za0003 := range z.Retired {
-		// map header, size 2
-		// string "digest"
-		o = append(o, 0x82, 0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
+		// array header, size 3
+		o = append(o, 0x93)
 		o = msgp.AppendString(o, z.Retired[za0003].Digest)
-		// string "at"
-		o = append(o, 0xa2, 0x61, 0x74)
 		o = msgp.AppendInt64(o, z.Retired[za0003].At)
+		o = msgp.AppendBool(o, z.Retired[za0003].Doomed)
 	}
 	return
 }
@@ -133,38 +131,29 @@
 			}
 			for za0003 := range z.Retired {
 				var zb0005 uint32
-				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+				zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Retired", za0003)
 					return
 				}
-				for zb0005 > 0 {
-					zb0005--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Retired", za0003)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "digest":
-						z.Retired[za0003].Digest, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Retired", za0003, "Digest")
-							return
-						}
-					case "at":
-						z.Retired[za0003].At, bts, err = msgp.ReadInt64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Retired", za0003, "At")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Retired", za0003)
-							return
-						}
-					}
+				if zb0005 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0005}
+					return
+				}
+				z.Retired[za0003].Digest, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Retired", za0003, "Digest")
+					return
+				}
+				z.Retired[za0003].At, bts, err = msgp.ReadInt64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Retired", za0003, "At")
+					return
+				}
+				z.Retired[za0003].Doomed, bts, err = msgp.ReadBoolBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Retired", za0003, "Doomed")
+					return
 				}
 			}
 		default:
@@ -191,7 +180,7 @@
 	}
 	s += 8 + msgp.ArrayHeaderSize
 	for za0003 := range z.Retired {
-		s += 1 + 7 + msgp.StringPrefixSize + len(z.Retired[za0003].Digest) + 3 + msgp.Int64Size
+		s += 1 + msgp.StringPrefixSize + len(z.Retired[za0003].Digest) + msgp.Int64Size + msgp.BoolSize
 	}
 	return
 }
@@ -199,89 +188,58 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *HeadChange) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
-	// string "version"
-	o = append(o, 0x86, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	// array header, size 6
+	o = append(o, 0x96)
 	o = msgp.AppendUint64(o, z.Version)
-	// string "service"
-	o = append(o, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
 	o = msgp.AppendString(o, z.Service)
-	// string "digest"
-	o = append(o, 0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
 	o = msgp.AppendString(o, z.Digest)
-	// string "edit_id"
-	o = append(o, 0xa7, 0x65, 0x64, 0x69, 0x74, 0x5f, 0x69, 0x64)
 	o = msgp.AppendString(o, z.EditID)
-	// string "at"
-	o = append(o, 0xa2, 0x61, 0x74)
 	o = msgp.AppendInt64(o, z.At)
-	// string "note"
-	o = append(o, 0xa4, 0x6e, 0x6f, 0x74, 0x65)
 	o = msgp.AppendString(o, z.Note)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *HeadChange) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "version":
-			z.Version, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Version")
-				return
-			}
-		case "service":
-			z.Service, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Service")
-				return
-			}
-		case "digest":
-			z.Digest, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Digest")
-				return
-			}
-		case "edit_id":
-			z.EditID, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "EditID")
-				return
-			}
-		case "at":
-			z.At, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "At")
-				return
-			}
-		case "note":
-			z.Note, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Note")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+		return
+	}
+	z.Version, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	z.Service, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	z.Digest, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Digest")
+		return
+	}
+	z.EditID, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "EditID")
+		return
+	}
+	z.At, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "At")
+		return
+	}
+	z.Note, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Note")
+		return
 	}
 	o = bts
 	return
@@ -289,112 +247,59 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *HeadChange) Msgsize() (s int) {
-	s = 1 + 8 + msgp.Uint64Size + 8 + msgp.StringPrefixSize + len(z.Service) + 7 + msgp.StringPrefixSize + len(z.Digest) + 8 + msgp.StringPrefixSize + len(z.EditID) + 3 + msgp.Int64Size + 5 + msgp.StringPrefixSize + len(z.Note)
+	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Digest) + msgp.StringPrefixSize + len(z.EditID) + msgp.Int64Size + msgp.StringPrefixSize + len(z.Note)
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *HeadService) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
-	// string "name"
-	o = append(o, 0x86, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
+	// array header, size 5
+	o = append(o, 0x95)
 	o = msgp.AppendString(o, z.Name)
-	// string "version"
-	o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
 	o = msgp.AppendUint64(o, z.Version)
-	// string "digest"
-	o = append(o, 0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
 	o = msgp.AppendString(o, z.Digest)
-	// string "size"
-	o = append(o, 0xa4, 0x73, 0x69, 0x7a, 0x65)
 	o = msgp.AppendInt(o, z.Size)
-	// string "edits"
-	o = append(o, 0xa5, 0x65, 0x64, 0x69, 0x74, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Edits)))
-	for za0001 := range z.Edits {
-		o = msgp.AppendString(o, z.Edits[za0001])
-	}
-	// string "token_hash"
-	o = append(o, 0xaa, 0x74, 0x6f, 0x6b, 0x65, 0x6e, 0x5f, 0x68, 0x61, 0x73, 0x68)
 	o = msgp.AppendString(o, z.TokenHash)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *HeadService) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "name":
-			z.Name, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Name")
-				return
-			}
-		case "version":
-			z.Version, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Version")
-				return
-			}
-		case "digest":
-			z.Digest, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Digest")
-				return
-			}
-		case "size":
-			z.Size, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Size")
-				return
-			}
-		case "edits":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Edits")
-				return
-			}
-			if cap(z.Edits) >= int(zb0002) {
-				z.Edits = (z.Edits)[:zb0002]
-			} else {
-				z.Edits = make([]string, zb0002)
-			}
-			for za0001 := range z.Edits {
-				z.Edits[za0001], bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Edits", za0001)
-					return
-				}
-			}
-		case "token_hash":
-			z.TokenHash, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "TokenHash")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+		return
+	}
+	z.Name, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Name")
+		return
+	}
+	z.Version, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	z.Digest, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Digest")
+		return
+	}
+	z.Size, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Size")
+		return
+	}
+	z.TokenHash, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "TokenHash")
+		return
 	}
 	o = bts
 	return
@@ -402,64 +307,47 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *HeadService) Msgsize() (s int) {
-	s = 1 + 5 + msgp.StringPrefixSize + len(z.Name) + 8 + msgp.Uint64Size + 7 + msgp.StringPrefixSize + len(z.Digest) + 5 + msgp.IntSize + 6 + msgp.ArrayHeaderSize
-	for za0001 := range z.Edits {
-		s += msgp.StringPrefixSize + len(z.Edits[za0001])
-	}
-	s += 11 + msgp.StringPrefixSize + len(z.TokenHash)
+	s = 1 + msgp.StringPrefixSize + len(z.Name) + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Digest) + msgp.IntSize + msgp.StringPrefixSize + len(z.TokenHash)
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z RetiredBody) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "digest"
-	o = append(o, 0x82, 0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
+	// array header, size 3
+	o = append(o, 0x93)
 	o = msgp.AppendString(o, z.Digest)
-	// string "at"
-	o = append(o, 0xa2, 0x61, 0x74)
 	o = msgp.AppendInt64(o, z.At)
+	o = msgp.AppendBool(o, z.Doomed)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *RetiredBody) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "digest":
-			z.Digest, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Digest")
-				return
-			}
-		case "at":
-			z.At, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "At")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Digest, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Digest")
+		return
+	}
+	z.At, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "At")
+		return
+	}
+	z.Doomed, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Doomed")
+		return
 	}
 	o = bts
 	return
@@ -467,6 +355,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z RetiredBody) Msgsize() (s int) {
-	s = 1 + 7 + msgp.StringPrefixSize + len(z.Digest) + 3 + msgp.Int64Size
+	s = 1 + msgp.StringPrefixSize + len(z.Digest) + msgp.Int64Size + msgp.BoolSize
 	return
 }
