--- /dev/null
+++ b/src/ledger/editor_test.go
@@ -0,0 +1,305 @@
+package ledger
+
+import (
+	"context"
+
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/yuccaport/yuccaport/src/platform"
+	"github.com/yuccaport/yuccaport/src/problem"
+	"github.com/yuccaport/yuccaport/src/wire"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// testEditor returns an editor whose clock stands at start and whose pauses take no time.
+func testEditor(store platform.Store, seed uint64) *Editor {
+	return &Editor{
+		Store: store,
+		Now:   func() time.Time { return start },
+		Wait:  func(ctx context.Context, _ time.Duration) error { return ctx.Err() },
+		Rand:  rand.New(rand.NewPCG(seed, 0)),
+	}
+}
+
+// testDocument returns a document of a service that differs by n.
+func testDocument(service string, n int) []byte {
+	return fmt.Appendf(nil, "service = %q\n[[route]]\ntimeout = \"%dms\"\n", service, 100+n)
+}
+
+func testEdit(service string, n int) Edit {
+	return Edit{Service: service, Data: testDocument(service, n), File: service + ".toml"}
+}
+
+func apply(c *qt.C, e *Editor, edit Edit) Result {
+	r, err := e.Apply(context.Background(), edit)
+	c.Assert(err, qt.IsNil)
+	return r
+}
+
+// nthHeadSwap runs something at the n-th swap of the head; an edit's first lists its body, its second accepts it.
+func nthHeadSwap(n int, then func() error) func(op, key string) error {
+	count := 0
+	return func(op, key string) error {
+		if op != "swap" || key != HeadKey {
+			return nil
+		}
+		if count++; count == n {
+			return then()
+		}
+		return nil
+	}
+}
+
+func lost() error { return problem.New(problem.Unsure, HeadKey, "answer lost", "") }
+
+func TestApplyFaults(t *testing.T) {
+	rival := func(c *qt.C, store platform.Store, service string) {
+		apply(c, testEditor(store, 99), testEdit(service, 50))
+	}
+	tests := map[string]struct {
+		before func(c *qt.C, s platform.Store) func(op, key string) error
+		after  func(c *qt.C, s platform.Store) func(op, key string) error
+		want   uint64 // version that holds the edit
+		head   uint64 // version of the head at the end
+		err    error
+	}{
+		"no fault": {want: 2, head: 2},
+		"answer lost after the write": {
+			after: func(*qt.C, platform.Store) func(op, key string) error { return nthHeadSwap(2, lost) },
+			want:  2, head: 2,
+		},
+		"answer lost, then a rival edits the same document": {
+			after: func(c *qt.C, s platform.Store) func(op, key string) error {
+				return nthHeadSwap(2, func() error { rival(c, s, "bookings"); return lost() })
+			},
+			want: 2, head: 3,
+		},
+		"answer lost, then a rival edits another document": {
+			after: func(c *qt.C, s platform.Store) func(op, key string) error {
+				return nthHeadSwap(2, func() error { rival(c, s, "jobrecords"); return lost() })
+			},
+			want: 2, head: 3,
+		},
+		"call lost before the write": {
+			before: func(*qt.C, platform.Store) func(op, key string) error { return nthHeadSwap(2, lost) },
+			want:   2, head: 2,
+		},
+		"answer lost to the listing of the body": {
+			after: func(*qt.C, platform.Store) func(op, key string) error { return nthHeadSwap(1, lost) },
+			want:  2, head: 2,
+		},
+		"a rival edits another document first": {
+			before: func(c *qt.C, s platform.Store) func(op, key string) error {
+				return nthHeadSwap(2, func() error { rival(c, s, "jobrecords"); return nil })
+			},
+			want: 3, head: 3,
+		},
+		"a rival edits the same document first": {
+			before: func(c *qt.C, s platform.Store) func(op, key string) error {
+				return nthHeadSwap(2, func() error { rival(c, s, "bookings"); return nil })
+			},
+			head: 2, err: problem.Conflict,
+		},
+		"a rival edits the same document and the call is lost": {
+			before: func(c *qt.C, s platform.Store) func(op, key string) error {
+				return nthHeadSwap(2, func() error { rival(c, s, "bookings"); return lost() })
+			},
+			head: 2, err: problem.Conflict,
+		},
+		"answer lost, then rivals edit the same document past the history": {
+			after: func(c *qt.C, s platform.Store) func(op, key string) error {
+				return nthHeadSwap(2, func() error {
+					for n := range ChangesKept {
+						apply(c, testEditor(s, 99+uint64(n)), testEdit("bookings", 50+n))
+					}
+					return lost()
+				})
+			},
+			head: 2 + ChangesKept, err: problem.Unsure,
+		},
+		"the store stays down": {
+			before: func(*qt.C, platform.Store) func(op, key string) error {
+				return func(string, string) error { return problem.New(problem.Unavailable, "store", "down", "") }
+			},
+			head: 1, err: problem.Unavailable,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			store := newMemoryStore()
+			apply(c, testEditor(store, 1), testEdit("bookings", 0))
+			hooked := &hookStore{Store: store}
+			if test.before != nil {
+				hooked.before = test.before(c, store)
+			}
+			if test.after != nil {
+				hooked.after = test.after(c, store)
+			}
+			r, err := testEditor(hooked, 2).Apply(context.Background(), testEdit("bookings", 7))
+			if test.err != nil {
+				c.Assert(err, qt.ErrorIs, test.err)
+			} else {
+				c.Assert(err, qt.IsNil)
+			}
+			c.Assert(r.Version, qt.Equals, test.want)
+			h, err := testEditor(store, 3).Head(context.Background())
+			c.Assert(err, qt.IsNil)
+			c.Assert(h.Version, qt.Equals, test.head)
+			_, err = Load(context.Background(), store)
+			c.Assert(err, qt.IsNil)
+		})
+	}
+}
+
+func TestApplyConflictShowsTheOtherEdit(t *testing.T) {
+	c := qt.New(t)
+	store := newMemoryStore()
+	e := testEditor(store, 1)
+	base := apply(c, e, testEdit("bookings", 0)).Version
+	apply(c, e, testEdit("bookings", 1))
+	edit := testEdit("bookings", 2)
+	edit.BaseVersion = base
+	_, err := e.Apply(context.Background(), edit)
+	c.Assert(err, qt.ErrorIs, problem.Conflict)
+	c.Assert(err, qt.ErrorMatches, `(?s).*changed in version 2 at .*- timeout = "100ms"\n\+ timeout = "101ms".*apply it with base version 2`)
+	edit.BaseVersion = 2
+	c.Assert(apply(c, e, edit).Version, qt.Equals, uint64(3))
+}
+
+func TestApplyRacingOnDifferentDocuments(t *testing.T) {
+	c := qt.New(t)
+	store := newMemoryStore()
+	const editors = 8
+	versions := make([]uint64, editors)
+	var wg sync.WaitGroup
+	for i := range editors {
+		wg.Go(func() {
+			r, err := testEditor(store, uint64(i)).Apply(context.Background(), testEdit(fmt.Sprintf("service-%d", i), i))
+			c.Check(err, qt.IsNil)
+			versions[i] = r.Version
+		})
+	}
+	wg.Wait()
+	s, err := Load(context.Background(), store)
+	c.Assert(err, qt.IsNil)
+	c.Assert(s.Version, qt.Equals, uint64(editors))
+	for i, v := range versions {
+		c.Assert(s.Bodies[fmt.Sprintf("service-%d", i)].Version, qt.Equals, v)
+	}
+}
+
+func TestApplyRepeatedWithTheSameEditID(t *testing.T) {
+	c := qt.New(t)
+	e := testEditor(newMemoryStore(), 1)
+	edit := testEdit("bookings", 0)
+	edit.EditID = "a"
+	c.Assert(apply(c, e, edit).Version, qt.Equals, uint64(1))
+	apply(c, e, testEdit("bookings", 1))
+	c.Assert(apply(c, e, edit).Version, qt.Equals, uint64(1))
+	edit.Data = testDocument("bookings", 5)
+	_, err := e.Apply(context.Background(), edit)
+	c.Assert(err, qt.ErrorIs, problem.Conflict)
+}
+
+func TestApplyNeedsTheTeamsToken(t *testing.T) {
+	c := qt.New(t)
+	store := newMemoryStore()
+	e := testEditor(store, 1)
+	edit := testEdit("bookings", 0)
+	edit.Token = "secret"
+	apply(c, e, edit)
+	for name, token := range map[string]string{"none": "", "another": "Secret"} {
+		other := testEdit("bookings", 1)
+		other.Token = token
+		_, err := e.Apply(context.Background(), other)
+		c.Check(err, qt.ErrorIs, problem.Denied, qt.Commentf("%s", name))
+		other.Remove = true
+		_, err = e.Apply(context.Background(), other)
+		c.Check(err, qt.ErrorIs, problem.Denied, qt.Commentf("%s", name))
+	}
+	edit.Data = testDocument("bookings", 2)
+	c.Assert(apply(c, e, edit).Version, qt.Equals, uint64(2))
+	for _, entry := range store.entries {
+		c.Assert(strings.Contains(string(entry.Value), "secret"), qt.IsFalse)
+	}
+}
+
+func TestApplyChecksReferencesOnTheNewHead(t *testing.T) {
+	c := qt.New(t)
+	store := newMemoryStore()
+	apply(c, testEditor(store, 1), testEdit("archivo", 0))
+	removed := func() error {
+		apply(c, testEditor(store, 2), Edit{Service: "archivo", Remove: true})
+		return nil
+	}
+	hooked := &hookStore{Store: store, before: nthHeadSwap(2, removed)}
+	_, err := testEditor(hooked, 3).Apply(context.Background(), Edit{Service: "mostrador", File: "m.toml", Data: []byte("service = \"mostrador\"\n[[route]]\nfallback = \"archivo\"\n")})
+	c.Assert(err, qt.ErrorMatches, `.*m\.toml:3: route\[0\]\.fallback: service "archivo" has no document.*`)
+}
+
+func TestApplyRefusesAStoreRestoredFromABackup(t *testing.T) {
+	c := qt.New(t)
+	store := newMemoryStore()
+	e := testEditor(store, 1)
+	apply(c, e, testEdit("bookings", 0))
+	backup := store.entries[HeadKey]
+	apply(c, e, testEdit("bookings", 1))
+	store.revision++
+	store.entries[HeadKey] = platform.Entry{Key: HeadKey, Value: backup.Value, Revision: store.revision}
+
+	fresh := testEditor(store, 2)
+	fresh.Floor = 2
+	for name, editor := range map[string]*Editor{"has read it": e, "is told by daemons": fresh} {
+		_, err := editor.Apply(context.Background(), testEdit("bookings", 3))
+		c.Check(err, qt.ErrorIs, problem.Backward, qt.Commentf("%s", name))
+	}
+}
+
+func TestRollback(t *testing.T) {
+	c := qt.New(t)
+	e := testEditor(newMemoryStore(), 1)
+	for n := range 3 {
+		apply(c, e, testEdit("bookings", n))
+	}
+	r, err := e.Rollback(context.Background(), Edit{Service: "bookings"}, 1)
+	c.Assert(err, qt.IsNil)
+	c.Assert(r.Version, qt.Equals, uint64(4))
+	data, _, err := e.Get(context.Background(), "bookings", 0)
+	c.Assert(err, qt.IsNil)
+	c.Assert(data, qt.DeepEquals, testDocument("bookings", 0))
+	changes, err := e.History(context.Background(), "bookings")
+	c.Assert(err, qt.IsNil)
+	c.Assert(changes[3].Note, qt.Equals, "rollback to version 1")
+}
+
+func TestHeadSize(t *testing.T) {
+	c := qt.New(t)
+	h := wire.Head{Schema: wire.SchemaNumber}
+	now := start
+	for n := range ChangesKept {
+		for i := range 110 {
+			h.Version++
+			name := fmt.Sprintf("service-of-team-%03d", i)
+			digest := Digest(testDocument(name, n))
+			s := wire.HeadService{Name: name, Version: h.Version, Digest: digest, Size: 2000, TokenHash: HashToken(name)}
+			setService(&h, s)
+			addChange(&h, wire.HeadChange{Version: h.Version, Service: name, Digest: digest, EditID: "0123456789abcdef", At: now.UnixMilli(), Note: "raise the timeout of the diary reads in the morning"})
+		}
+	}
+	for n := range 320 {
+		retire(&h, Digest(testDocument("old", n)), now)
+	}
+	value, err := encodeHead(&h)
+	c.Assert(err, qt.IsNil)
+	c.Logf("head of 110 services with %d changes each and %d retired bodies: %d bytes", ChangesKept, len(h.Retired), len(value))
+	c.Assert(len(value) < platform.MaxValueSize/4, qt.IsTrue)
+}
--- a/src/ledger/snapshot.go
+++ b/src/ledger/snapshot.go
@@ -12,6 +12,8 @@
 // Gap marks an update that does not follow from the version it is applied to.
 const Gap problem.Kind = "version gap"
 
+const maxRemoved = 64 // services
+
 // Snapshot is one whole accepted configuration; it is never changed once built.
 type Snapshot struct {
 	Version   uint64
@@ -147,7 +149,21 @@
 		return nil, err
 	}
 	s.Digest = digestBodies(s.Bodies)
+	s.forgetRemoved()
 	return s, nil
 }
 
+// forgetRemoved keeps the list of removed services short; who misses one is led to a full copy by the digest.
+func (s *Snapshot) forgetRemoved() {
+	for len(s.removed) > maxRemoved {
+		oldest := ""
+		for name, version := range s.removed {
+			if oldest == "" || version < s.removed[oldest] {
+				oldest = name
+			}
+		}
+		delete(s.removed, oldest)
+	}
+}
+
 func place(version uint64) string { return fmt.Sprintf("configuration version %d", version) }
--- /dev/null
+++ b/src/ledger/snapshot_test.go
@@ -0,0 +1,186 @@
+package ledger
+
+import (
+	"bytes"
+	"errors"
+	"flag"
+	"maps"
+	"os"
+	"reflect"
+	"slices"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/yuccaport/yuccaport/src/document"
+	"github.com/yuccaport/yuccaport/src/problem"
+	"github.com/yuccaport/yuccaport/src/wire"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "4")
+	os.Exit(m.Run())
+}
+
+func body(service string, version uint64, data []byte) wire.Body {
+	return wire.Body{Service: service, Version: version, Digest: Digest(data), Data: data}
+}
+
+func build(c *qt.C, version uint64, bodies ...wire.Body) *Snapshot {
+	m := map[string]wire.Body{}
+	for _, b := range bodies {
+		m[b.Service] = b
+	}
+	s, err := Build(version, m)
+	c.Assert(err, qt.IsNil)
+	return s
+}
+
+func TestSnapshotApply(t *testing.T) {
+	c := qt.New(t)
+	a1, a2, b2 := body("a", 1, testDocument("a", 1)), body("a", 2, testDocument("a", 2)), body("b", 2, testDocument("b", 0))
+	one := build(c, 1, a1)
+	two := build(c, 2, a2, b2)
+	full, delta := two.UpdateFrom(0), two.UpdateFrom(1)
+	with := func(u wire.Update, f func(*wire.Update)) wire.Update {
+		u.Bodies = slices.Clone(u.Bodies)
+		f(&u)
+		return u
+	}
+	dangling := body("b", 2, []byte("service = \"b\"\n[[route]]\nfallback = \"c\"\n"))
+	tests := map[string]struct {
+		on   *Snapshot
+		u    wire.Update
+		want error
+	}{
+		"full copy on nothing":      {nil, full, nil},
+		"full copy on older":        {one, full, nil},
+		"delta on older":            {one, delta, nil},
+		"repeated":                  {two, full, nil},
+		"backward":                  {two, one.UpdateFrom(0), problem.Backward},
+		"same number, other digest": {two, with(full, func(u *wire.Update) { u.Digest++ }), problem.Backward},
+		"delta on nothing":          {nil, with(full, func(u *wire.Update) { u.From = 1 }), Gap},
+		"gap":                       {one, with(full, func(u *wire.Update) { u.From, u.Version = 2, 3 }), Gap},
+		"a body is missing":         {one, with(full, func(u *wire.Update) { u.Bodies = u.Bodies[:1] }), Gap},
+		"a body is damaged":         {one, with(full, func(u *wire.Update) { u.Bodies[0].Data = []byte("service = \"a\"") }), problem.Protocol},
+		"another schema":            {one, with(full, func(u *wire.Update) { u.Schema++ }), problem.Protocol},
+		"a body from the future":    {one, with(full, func(u *wire.Update) { u.Bodies[0].Version = 3 }), problem.Protocol},
+		"dangling reference": {one, with(full, func(u *wire.Update) {
+			u.Bodies[1] = dangling
+			u.Digest = digestBodies(map[string]wire.Body{"a": a2, "b": dangling})
+		}), problem.Document},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			got, err := test.on.Apply(test.u)
+			if test.want != nil {
+				c.Assert(err, qt.ErrorIs, test.want)
+				c.Assert(got, qt.IsNil)
+				return
+			}
+			c.Assert(err, qt.IsNil)
+			c.Assert(got.Version, qt.Equals, uint64(2))
+			c.Assert(got.Digest, qt.Equals, two.Digest)
+		})
+	}
+	c.Assert(one.Bodies, qt.DeepEquals, map[string]wire.Body{"a": a1}) // never changed by the updates laid upon it
+}
+
+// TestSnapshotUpdates lays updates between random versions upon random holders.
+func TestSnapshotUpdates(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := []string{"a", "b", "c"}
+		history := []*Snapshot{nil}
+		bodies := map[string]wire.Body{}
+		for v := uint64(1); v <= 12; v++ {
+			name := rapid.SampledFrom(names).Draw(t, "name")
+			bodies = maps.Clone(bodies)
+			if _, held := bodies[name]; held && rapid.IntRange(0, 3).Draw(t, "remove") == 0 {
+				delete(bodies, name)
+			} else {
+				bodies[name] = body(name, v, testDocument(name, rapid.IntRange(0, 2).Draw(t, "content")))
+			}
+			s, err := Build(v, bodies)
+			if err != nil {
+				t.Fatal(err)
+			}
+			history = append(history, s)
+		}
+		var held *Snapshot
+		for range 20 {
+			have := rapid.IntRange(0, 12).Draw(t, "have")
+			source := history[rapid.IntRange(1, 12).Draw(t, "source")]
+			next, err := held.Apply(source.UpdateFrom(uint64(have)))
+			if err != nil {
+				if !errors.Is(err, problem.Backward) && !errors.Is(err, Gap) {
+					t.Fatal(err)
+				}
+				continue
+			}
+			if held != nil && next.Version < held.Version {
+				t.Fatalf("version fell from %d to %d", held.Version, next.Version)
+			}
+			held = next
+			want := history[held.Version]
+			if held.Digest != want.Digest || !reflect.DeepEqual(held.Bodies, want.Bodies) || len(held.Documents) != len(want.Documents) {
+				t.Fatalf("version %d is held in part", held.Version)
+			}
+		}
+	})
+}
+
+func FuzzUpdate(f *testing.F) {
+	c := qt.New(f)
+	one := build(c, 1, body("a", 1, testDocument("a", 1)))
+	two := build(c, 2, body("a", 1, testDocument("a", 1)), body("b", 2, testDocument("b", 1)))
+	for _, u := range []wire.Update{two.UpdateFrom(0), two.UpdateFrom(1), one.UpdateFrom(0)} {
+		b, err := u.MarshalMsg(nil)
+		c.Assert(err, qt.IsNil)
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var u wire.Update
+		if _, err := u.UnmarshalMsg(data); err != nil {
+			return
+		}
+		got, err := one.Apply(u)
+		if err != nil {
+			return
+		}
+		if got.Version < one.Version || got.Digest != digestBodies(got.Bodies) || len(got.Documents) != len(got.Bodies) {
+			t.Fatalf("partial or backward snapshot %+v", got)
+		}
+	})
+}
+
+// TestUpdateLargestBody shows that the decoder's bounds leave room for what Parse accepts.
+func TestUpdateLargestBody(t *testing.T) {
+	c := qt.New(t)
+	data := append(testDocument("a", 1), "# "...)
+	data = append(data, bytes.Repeat([]byte("x"), document.MaxSize-len(data))...)
+	encoded, err := new(build(c, 1, body("a", 1, data)).UpdateFrom(0)).MarshalMsg(nil)
+	c.Assert(err, qt.IsNil)
+	var u wire.Update
+	_, err = u.UnmarshalMsg(encoded)
+	c.Assert(err, qt.IsNil)
+	s, err := (*Snapshot)(nil).Apply(u)
+	c.Assert(err, qt.IsNil)
+	c.Assert(s.Bodies["a"].Data, qt.DeepEquals, data)
+}
+
+func TestUpdateNamesRemovedServices(t *testing.T) {
+	c := qt.New(t)
+	a, b := body("a", 1, testDocument("a", 1)), body("b", 2, testDocument("b", 1))
+	two := build(c, 2, a, b)
+	three, err := two.Apply(build(c, 3, a).UpdateFrom(0))
+	c.Assert(err, qt.IsNil)
+	u := three.UpdateFrom(2)
+	c.Assert(u.Bodies, qt.HasLen, 0)
+	c.Assert(u.Removed, qt.DeepEquals, []string{"b"})
+	again, err := two.Apply(u)
+	c.Assert(err, qt.IsNil)
+	c.Assert(again.Digest, qt.Equals, three.Digest)
+}
--- /dev/null
+++ b/src/ledger/store_test.go
@@ -0,0 +1,121 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/yuccaport/yuccaport/src/platform"
+	"github.com/yuccaport/yuccaport/src/problem"
+)
+
+// memoryStore is a store without faults of its own.
+type memoryStore struct {
+	mu       sync.Mutex
+	entries  map[string]platform.Entry
+	revision uint64
+	calls    int
+}
+
+func newMemoryStore() *memoryStore { return &memoryStore{entries: map[string]platform.Entry{}} }
+
+func (s *memoryStore) Get(_ context.Context, key string) (platform.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	e, ok := s.entries[key]
+	if !ok {
+		return e, problem.New(problem.NotFound, key, "absent", "")
+	}
+	return e, nil
+}
+
+func (s *memoryStore) Swap(_ context.Context, key string, expect uint64, value []byte) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.entries[key].Revision != expect {
+		return 0, problem.New(problem.Conflict, key, fmt.Sprintf("at revision %d", s.entries[key].Revision), "")
+	}
+	s.revision++
+	s.entries[key] = platform.Entry{Key: key, Value: value, Revision: s.revision}
+	return s.revision, nil
+}
+
+func (s *memoryStore) Delete(_ context.Context, key string, expect uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.entries[key].Revision != expect {
+		return problem.New(problem.Conflict, key, "changed", "")
+	}
+	delete(s.entries, key)
+	return nil
+}
+
+func (s *memoryStore) Grant(context.Context, string, string, time.Duration) (platform.Lease, error) {
+	return platform.Lease{}, nil
+}
+func (s *memoryStore) Renew(context.Context, platform.Lease) error   { return nil }
+func (s *memoryStore) Release(context.Context, platform.Lease) error { return nil }
+func (s *memoryStore) Watch(ctx context.Context, key string, _ uint64, _ time.Duration) (platform.Entry, error) {
+	return s.Get(ctx, key)
+}
+
+// hookStore lets a test step in before or after a write.
+type hookStore struct {
+	platform.Store
+	before func(op, key string) error // an error stands for a call that was not carried out
+	after  func(op, key string) error // an error stands for an answer that was lost
+}
+
+func (s *hookStore) Swap(ctx context.Context, key string, expect uint64, value []byte) (uint64, error) {
+	if err := s.hook(s.before, "swap", key); err != nil {
+		return 0, err
+	}
+	revision, err := s.Store.Swap(ctx, key, expect, value)
+	if lost := s.hook(s.after, "swap", key); lost != nil {
+		return 0, lost
+	}
+	return revision, err
+}
+
+func (s *hookStore) Delete(ctx context.Context, key string, expect uint64) error {
+	if err := s.hook(s.before, "delete", key); err != nil {
+		return err
+	}
+	return s.Store.Delete(ctx, key, expect)
+}
+
+func (s *hookStore) hook(f func(op, key string) error, op, key string) error {
+	if f == nil {
+		return nil
+	}
+	return f(op, key)
+}
+
+// pausingStore runs something once, after a read or before a deletion of a key.
+type pausingStore struct {
+	hookStore
+	op, key string
+	then    func()
+}
+
+func (s *pausingStore) Get(ctx context.Context, key string) (platform.Entry, error) {
+	e, err := s.Store.Get(ctx, key)
+	s.pause("get", key)
+	return e, err
+}
+
+func (s *pausingStore) Delete(ctx context.Context, key string, expect uint64) error {
+	s.pause("delete", key)
+	return s.Store.Delete(ctx, key, expect)
+}
+
+func (s *pausingStore) pause(op, key string) {
+	if then := s.then; op == s.op && key == s.key && then != nil {
+		s.then = nil
+		then()
+	}
+}
--- a/src/wire/head.go
+++ b/src/wire/head.go
@@ -2,6 +2,7 @@
 
 //go:generate go tool -modfile=../../tools/go.mod msgp -tests=false -io=false
 
+//msgp:limit arrays:4096 maps:4096
 //msgp:tuple HeadService
 //msgp:tuple HeadChange
 //msgp:tuple RetiredBody
--- a/src/wire/head_gen.go
+++ b/src/wire/head_gen.go
@@ -6,6 +6,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	z26c206f1limitArrays = 4096
+	z26c206f1limitMaps   = 4096
+)
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Head) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -59,6 +65,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z26c206f1limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -86,6 +96,10 @@
 				err = msgp.WrapError(err, "Services")
 				return
 			}
+			if zb0002 > z26c206f1limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Services) >= int(zb0002) {
 				z.Services = (z.Services)[:zb0002]
 			} else {
@@ -105,6 +119,10 @@
 				err = msgp.WrapError(err, "Changes")
 				return
 			}
+			if zb0003 > z26c206f1limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Changes) >= int(zb0003) {
 				z.Changes = (z.Changes)[:zb0003]
 			} else {
@@ -124,6 +142,10 @@
 				err = msgp.WrapError(err, "Retired")
 				return
 			}
+			if zb0004 > z26c206f1limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Retired) >= int(zb0004) {
 				z.Retired = (z.Retired)[:zb0004]
 			} else {
--- a/src/wire/update.go
+++ b/src/wire/update.go
@@ -2,12 +2,14 @@
 
 //go:generate go tool -modfile=../../tools/go.mod msgp -tests=false -io=false
 
+//msgp:limit arrays:4096 maps:4096
+
 // Body is one service document as its team wrote it.
 type Body struct {
 	Service string `msg:"service"`
 	Version uint64 `msg:"version"` // configuration version that accepted this document
 	Digest  string `msg:"digest"`
-	Data    []byte `msg:"data"`
+	Data    []byte `msg:"data,limit=65536"` // at most document.MaxSize
 }
 
 // Update carries a daemon from one configuration version to a later one.
--- a/src/wire/update_gen.go
+++ b/src/wire/update_gen.go
@@ -6,6 +6,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	ze8ac8ae1limitArrays = 4096
+	ze8ac8ae1limitMaps   = 4096
+)
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Body) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -35,6 +41,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > ze8ac8ae1limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -62,11 +72,27 @@
 				return
 			}
 		case "data":
-			z.Data, bts, err = msgp.ReadBytesBytes(bts, z.Data)
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Data")
 				return
 			}
+			if zb0002 > 65536 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Data == nil || uint32(cap(z.Data)) < zb0002 {
+				z.Data = make([]byte, zb0002)
+			} else {
+				z.Data = z.Data[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Data, bts[:zb0002])
+			bts = bts[zb0002:]
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -105,6 +131,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > ze8ac8ae1limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -170,6 +200,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > ze8ac8ae1limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -250,6 +284,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > ze8ac8ae1limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -271,6 +309,10 @@
 				err = msgp.WrapError(err, "Subtree")
 				return
 			}
+			if zb0002 > ze8ac8ae1limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Subtree) >= int(zb0002) {
 				z.Subtree = (z.Subtree)[:zb0002]
 			} else {
@@ -346,6 +388,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > ze8ac8ae1limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -385,6 +431,10 @@
 				err = msgp.WrapError(err, "Bodies")
 				return
 			}
+			if zb0002 > ze8ac8ae1limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Bodies) >= int(zb0002) {
 				z.Bodies = (z.Bodies)[:zb0002]
 			} else {
@@ -404,6 +454,10 @@
 				err = msgp.WrapError(err, "Removed")
 				return
 			}
+			if zb0003 > ze8ac8ae1limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Removed) >= int(zb0003) {
 				z.Removed = (z.Removed)[:zb0003]
 			} else {
