--- /dev/null
+++ b/src/deposit/guard_test.go
@@ -0,0 +1,54 @@
+package deposit_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/yuccaport/yuccaport/src/deposit"
+	"github.com/yuccaport/yuccaport/src/platform"
+	"github.com/yuccaport/yuccaport/src/problem"
+	"github.com/yuccaport/yuccaport/src/standin"
+)
+
+func TestGuardRunsAKeyOnce(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	store := &platform.Counted{Store: &standin.Keyspace{}}
+	a := &deposit.Guard{Store: store, Holder: 1}
+	b := &deposit.Guard{Store: store, Holder: 2}
+	d, err := a.Begin(ctx, "bookings", "k1", 7)
+	c.Assert(err, qt.IsNil)
+	granted, ok := d.(deposit.Granted)
+	c.Assert(ok, qt.IsTrue)
+	d, err = b.Begin(ctx, "bookings", "k1", 7)
+	c.Assert(err, qt.IsNil)
+	c.Assert(d, qt.Satisfies, func(d deposit.Decision) bool { _, ok := d.(deposit.InProgress); return ok })
+	_, err = a.Confirm(ctx, granted.Claim)
+	c.Assert(err, qt.IsNil)
+	record := deposit.Record{Status: 201, Body: []byte("paid")}
+	c.Assert(a.Finish(ctx, granted.Claim, record), qt.IsNil)
+	c.Assert(store.Writes(), qt.Equals, uint64(2))
+	d, err = b.Begin(ctx, "bookings", "k1", 7)
+	c.Assert(err, qt.IsNil)
+	c.Assert(d, qt.DeepEquals, deposit.Decision(deposit.Replay{Record: record}))
+	d, err = b.Begin(ctx, "bookings", "k1", 8)
+	c.Assert(err, qt.IsNil)
+	c.Assert(d, qt.Equals, deposit.Decision(deposit.Mismatch{}))
+	c.Assert(store.Writes(), qt.Equals, uint64(2))
+	c.Assert(a.Close(), qt.IsNil)
+	c.Assert(b.Close(), qt.IsNil)
+}
+
+func TestGuardRefusesWhenTheStoreIsDown(t *testing.T) {
+	c := qt.New(t)
+	k := &standin.Keyspace{}
+	k.SetFaults(standin.Faults{Down: true})
+	g := &deposit.Guard{Store: k, Holder: 1}
+	_, err := g.Begin(context.Background(), "bookings", "k1", 7)
+	c.Assert(err, qt.ErrorIs, problem.NotRun)
+	c.Assert(deposit.RetryAfter(err) > time.Second, qt.IsTrue)
+	c.Assert(g.Close(), qt.IsNil)
+}
--- /dev/null
+++ b/src/platform/answer.go
@@ -0,0 +1,56 @@
+package platform
+
+import (
+	"fmt"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/yuccaport/yuccaport/src/problem"
+)
+
+// answer is what the store has answered to one call.
+type answer struct {
+	status   int
+	revision uint64
+	body     []byte
+	close    bool // the store closes the connection after this answer
+	valid    bool // a success carries a revision
+}
+
+// notSent marks the error of a call that the store has surely not carried out.
+type notSent struct{ error }
+
+func (e notSent) Unwrap() error { return e.error }
+
+func newAnswer(resp *fasthttp.Response) answer {
+	revision, err := strconv.ParseUint(string(resp.Header.Peek(HeaderRevision)), 10, 64)
+	return answer{
+		status:   resp.StatusCode(),
+		revision: revision,
+		body:     append([]byte(nil), resp.Body()...),
+		close:    resp.ConnectionClose(),
+		valid:    err == nil,
+	}
+}
+
+// check returns the error that an answer stands for.
+func (a answer) check() error {
+	text := fmt.Sprintf("status %d: %.200s", a.status, a.body)
+	switch a.status {
+	case fasthttp.StatusOK:
+		if a.valid {
+			return nil
+		}
+		return problem.New(problem.Protocol, HeaderRevision, "missing or malformed", "check that [store] addr is the platform's store")
+	case fasthttp.StatusNotFound:
+		return problem.New(problem.NotFound, "", text, "write the key first")
+	case fasthttp.StatusConflict:
+		return problem.New(problem.Conflict, "", text, "read the key again")
+	case fasthttp.StatusRequestEntityTooLarge:
+		return problem.New(problem.Usage, "", text, fmt.Sprintf("keep values within %d bytes", MaxValueSize))
+	case fasthttp.StatusServiceUnavailable, fasthttp.StatusTooManyRequests:
+		return notSent{problem.New(problem.Unavailable, "", text, "try again later")}
+	}
+	return problem.New(problem.Protocol, "", text, "check that [store] addr is the platform's store")
+}
--- /dev/null
+++ b/src/standin/backend_listener.go
@@ -0,0 +1,55 @@
+package standin
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// backendListener counts a backend server's connections and makes new ones cost time.
+type backendListener struct {
+	net.Listener
+	b *Backend
+}
+
+// Accept implements net.Listener.
+func (l *backendListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		f := l.b.Faults()
+		if f.Dead || f.RefuseConnections {
+			_ = c.Close()
+			continue
+		}
+		l.b.Runs.connect(l.b.Name, l.b.Connections)
+		return &backendConn{Conn: c, b: l.b}, nil
+	}
+}
+
+// backendConn is one connection of a backend server.
+type backendConn struct {
+	net.Conn
+	b      *Backend
+	opened sync.Once
+	closed sync.Once
+}
+
+// Read implements net.Conn; the first read takes the time that a new connection costs.
+func (c *backendConn) Read(p []byte) (int, error) {
+	c.opened.Do(func() { time.Sleep(c.b.ConnectCost) })
+	return c.Conn.Read(p)
+}
+
+// Close implements net.Conn.
+func (c *backendConn) Close() error {
+	c.closed.Do(func() { c.b.Runs.disconnect(c.b.Name) })
+	return c.Conn.Close()
+}
+
+// gone tells whether the other side has closed the connection.
+func (c *backendConn) gone() bool {
+	return peerClosed(c.Conn)
+}
--- /dev/null
+++ b/src/standin/store_server.go
@@ -0,0 +1,168 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/valyala/fasthttp"
+
+	"github.com/yuccaport/yuccaport/src/platform"
+	"github.com/yuccaport/yuccaport/src/problem"
+)
+
+// Limits of the store that the command stands up.
+const (
+	DefaultReadsPerSecond  = 2000
+	DefaultWritesPerSecond = 400
+)
+
+const maxWatchWait = time.Minute
+
+// StoreServer is the HTTP face of a Keyspace, as platform.Remote calls it.
+type StoreServer struct {
+	Listener net.Listener
+	Keyspace *Keyspace
+	Log      logr.Logger
+
+	ctx context.Context
+}
+
+// Run serves until ctx is over.
+func (s *StoreServer) Run(ctx context.Context) error {
+	s.ctx = ctx
+	server := &fasthttp.Server{
+		Handler:               s.handle,
+		Name:                  "store",
+		MaxRequestBodySize:    2 * platform.MaxValueSize,
+		NoDefaultServerHeader: true,
+		CloseOnShutdown:       true,
+	}
+	return serve(ctx, server, s.Listener)
+}
+
+func (s *StoreServer) handle(c *fasthttp.RequestCtx) {
+	switch string(c.Path()) {
+	case platform.PathKey:
+		s.key(c)
+	case platform.PathLease:
+		s.lease(c)
+	case "/faults":
+		s.faults(c)
+	case "/calls":
+		writeJSON(c, s.Keyspace.Calls())
+	default:
+		c.Error("no such path", fasthttp.StatusNotFound)
+	}
+}
+
+func (s *StoreServer) key(c *fasthttp.RequestCtx) {
+	q := c.QueryArgs()
+	key := string(q.Peek("key"))
+	switch {
+	case c.IsGet() && q.Has("wait_ms"):
+		wait := min(time.Duration(number(q, "wait_ms"))*time.Millisecond, maxWatchWait)
+		e, err := s.Keyspace.Watch(s.ctx, key, number(q, "after"), wait)
+		s.entry(c, e, err)
+	case c.IsGet():
+		e, err := s.Keyspace.Get(s.ctx, key)
+		s.entry(c, e, err)
+	case c.IsPut():
+		revision, err := s.Keyspace.Swap(s.ctx, key, number(q, "expect"), c.PostBody())
+		s.entry(c, platform.Entry{Revision: revision}, err)
+	case c.IsDelete():
+		s.entry(c, platform.Entry{}, s.Keyspace.Delete(s.ctx, key, number(q, "expect")))
+	default:
+		c.Error("no such method", fasthttp.StatusMethodNotAllowed)
+	}
+}
+
+func (s *StoreServer) lease(c *fasthttp.RequestCtx) {
+	q := c.QueryArgs()
+	l := platform.Lease{
+		Key:    string(q.Peek("key")),
+		Holder: string(q.Peek("holder")),
+		Token:  number(q, "token"),
+		TTL:    time.Duration(number(q, "ttl_ms")) * time.Millisecond,
+	}
+	var err error
+	switch {
+	case c.IsPost():
+		l, err = s.Keyspace.Grant(s.ctx, l.Key, l.Holder, l.TTL)
+	case c.IsPut():
+		err = s.Keyspace.Renew(s.ctx, l)
+	case c.IsDelete():
+		err = s.Keyspace.Release(s.ctx, l)
+	default:
+		c.Error("no such method", fasthttp.StatusMethodNotAllowed)
+		return
+	}
+	s.entry(c, platform.Entry{Revision: l.Token}, err)
+}
+
+// entry answers a call; a lost answer closes the connection.
+func (s *StoreServer) entry(c *fasthttp.RequestCtx, e platform.Entry, err error) {
+	if errors.Is(err, problem.Unsure) {
+		hangUp(c)
+		return
+	}
+	if err != nil {
+		c.Error(err.Error(), statusOf(err))
+		return
+	}
+	c.Response.Header.Set(platform.HeaderRevision, strconv.FormatUint(e.Revision, 10))
+	c.SetBody(e.Value)
+}
+
+func (s *StoreServer) faults(c *fasthttp.RequestCtx) {
+	if !c.IsPut() {
+		writeJSON(c, s.Keyspace.Faults())
+		return
+	}
+	var f Faults
+	if err := json.Unmarshal(c.PostBody(), &f); err != nil {
+		c.Error("faults: "+err.Error()+"; send a JSON object of faults", fasthttp.StatusBadRequest)
+		return
+	}
+	s.Keyspace.SetFaults(f)
+	s.Log.Info("faults set", "faults", f)
+	writeJSON(c, f)
+}
+
+func statusOf(err error) int {
+	switch {
+	case errors.Is(err, problem.NotFound):
+		return fasthttp.StatusNotFound
+	case errors.Is(err, problem.Conflict):
+		return fasthttp.StatusConflict
+	case errors.Is(err, problem.Usage):
+		return fasthttp.StatusRequestEntityTooLarge
+	}
+	return fasthttp.StatusServiceUnavailable
+}
+
+// number returns a query argument, 0 when it is missing or malformed.
+func number(q *fasthttp.Args, name string) uint64 {
+	n, _ := strconv.ParseUint(string(q.Peek(name)), 10, 64)
+	return n
+}
+
+func writeJSON(c *fasthttp.RequestCtx, v any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		c.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	c.SetContentType("application/json")
+	c.SetBody(b)
+}
+
+// hangUp closes the connection without an answer.
+func hangUp(c *fasthttp.RequestCtx) {
+	c.HijackSetNoResponse(true)
+	c.Hijack(func(net.Conn) {})
+}
