Settings: strict TOML with place, value and remedy for each refusal

Cause: a daemon must not start on settings that it would later misread. Ruled out: decoding without strictness (a misspelt key would silently keep its default).

--- /dev/null
+++ b/src/settings/load.go
@@ -0,0 +1,60 @@
+package settings
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"github.com/yuccaport/yuccaport/src/problem"
+)
+
+// Load reads and checks a settings file; an error is of kind problem.Settings and names the place and the remedy.
+func Load(file string) (Settings, error) {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, problem.Wrap(problem.Settings, err, file, "cannot be read", "name a settings file such as those in examples/")
+	}
+	return Parse(file, b)
+}
+
+// Parse reads and checks settings; file is the name that errors show.
+func Parse(file string, b []byte) (Settings, error) {
+	s := Default()
+	d := toml.NewDecoder(bytes.NewReader(b))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&s); err != nil {
+		return Settings{}, decodeProblem(file, err)
+	}
+	return s, Check(file, &s)
+}
+
+func decodeProblem(file string, err error) error {
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) && len(strict.Errors) > 0 {
+		e := strict.Errors[0]
+		row, _ := e.Position()
+		return problem.New(problem.Settings, fmt.Sprintf("%s:%d", file, row),
+			fmt.Sprintf("unknown key %q", keyPath(e.Key())), "remove it, or see docs/SETTINGS.md for the keys")
+	}
+	var de *toml.DecodeError
+	if errors.As(err, &de) {
+		row, _ := de.Position()
+		return problem.Wrap(problem.Settings, err, fmt.Sprintf("%s:%d", file, row),
+			fmt.Sprintf("key %q has no usable value", keyPath(de.Key())), "see docs/SETTINGS.md for its type")
+	}
+	return problem.Wrap(problem.Settings, err, file, "not TOML", "see docs/SETTINGS.md")
+}
+
+func keyPath(k toml.Key) string {
+	var b bytes.Buffer
+	for i, p := range k {
+		if i > 0 {
+			b.WriteByte('.')
+		}
+		b.WriteString(p)
+	}
+	return b.String()
+}
