--- /dev/null
+++ b/src/status/doc.go
@@ -0,0 +1,2 @@
+// Package status gathers what every daemon says of itself over a tree of daemons.
+package status
