Dispatch, thin: routing table, HTTP proxy, one attempt per call

The table, the caller-facing server and the core's events and actions stand with the API that the daemon needs; the core still picks at random and sends once.

--- /dev/null
+++ b/src/dispatch/call.go
@@ -0,0 +1,191 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/yuccaport/yuccaport/src/wire"
+)
+
+const (
+	maxAttempts = 8
+	// watchAfter is how long a call runs before its caller's connection is watched.
+	watchAfter = 10 * time.Millisecond
+)
+
+// call carries out the core's actions for one request.
+type call struct {
+	p        *Proxy
+	id       uint64
+	ctx      *fasthttp.RequestCtx
+	conn     *callerConn
+	match    *Match
+	policy   *Policy
+	body     *requestBody
+	parent   Parent
+	head     wire.CallHead
+	start    time.Time
+	deadline time.Time
+	base     context.Context
+	cancel   context.CancelFunc
+
+	attempts [maxAttempts + 1]*attempt // by number, from 1
+	results  chan int                  // numbers of attempts that have come to a result
+	gone     chan struct{}
+	timers   []callTimer
+	watched  bool
+	over     bool
+	handed   bool // the answer's body outlives run
+}
+
+type callTimer struct {
+	kind    TimerKind
+	attempt int
+	at      time.Time
+}
+
+// run drives the call to its answer.
+func (c *call) run() {
+	defer c.finish()
+	c.do(c.p.step(CallArrived{
+		Call: c.id, Policy: c.policy, Left: c.deadline.Sub(c.start),
+		RetryLayer: c.parent.RetryLayer, HasBody: c.body != nil,
+	}))
+	c.timers = append(c.timers, callTimer{at: c.start.Add(watchAfter)})
+	timer := time.NewTimer(watchAfter)
+	defer timer.Stop()
+	for !c.over {
+		timer.Reset(c.nextTimer())
+		select {
+		case n := <-c.results:
+			c.result(n)
+		case <-timer.C:
+			c.fireTimers()
+		case <-c.gone:
+			c.callerGone()
+		case <-c.parent.Done:
+			c.callerGone()
+		case <-c.base.Done():
+			c.callerGone()
+		}
+	}
+}
+
+// finish frees what the call holds.
+func (c *call) finish() {
+	if c.watched {
+		c.conn.unwatch()
+	}
+	for _, a := range c.attempts {
+		if a != nil && !a.accepted {
+			a.drop()
+		}
+	}
+	if !c.handed {
+		c.cancel()
+	}
+	if !c.body.arrived() {
+		c.ctx.SetConnectionClose()
+		c.conn.leaveUnread()
+	}
+	c.body.end()
+}
+
+// do carries out the core's actions.
+func (c *call) do(actions []Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case SendAttempt:
+			c.send(a)
+		case CancelAttempt:
+			c.attempts[a.Attempt].drop()
+		case AcceptAnswer:
+			c.accept(c.attempts[a.Attempt])
+		case RefuseCall:
+			c.refuse(a)
+		case SetTimer:
+			c.timers = append(c.timers, callTimer{kind: a.Timer, attempt: a.Attempt, at: c.p.Now().Add(a.After)})
+		}
+	}
+}
+
+func (c *call) refuse(a RefuseCall) {
+	c.over = true
+	if a.MayHaveRun {
+		c.p.counters.mayHaveRun.Inc()
+	} else {
+		c.p.counters.notRun.Inc()
+	}
+	c.p.Log.Info("refused", "trace", c.head.TraceID, "route", c.policy.Route, "service", c.policy.Service,
+		"reason", reasonNames[a.Reason], "may_have_run", a.MayHaveRun)
+	writeRefusal(c.ctx, a)
+}
+
+// result gives the core an attempt's result.
+func (c *call) result(n int) {
+	a := c.attempts[n]
+	if a.refused != nil {
+		r := a.refused
+		c.do(c.p.step(AttemptRefused{
+			Call: c.id, Attempt: n, Reason: r.Reason, MayHaveRun: r.MayHaveRun,
+			RetryAfter: time.Duration(r.RetryAfterMS) * time.Millisecond, BodySpent: c.body.spent(), Load: newLoad(r.Load),
+		}))
+		return
+	}
+	c.do(c.p.step(AttemptAnswered{Call: c.id, Attempt: n, Status: int(a.reply.Head.Status), Load: newLoad(a.reply.Head.Load)}))
+}
+
+func (c *call) callerGone() {
+	c.over = true
+	c.p.counters.callerGone.Inc()
+	c.do(c.p.step(CallerGone{Call: c.id}))
+	c.ctx.SetConnectionClose()
+	c.ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+}
+
+// nextTimer returns the time until the next timer.
+func (c *call) nextTimer() time.Duration {
+	next := c.start.Add(time.Hour)
+	for _, t := range c.timers {
+		if t.at.Before(next) {
+			next = t.at
+		}
+	}
+	return max(0, next.Sub(c.p.Now()))
+}
+
+func (c *call) fireTimers() {
+	now := c.p.Now()
+	due := []callTimer{}
+	left := c.timers[:0]
+	for _, t := range c.timers {
+		if t.at.After(now) {
+			left = append(left, t)
+		} else {
+			due = append(due, t)
+		}
+	}
+	c.timers = left
+	for _, t := range due {
+		if t.kind == "" {
+			c.watch(now)
+		} else if !c.over {
+			c.do(c.p.step(TimerFired{Call: c.id, Attempt: t.attempt, Timer: t.kind}))
+		}
+	}
+}
+
+// watch begins to watch the caller's connection, once the request's body no longer comes from it.
+func (c *call) watch(now time.Time) {
+	if c.conn == nil {
+		return
+	}
+	if !c.body.arrived() {
+		c.timers = append(c.timers, callTimer{at: now.Add(watchAfter)})
+		return
+	}
+	c.watched = true
+	c.conn.watch(func() { c.gone <- struct{}{} })
+}
--- /dev/null
+++ b/src/dispatch/choice_reason.go
@@ -0,0 +1,14 @@
+package dispatch
+
+// ChoiceReason tells why a member was chosen.
+type ChoiceReason string
+
+// The reasons for a choice.
+const (
+	ChoiceLocal      ChoiceReason = "same_domain"
+	ChoiceRegion     ChoiceReason = "same_region" // the failure domain has no free capacity
+	ChoiceAny        ChoiceReason = "any_domain"
+	ChoiceSaturated  ChoiceReason = "all_saturated"
+	ChoiceLastResort ChoiceReason = "all_bad" // only members that are set aside, suspect or not ready
+	ChoiceBaseline   ChoiceReason = "baseline"
+)
--- /dev/null
+++ b/src/dispatch/event.go
@@ -0,0 +1,73 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/yuccaport/yuccaport/src/wire"
+)
+
+// Event is something the Core decides on.
+type Event interface{ isEvent() }
+
+// TableChanged gives the core the members of a new routing table.
+type TableChanged struct {
+	Version uint64   `json:"version"`
+	Domain  string   `json:"domain"` // failure domain of this daemon
+	Region  string   `json:"region"`
+	Members []Member `json:"members"`
+}
+
+// CallArrived asks for the first attempt of a call.
+type CallArrived struct {
+	Call       uint64        `json:"call"`
+	Policy     *Policy       `json:"policy"`
+	Left       time.Duration `json:"left_ns"`               // until the call's deadline
+	RetryLayer bool          `json:"retry_layer,omitempty"` // a daemon earlier in the chain retries
+	HasBody    bool          `json:"has_body,omitempty"`
+}
+
+// AttemptAnswered reports the head of an attempt's answer.
+type AttemptAnswered struct {
+	Call    uint64 `json:"call"`
+	Attempt int    `json:"attempt"`
+	Status  int    `json:"status"`
+	Load    Load   `json:"load"`
+}
+
+// AttemptRefused reports an attempt that ended without an answer.
+type AttemptRefused struct {
+	Call       uint64             `json:"call"`
+	Attempt    int                `json:"attempt"`
+	Reason     wire.RefusalReason `json:"reason"`
+	MayHaveRun bool               `json:"may_have_run,omitempty"`
+	RetryAfter time.Duration      `json:"retry_after_ns,omitempty"`
+	BodySpent  bool               `json:"body_spent,omitempty"` // the request body cannot be sent again
+	Load       Load               `json:"load"`
+}
+
+// AttemptEnded reports that the body of an accepted answer has ended or was given up.
+type AttemptEnded struct {
+	Call    uint64 `json:"call"`
+	Attempt int    `json:"attempt"`
+	Cut     bool   `json:"cut,omitempty"` // by the backend server's side
+}
+
+// TimerFired reports that a timer set by SetTimer is due.
+type TimerFired struct {
+	Call    uint64    `json:"call"`
+	Attempt int       `json:"attempt"`
+	Timer   TimerKind `json:"timer"`
+}
+
+// CallerGone reports that a call's caller has closed its connection.
+type CallerGone struct {
+	Call uint64 `json:"call"`
+}
+
+func (TableChanged) isEvent()    {}
+func (CallArrived) isEvent()     {}
+func (AttemptAnswered) isEvent() {}
+func (AttemptRefused) isEvent()  {}
+func (AttemptEnded) isEvent()    {}
+func (TimerFired) isEvent()      {}
+func (CallerGone) isEvent()      {}
--- /dev/null
+++ b/src/dispatch/explanation.go
@@ -0,0 +1,43 @@
+package dispatch
+
+// Explanation tells how a request would be dispatched now.
+type Explanation struct {
+	Version    uint64           `json:"version"`
+	Service    string           `json:"service,omitempty"`
+	Route      string           `json:"route,omitempty"`
+	Idempotent bool             `json:"idempotent"`
+	Choice     uint64           `json:"choice,omitempty"` // member
+	Reason     string           `json:"reason"`
+	Candidates []CandidateScore `json:"candidates"`
+}
+
+// CandidateScore is a member with what the choice looks at.
+type CandidateScore struct {
+	Member   uint64  `json:"member"`
+	Service  string  `json:"service"`
+	Domain   string  `json:"domain"`
+	Usable   bool    `json:"usable"`
+	Why      string  `json:"why"`
+	Score    float64 `json:"score"` // lower is better
+	InFlight int     `json:"in_flight"`
+	Free     float64 `json:"free"`  // slots, estimated
+	Share    float64 `json:"share"` // of its full share, below 1 after a start or an outage
+}
+
+// Explain tells which route a request takes and which member would be chosen.
+func (p *Proxy) Explain(host, path, method string) Explanation {
+	p.init()
+	t := p.table()
+	if t == nil {
+		return Explanation{Reason: "not_ready"}
+	}
+	m, ok := t.Match(host, path, method)
+	if !ok {
+		return Explanation{Version: t.Version, Reason: "no_route"}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	x := p.core.explain(p.Now(), m.policy(method))
+	x.Version, x.Service, x.Route, x.Idempotent = t.Version, m.Service, m.Route.Name, m.Route.IsIdempotent(method)
+	return x
+}
--- /dev/null
+++ b/src/dispatch/match.go
@@ -0,0 +1,49 @@
+package dispatch
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/yuccaport/yuccaport/src/document"
+)
+
+// Match is the route that a request takes.
+type Match struct {
+	Service  string // service whose document holds the route
+	Route    *document.Route
+	Targets  []document.Target // never empty
+	Fallback string            // empty for none
+	Table    *Table
+
+	rule *rule
+}
+
+// policy returns how a request of a method is dispatched.
+func (m *Match) policy(method string) *Policy {
+	if m.Route.IsIdempotent(method) {
+		return m.rule.idempotent
+	}
+	return m.rule.once
+}
+
+// Match returns the route for a request: the longest prefix of its host's routes that takes the method.
+func (t *Table) Match(host, path, method string) (*Match, bool) {
+	for _, r := range t.hosts[normalizeHost(host)] {
+		if !hasPathPrefix(path, r.route.Prefix) {
+			continue
+		}
+		if len(r.route.Methods) > 0 && !slices.Contains(r.route.Methods, method) {
+			continue
+		}
+		return &Match{Service: r.service, Route: r.route, Targets: r.targets, Fallback: r.fallback, Table: t, rule: r}, true
+	}
+	return nil, false
+}
+
+// hasPathPrefix tells whether a prefix ends where a path segment of the path ends.
+func hasPathPrefix(path, prefix string) bool {
+	if !strings.HasPrefix(path, prefix) {
+		return false
+	}
+	return len(path) == len(prefix) || strings.HasSuffix(prefix, "/") || prefix == "" || path[len(prefix)] == '/'
+}
--- /dev/null
+++ b/src/dispatch/parent.go
@@ -0,0 +1,12 @@
+package dispatch
+
+import "time"
+
+// Parent is the call that a backend server is running when it makes a call of its own.
+type Parent struct {
+	TraceID    string
+	Depth      uint8 // calls above it
+	RetryLayer bool  // a daemon earlier in the chain retries
+	Deadline   time.Time
+	Done       <-chan struct{} // closed when the parent is cancelled; nil for never
+}
--- /dev/null
+++ b/src/dispatch/policy.go
@@ -0,0 +1,42 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/yuccaport/yuccaport/src/document"
+)
+
+// Policy is how the calls of one route are dispatched.
+type Policy struct {
+	Service     string            `json:"service"` // service whose document holds the route
+	Route       string            `json:"route"`
+	Targets     []Target          `json:"targets"`
+	Fallback    string            `json:"fallback,omitempty"`
+	Locality    document.Locality `json:"locality,omitempty"`
+	Idempotent  bool              `json:"idempotent,omitempty"`
+	Attempts    int               `json:"attempts,omitempty"` // in all
+	Timeout     time.Duration     `json:"timeout_ns,omitempty"`
+	HedgeAfter  time.Duration     `json:"hedge_after_ns,omitempty"` // 0 for no hedge
+	MaxInFlight int               `json:"max_in_flight,omitempty"`  // 0 for no limit
+}
+
+// Target is a service with its share of a route's calls.
+type Target struct {
+	Service string `json:"service"`
+	Weight  int    `json:"weight"`
+}
+
+func newPolicy(r *rule, idempotent bool) *Policy {
+	p := &Policy{
+		Service: r.service, Route: r.route.Name, Fallback: r.fallback,
+		Locality: r.route.Locality, Idempotent: idempotent, Attempts: r.route.Retry.Attempts,
+		Timeout: r.route.Timeout.Std(), MaxInFlight: r.route.MaxInFlight,
+	}
+	if idempotent {
+		p.HedgeAfter = r.route.Hedge.After.Std()
+	}
+	for _, t := range r.targets {
+		p.Targets = append(p.Targets, Target{Service: t.Service, Weight: t.Weight})
+	}
+	return p
+}
--- /dev/null
+++ b/src/dispatch/proxy.go
@@ -0,0 +1,191 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/alitto/pond/v2"
+	"github.com/go-logr/logr"
+	"github.com/valyala/fasthttp"
+
+	"github.com/yuccaport/yuccaport/src/link"
+	"github.com/yuccaport/yuccaport/src/problem"
+	"github.com/yuccaport/yuccaport/src/trace"
+	"github.com/yuccaport/yuccaport/src/wire"
+)
+
+const (
+	maxHeaderSize  = 32 << 10 // bytes of a request's header
+	maxConns       = 16384    // callers' connections
+	prefetchSize   = 64 << 10 // bytes of a request body that are read before the call is dispatched
+	defaultStall   = 60 * time.Second
+	defaultGrace   = 30 * time.Second
+	killWait       = 5 * time.Second
+	maxRequestBody = 256 << 20 // bytes
+)
+
+// Proxy is the HTTP server that callers speak to.
+type Proxy struct {
+	Listener net.Listener
+	Self     func() wire.Member
+	Table    func() *Table // table in force, nil while the daemon is not ready
+	Caller   link.Caller
+	Parent   func(token string) (Parent, bool) // looks up the call that a backend server is running
+	Core     Settings
+	Grace    time.Duration // for requests in flight at a planned stop
+	Stall    time.Duration // longest time without progress on a caller's connection
+	Now      func() time.Time
+	Rand     *rand.Rand
+	Log      logr.Logger
+	Metrics  *metrics.Set
+	Record   *trace.Recorder
+
+	conns    *callerListener
+	pool     pond.Pool
+	base     context.Context
+	kill     context.CancelFunc
+	stopping atomic.Bool
+	lastCall atomic.Uint64
+
+	tracePrefix string
+	counters    *counters
+
+	mu      sync.Mutex
+	core    *Core
+	current *Table // table that the core knows
+
+	ready sync.Once
+}
+
+// Run serves callers until ctx is over, then finishes the requests in flight within Grace.
+func (p *Proxy) Run(ctx context.Context) error {
+	p.init()
+	defer p.kill()
+	srv := p.server()
+	done := make(chan error, 1)
+	go func() { done <- srv.Serve(p.conns) }()
+	var err error
+	select {
+	case err = <-done:
+	case <-ctx.Done():
+		p.stop()
+		err = <-done
+	}
+	p.pool.StopAndWait()
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		return problem.Wrap(problem.Unavailable, err, p.Listener.Addr().String(), "callers' listener failed", "check listen.proxy in the settings and restart the daemon")
+	}
+	return nil
+}
+
+// Kill ends Run at once and cuts the requests in flight.
+func (p *Proxy) Kill() {
+	p.init()
+	p.kill()
+	p.conns.abort()
+}
+
+// init makes the parts that Run, Kill and Explain share.
+func (p *Proxy) init() {
+	p.ready.Do(func() {
+		setDefault(&p.Grace, defaultGrace)
+		setDefault(&p.Stall, defaultStall)
+		if p.Now == nil {
+			p.Now = time.Now
+		}
+		if p.Rand == nil {
+			p.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+		}
+		if p.Metrics == nil {
+			p.Metrics = metrics.NewSet()
+		}
+		p.Core = p.Core.WithDefaults()
+		p.core = &Core{Settings: p.Core, Rand: p.Rand}
+		p.tracePrefix = strconv.FormatUint(p.Rand.Uint64(), 36) + "-"
+		p.counters = newCounters(p.Metrics)
+		p.conns = newCallerListener(p.Listener, p.Stall)
+		p.pool = pond.NewPool(p.Core.MaxCalls, pond.WithNonBlocking(true))
+		p.base, p.kill = context.WithCancel(context.Background())
+	})
+}
+
+// stop finishes the requests in flight and cuts those that outlast Grace.
+func (p *Proxy) stop() {
+	p.stopping.Store(true)
+	ctx, cancel := context.WithTimeout(p.base, p.Grace)
+	defer cancel()
+	p.conns.stop(ctx)
+	if ctx.Err() == nil {
+		return
+	}
+	cut := p.conns.open()
+	p.Log.Info("requests cut", "count", len(cut), "reason", "grace is over", "grace", p.Grace.String())
+	p.kill()
+	p.conns.abort()
+	last, cancelLast := context.WithTimeout(context.Background(), killWait)
+	defer cancelLast()
+	p.conns.stop(last)
+}
+
+func (p *Proxy) server() *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler:                      p.serve,
+		StreamRequestBody:            true,
+		DisablePreParseMultipartForm: true,
+		NoDefaultServerHeader:        true,
+		NoDefaultDate:                true,
+		NoDefaultContentType:         true,
+		ReadBufferSize:               maxHeaderSize,
+		MaxRequestBodySize:           prefetchSize,
+		Concurrency:                  maxConns,
+		Logger:                       serverLog{p.Log},
+		ConnState:                    markIdle,
+	}
+}
+
+// markIdle tells a caller's connection that its answer is written.
+func markIdle(c net.Conn, s fasthttp.ConnState) {
+	if cc, ok := c.(*callerConn); ok && s == fasthttp.StateIdle {
+		cc.setBusy(false)
+	}
+}
+
+// step gives the core an event and records what it decides.
+func (p *Proxy) step(e Event) []Action {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stepLocked(e)
+}
+
+func (p *Proxy) stepLocked(e Event) []Action {
+	now := p.Now()
+	actions := p.core.Step(now, e)
+	if p.Record != nil {
+		if out, err := trace.Outcomes(actions); err == nil {
+			p.Record.Record(now, e, out)
+		}
+	}
+	return actions
+}
+
+// table returns the table in force, once the core knows it.
+func (p *Proxy) table() *Table {
+	t := p.Table()
+	if t == nil {
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if t != p.current {
+		p.current = t
+		p.stepLocked(t.changed(p.Self()))
+	}
+	return t
+}
--- /dev/null
+++ b/src/dispatch/proxy_test.go
@@ -0,0 +1,143 @@
+package dispatch_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+	"go.uber.org/goleak"
+
+	"github.com/yuccaport/yuccaport/src/dispatch"
+	"github.com/yuccaport/yuccaport/src/document"
+	"github.com/yuccaport/yuccaport/src/link"
+	"github.com/yuccaport/yuccaport/src/roster"
+	"github.com/yuccaport/yuccaport/src/wire"
+)
+
+// callerFunc is a link.Caller made of a function.
+type callerFunc func(ctx context.Context, to link.Peer, head wire.CallHead, body io.Reader) link.Outcome
+
+func (f callerFunc) Call(ctx context.Context, to link.Peer, head wire.CallHead, body io.Reader) link.Outcome {
+	return f(ctx, to, head, body)
+}
+
+func reply(status uint16, body string, fields ...wire.Field) link.Outcome {
+	h := wire.ReplyHead{Status: status, Fields: fields, BodyLength: int64(len(body)), Load: wire.Load{Free: 11, Slots: 12}}
+	return link.Reply{Head: h, Body: io.NopCloser(strings.NewReader(body))}
+}
+
+func refused(reason wire.RefusalReason, mayHaveRun bool) link.Outcome {
+	return link.Refused{Refusal: wire.Refusal{Reason: reason, MayHaveRun: mayHaveRun, RetryAfterMS: 1500}}
+}
+
+func members(n int) []wire.Member {
+	out := []wire.Member{}
+	for i := range n {
+		out = append(out, wire.Member{ID: uint64(i + 1), Service: "bookings", Domain: "mid-a", Slots: 12, Ready: true})
+	}
+	return out
+}
+
+// proxy is a running Proxy with its address.
+type proxy struct {
+	*dispatch.Proxy
+	url    string
+	cancel context.CancelFunc
+	done   chan error
+}
+
+// start runs a proxy with three members of bookings until the test ends.
+func start(t *testing.T, route document.Route, caller callerFunc, options ...func(*dispatch.Proxy)) *proxy {
+	t.Helper()
+	c := qt.New(t)
+	table, err := dispatch.NewTable(snapshot(bookings(route)), roster.NewView(0, members(3)))
+	c.Assert(err, qt.IsNil)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	p := &proxy{url: "http://" + l.Addr().String(), done: make(chan error, 1)}
+	p.Proxy = &dispatch.Proxy{
+		Listener: l, Caller: caller, Log: logr.Discard(), Grace: 5 * time.Second,
+		Self:  func() wire.Member { return wire.Member{Domain: "mid-a"} },
+		Table: func() *dispatch.Table { return table },
+	}
+	for _, o := range options {
+		o(p.Proxy)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	go func() { p.done <- p.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		c.Check(<-p.done, qt.IsNil)
+		http.DefaultClient.CloseIdleConnections()
+		goleak.VerifyNone(t)
+	})
+	return p
+}
+
+// do sends a request and returns its answer with the whole body.
+func (p *proxy) do(method, path string, body io.Reader, fields ...string) (*http.Response, string, error) {
+	req, err := http.NewRequest(method, p.url+path, body)
+	if err != nil {
+		return nil, "", err
+	}
+	req.Host = "bookings.example"
+	for i := 0; i < len(fields); i += 2 {
+		req.Header.Set(fields[i], fields[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return resp, string(b), err
+}
+
+func TestProxyAnswers(t *testing.T) {
+	large := bytes.Repeat([]byte("photo"), 200_000)
+	tests := map[string]struct {
+		method, path string
+		body         []byte
+		answer       link.Outcome
+		status       int
+		outcome      string
+		want         string
+	}{
+		"answer":       {"GET", "/diary", nil, reply(200, "whole"), 200, "", "whole"},
+		"backend 500":  {"GET", "/diary", nil, reply(500, "fault"), 500, "", "fault"},
+		"upload":       {"POST", "/diary", large, nil, 200, "", "1000000 bytes"},
+		"not run":      {"POST", "/diary", nil, refused(wire.ReasonQueueFull, false), 503, "not-run", `{"reason":"queue_full".*"retry_after_ms":1500}\n`},
+		"may have run": {"POST", "/diary", nil, refused(wire.ReasonLinkLost, true), 502, "may-have-run", `{"reason":"link_lost".*}\n`},
+		"no route":     {"GET", "/other", nil, nil, 404, "not-run", `{"reason":"no_route".*}\n`},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			p := start(t, document.Route{Name: "diary", Prefix: "/diary"}, func(_ context.Context, _ link.Peer, _ wire.CallHead, body io.Reader) link.Outcome {
+				if tc.body == nil {
+					return tc.answer
+				}
+				got, err := io.ReadAll(body)
+				c.Check(err, qt.IsNil)
+				c.Check(bytes.Equal(got, tc.body), qt.IsTrue)
+				return reply(200, "1000000 bytes")
+			})
+			resp, body, err := p.do(tc.method, tc.path, bytes.NewReader(tc.body))
+			c.Assert(err, qt.IsNil)
+			c.Check(resp.StatusCode, qt.Equals, tc.status)
+			c.Check(resp.Header.Get("yuccaport-outcome"), qt.Equals, tc.outcome)
+			c.Check(body, qt.Matches, tc.want)
+			if tc.status == 503 {
+				c.Check(resp.Header.Get("retry-after"), qt.Equals, "2")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/src/dispatch/reason.go
@@ -0,0 +1,40 @@
+package dispatch
+
+import "github.com/yuccaport/yuccaport/src/wire"
+
+var reasonNames = map[wire.RefusalReason]string{
+	wire.ReasonNone:        "none",
+	wire.ReasonQueueFull:   "queue_full",
+	wire.ReasonDeadline:    "deadline",
+	wire.ReasonLeaving:     "leaving",
+	wire.ReasonWrongMember: "wrong_member",
+	wire.ReasonNotReady:    "not_ready",
+	wire.ReasonConnect:     "connect",
+	wire.ReasonShed:        "shed",
+	wire.ReasonLinkLost:    "link_lost",
+	wire.ReasonLimit:       "limit",
+	wire.ReasonCancelled:   "cancelled",
+	wire.ReasonTimeout:     "timeout",
+	wire.ReasonCut:         "cut",
+}
+
+var reasonRemedies = map[wire.RefusalReason]string{
+	wire.ReasonQueueFull:   "repeat the request after retry-after; add backend servers if it goes on",
+	wire.ReasonDeadline:    "repeat the request after retry-after, or raise the route's deadline",
+	wire.ReasonLeaving:     "repeat the request",
+	wire.ReasonWrongMember: "repeat the request",
+	wire.ReasonNotReady:    "repeat the request after retry-after; see yuccaport status for the service's members",
+	wire.ReasonConnect:     "repeat the request after retry-after; see yuccaport status for the service's members",
+	wire.ReasonShed:        "repeat the request after retry-after",
+	wire.ReasonLinkLost:    "repeat the request if it did not run",
+	wire.ReasonLimit:       "repeat the request after retry-after, or raise the route's max_in_flight",
+	wire.ReasonTimeout:     "look up whether the request ran before repeating it, or raise the route's timeout",
+	wire.ReasonCut:         "look up whether the request ran before repeating it",
+}
+
+func remedy(r wire.RefusalReason) string {
+	if s, ok := reasonRemedies[r]; ok {
+		return s
+	}
+	return "repeat the request"
+}
--- /dev/null
+++ b/src/dispatch/refusal.go
@@ -0,0 +1,44 @@
+package dispatch
+
+import (
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/yuccaport/yuccaport/src/wire"
+)
+
+// refusalBody is the JSON body of an answer of our own.
+type refusalBody struct {
+	Reason       string `json:"reason"`
+	Outcome      string `json:"outcome"` // not-run or may-have-run
+	Remedy       string `json:"remedy"`
+	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
+}
+
+// writeRefusal answers a request that no backend server has answered.
+func writeRefusal(ctx *fasthttp.RequestCtx, r RefuseCall) {
+	if r.MayHaveRun {
+		status := fasthttp.StatusBadGateway
+		if r.Reason == wire.ReasonTimeout || r.Reason == wire.ReasonDeadline {
+			status = fasthttp.StatusGatewayTimeout
+		}
+		writeOwn(ctx, status, outcomeMay, refusalBody{Reason: reasonNames[r.Reason], Remedy: remedy(r.Reason)})
+		return
+	}
+	after := max(r.RetryAfter, time.Millisecond)
+	ctx.Response.Header.Set("Retry-After", strconv.FormatInt(int64((after+time.Second-1)/time.Second), 10))
+	writeOwn(ctx, fasthttp.StatusServiceUnavailable, outcomeNotRun,
+		refusalBody{Reason: reasonNames[r.Reason], Remedy: remedy(r.Reason), RetryAfterMS: after.Milliseconds()})
+}
+
+func writeOwn(ctx *fasthttp.RequestCtx, status int, outcome string, b refusalBody) {
+	b.Outcome = outcome
+	ctx.SetStatusCode(status)
+	ctx.Response.Header.Set(outcomeField, outcome)
+	ctx.SetContentType("application/json")
+	body, _ := json.Marshal(b)
+	ctx.SetBody(append(body, '\n'))
+}
--- /dev/null
+++ b/src/dispatch/table_test.go
@@ -0,0 +1,81 @@
+package dispatch_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/yuccaport/yuccaport/src/dispatch"
+	"github.com/yuccaport/yuccaport/src/document"
+	"github.com/yuccaport/yuccaport/src/ledger"
+	"github.com/yuccaport/yuccaport/src/problem"
+	"github.com/yuccaport/yuccaport/src/roster"
+	"github.com/yuccaport/yuccaport/src/wire"
+)
+
+func snapshot(docs ...*document.Document) *ledger.Snapshot {
+	s := &ledger.Snapshot{Version: 7, Documents: map[string]*document.Document{}}
+	for _, d := range docs {
+		s.Documents[d.Service] = d
+	}
+	return s
+}
+
+func bookings(routes ...document.Route) *document.Document {
+	return &document.Document{Service: "bookings", Hosts: []string{"Bookings.example"}, Routes: routes}
+}
+
+func TestMatch(t *testing.T) {
+	table, err := dispatch.NewTable(snapshot(bookings(
+		document.Route{Name: "all", Prefix: "/"},
+		document.Route{Name: "diary", Prefix: "/diary"},
+		document.Route{Name: "diary_edit", Prefix: "/diary", Methods: []string{"POST"}},
+		document.Route{Name: "day", Prefix: "/diary/day/"},
+	)), roster.NewView(0, nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	tests := map[string]struct{ host, path, method, want string }{
+		"longest prefix":         {"bookings.example", "/diary/day/3", "GET", "day"},
+		"whole segment":          {"bookings.example", "/diaryx", "GET", "all"},
+		"prefix itself":          {"bookings.example", "/diary", "GET", "diary"},
+		"method":                 {"bookings.example", "/diary", "POST", "diary_edit"},
+		"host with port, letter": {"BOOKINGS.Example:8080", "/", "GET", "all"},
+		"unknown host":           {"jobrecords.example", "/", "GET", ""},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			m, ok := table.Match(tc.host, tc.path, tc.method)
+			c.Assert(ok, qt.Equals, tc.want != "")
+			if ok {
+				c.Assert(m.Route.Name, qt.Equals, tc.want)
+				c.Assert(m.Targets, qt.DeepEquals, []document.Target{{Service: "bookings", Weight: 1}})
+			}
+		})
+	}
+}
+
+func TestNewTableRefusesDanglingRoutes(t *testing.T) {
+	tests := map[string]document.Route{
+		"target":   {Name: "r", Prefix: "/", Targets: []document.Target{{Service: "jobrecords", Weight: 1}}},
+		"fallback": {Name: "r", Prefix: "/", Fallback: "jobrecords"},
+	}
+	for name, route := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			_, err := dispatch.NewTable(snapshot(bookings(route)), roster.NewView(0, nil))
+			c.Assert(err, qt.ErrorIs, problem.Document)
+			c.Assert(err, qt.ErrorMatches, `.*bookings: route "r": points at service "jobrecords", which version 7 lacks.*`)
+		})
+	}
+}
+
+func TestTableHoldsOnlyMembersOfItsServices(t *testing.T) {
+	c := qt.New(t)
+	v := roster.NewView(0, []wire.Member{{ID: 1, Service: "bookings"}, {ID: 2, Service: "retired"}})
+	table, err := dispatch.NewTable(snapshot(bookings(document.Route{Prefix: "/"})), v)
+	c.Assert(err, qt.IsNil)
+	c.Assert(table.Members("bookings"), qt.HasLen, 1)
+	c.Assert(table.Members("retired"), qt.HasLen, 0)
+}
--- /dev/null
+++ b/src/dispatch/timer_kind.go
@@ -0,0 +1,11 @@
+package dispatch
+
+// TimerKind names what a timer of a call is for.
+type TimerKind string
+
+// The timers of a call.
+const (
+	TimerAttempt  TimerKind = "attempt"  // an attempt's timeout
+	TimerHedge    TimerKind = "hedge"    // a read is late
+	TimerDeadline TimerKind = "deadline" // the whole call's
+)
