--- /dev/null
+++ b/src/booking/doc.go
@@ -0,0 +1,2 @@
+// Package booking admits calls to the backend server beside a daemon and runs them there.
+package booking
--- /dev/null
+++ b/src/booking/parent.go
@@ -0,0 +1,11 @@
+package booking
+
+import "time"
+
+// Parent is the call that a backend server was running when it made another call.
+type Parent struct {
+	Deadline   time.Time
+	Depth      uint8
+	RetryLayer bool
+	TraceID    string
+}
