Link: calls and messages over one TCP connection per peer

One link per direction: the end that dials opens calls, so an answer can come only from the address that was dialled. Heads of calls stay msgpack maps (new fields pass older daemons), frames are tuples. msgp limits arrays, so a frame cannot ask for more memory than it has bytes.

--- /dev/null
+++ b/src/link/inbox.go
@@ -0,0 +1,162 @@
+package link
+
+import (
+	"errors"
+	"io"
+	"sync"
+)
+
+// inbox holds the bytes of one body that have arrived and are not yet read, never more than its window.
+type inbox struct {
+	mu      sync.Mutex
+	arrived sync.Cond
+	buf     []byte
+	off     int
+	window  int   // bytes that the other end may have under way
+	credit  int   // bytes that the other end may still send
+	unacked int   // bytes read and not yet given back as credit
+	ended   bool  // the body has arrived to its end
+	err     error // why the body was cut
+	shared  *budget
+	grant   func(add uint32) // sends credit to the other end
+}
+
+func newInbox(shared *budget, grant func(uint32)) *inbox {
+	b := &inbox{window: initialWindow, credit: initialWindow, shared: shared, grant: grant}
+	b.arrived.L = &b.mu
+	return b
+}
+
+// put stores p and tells whether the other end kept within its credit.
+func (b *inbox) put(p []byte) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(p) > b.credit {
+		return false
+	}
+	b.credit -= len(p)
+	if b.err != nil {
+		return true
+	}
+	if b.off > 0 && len(b.buf)+len(p) > cap(b.buf) {
+		b.buf = b.buf[:copy(b.buf, b.buf[b.off:])]
+		b.off = 0
+	}
+	b.buf = append(b.buf, p...)
+	b.arrived.Signal()
+	return true
+}
+
+// finish marks the body as whole.
+func (b *inbox) finish() {
+	b.mu.Lock()
+	b.ended = true
+	b.mu.Unlock()
+	b.arrived.Broadcast()
+}
+
+// cut ends a body that is not whole.
+func (b *inbox) cut(err error) {
+	b.mu.Lock()
+	if b.err == nil && !b.ended {
+		b.err = err
+	}
+	b.mu.Unlock()
+	b.arrived.Broadcast()
+}
+
+// drop forgets what has arrived and returns the memory.
+func (b *inbox) drop(err error) {
+	b.mu.Lock()
+	if b.err == nil {
+		b.err = err
+	}
+	b.buf, b.off = nil, 0
+	if extra := b.window - initialWindow; extra > 0 {
+		b.shared.give(extra)
+		b.window = initialWindow
+	}
+	b.mu.Unlock()
+	b.arrived.Broadcast()
+}
+
+// whole tells whether the body has arrived to its end.
+func (b *inbox) whole() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ended && b.err == nil
+}
+
+// Read waits for bytes of the body.
+func (b *inbox) Read(p []byte) (int, error) {
+	b.mu.Lock()
+	for b.off == len(b.buf) && b.err == nil && !b.ended {
+		b.arrived.Wait()
+	}
+	if err := b.over(); err != nil {
+		b.mu.Unlock()
+		return 0, err
+	}
+	n := copy(p, b.buf[b.off:])
+	b.off += n
+	if b.off == len(b.buf) {
+		b.buf, b.off = b.buf[:0], 0
+	}
+	add := b.acknowledge(n)
+	b.mu.Unlock()
+	if add > 0 {
+		b.grant(uint32(add))
+	}
+	return n, nil
+}
+
+// over returns why nothing can be read now; b.mu is held.
+func (b *inbox) over() error {
+	if b.err == nil && b.off == len(b.buf) {
+		return io.EOF
+	}
+	return b.err
+}
+
+// WriteTo copies the rest of the body to w.
+func (b *inbox) WriteTo(w io.Writer) (int64, error) {
+	p := chunks.Get().(*[chunkSize]byte)
+	defer chunks.Put(p)
+	var total int64
+	for {
+		n, err := b.Read(p[:])
+		if err != nil {
+			return total, ignoreEOF(err)
+		}
+		n, err = w.Write(p[:n])
+		total += int64(n)
+		if err != nil {
+			return total, err
+		}
+	}
+}
+
+var chunks = sync.Pool{New: func() any { return new([chunkSize]byte) }}
+
+func ignoreEOF(err error) error {
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	return err
+}
+
+// acknowledge counts n bytes read and returns the credit to send, doubling the window while memory allows.
+func (b *inbox) acknowledge(n int) int {
+	b.unacked += n
+	if b.ended || b.err != nil || b.unacked < b.window/2 {
+		return 0
+	}
+	add := b.unacked
+	if b.window < maxWindow && b.shared.take(b.window) {
+		add += b.window
+		b.window *= 2
+	}
+	b.unacked = 0
+	b.credit += add
+	return add
+}
--- /dev/null
+++ b/src/link/limits.go
@@ -0,0 +1,52 @@
+package link
+
+import "time"
+
+const (
+	maxFrame      = 128 << 10 // bytes of one frame after its length
+	chunkSize     = 16 << 10  // bytes of a body in one frame
+	inlineBody    = 4 << 10   // bytes of a body that travel with the heads
+	initialWindow = 16 << 10  // bytes a body may have under way before its reader has read any
+	maxWindow     = 256 << 10 // bytes a body may have under way at most
+	maxUrgent     = 1 << 20   // bytes of heads and control frames queued; beyond it the link is closed
+	busyUrgent    = 256 << 10 // bytes of heads and control frames queued; beyond it new ones wait or are refused
+	batchSize     = 64 << 10  // bytes handed to the socket at once
+	readBuffer    = 8 << 10   // bytes
+	maxMessage    = 8 << 20   // bytes of one control message
+	maxMessages   = 64        // control messages served at once
+
+	helloTimeout = 5 * time.Second
+	writeTimeout = 10 * time.Second
+	pingEvery    = 2 * time.Second
+	silentLimit  = 3 // ping periods without a byte before a link in use is taken for dead
+	backoffMin   = 50 * time.Millisecond
+	backoffMax   = 5 * time.Second
+)
+
+// Limits bounds what the links of a Pool hold.
+type Limits struct {
+	Links        int           // links dialled, and links accepted
+	Handshakes   int           // dials, and accepted links whose hello is awaited, at once
+	Calls        int           // inbound calls over all links
+	CallsPerLink int           // inbound calls on one link
+	Memory       int           // bytes that windows may grow by over all calls, and that partial messages hold
+	Idle         time.Duration // time without calls after which a dialled link is closed
+}
+
+func (l Limits) withDefaults() Limits {
+	setDefault(&l.Links, 2048)
+	setDefault(&l.Handshakes, 64)
+	setDefault(&l.Calls, 1024)
+	setDefault(&l.CallsPerLink, 256)
+	setDefault(&l.Memory, 32<<20)
+	if l.Idle == 0 {
+		l.Idle = time.Minute
+	}
+	return l
+}
+
+func setDefault(v *int, d int) {
+	if *v == 0 {
+		*v = d
+	}
+}
--- a/src/wire/call.go
+++ b/src/wire/call.go
@@ -2,6 +2,9 @@
 
 //go:generate go tool -modfile=../../tools/go.mod msgp -tests=false -io=false
 
+//msgp:tuple Field Load
+//msgp:limit arrays:1024 maps:64
+
 // Field is one HTTP header field.
 type Field struct {
 	Name  string `msg:"name"`
--- a/src/wire/call_gen.go
+++ b/src/wire/call_gen.go
@@ -6,6 +6,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	z2ea2dd2dlimitArrays = 1024
+	z2ea2dd2dlimitMaps   = 64
+)
+
 // MarshalMsg implements msgp.Marshaler
 func (z *CallHead) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -35,12 +41,9 @@
 	o = append(o, 0xa6, 0x66, 0x69, 0x65, 0x6c, 0x64, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Fields)))
 	for za0001 := range z.Fields {
-		// map header, size 2
-		// string "name"
-		o = append(o, 0x82, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
+		// array header, size 2
+		o = append(o, 0x92)
 		o = msgp.AppendString(o, z.Fields[za0001].Name)
-		// string "value"
-		o = append(o, 0xa5, 0x76, 0x61, 0x6c, 0x75, 0x65)
 		o = msgp.AppendString(o, z.Fields[za0001].Value)
 	}
 	// string "body_length"
@@ -80,6 +83,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2ea2dd2dlimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -137,6 +144,10 @@
 				err = msgp.WrapError(err, "Fields")
 				return
 			}
+			if zb0002 > z2ea2dd2dlimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Fields) >= int(zb0002) {
 				z.Fields = (z.Fields)[:zb0002]
 			} else {
@@ -144,38 +155,24 @@
 			}
 			for za0001 := range z.Fields {
 				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Fields", za0001)
 					return
 				}
-				for zb0003 > 0 {
-					zb0003--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Fields", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "name":
-						z.Fields[za0001].Name, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Fields", za0001, "Name")
-							return
-						}
-					case "value":
-						z.Fields[za0001].Value, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Fields", za0001, "Value")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Fields", za0001)
-							return
-						}
-					}
+				if zb0003 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+					return
+				}
+				z.Fields[za0001].Name, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Fields", za0001, "Name")
+					return
+				}
+				z.Fields[za0001].Value, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Fields", za0001, "Value")
+					return
 				}
 			}
 		case "body_length":
@@ -242,7 +239,7 @@
 func (z *CallHead) Msgsize() (s int) {
 	s = 3 + 7 + msgp.Uint64Size + 9 + msgp.StringPrefixSize + len(z.TraceID) + 8 + msgp.StringPrefixSize + len(z.Service) + 6 + msgp.StringPrefixSize + len(z.Route) + 7 + msgp.StringPrefixSize + len(z.Method) + 5 + msgp.StringPrefixSize + len(z.Host) + 4 + msgp.StringPrefixSize + len(z.URI) + 7 + msgp.ArrayHeaderSize
 	for za0001 := range z.Fields {
-		s += 1 + 5 + msgp.StringPrefixSize + len(z.Fields[za0001].Name) + 6 + msgp.StringPrefixSize + len(z.Fields[za0001].Value)
+		s += 1 + msgp.StringPrefixSize + len(z.Fields[za0001].Name) + msgp.StringPrefixSize + len(z.Fields[za0001].Value)
 	}
 	s += 12 + msgp.Int64Size + 11 + msgp.Int64Size + 9 + msgp.Uint8Size + 11 + msgp.BoolSize + 6 + msgp.Uint8Size + 12 + msgp.BoolSize + 8 + msgp.Uint8Size + 8 + msgp.Uint64Size
 	return
@@ -251,53 +248,34 @@
 // MarshalMsg implements msgp.Marshaler
 func (z Field) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "name"
-	o = append(o, 0x82, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
+	// array header, size 2
+	o = append(o, 0x92)
 	o = msgp.AppendString(o, z.Name)
-	// string "value"
-	o = append(o, 0xa5, 0x76, 0x61, 0x6c, 0x75, 0x65)
 	o = msgp.AppendString(o, z.Value)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *Field) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "name":
-			z.Name, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Name")
-				return
-			}
-		case "value":
-			z.Value, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Value")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Name, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Name")
+		return
+	}
+	z.Value, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Value")
+		return
 	}
 	o = bts
 	return
@@ -305,69 +283,47 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z Field) Msgsize() (s int) {
-	s = 1 + 5 + msgp.StringPrefixSize + len(z.Name) + 6 + msgp.StringPrefixSize + len(z.Value)
+	s = 1 + msgp.StringPrefixSize + len(z.Name) + msgp.StringPrefixSize + len(z.Value)
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z Load) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "free"
-	o = append(o, 0x83, 0xa4, 0x66, 0x72, 0x65, 0x65)
+	// array header, size 3
+	o = append(o, 0x93)
 	o = msgp.AppendInt16(o, z.Free)
-	// string "slots"
-	o = append(o, 0xa5, 0x73, 0x6c, 0x6f, 0x74, 0x73)
 	o = msgp.AppendInt16(o, z.Slots)
-	// string "backlog"
-	o = append(o, 0xa7, 0x62, 0x61, 0x63, 0x6b, 0x6c, 0x6f, 0x67)
 	o = msgp.AppendInt32(o, z.Backlog)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
 func (z *Load) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
 	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "free":
-			z.Free, bts, err = msgp.ReadInt16Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Free")
-				return
-			}
-		case "slots":
-			z.Slots, bts, err = msgp.ReadInt16Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Slots")
-				return
-			}
-		case "backlog":
-			z.Backlog, bts, err = msgp.ReadInt32Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Backlog")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Free, bts, err = msgp.ReadInt16Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Free")
+		return
+	}
+	z.Slots, bts, err = msgp.ReadInt16Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Slots")
+		return
+	}
+	z.Backlog, bts, err = msgp.ReadInt32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Backlog")
+		return
 	}
 	o = bts
 	return
@@ -375,7 +331,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z Load) Msgsize() (s int) {
-	s = 1 + 5 + msgp.Int16Size + 6 + msgp.Int16Size + 8 + msgp.Int32Size
+	s = 1 + msgp.Int16Size + msgp.Int16Size + msgp.Int32Size
 	return
 }
 
@@ -394,15 +350,10 @@
 	o = msgp.AppendInt64(o, z.RetryAfterMS)
 	// string "load"
 	o = append(o, 0xa4, 0x6c, 0x6f, 0x61, 0x64)
-	// map header, size 3
-	// string "free"
-	o = append(o, 0x83, 0xa4, 0x66, 0x72, 0x65, 0x65)
+	// array header, size 3
+	o = append(o, 0x93)
 	o = msgp.AppendInt16(o, z.Load.Free)
-	// string "slots"
-	o = append(o, 0xa5, 0x73, 0x6c, 0x6f, 0x74, 0x73)
 	o = msgp.AppendInt16(o, z.Load.Slots)
-	// string "backlog"
-	o = append(o, 0xa7, 0x62, 0x61, 0x63, 0x6b, 0x6c, 0x6f, 0x67)
 	o = msgp.AppendInt32(o, z.Load.Backlog)
 	return
 }
@@ -417,6 +368,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2ea2dd2dlimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -449,44 +404,29 @@
 			}
 		case "load":
 			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Load")
 				return
 			}
-			for zb0003 > 0 {
-				zb0003--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Load")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "free":
-					z.Load.Free, bts, err = msgp.ReadInt16Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Load", "Free")
-						return
-					}
-				case "slots":
-					z.Load.Slots, bts, err = msgp.ReadInt16Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Load", "Slots")
-						return
-					}
-				case "backlog":
-					z.Load.Backlog, bts, err = msgp.ReadInt32Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Load", "Backlog")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Load")
-						return
-					}
-				}
+			if zb0003 != 3 {
+				err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+				return
+			}
+			z.Load.Free, bts, err = msgp.ReadInt16Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Load", "Free")
+				return
+			}
+			z.Load.Slots, bts, err = msgp.ReadInt16Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Load", "Slots")
+				return
+			}
+			z.Load.Backlog, bts, err = msgp.ReadInt32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Load", "Backlog")
+				return
 			}
 		default:
 			bts, err = msgp.Skip(bts)
@@ -502,7 +442,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Refusal) Msgsize() (s int) {
-	s = 1 + 7 + msgp.Uint8Size + 13 + msgp.BoolSize + 15 + msgp.Int64Size + 5 + 1 + 5 + msgp.Int16Size + 6 + msgp.Int16Size + 8 + msgp.Int32Size
+	s = 1 + 7 + msgp.Uint8Size + 13 + msgp.BoolSize + 15 + msgp.Int64Size + 5 + 1 + msgp.Int16Size + msgp.Int16Size + msgp.Int32Size
 	return
 }
 
@@ -545,12 +485,9 @@
 	o = append(o, 0xa6, 0x66, 0x69, 0x65, 0x6c, 0x64, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Fields)))
 	for za0001 := range z.Fields {
-		// map header, size 2
-		// string "name"
-		o = append(o, 0x82, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
+		// array header, size 2
+		o = append(o, 0x92)
 		o = msgp.AppendString(o, z.Fields[za0001].Name)
-		// string "value"
-		o = append(o, 0xa5, 0x76, 0x61, 0x6c, 0x75, 0x65)
 		o = msgp.AppendString(o, z.Fields[za0001].Value)
 	}
 	// string "body_length"
@@ -558,15 +495,10 @@
 	o = msgp.AppendInt64(o, z.BodyLength)
 	// string "load"
 	o = append(o, 0xa4, 0x6c, 0x6f, 0x61, 0x64)
-	// map header, size 3
-	// string "free"
-	o = append(o, 0x83, 0xa4, 0x66, 0x72, 0x65, 0x65)
+	// array header, size 3
+	o = append(o, 0x93)
 	o = msgp.AppendInt16(o, z.Load.Free)
-	// string "slots"
-	o = append(o, 0xa5, 0x73, 0x6c, 0x6f, 0x74, 0x73)
 	o = msgp.AppendInt16(o, z.Load.Slots)
-	// string "backlog"
-	o = append(o, 0xa7, 0x62, 0x61, 0x63, 0x6b, 0x6c, 0x6f, 0x67)
 	o = msgp.AppendInt32(o, z.Load.Backlog)
 	return
 }
@@ -581,6 +513,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2ea2dd2dlimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -602,6 +538,10 @@
 				err = msgp.WrapError(err, "Fields")
 				return
 			}
+			if zb0002 > z2ea2dd2dlimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Fields) >= int(zb0002) {
 				z.Fields = (z.Fields)[:zb0002]
 			} else {
@@ -609,38 +549,24 @@
 			}
 			for za0001 := range z.Fields {
 				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Fields", za0001)
 					return
 				}
-				for zb0003 > 0 {
-					zb0003--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Fields", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "name":
-						z.Fields[za0001].Name, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Fields", za0001, "Name")
-							return
-						}
-					case "value":
-						z.Fields[za0001].Value, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Fields", za0001, "Value")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Fields", za0001)
-							return
-						}
-					}
+				if zb0003 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+					return
+				}
+				z.Fields[za0001].Name, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Fields", za0001, "Name")
+					return
+				}
+				z.Fields[za0001].Value, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Fields", za0001, "Value")
+					return
 				}
 			}
 		case "body_length":
@@ -651,44 +577,29 @@
 			}
 		case "load":
 			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Load")
 				return
 			}
-			for zb0004 > 0 {
-				zb0004--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Load")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "free":
-					z.Load.Free, bts, err = msgp.ReadInt16Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Load", "Free")
-						return
-					}
-				case "slots":
-					z.Load.Slots, bts, err = msgp.ReadInt16Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Load", "Slots")
-						return
-					}
-				case "backlog":
-					z.Load.Backlog, bts, err = msgp.ReadInt32Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Load", "Backlog")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Load")
-						return
-					}
-				}
+			if zb0004 != 3 {
+				err = msgp.ArrayError{Wanted: 3, Got: zb0004}
+				return
+			}
+			z.Load.Free, bts, err = msgp.ReadInt16Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Load", "Free")
+				return
+			}
+			z.Load.Slots, bts, err = msgp.ReadInt16Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Load", "Slots")
+				return
+			}
+			z.Load.Backlog, bts, err = msgp.ReadInt32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Load", "Backlog")
+				return
 			}
 		default:
 			bts, err = msgp.Skip(bts)
@@ -706,8 +617,8 @@
 func (z *ReplyHead) Msgsize() (s int) {
 	s = 1 + 7 + msgp.Uint16Size + 7 + msgp.ArrayHeaderSize
 	for za0001 := range z.Fields {
-		s += 1 + 5 + msgp.StringPrefixSize + len(z.Fields[za0001].Name) + 6 + msgp.StringPrefixSize + len(z.Fields[za0001].Value)
+		s += 1 + msgp.StringPrefixSize + len(z.Fields[za0001].Name) + msgp.StringPrefixSize + len(z.Fields[za0001].Value)
 	}
-	s += 12 + msgp.Int64Size + 5 + 1 + 5 + msgp.Int16Size + 6 + msgp.Int16Size + 8 + msgp.Int32Size
+	s += 12 + msgp.Int64Size + 5 + 1 + msgp.Int16Size + msgp.Int16Size + msgp.Int32Size
 	return
 }
