--- a/src/dispatch/caller_listener.go
+++ b/src/dispatch/caller_listener.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
+
+	"github.com/valyala/fasthttp"
 )
 
 const (
@@ -25,9 +29,32 @@
 	return &callerListener{Listener: l, stall: stall, conns: map[*callerConn]struct{}{}}
 }
 
-// Accept waits for a caller's connection.
-func (l *callerListener) Accept() (net.Conn, error) {
+// serve serves connections, each in a goroutine, until the listener is closed and they have ended.
+func (l *callerListener) serve(srv *fasthttp.Server) error {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	slots := make(chan struct{}, maxConns)
+	for {
+		slots <- struct{}{}
+		c, err := l.accept()
+		if err != nil {
+			return err
+		}
+		wg.Go(func() {
+			_ = srv.ServeConn(c)
+			_ = c.Close()
+			<-slots
+		})
+	}
+}
+
+// accept waits for a caller's connection; a passing shortage of descriptors is waited out.
+func (l *callerListener) accept() (*callerConn, error) {
 	c, err := l.Listener.Accept()
+	for errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+		time.Sleep(stopPoll)
+		c, err = l.Listener.Accept()
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/src/dispatch/proxy.go
+++ b/src/dispatch/proxy.go
@@ -70,7 +70,7 @@
 	defer p.kill()
 	srv := p.server()
 	done := make(chan error, 1)
-	go func() { done <- srv.Serve(p.conns) }()
+	go func() { done <- p.conns.serve(srv) }()
 	var err error
 	select {
 	case err = <-done:
@@ -144,7 +144,6 @@
 		NoDefaultContentType:         true,
 		ReadBufferSize:               maxHeaderSize,
 		MaxRequestBodySize:           prefetchSize,
-		Concurrency:                  maxConns,
 		Logger:                       serverLog{p.Log},
 		ConnState:                    markIdle,
 	}
--- a/src/dispatch/proxy_test.go
+++ b/src/dispatch/proxy_test.go
@@ -82,11 +82,18 @@
 	return p
 }
 
-// do sends a request and returns its answer with the whole body.
-func (p *proxy) do(method, path string, body io.Reader, fields ...string) (*http.Response, string, error) {
+// answer is what a caller has received.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+}
+
+// do sends a request and returns its whole answer.
+func (p *proxy) do(method, path string, body io.Reader, fields ...string) (answer, error) {
 	req, err := http.NewRequest(method, p.url+path, body)
 	if err != nil {
-		return nil, "", err
+		return answer{}, err
 	}
 	req.Host = "bookings.example"
 	for i := 0; i < len(fields); i += 2 {
@@ -94,11 +101,11 @@
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return nil, "", err
+		return answer{}, err
 	}
 	defer resp.Body.Close()
 	b, err := io.ReadAll(resp.Body)
-	return resp, string(b), err
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(b)}, err
 }
 
 func TestProxyAnswers(t *testing.T) {
@@ -130,13 +137,13 @@
 				c.Check(bytes.Equal(got, tc.body), qt.IsTrue)
 				return reply(200, "1000000 bytes")
 			})
-			resp, body, err := p.do(tc.method, tc.path, bytes.NewReader(tc.body))
+			got, err := p.do(tc.method, tc.path, bytes.NewReader(tc.body))
 			c.Assert(err, qt.IsNil)
-			c.Check(resp.StatusCode, qt.Equals, tc.status)
-			c.Check(resp.Header.Get("yuccaport-outcome"), qt.Equals, tc.outcome)
-			c.Check(body, qt.Matches, tc.want)
+			c.Check(got.status, qt.Equals, tc.status)
+			c.Check(got.header.Get("yuccaport-outcome"), qt.Equals, tc.outcome)
+			c.Check(got.body, qt.Matches, tc.want)
 			if tc.status == 503 {
-				c.Check(resp.Header.Get("retry-after"), qt.Equals, "2")
+				c.Check(got.header.Get("retry-after"), qt.Equals, "2")
 			}
 		})
 	}
