--- a/src/dispatch/caller_listener.go
+++ b/src/dispatch/caller_listener.go
@@ -50,10 +50,10 @@
 
 // accept waits for a caller's connection; a passing shortage of descriptors is waited out.
 func (l *callerListener) accept() (*callerConn, error) {
-	c, err := l.Listener.Accept()
+	c, err := l.Accept()
 	for errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
 		time.Sleep(stopPoll)
-		c, err = l.Listener.Accept()
+		c, err = l.Accept()
 	}
 	if err != nil {
 		return nil, err
