Daemon, command line, fleet bench and demo joined on the parts' first versions

Cause: the parts need one place that joins them, early, so that each can be tried in a whole daemon. Ruled out: a context for all duties at once (a proxy's last calls would lose their links); the duties stop in stages.

--- a/main.go
+++ b/main.go
@@ -3,16 +3,11 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 
-	"github.com/urfave/cli/v3"
+	"github.com/yuccaport/yuccaport/src/command"
 )
 
 func main() {
-	app := &cli.Command{Name: "yuccaport", Usage: "distributes the configuration of a service mesh"}
-	if err := app.Run(context.Background(), os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "yuccaport:", err)
-		os.Exit(1)
-	}
+	os.Exit(command.Main(context.Background(), os.Args, os.Stdout, os.Stderr))
 }
--- /dev/null
+++ b/src/command/app_test.go
@@ -0,0 +1,46 @@
+package command_test
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/yuccaport/yuccaport/src/command"
+)
+
+func TestExitCodesAndRemedies(t *testing.T) {
+	bad := filepath.Join(t.TempDir(), "bad.toml")
+	qt.Assert(t, os.WriteFile(bad, []byte("service = \"x\"\ncolour = 1\n"), 0o600), qt.IsNil)
+	tests := map[string]struct {
+		args []string
+		code int
+		want string
+	}{
+		"no such command":   {[]string{"frob"}, 2, `usage: no command "frob"; see yuccaport help`},
+		"no such flag":      {[]string{"check", "--colour"}, 2, "see yuccaport help"},
+		"required flag":     {[]string{"run"}, 2, "see yuccaport help"},
+		"no document":       {[]string{"check"}, 2, "name one or more files"},
+		"missing file":      {[]string{"check", "absent.toml"}, 2, "name a file that exists"},
+		"unknown key":       {[]string{"check", bad}, 2, "bad.toml:2"},
+		"settings":          {[]string{"run", "--config", bad, "--check"}, 2, `bad.toml:2: unknown key "colour"`},
+		"store not an addr": {[]string{"get", "--store", "store:1", "bookings"}, 2, "give an IP number and port"},
+		"store down":        {[]string{"get", "--store", "127.0.0.1:1", "bookings"}, 1, "store unavailable"},
+		"daemon down":       {[]string{"status", "--admin", "127.0.0.1:1"}, 1, "name another daemon's admin address"},
+		"short demo":        {[]string{"demo", "--duration", "1ms"}, 2, "give a second or more"},
+		"good documents":    {[]string{"check", "../../examples/hollins/bookings.toml", "../../examples/hollins/jobrecords.toml"}, 0, ""},
+		"good settings":     {[]string{"run", "--config", "../../examples/hollins/bookings-1.daemon.toml", "--check"}, 0, ""},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			var out, errs bytes.Buffer
+			code := command.Main(context.Background(), append([]string{"yuccaport"}, tc.args...), &out, &errs)
+			c.Check(code, qt.Equals, tc.code)
+			c.Check(errs.String(), qt.Contains, tc.want)
+		})
+	}
+}
--- /dev/null
+++ b/src/command/doc.go
@@ -0,0 +1,2 @@
+// Package command is yuccaport's command line.
+package command
--- /dev/null
+++ b/src/daemon/daemon.go
@@ -0,0 +1,149 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
+
+	"github.com/yuccaport/yuccaport/src/booking"
+	"github.com/yuccaport/yuccaport/src/dispatch"
+	"github.com/yuccaport/yuccaport/src/ledger"
+	"github.com/yuccaport/yuccaport/src/link"
+	"github.com/yuccaport/yuccaport/src/platform"
+	"github.com/yuccaport/yuccaport/src/relay"
+	"github.com/yuccaport/yuccaport/src/roster"
+	"github.com/yuccaport/yuccaport/src/settings"
+	"github.com/yuccaport/yuccaport/src/status"
+	"github.com/yuccaport/yuccaport/src/trace"
+	"github.com/yuccaport/yuccaport/src/wire"
+)
+
+// Daemon is one process beside one backend server.
+//
+// Its duties and what flows between them:
+//
+//	callers --HTTP--> dispatch.Proxy --calls--> link.Pool ====> other daemons
+//	                      |  ^ table                 |
+//	                      |  |                       v
+//	                      |  +--- swap          booking.Server --HTTP--> backend server
+//	                      |        ^   ^
+//	                      v        |   |
+//	             deposit.Guard     |   +-- snapshots -- relay.Carrier <--> link.Pool, store
+//	                      |        |                        ^
+//	                      v        |                        | a peer is ahead
+//	                    store      +-- views ------ roster.Node <--UDP--> other daemons
+//
+// The table in force is one pointer: the newest snapshot joined with the newest
+// view. It is built aside, checked, and swapped whole or dropped.
+type Daemon struct {
+	Settings  settings.Settings
+	Store     platform.Store
+	Proxy     net.Listener   // callers' HTTP
+	Control   net.Listener   // links
+	Probes    net.PacketConn // UDP on the address of Control
+	Admin     net.Listener   // nil for no admin endpoints
+	Log       logr.Logger
+	Metrics   *metrics.Set                      // nil for a set of its own
+	Recorder  func(core string) *trace.Recorder // nil for no recording
+	Baseline  bool                              // every daemon watches the store by itself
+	OnInForce func(*InForce)                    // called with each state that comes into force, nil for none
+
+	id       uint64
+	store    *platform.Counted
+	pool     *link.Pool
+	booking  *booking.Server
+	proxy    *dispatch.Proxy
+	node     *roster.Node
+	carrier  *relay.Carrier
+	gatherer *status.Gatherer
+	inForce  atomic.Pointer[InForce]
+	leaving  atomic.Bool
+	killed   atomic.Bool
+
+	mu       sync.Mutex // held while a table is built
+	snapshot *ledger.Snapshot
+	view     *roster.View
+}
+
+// Build makes the parts; it is called by Run unless it was called before.
+func (d *Daemon) Build() {
+	if d.pool != nil {
+		return
+	}
+	if d.Metrics == nil {
+		d.Metrics = metrics.NewSet()
+	}
+	for d.id == 0 {
+		d.id = rand.Uint64()
+	}
+	d.Log = d.Log.WithValues("member", d.id)
+	d.store = &platform.Counted{Store: d.Store, Metrics: d.Metrics}
+	d.buildCalls()
+	d.buildControl()
+}
+
+func (d *Daemon) buildCalls() {
+	d.booking = &booking.Server{
+		Backend: d.Settings.Backend, Service: d.Settings.Service, Self: d.id, Document: d.document,
+		Log: d.Log.WithName("booking"), Metrics: d.Metrics, Record: d.recorder("booking"),
+	}
+	d.pool = &link.Pool{
+		Self: d.id, Listener: d.Control, Calls: d.booking, Messages: d, Insecure: d.Settings.Insecure, Keys: d.keys(),
+		Grace: d.Settings.StopGrace.Std(), Log: d.Log.WithName("link"), Metrics: d.Metrics,
+	}
+	d.proxy = &dispatch.Proxy{
+		Listener: d.Proxy, Self: d.Member, Table: d.table, Caller: d.pool, Parent: d.parent,
+		Grace: d.Settings.StopGrace.Std(), Log: d.Log.WithName("dispatch"), Metrics: d.Metrics, Record: d.recorder("dispatch"),
+	}
+}
+
+func (d *Daemon) buildControl() {
+	d.node = &roster.Node{
+		Self: d.member(), Conn: d.Probes, Exchanger: d.pool, Store: d.store, Peers: d.Settings.Peers, Profile: d.Settings.Profile,
+		Version: d.Version, OnAhead: d.ahead, OnView: d.takeView,
+		Log: d.Log.WithName("roster"), Metrics: d.Metrics, Record: d.recorder("roster"),
+	}
+	d.view = d.node.View()
+	d.carrier = &relay.Carrier{
+		Self: d.Member, Store: d.store, Exchanger: d.pool, View: d.node.View, Profile: d.Settings.Profile, Baseline: d.Baseline,
+		OnSnapshot: d.takeSnapshot, Log: d.Log.WithName("relay"), Metrics: d.Metrics, Record: d.recorder("relay"),
+	}
+	d.gatherer = &status.Gatherer{Self: d.Status, View: d.node.View, Exchanger: d.pool}
+}
+
+func (d *Daemon) member() wire.Member {
+	s := d.Settings
+	return wire.Member{
+		ID: d.id, Addr: addrPort(d.Control.Addr()), Proxy: addrPort(d.Proxy.Addr()),
+		Service: s.Service, Domain: s.Domain, Region: s.Region, Slots: uint16(s.Backend.Slots),
+		StartedAt: time.Now().UnixMilli(),
+	}
+}
+
+func (d *Daemon) recorder(core string) *trace.Recorder {
+	if d.Recorder == nil {
+		return nil
+	}
+	return d.Recorder(core)
+}
+
+// ahead hears from a probe that a peer holds a higher version.
+func (d *Daemon) ahead(from link.Peer, version uint64) { d.carrier.Ahead(from, version) }
+
+// ServeMessage hands a control message to the duty it is for.
+func (d *Daemon) ServeMessage(ctx context.Context, from link.Peer, kind link.MessageKind, payload []byte) ([]byte, error) {
+	switch kind {
+	case link.KindRosterDigest:
+		return d.node.ServeMessage(ctx, from, kind, payload)
+	case link.KindStatus:
+		return d.gatherer.Serve(ctx, payload)
+	default:
+		return d.carrier.ServeMessage(ctx, from, kind, payload)
+	}
+}
--- /dev/null
+++ b/src/demo/caller.go
@@ -0,0 +1,164 @@
+package demo
+
+import (
+	"bytes"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/zeebo/xxh3"
+
+	"github.com/yuccaport/yuccaport/src/standin"
+)
+
+const (
+	callTimeout   = 5 * time.Second
+	maxRepeats    = 5 // of a call that a caller may safely repeat
+	repeatPause   = 50 * time.Millisecond
+	maxAnswerSize = 4 << 20 // bytes
+	photoSize     = 256 << 10
+	outcomeField  = "yuccaport-outcome"
+	outcomeNotRun = "not-run"
+)
+
+// verdict is what a caller makes of one call.
+type verdict int
+
+const (
+	whole verdict = iota
+	failed
+	mayHaveRun
+	crossed
+	truncated
+)
+
+// request is one call that a caller wants answered.
+type request struct {
+	method string
+	host   string
+	path   string
+	token  string
+	key    string // idempotency key of a payment
+	size   int    // of the answer to a read, or of an upload
+}
+
+// caller sends requests to daemons as a van's or a dock's application would.
+type caller struct {
+	proxies func() []netip.AddrPort // daemons that take callers now
+	rand    *rand.Rand
+	client  *fasthttp.Client
+}
+
+func newCaller(proxies func() []netip.AddrPort, seed uint64) *caller {
+	return &caller{
+		proxies: proxies,
+		rand:    rand.New(rand.NewPCG(seed, 0)),
+		client: &fasthttp.Client{
+			MaxIdemponentCallAttempts: 1,
+			MaxResponseBodySize:       maxAnswerSize,
+			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		},
+	}
+}
+
+// next draws a request: mostly reads, some photo uploads and deposits.
+func (c *caller) next(n int) request {
+	token := fmt.Sprintf("%016x-%d", c.rand.Uint64(), n)
+	switch k := c.rand.IntN(10); {
+	case k < 5:
+		return request{method: "GET", host: "bookings.example", path: "/diary/" + token, token: token, size: c.rand.IntN(32 << 10)}
+	case k < 7:
+		return request{method: "GET", host: "jobrecords.example", path: "/histories/" + token, token: token}
+	case k < 8:
+		return request{method: "PUT", host: "bookings.example", path: "/photos/" + token, token: token, size: c.rand.IntN(photoSize)}
+	default:
+		return request{method: "POST", host: "bookings.example", path: "/deposits", token: token, key: "key-" + token, size: 64}
+	}
+}
+
+// do sends a request, repeating it where that is safe, until it has an answer.
+func (c *caller) do(r request) verdict {
+	for i := 0; ; i++ {
+		v, repeat := c.attempt(r)
+		if v == whole || !repeat || i == maxRepeats {
+			return v
+		}
+		time.Sleep(repeatPause)
+	}
+}
+
+// attempt sends a request once; a repeat is safe when it did not run, is idempotent or carries a key.
+func (c *caller) attempt(r request) (v verdict, repeat bool) {
+	proxies := c.proxies()
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI(fmt.Sprintf("http://%s%s?size=%d", proxies[c.rand.IntN(len(proxies))], r.path, r.size))
+	req.Header.SetHost(r.host)
+	req.UseHostHeader = true
+	req.Header.SetMethod(r.method)
+	req.Header.Set(standin.HeaderToken, r.token)
+	if r.key != "" {
+		req.Header.Set(standin.HeaderKey, r.key)
+	}
+	if r.method != "GET" {
+		req.SetBody(upload(r))
+	}
+	if err := c.client.DoTimeout(req, resp, callTimeout); err != nil {
+		return failed, true
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return refusal(resp)
+	}
+	return check(r, resp), false
+}
+
+func refusal(resp *fasthttp.Response) (verdict, bool) {
+	if string(resp.Header.Peek(outcomeField)) == outcomeNotRun || resp.StatusCode() == fasthttp.StatusConflict {
+		return failed, true
+	}
+	return mayHaveRun, true
+}
+
+// check compares an answer with the one that the backend stand-in gives to this request.
+func check(r request, resp *fasthttp.Response) verdict {
+	if got := string(resp.Header.Peek(standin.HeaderToken)); got != r.token {
+		return crossed
+	}
+	if r.method != "GET" {
+		return checkUpload(r, resp.Body())
+	}
+	want := standin.Body(r.method, r.path, r.token, r.size)
+	switch body := resp.Body(); {
+	case bytes.Equal(body, want):
+		return whole
+	case bytes.HasPrefix(want, body):
+		return truncated
+	}
+	return crossed
+}
+
+func checkUpload(r request, body []byte) verdict {
+	var u standin.Upload
+	if err := json.Unmarshal(body, &u); err != nil {
+		return truncated
+	}
+	sum := xxh3.Hash128(upload(r)).Bytes()
+	switch {
+	case u.Token != r.token:
+		return crossed
+	case u.Length != int64(r.size) || u.XXH3 != hex.EncodeToString(sum[:]):
+		return truncated
+	}
+	return whole
+}
+
+// upload returns a body of the request's size that differs between requests.
+func upload(r request) []byte {
+	return []byte(strings.Repeat(r.token, r.size/len(r.token)+1)[:r.size])
+}
--- a/src/problem/kind.go
+++ b/src/problem/kind.go
@@ -31,6 +31,8 @@
 	Protocol Kind = "protocol"
 	// Backward marks a configuration version below one already served.
 	Backward Kind = "backward version"
+	// Broken marks a run in which a promise did not hold.
+	Broken Kind = "promise broken"
 	// Busy marks a peer or process that asks to be tried again later.
 	Busy Kind = "busy"
 )
