Relay: readers, push tree and digest repair

Each daemon watching the store (still there as Baseline) makes store calls grow with the fleet. The core decides without I/O; the carrier carries its actions out. Readers by rendezvous rank hold leases, on which no correctness rests; updates go down a tree with explicit subtrees and are passed on before they are looked at, so that a daemon that refuses a version does not cut its subtree off; probes that show a peer ahead lead to pulls; a version pulled from another failure domain is pushed in one's own unless a push shows up. A property test found that a daemon restarted within milliseconds of a new version served the one before: the three peers asked did not have it yet. So each daemon now reads the store's head once at its start, spread over at most 500 ms, and without the store it gives versions under way 3 s. The carrier on real links is not measured yet (the roster has no probes in this commit).

--- /dev/null
+++ b/src/relay/action.go
@@ -0,0 +1,108 @@
+package relay
+
+import "time"
+
+// Action is something that the core has decided to do.
+type Action interface{ isAction() }
+
+// WatchHead waits for a head past a revision; answered by HeadSeen or HeadFailed.
+type WatchHead struct {
+	After uint64        `json:"after"`
+	Wait  time.Duration `json:"wait_ns"`
+}
+
+// ReadHead reads the head at once; answered by HeadSeen or HeadFailed.
+type ReadHead struct{}
+
+// Fetch reads the documents that differ from the version held and takes the head's version; answered by Taken, Refused or FetchFailed.
+type Fetch struct {
+	Version uint64 `json:"version"`
+}
+
+// Grant asks for the lease of a reader's slot; answered by LeaseAnswered or LeaseFailed.
+type Grant struct {
+	Slot int           `json:"slot"`
+	TTL  time.Duration `json:"ttl_ns"`
+}
+
+// Renew extends the lease; answered by LeaseAnswered or LeaseFailed.
+type Renew struct{}
+
+// Release gives the lease up.
+type Release struct {
+	Reason string `json:"reason"`
+}
+
+// Apply takes the update that came with the event; answered by Taken or Refused.
+type Apply struct {
+	Source Source `json:"source"`
+	Peer   uint64 `json:"peer"`
+}
+
+// Push sends the update from Base to Version, or to a later version; answered by PushDone or PushFailed.
+type Push struct {
+	ID      uint64        `json:"id"`
+	To      uint64        `json:"to"`
+	Base    uint64        `json:"base"`
+	Version uint64        `json:"version"`
+	Subtree []uint64      `json:"subtree,omitempty"`
+	Timeout time.Duration `json:"timeout_ns"`
+}
+
+// Ask asks a peer for its version; answered by Asked.
+type Ask struct {
+	To      uint64        `json:"to"`
+	Timeout time.Duration `json:"timeout_ns"`
+}
+
+// Pull asks a peer for an update; answered by Pulled.
+type Pull struct {
+	To      uint64        `json:"to"`
+	Have    uint64        `json:"have"` // 0 for a full copy
+	Reason  string        `json:"reason"`
+	Timeout time.Duration `json:"timeout_ns"`
+}
+
+// AnswerUpdate answers a PullRequested with the update from a version, a full copy when it is 0.
+type AnswerUpdate struct {
+	From uint64 `json:"from"`
+}
+
+// AnswerCurrent answers a PullRequested whose sender is not behind.
+type AnswerCurrent struct {
+	Version uint64 `json:"version"`
+}
+
+// AnswerBusy answers a PullRequested with a peer to ask instead and the time to wait.
+type AnswerBusy struct {
+	Next  uint64        `json:"next"`
+	After time.Duration `json:"after_ns"`
+}
+
+// Open takes the version held into force for the first time.
+type Open struct {
+	Version uint64 `json:"version"`
+	Reason  string `json:"reason"`
+}
+
+// StoreBehind reports that the store's head is older than the version held.
+type StoreBehind struct {
+	Head uint64 `json:"head"`
+	Have uint64 `json:"have"`
+}
+
+func (WatchHead) isAction()     {}
+func (ReadHead) isAction()      {}
+func (Fetch) isAction()         {}
+func (Grant) isAction()         {}
+func (Renew) isAction()         {}
+func (Release) isAction()       {}
+func (Apply) isAction()         {}
+func (Push) isAction()          {}
+func (Ask) isAction()           {}
+func (Pull) isAction()          {}
+func (AnswerUpdate) isAction()  {}
+func (AnswerCurrent) isAction() {}
+func (AnswerBusy) isAction()    {}
+func (Open) isAction()          {}
+func (StoreBehind) isAction()   {}
--- a/src/relay/carrier.go
+++ b/src/relay/carrier.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/alitto/pond/v2"
 	"github.com/go-logr/logr"
 
 	"github.com/yuccaport/yuccaport/src/ledger"
@@ -20,8 +22,12 @@
 )
 
 const (
-	watchWait  = 30 * time.Second
-	maxBackoff = 5 * time.Second
+	inputSize      = 1024 // events that wait; a message that finds no room is answered as busy
+	viewPeriod     = 100 * time.Millisecond
+	storeWorkers   = 4
+	peerWorkers    = 32
+	peerQueue      = 4096 // exchanges that wait; one more is dropped and left to repair
+	releaseTimeout = 300 * time.Millisecond
 )
 
 // Carrier keeps a daemon's configuration at the highest accepted version that it can learn of.
@@ -31,7 +37,7 @@
 	Exchanger  link.Exchanger
 	View       func() *roster.View
 	Profile    settings.Profile
-	Baseline   bool                         // every daemon watches the store by itself
+	Baseline   bool                         // every daemon watches the store by itself and passes nothing on
 	OnSnapshot func(*ledger.Snapshot) error // takes a version into force; an error refuses it and the old one stays
 	Now        func() time.Time             // time.Now when nil
 	Rand       *rand.Rand                   // seeded from the system when nil
@@ -39,32 +45,68 @@
 	Metrics    *metrics.Set
 	Record     *trace.Recorder
 
-	mu      sync.Mutex
+	once   sync.Once
+	inputs chan input
+
+	mu      sync.Mutex // guards what other goroutines read
+	status  status
 	current *ledger.Snapshot
-	refused uint64
-	why     string
-	healthy bool
-	since   time.Time
 }
 
-// Run carries configuration until ctx is over.
+// status is what the carrier tells of itself.
+type status struct {
+	refused    uint64
+	why        string
+	reader     bool
+	storeDown  bool
+	storeSince time.Time
+}
+
+// input is an event on its way to the core, with what came along.
+type input struct {
+	event  Event
+	update *wire.Update      // of a push or pull
+	notice *ledger.Notice    // of a watch or read
+	peer   link.Peer         // of a probe
+	lease  *platform.Lease   // of a grant
+	fetch  *wire.Update      // read from the store; has no event of its own
+	reply  chan<- pullAnswer // of a pull request
+}
+
+// Run carries configuration until ctx is over, and then gives a reader's lease up.
 func (c *Carrier) Run(ctx context.Context) error {
-	var revision uint64
-	for ctx.Err() == nil {
-		e, err := c.Store.Watch(ctx, ledger.HeadKey, revision, watchWait)
-		c.storeAnswered(err == nil)
-		if err == nil && e.Revision != revision {
-			if err = c.take(ctx, e.Value); err == nil {
-				revision = e.Revision
-			}
-		}
-		if err != nil {
-			c.sleep(ctx, maxBackoff/8)
-		}
-	}
+	c.init()
+	l := c.newLoop(ctx)
+	l.run()
+	l.storePool.StopAndWait()
+	l.peerPool.StopAndWait()
+	l.releaseLease()
 	return nil
 }
 
+// newLoop makes the goroutine's state with a core of its own random numbers.
+func (c *Carrier) newLoop(ctx context.Context) *loop {
+	seed := rand.Int64()
+	if c.Rand != nil {
+		seed = c.Rand.Int64()
+	}
+	self := c.Self()
+	s := ReplaySettings{Self: self.ID, Domain: self.Domain, Profile: c.Profile, Baseline: c.Baseline}
+	if c.Record != nil {
+		c.Record.Header.Core, c.Record.Header.Seed = CoreName, seed
+		c.Record.Header.Settings, _ = json.Marshal(s)
+	}
+	return &loop{
+		Carrier:   c,
+		ctx:       ctx,
+		core:      newCore(s, seed),
+		holder:    holder{onSnapshot: c.OnSnapshot},
+		storePool: pond.NewPool(storeWorkers),
+		peerPool:  pond.NewPool(peerWorkers, pond.WithQueueSize(peerQueue), pond.WithNonBlocking(true)),
+		seen:      map[uint64]link.Peer{},
+	}
+}
+
 // Current returns the configuration in force, nil before the first.
 func (c *Carrier) Current() *ledger.Snapshot {
 	c.mu.Lock()
@@ -73,59 +115,54 @@
 }
 
 // Ahead tells that a peer has been seen to hold a higher version; it does not block.
-func (c *Carrier) Ahead(_ link.Peer, _ uint64) {}
+func (c *Carrier) Ahead(from link.Peer, version uint64) {
+	c.init()
+	select {
+	case c.inputs <- input{event: PeerAhead{Peer: from.ID, Version: version}, peer: from}:
+	default: // a later probe shows it again
+	}
+}
 
-// ServeMessage answers a push or a pull of another daemon.
-func (c *Carrier) ServeMessage(_ context.Context, _ link.Peer, _ link.MessageKind, _ []byte) ([]byte, error) {
-	return nil, problem.New(problem.Busy, "relay", "not served yet", "ask another member")
+// ServeMessage answers a push or a pull of another daemon; an error is of kind problem.Busy or problem.Protocol.
+func (c *Carrier) ServeMessage(ctx context.Context, from link.Peer, kind link.MessageKind, payload []byte) ([]byte, error) {
+	c.init()
+	switch kind {
+	case link.KindPush:
+		return nil, c.servePush(from, payload)
+	case link.KindPull:
+		return c.servePull(ctx, from, payload)
+	}
+	return nil, problem.New(problem.Protocol, "control message", "its kind is unknown", "run the same release on all daemons")
 }
 
 // Refused returns the newest version that this daemon could not take and why, or 0.
 func (c *Carrier) Refused() (version uint64, why string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.refused, c.why
+	return c.status.refused, c.status.why
 }
 
-// IsReader tells whether this daemon reads the store for its failure domain.
-func (c *Carrier) IsReader() bool { return c.Baseline }
-
-// StoreHealthy tells whether the store answered this daemon's last call, and since when that is so.
-func (c *Carrier) StoreHealthy() (ok bool, since time.Time) {
+// IsReader tells whether this daemon watches the store.
+func (c *Carrier) IsReader() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.healthy, c.since
+	return c.status.reader
 }
 
-func (c *Carrier) take(ctx context.Context, value []byte) error {
-	h, err := ledger.DecodeHead(value)
-	if err != nil {
-		return err
-	}
-	u, err := ledger.Fetch(ctx, c.Store, c.Current(), h)
-	if err != nil {
-		return err
-	}
-	next, err := c.Current().Apply(u)
-	if err == nil && next != c.Current() {
-		err = c.OnSnapshot(next)
-	}
+// StoreHealthy tells whether the store answered this daemon's last call, and since when that is so; a daemon that makes no calls says true.
+func (c *Carrier) StoreHealthy() (ok bool, since time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if err != nil {
-		c.refused, c.why = h.Version, err.Error()
-		return nil
-	}
-	c.current, c.refused, c.why = next, 0, ""
-	return nil
+	return !c.status.storeDown, c.status.storeSince
 }
 
-func (c *Carrier) storeAnswered(ok bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if ok != c.healthy || c.since.IsZero() {
-		c.healthy, c.since = ok, c.now()
-	}
+func (c *Carrier) init() {
+	c.once.Do(func() {
+		c.inputs = make(chan input, inputSize)
+		if c.Metrics == nil {
+			c.Metrics = metrics.NewSet()
+		}
+	})
 }
 
 func (c *Carrier) now() time.Time {
@@ -134,12 +171,3 @@
 	}
 	return time.Now()
 }
-
-func (c *Carrier) sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- /dev/null
+++ b/src/relay/peercalls.go
@@ -0,0 +1,98 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/yuccaport/yuccaport/src/link"
+	"github.com/yuccaport/yuccaport/src/wire"
+)
+
+// push sends an update to a child.
+func (l *loop) push(a Push) {
+	u, ok := l.holder.update(a.Base, a.Version)
+	to, known := l.peer(a.To)
+	if !ok || !known {
+		l.queue = append(l.queue, input{event: PushFailed{ID: a.ID}})
+		return
+	}
+	l.log("push", "to", a.To, "version", u.Version, "base", u.From, "subtree", len(a.Subtree), "reason", "child in the push tree")
+	l.callPeer(input{event: PushDone{ID: a.ID}}, func(ctx context.Context) input {
+		p := wire.Push{Update: u, Subtree: a.Subtree}
+		if _, err := l.exchange(ctx, to, link.KindPush, &p, a.Timeout); err != nil {
+			l.log("push failed", "to", a.To, "version", u.Version, "reason", err.Error())
+			l.count("pushes", "failed")
+			return input{event: PushFailed{ID: a.ID}}
+		}
+		l.count("pushes", "sent")
+		return input{event: PushDone{ID: a.ID}}
+	})
+}
+
+// ask asks a peer for its version only.
+func (l *loop) ask(a Ask) {
+	failed := input{event: Asked{Peer: a.To, Failed: true}}
+	to, known := l.peer(a.To)
+	if !known {
+		l.queue = append(l.queue, failed)
+		return
+	}
+	l.callPeer(failed, func(ctx context.Context) input {
+		r, err := l.pullFrom(ctx, to, askVersion, a.Timeout)
+		if err != nil {
+			return failed
+		}
+		return input{event: Asked{Peer: a.To, Version: r.Update.Version}}
+	})
+}
+
+func (l *loop) pull(a Pull) {
+	failed := input{event: Pulled{Peer: a.To, Failed: true}}
+	to, known := l.peer(a.To)
+	if !known {
+		l.queue = append(l.queue, failed)
+		return
+	}
+	l.callPeer(failed, func(ctx context.Context) input {
+		r, err := l.pullFrom(ctx, to, a.Have, a.Timeout)
+		if err != nil {
+			l.count("pulls", "failed")
+			return failed
+		}
+		l.count("pulls", "answered")
+		e := Pulled{Peer: a.To, Version: r.Update.Version, Current: r.Current, BusyNext: r.BusyNext, BusyAfter: time.Duration(r.BusyAfter) * time.Millisecond}
+		return input{event: e, update: &r.Update}
+	})
+}
+
+func (l *loop) pullFrom(ctx context.Context, to link.Peer, have uint64, timeout time.Duration) (wire.PullReply, error) {
+	var r wire.PullReply
+	b, err := l.exchange(ctx, to, link.KindPull, &wire.Pull{Have: have}, timeout)
+	if err != nil {
+		return r, err
+	}
+	_, err = r.UnmarshalMsg(b)
+	return r, err
+}
+
+type marshaler interface {
+	MarshalMsg([]byte) ([]byte, error)
+}
+
+func (l *loop) exchange(ctx context.Context, to link.Peer, kind link.MessageKind, m marshaler, timeout time.Duration) ([]byte, error) {
+	b, err := m.MarshalMsg(nil)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return l.Exchanger.Exchange(ctx, to, kind, b)
+}
+
+// callPeer runs an exchange beside the loop; when too many wait, it counts as dropped.
+func (l *loop) callPeer(dropped input, call func(ctx context.Context) input) {
+	if _, ok := l.peerPool.TrySubmit(func() { l.send(call(l.ctx)) }); !ok {
+		l.count("exchanges", "dropped")
+		l.queue = append(l.queue, dropped)
+	}
+}
--- /dev/null
+++ b/src/relay/spread_test.go
@@ -0,0 +1,287 @@
+package relay
+
+import (
+	"context"
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/yuccaport/yuccaport/src/ledger"
+	"github.com/yuccaport/yuccaport/src/settings"
+)
+
+const (
+	testMembers = 36
+	testBound   = 3 * time.Second // until an accepted version is in force everywhere
+	testStart   = 12 * time.Second
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "4")
+	_ = flag.Set("rapid.checks", "200")
+	os.Exit(m.Run())
+}
+
+// started returns a network whose daemons have all taken the first version.
+func started(t *testing.T, profile settings.Profile) *network {
+	w := newNetwork(t.Fatalf, 1, profile)
+	w.edit("bookings", 0)
+	w.edit("jobrecords", 0)
+	w.fill(testMembers)
+	w.run(testStart)
+	qt.Assert(t, w.behind(2), qt.HasLen, 0)
+	return w
+}
+
+func (w *network) assertInForce(t *testing.T, version uint64) {
+	t.Helper()
+	w.run(testBound)
+	qt.Assert(t, w.behind(version), qt.HasLen, 0, qt.Commentf("version %d", version))
+}
+
+func TestSpread(t *testing.T) {
+	for _, profile := range []settings.Profile{settings.ProfileFast, settings.ProfileThrifty} {
+		t.Run(string(profile), func(t *testing.T) {
+			c := qt.New(t)
+			w := started(t, profile)
+			c.Assert(w.readers(), qt.HasLen, 3*TuningOf(profile).Readers)
+			w.run(time.Minute)
+			w.pushes, w.calls = 0, 0
+			w.assertInForce(t, w.edit("bookings", 1))
+			c.Assert(w.pushes, qt.Equals, testMembers-3) // each daemon but the first reader of a domain receives it once
+			w.calls = 0
+			w.run(time.Minute)
+			c.Logf("store calls a second with %d daemons in 3 failure domains, no change: %.1f", testMembers, float64(w.calls)/60)
+			c.Assert(w.calls < 60*6, qt.IsTrue)
+		})
+	}
+}
+
+func TestSpreadUnderFaults(t *testing.T) {
+	tests := map[string]func(c *qt.C, w *network){
+		"reader of a domain dies": func(_ *qt.C, w *network) { w.readers()[0].kill() },
+		"all readers have died": func(_ *qt.C, w *network) {
+			for _, n := range w.readers() {
+				n.kill()
+			}
+			w.run(testDetect)
+		},
+		"store cut from one domain": func(_ *qt.C, w *network) {
+			w.cutStore = func(n *node) bool { return n.domain == "domain-1" }
+			w.run(testStart)
+		},
+		"watches stay silent":   func(_ *qt.C, w *network) { w.silent = true },
+		"messages lost":         func(_ *qt.C, w *network) { w.loss = 0.2 },
+		"messages arrive twice": func(_ *qt.C, w *network) { w.repeat = 0.5 },
+		"store down for ten minutes before the edit": func(c *qt.C, w *network) {
+			w.down = true
+			w.run(5 * time.Minute)
+			w.calls = 0
+			w.run(5 * time.Minute)
+			c.Assert(w.calls < 6*5*60*2, qt.IsTrue, qt.Commentf("%d calls", w.calls)) // readers, seconds, calls a second of each
+			w.down = false
+		},
+		"three of ten die": func(_ *qt.C, w *network) {
+			for i, n := range w.nodes {
+				if i%10 < 3 {
+					n.kill()
+				}
+			}
+		},
+	}
+	for _, profile := range []settings.Profile{settings.ProfileFast, settings.ProfileThrifty} {
+		for name, fault := range tests {
+			t.Run(string(profile)+"/"+name, func(t *testing.T) {
+				w := started(t, profile)
+				fault(qt.New(t), w)
+				w.assertInForce(t, w.edit("bookings", 1))
+				w.assertInForce(t, w.edit("jobrecords", 2))
+			})
+		}
+	}
+}
+
+func TestMembersDieWhileAVersionSpreadsAndReturn(t *testing.T) {
+	c := qt.New(t)
+	w := started(t, settings.ProfileFast)
+	version := w.edit("bookings", 1)
+	w.run(4 * time.Millisecond) // the readers have begun to push
+	var dead []*node
+	for i, n := range w.nodes {
+		if i%10 < 3 {
+			n.kill()
+			dead = append(dead, n)
+		}
+	}
+	w.assertInForce(t, version)
+	for _, n := range dead {
+		w.add(n.vm, n.domain)
+	}
+	w.copies = 0
+	w.assertInForce(t, version)
+	c.Assert(w.copies < 3*len(dead), qt.IsTrue, qt.Commentf("%d full copies", w.copies))
+	w.assertInForce(t, w.edit("bookings", 2))
+}
+
+func TestReaderPausedPastItsLease(t *testing.T) {
+	c := qt.New(t)
+	w := started(t, settings.ProfileFast)
+	paused := w.readers()[0]
+	paused.pause()
+	w.edit("bookings", 1)
+	w.run(2 * LeaseTTL)
+	version := w.edit("bookings", 2)
+	w.run(testBound)
+	c.Assert(w.behind(version), qt.HasLen, 1)
+	paused.resume() // acts on what it saw before the pause
+	w.assertInForce(t, version)
+	w.assertInForce(t, w.edit("bookings", 3))
+}
+
+func TestVersionThatOneDaemonCannotTake(t *testing.T) {
+	c := qt.New(t)
+	w := started(t, settings.ProfileFast)
+	for _, n := range []*node{w.readers()[0], w.nodes[0]} {
+		n.refuse = 3
+	}
+	version := w.edit("bookings", 1)
+	w.run(testBound)
+	c.Assert(w.behind(version), qt.HasLen, 2) // the others are served although a reader refuses it
+	w.assertInForce(t, w.edit("bookings", 2)) // a later version is taken
+}
+
+func TestStoreRestoredFromABackup(t *testing.T) {
+	c := qt.New(t)
+	w := started(t, settings.ProfileFast)
+	ctx := context.Background()
+	backup, err := w.store.Get(ctx, ledger.HeadKey)
+	c.Assert(err, qt.IsNil)
+	version := w.edit("bookings", 1)
+	w.assertInForce(t, version)
+	now, err := w.store.Get(ctx, ledger.HeadKey)
+	c.Assert(err, qt.IsNil)
+	_, err = w.store.Swap(ctx, ledger.HeadKey, now.Revision, backup.Value)
+	c.Assert(err, qt.IsNil)
+	w.wakeWatches()
+	w.run(time.Minute)
+	c.Assert(w.behind(version), qt.HasLen, 0)
+	w.add("vm-new", "domain-0") // a daemon that starts meanwhile
+	w.assertInForce(t, version)
+}
+
+func TestBodyMissing(t *testing.T) {
+	c := qt.New(t)
+	w := started(t, settings.ProfileFast)
+	ctx := context.Background()
+	w.cutStore = func(*node) bool { return true }
+	version := w.edit("bookings", 1)
+	key := ledger.BodyKey(w.accept[version].Bodies["bookings"].Digest)
+	body, err := w.store.Get(ctx, key)
+	c.Assert(err, qt.IsNil)
+	c.Assert(w.store.Delete(ctx, key, body.Revision), qt.IsNil)
+	w.cutStore = func(*node) bool { return false }
+	w.run(time.Minute)
+	c.Assert(w.behind(version-1), qt.HasLen, 0) // the old version stays whole
+	_, err = w.store.Swap(ctx, key, 0, body.Value)
+	c.Assert(err, qt.IsNil)
+	w.assertInForce(t, version)
+}
+
+func TestDaemonStartsWithTheStoreDown(t *testing.T) {
+	w := started(t, settings.ProfileFast)
+	w.down = true
+	w.run(time.Minute)
+	n := w.nodes[5]
+	n.kill()
+	w.run(time.Second)
+	w.add(n.vm, n.domain)
+	w.assertInForce(t, 2)
+}
+
+// TestStartIgnoresAnOldPush shows that a restarted daemon does not serve what it is pushed before it has asked.
+func TestStartIgnoresAnOldPush(t *testing.T) {
+	c := qt.New(t)
+	w := started(t, settings.ProfileFast)
+	old := w.accept[1].UpdateFrom(0)
+	n := w.add("vm-0", "domain-0") // served version 2 before
+	w.nodes[0].kill()
+	w.after(0, func() { n.arrive(PushReceived{From: w.nodes[1].core.Self, Version: 1}, &old) })
+	w.run(time.Millisecond)
+	c.Assert(n.core.Have(), qt.Equals, uint64(1))
+	c.Assert(n.version(), qt.Equals, uint64(0))
+	w.assertInForce(t, 2)
+}
+
+func TestAHerdStarts(t *testing.T) {
+	c := qt.New(t)
+	w := newNetwork(t.Fatalf, 1, settings.ProfileFast)
+	for i := range 30 {
+		w.edit([]string{"a", "b", "c"}[i%3], i)
+	}
+	w.calls = 0
+	w.fill(150)
+	w.run(testStart)
+	c.Assert(w.behind(30), qt.HasLen, 0)
+	c.Assert(w.calls < 2*150, qt.IsTrue, qt.Commentf("%d store calls", w.calls))
+}
+
+// TestRandomFaults checks the promises after every step of random schedules, and that all daemons converge once the faults are over.
+func TestRandomFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		profile := rapid.SampledFrom([]settings.Profile{settings.ProfileFast, settings.ProfileThrifty}).Draw(t, "profile")
+		w := newNetwork(t.Fatalf, rapid.Uint64().Draw(t, "seed"), profile)
+		w.edit("bookings", 0)
+		w.fill(15)
+		w.run(testStart)
+		var paused []*node
+		pick := func() *node { return w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(t, "node")] }
+		for range rapid.IntRange(5, 30).Draw(t, "steps") {
+			switch rapid.IntRange(0, 9).Draw(t, "fault") {
+			case 0, 1:
+				w.edit(rapid.SampledFrom([]string{"bookings", "jobrecords"}).Draw(t, "service"), rapid.IntRange(0, 5).Draw(t, "content"))
+			case 2:
+				w.loss = rapid.SampledFrom([]float64{0, 0.3, 0.9}).Draw(t, "loss")
+			case 3:
+				w.repeat = rapid.SampledFrom([]float64{0, 0.5}).Draw(t, "repeat")
+			case 4:
+				w.down = !w.down
+			case 5:
+				w.silent = !w.silent
+			case 6:
+				n := pick()
+				n.pause()
+				paused = append(paused, n)
+			case 7:
+				for _, n := range paused {
+					n.resume()
+				}
+				paused = nil
+			case 8:
+				if n := pick(); n.alive && !n.paused {
+					n.kill()
+					w.add(n.vm, n.domain)
+				}
+			case 9:
+				isolated := rapid.SampledFrom([]string{"", "domain-0", "domain-1"}).Draw(t, "isolated")
+				w.cut = func(a, b *node) bool { return (a.domain == isolated) != (b.domain == isolated) }
+			}
+			w.run(time.Duration(rapid.IntRange(1, 4000).Draw(t, "wait")) * time.Millisecond)
+		}
+		w.loss, w.repeat, w.down, w.silent = 0, 0, false, false
+		w.cut = func(*node, *node) bool { return false }
+		for _, n := range paused {
+			n.resume()
+		}
+		w.run(4 * testStart)
+		version := w.edit("bookings", 1000)
+		w.run(testBound)
+		if b := w.behind(version); len(b) > 0 {
+			t.Fatalf("version %d is not in force: %v", version, b)
+		}
+	})
+}
