--- a/src/wire/member.go
+++ b/src/wire/member.go
@@ -5,7 +5,8 @@
 //go:generate go tool -modfile=../../tools/go.mod msgp -tests=false -io=false
 
 //msgp:shim netip.AddrPort as:string using:addrPortToString/addrPortFromString witherr:true
-//msgp:tuple Member
+//msgp:tuple Member RosterRequest RosterReply Seeds Seed SeedDomains
+//msgp:limit arrays:4096 maps:0
 
 // MemberState is the state of a member as the roster holds it.
 type MemberState uint8
@@ -32,3 +33,38 @@
 	Ready       bool           `msg:"ready"`      // backend server beside it answers and the daemon holds a configuration
 	StartedAt   int64          `msg:"started_at"` // milliseconds since the Unix epoch, for the cold start ramp
 }
+
+// RosterRequest asks a peer for what it knows of the members, or tells it what it lacks.
+type RosterRequest struct {
+	Full    bool     `msg:"full"`    // asks for all members, in pages
+	After   uint64   `msg:"after"`   // last ID of the page before
+	Buckets []uint64 `msg:"buckets"` // the asker's digest of each bucket
+	Want    []uint64 `msg:"want"`    // IDs asked for
+	Members []Member `msg:"members"` // members that the peer lacks
+	Dead    []Brief  `msg:"dead"`    // members that the peer believes alive
+}
+
+// RosterReply answers a RosterRequest.
+type RosterReply struct {
+	Differ  uint64   `msg:"differ"` // one bit for each bucket whose digest differs
+	Briefs  []Brief  `msg:"briefs"` // all members not dead in those buckets
+	Members []Member `msg:"members"`
+	Dead    []Brief  `msg:"dead"` // members that the asker believes alive
+	More    bool     `msg:"more"` // another page follows
+}
+
+// Seeds is the seed record of one failure domain in the store.
+type Seeds struct {
+	Members []Seed `msg:"members"`
+}
+
+// Seed is a member that a daemon without peers asks first.
+type Seed struct {
+	ID   uint64         `msg:"id"`
+	Addr netip.AddrPort `msg:"addr"`
+}
+
+// SeedDomains lists the failure domains that have a seed record.
+type SeedDomains struct {
+	Domains []string `msg:"domains"`
+}
--- a/src/wire/member_gen.go
+++ b/src/wire/member_gen.go
@@ -6,6 +6,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	zcfac8e3climitArrays = 4096
+	zcfac8e3climitMaps   = 0
+)
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Member) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -151,3 +157,504 @@
 	s = msgp.Uint8Size
 	return
 }
+
+// MarshalMsg implements msgp.Marshaler
+func (z *RosterReply) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 5
+	o = append(o, 0x95)
+	o = msgp.AppendUint64(o, z.Differ)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Briefs)))
+	for za0001 := range z.Briefs {
+		o, err = z.Briefs[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Briefs", za0001)
+			return
+		}
+	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
+	for za0002 := range z.Members {
+		o, err = z.Members[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Members", za0002)
+			return
+		}
+	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Dead)))
+	for za0003 := range z.Dead {
+		o, err = z.Dead[za0003].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Dead", za0003)
+			return
+		}
+	}
+	o = msgp.AppendBool(o, z.More)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RosterReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+		return
+	}
+	z.Differ, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Differ")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Briefs")
+		return
+	}
+	if zb0002 > zcfac8e3climitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Briefs) >= int(zb0002) {
+		z.Briefs = (z.Briefs)[:zb0002]
+	} else {
+		z.Briefs = make([]Brief, zb0002)
+	}
+	for za0001 := range z.Briefs {
+		bts, err = z.Briefs[za0001].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Briefs", za0001)
+			return
+		}
+	}
+	var zb0003 uint32
+	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Members")
+		return
+	}
+	if zb0003 > zcfac8e3climitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Members) >= int(zb0003) {
+		z.Members = (z.Members)[:zb0003]
+	} else {
+		z.Members = make([]Member, zb0003)
+	}
+	for za0002 := range z.Members {
+		bts, err = z.Members[za0002].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Members", za0002)
+			return
+		}
+	}
+	var zb0004 uint32
+	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Dead")
+		return
+	}
+	if zb0004 > zcfac8e3climitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Dead) >= int(zb0004) {
+		z.Dead = (z.Dead)[:zb0004]
+	} else {
+		z.Dead = make([]Brief, zb0004)
+	}
+	for za0003 := range z.Dead {
+		bts, err = z.Dead[za0003].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Dead", za0003)
+			return
+		}
+	}
+	z.More, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "More")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *RosterReply) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.ArrayHeaderSize
+	for za0001 := range z.Briefs {
+		s += z.Briefs[za0001].Msgsize()
+	}
+	s += msgp.ArrayHeaderSize
+	for za0002 := range z.Members {
+		s += z.Members[za0002].Msgsize()
+	}
+	s += msgp.ArrayHeaderSize
+	for za0003 := range z.Dead {
+		s += z.Dead[za0003].Msgsize()
+	}
+	s += msgp.BoolSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *RosterRequest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 6
+	o = append(o, 0x96)
+	o = msgp.AppendBool(o, z.Full)
+	o = msgp.AppendUint64(o, z.After)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Buckets)))
+	for za0001 := range z.Buckets {
+		o = msgp.AppendUint64(o, z.Buckets[za0001])
+	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Want)))
+	for za0002 := range z.Want {
+		o = msgp.AppendUint64(o, z.Want[za0002])
+	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
+	for za0003 := range z.Members {
+		o, err = z.Members[za0003].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Members", za0003)
+			return
+		}
+	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Dead)))
+	for za0004 := range z.Dead {
+		o, err = z.Dead[za0004].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Dead", za0004)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RosterRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+		return
+	}
+	z.Full, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Full")
+		return
+	}
+	z.After, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "After")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Buckets")
+		return
+	}
+	if zb0002 > zcfac8e3climitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Buckets) >= int(zb0002) {
+		z.Buckets = (z.Buckets)[:zb0002]
+	} else {
+		z.Buckets = make([]uint64, zb0002)
+	}
+	for za0001 := range z.Buckets {
+		z.Buckets[za0001], bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Buckets", za0001)
+			return
+		}
+	}
+	var zb0003 uint32
+	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Want")
+		return
+	}
+	if zb0003 > zcfac8e3climitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Want) >= int(zb0003) {
+		z.Want = (z.Want)[:zb0003]
+	} else {
+		z.Want = make([]uint64, zb0003)
+	}
+	for za0002 := range z.Want {
+		z.Want[za0002], bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Want", za0002)
+			return
+		}
+	}
+	var zb0004 uint32
+	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Members")
+		return
+	}
+	if zb0004 > zcfac8e3climitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Members) >= int(zb0004) {
+		z.Members = (z.Members)[:zb0004]
+	} else {
+		z.Members = make([]Member, zb0004)
+	}
+	for za0003 := range z.Members {
+		bts, err = z.Members[za0003].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Members", za0003)
+			return
+		}
+	}
+	var zb0005 uint32
+	zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Dead")
+		return
+	}
+	if zb0005 > zcfac8e3climitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Dead) >= int(zb0005) {
+		z.Dead = (z.Dead)[:zb0005]
+	} else {
+		z.Dead = make([]Brief, zb0005)
+	}
+	for za0004 := range z.Dead {
+		bts, err = z.Dead[za0004].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Dead", za0004)
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *RosterRequest) Msgsize() (s int) {
+	s = 1 + msgp.BoolSize + msgp.Uint64Size + msgp.ArrayHeaderSize + (len(z.Buckets) * (msgp.Uint64Size)) + msgp.ArrayHeaderSize + (len(z.Want) * (msgp.Uint64Size)) + msgp.ArrayHeaderSize
+	for za0003 := range z.Members {
+		s += z.Members[za0003].Msgsize()
+	}
+	s += msgp.ArrayHeaderSize
+	for za0004 := range z.Dead {
+		s += z.Dead[za0004].Msgsize()
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Seed) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendUint64(o, z.ID)
+	o = msgp.AppendString(o, addrPortToString(z.Addr))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Seed) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	{
+		var zb0002 string
+		zb0002, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Addr")
+			return
+		}
+		z.Addr, err = addrPortFromString(zb0002)
+
+		if err != nil {
+			err = msgp.WrapError(err, "Addr")
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Seed) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(addrPortToString(z.Addr))
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *SeedDomains) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 1
+	o = append(o, 0x91)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Domains)))
+	for za0001 := range z.Domains {
+		o = msgp.AppendString(o, z.Domains[za0001])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *SeedDomains) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Domains")
+		return
+	}
+	if zb0002 > zcfac8e3climitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Domains) >= int(zb0002) {
+		z.Domains = (z.Domains)[:zb0002]
+	} else {
+		z.Domains = make([]string, zb0002)
+	}
+	for za0001 := range z.Domains {
+		z.Domains[za0001], bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Domains", za0001)
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *SeedDomains) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize
+	for za0001 := range z.Domains {
+		s += msgp.StringPrefixSize + len(z.Domains[za0001])
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Seeds) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 1
+	o = append(o, 0x91)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
+	for za0001 := range z.Members {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendUint64(o, z.Members[za0001].ID)
+		o = msgp.AppendString(o, addrPortToString(z.Members[za0001].Addr))
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Seeds) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Members")
+		return
+	}
+	if zb0002 > zcfac8e3climitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Members) >= int(zb0002) {
+		z.Members = (z.Members)[:zb0002]
+	} else {
+		z.Members = make([]Seed, zb0002)
+	}
+	for za0001 := range z.Members {
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Members", za0001)
+			return
+		}
+		if zb0003 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+			return
+		}
+		z.Members[za0001].ID, bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Members", za0001, "ID")
+			return
+		}
+		{
+			var zb0004 string
+			zb0004, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Members", za0001, "Addr")
+				return
+			}
+			z.Members[za0001].Addr, err = addrPortFromString(zb0004)
+
+			if err != nil {
+				err = msgp.WrapError(err, "Members", za0001, "Addr")
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Seeds) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize
+	for za0001 := range z.Members {
+		s += 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(addrPortToString(z.Members[za0001].Addr))
+	}
+	return
+}
