--- a/src/dispatch/core_test.go
+++ b/src/dispatch/core_test.go
@@ -101,46 +101,121 @@
 	}
 }
 
-// TestChainSixDeepDoesNotMultiplyRetries lets the last service of a chain answer 503 and counts its calls.
+// chain is one core for each service of a chain of calls.
+type chain struct {
+	cores  []*Core
+	policy *Policy
+	now    time.Time
+	fail   func(call uint64, attempt int) Event // the last service's answer
+	leaf   int                                  // calls that reach the last service
+	id     uint64
+}
+
+// call sends a call from a layer on; every layer above the last answers 503 to its failure.
+func (c *chain) call(layer int, retries bool) {
+	c.id++
+	id := c.id
+	actions := c.cores[layer].Step(c.now, CallArrived{Call: id, Policy: c.policy, Left: 5 * time.Second, RetryLayer: retries})
+	for len(actions) > 0 {
+		a := actions[0]
+		actions = actions[1:]
+		switch a := a.(type) {
+		case SendAttempt:
+			e := c.fail(id, a.Attempt)
+			if layer == len(c.cores)-1 {
+				c.leaf++
+			} else {
+				c.call(layer+1, true)
+				e = AttemptAnswered{Call: id, Attempt: a.Attempt, Status: 503}
+			}
+			actions = append(actions, c.cores[layer].Step(c.now, e)...)
+		case AcceptAnswer:
+			c.cores[layer].Step(c.now, AttemptEnded{Call: id, Attempt: a.Attempt})
+		}
+	}
+}
+
 func TestChainSixDeepDoesNotMultiplyRetries(t *testing.T) {
 	const depth, calls = 6, 1000
-	c := qt.New(t)
-	cores := []*Core{}
-	for range depth {
-		y := newYard(Settings{}, fakeServers(6, 0)...)
-		y.table()
-		cores = append(cores, y.core)
-	}
-	policy := &Policy{Service: "bookings", Route: "diary", Targets: []Target{{Service: "bookings", Weight: 1}}, Idempotent: true, Attempts: 4}
-	leaf, id := 0, uint64(0)
-	now := time.Unix(0, 0)
-	var call func(layer int, retries bool)
-	call = func(layer int, retries bool) {
-		if layer == depth {
-			leaf++
-			return
-		}
-		id++
-		this := id
-		actions := cores[layer].Step(now, CallArrived{Call: this, Policy: policy, Left: 5 * time.Second, RetryLayer: retries})
-		for len(actions) > 0 {
-			a := actions[0]
-			actions = actions[1:]
-			if s, ok := a.(SendAttempt); ok {
-				call(layer+1, true)
-				actions = append(actions, cores[layer].Step(now, AttemptAnswered{Call: this, Attempt: s.Attempt, Status: 503})...)
+	tests := map[string]func(call uint64, attempt int) Event{
+		"answers 503": func(call uint64, attempt int) Event {
+			return AttemptAnswered{Call: call, Attempt: attempt, Status: 503}
+		},
+		"cut": func(call uint64, attempt int) Event {
+			return AttemptRefused{Call: call, Attempt: attempt, Reason: wire.ReasonCut, MayHaveRun: true}
+		},
+		"times out": func(call uint64, attempt int) Event {
+			return TimerFired{Call: call, Attempt: attempt, Timer: TimerAttempt}
+		},
+	}
+	for name, fail := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			x := &chain{now: time.Unix(0, 0), fail: fail}
+			for range depth {
+				y := newYard(Settings{}, fakeServers(6, 0)...)
+				y.table()
+				x.cores, x.policy = append(x.cores, y.core), y.policy
 			}
-			if x, ok := a.(AcceptAnswer); ok {
-				cores[layer].Step(now, AttemptEnded{Call: this, Attempt: x.Attempt})
+			for range calls {
+				x.now = x.now.Add(10 * time.Millisecond)
+				x.call(0, false)
 			}
-		}
+			c.Assert(x.leaf > calls, qt.IsTrue)
+			c.Assert(x.leaf <= calls+calls/10+10, qt.IsTrue, qt.Commentf("%d calls reached the last service", x.leaf))
+		})
 	}
-	for range calls {
-		now = now.Add(10 * time.Millisecond)
-		call(0, false)
+}
+
+func TestOutliersAreSetAsideAndReturn(t *testing.T) {
+	tests := map[string]struct {
+		spoil func(s *fakeServer)
+		why   string
+	}{
+		"slow":             {func(s *fakeServer) { s.takes *= 20 }, "set_aside: latency"},
+		"never answers":    {func(s *fakeServer) { s.silent = true }, "set_aside: failures"},
+		"sheds and claims": {func(s *fakeServer) { s.shed = true }, "set_aside: failures"},
+		"faults":           {func(s *fakeServer) { s.status = 500 }, "set_aside: errors"},
+		"dead":             {func(s *fakeServer) { s.dead = true }, "unreachable"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			servers := fakeServers(6, 10*time.Millisecond)
+			tc.spoil(servers[0])
+			y := newYard(Settings{}, servers...)
+			y.policy.Timeout, y.policy.Locality = 200*time.Millisecond, document.LocalityAny
+			seen, late := map[string]bool{}, 0
+			for i := range 400 {
+				y.after(time.Duration(i)*10*time.Millisecond, func() {
+					seen[y.core.obstacle(y.time(), y.policy, y.core.members[1])] = true
+				})
+			}
+			y.after(4*time.Second, func() {
+				servers[0].takes, servers[0].silent, servers[0].shed, servers[0].dead, servers[0].status = 10*time.Millisecond, false, false, false, 0
+			})
+			y.after(40*time.Second, func() { late = y.sentTo[1] })
+			y.run(15000, 4*time.Millisecond)
+			c.Check(seen[tc.why], qt.IsTrue, qt.Commentf("%v", seen))
+			late = y.sentTo[1] - late
+			c.Check(late > 5000/6/2, qt.IsTrue, qt.Commentf("%d calls after its return", late))
+		})
+	}
+}
+
+func TestFurtherAttemptGoesToAnotherFailureDomain(t *testing.T) {
+	c := qt.New(t)
+	y := newYard(Settings{}, fakeServers(6, 0)...)
+	y.table()
+	now := time.Unix(0, 0)
+	for id := range uint64(5) {
+		first := y.core.Step(now, CallArrived{Call: id, Policy: y.policy, Left: time.Second})[1].(SendAttempt)
+		second := y.core.Step(now, AttemptRefused{Call: id, Attempt: 1, Reason: wire.ReasonLinkLost})[1].(SendAttempt)
+		c.Assert(first.Reason, qt.Equals, ChoiceLocal)
+		c.Assert(second.Reason, qt.Equals, ChoiceOtherDomain)
+		c.Assert(y.servers[second.Member].Domain, qt.Not(qt.Equals), "mid-a")
+		now = now.Add(time.Second)
 	}
-	c.Assert(leaf > calls, qt.IsTrue)
-	c.Assert(leaf <= calls+calls/10+10, qt.IsTrue, qt.Commentf("%d calls reached the last service", leaf))
 }
 
 func TestChoiceByLocality(t *testing.T) {
--- a/src/dispatch/result.go
+++ b/src/dispatch/result.go
@@ -18,7 +18,7 @@
 	}
 	a.server.told(now, e.Load)
 	c.observeAnswer(now, a.server, e.Status, now.Sub(a.sent))
-	if unavailable(e.Status) && s.policy.Idempotent && !s.retryLayer {
+	if unavailable(e.Status) && s.policy.Idempotent {
 		if out, ok := c.replace(now, s, e.Attempt); ok {
 			return out
 		}
--- a/src/dispatch/yard_test.go
+++ b/src/dispatch/yard_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"container/heap"
 	"slices"
 	"time"
@@ -18,6 +19,7 @@
 	silent   bool // attempts are never answered
 	lies     bool // claims that all slots are free
 	shed     bool // refuses everything, claiming free slots
+	status   int  // of its answers, 0 for 200
 	queueMax int
 
 	running int
@@ -93,8 +95,10 @@
 	heap.Push(&y.due, moment{at: y.now + d, seq: y.seq, what: what})
 }
 
+func (y *yard) time() time.Time { return time.Unix(0, 0).UTC().Add(y.now) }
+
 func (y *yard) step(e Event) {
-	now := time.Unix(0, 0).UTC().Add(y.now)
+	now := y.time()
 	actions := y.core.Step(now, e)
 	if y.record != nil {
 		out, _ := trace.Outcomes(actions)
@@ -155,7 +159,7 @@
 			s.queue = s.queue[1:]
 			y.begin(s, next)
 		}
-		y.step(AttemptAnswered{Call: a.Call, Attempt: a.Attempt, Status: 200, Load: l})
+		y.step(AttemptAnswered{Call: a.Call, Attempt: a.Attempt, Status: cmp.Or(s.status, 200), Load: l})
 	})
 }
 
