Relay: a daemon that knows no other member does not read without a lease

Cause: in a trial with 48 daemons started at once many read the store before the roster had found the others, each first in rank in its own list. They wait for the roster, at most JoinFallback.

--- a/src/relay/lease.go
+++ b/src/relay/lease.go
@@ -26,6 +26,9 @@
 		return c.alone(now)
 	}
 	s := c.lease.shutSince
+	if len(c.members) < 2 {
+		s = time.Time{} // whoever holds the lease will be known soon
+	}
 	return c.lease.held || c.alone(now) || (!s.IsZero() && now.Sub(s) >= ShutOutWait)
 }
 
@@ -89,7 +92,7 @@
 	if c.Baseline || c.lease.waiting || !c.reader() {
 		return time.Time{}
 	}
-	if s := c.lease.shutSince; !s.IsZero() && !c.head.reading && s.Add(ShutOutWait).Before(c.lease.at) {
+	if s := c.lease.shutSince; !s.IsZero() && len(c.members) > 1 && !c.head.reading && s.Add(ShutOutWait).Before(c.lease.at) {
 		return s.Add(ShutOutWait)
 	}
 	return c.lease.at
