Ledger: a small reference in place of a head that every reader gets whole

Cause: the head of 110 services with 8 changes each is 152442 bytes; a reader watches it every 2 s so that a silent watch is noticed, and each watch answers with the whole value, some 75 KB/s where a daemon may spend 15. Ruled out: a longer wait (a silent watch would go unnoticed past 3 s); a hint beside the head that editors write after the swap (an editor that dies in between leaves an accepted version unannounced). Now the swapped record is a reference of 1019 bytes: version, digest, the last 16 changes, the keys of edits under way, and the id of the head, which is written under a key of its own before. A reader follows the last changes and reads the head only when they do not reach back, or their digest does not come out. Replaced heads are kept for a minute. Seen to fail first: the pending list, the rewriting of a key that is wanted again, both looks at the reference before a deletion, the removal of keys of a crashed editor, the digest of the changes followed, removed services, changes that do not reach back. Conclusion: what a reader gets with each watch no longer grows with services or history.

--- a/src/ledger/attempt.go
+++ b/src/ledger/attempt.go
@@ -19,9 +19,10 @@
 	doc     *document.Document // nil for a removal
 	digest  string             // empty for a removal
 	base    uint64             // version of the service that the edit is made from
+	headID  string             // of the key under which the head with the edit is written
 	pinned  bool               // base is known
-	written bool               // the body was written while the head listed it
-	unsure  bool               // a swap of the head may have taken effect
+	written bool               // the body was written while the reference listed it
+	unsure  bool               // an acceptance may have taken effect
 }
 
 // run repeats the steps of the edit until it is accepted, refused, or out of attempts.
@@ -87,37 +88,34 @@
 	return nil
 }
 
-// step tries the edit on the head as it is now.
+// step tries the edit on the configuration as it is now.
 func (a *attempt) step(ctx context.Context) (Result, error) {
-	h, revision, err := readHead(ctx, a.editor.Store)
+	st, err := readState(ctx, a.editor.Store)
 	if err != nil {
 		return Result{}, retryStore(err)
 	}
-	if c, ok := edited(&h, a.edit.EditID); ok {
+	if c, ok := edited(&st.head, a.edit.EditID); ok {
 		return a.settle(c)
 	}
-	if err := a.editor.notBelowFloor(h.Version); err != nil {
+	if err := a.editor.notBelowFloor(st.ref.Version); err != nil {
 		return Result{}, &retry{err}
 	}
-	if err := a.admit(ctx, &h); err != nil {
+	if err := a.admit(ctx, &st.head); err != nil {
 		return Result{}, err
 	}
-	before, err := a.check(ctx, &h)
+	before, err := a.check(ctx, st)
 	if err != nil {
 		return Result{}, err
 	}
-	r := Result{Version: h.Version, Diff: Diff(before, a.edit.Data)}
-	s, held := service(&h, a.edit.Service)
+	s, held := service(&st.head, a.edit.Service)
 	if held && s.Digest == a.digest && (a.edit.Token == "" || s.TokenHash != "") {
 		return Result{Version: s.Version, Unchanged: true}, nil
 	}
+	r := Result{Version: st.ref.Version, Diff: Diff(before, a.edit.Data)}
 	if a.edit.DryRun {
 		return r, nil
 	}
-	if revision, err = a.writeBody(ctx, &h, revision); err != nil {
-		return Result{}, err
-	}
-	r.Version, err = a.swap(ctx, &h, revision)
+	r.Version, err = a.accept(ctx, st)
 	return r, err
 }
 
@@ -186,8 +184,8 @@
 }
 
 // check checks the whole configuration with the edit in it and returns the document as it was before.
-func (a *attempt) check(ctx context.Context, h *wire.Head) ([]byte, error) {
-	cur, err := a.editor.follow(ctx, *h)
+func (a *attempt) check(ctx context.Context, st state) ([]byte, error) {
+	cur, err := a.editor.follow(ctx, st)
 	if err != nil {
 		return nil, err
 	}
@@ -201,6 +199,9 @@
 
 // retryStore wraps the errors of the store after which another attempt makes sense.
 func retryStore(err error) error {
+	if err == nil {
+		return nil
+	}
 	for _, k := range []problem.Kind{problem.Unavailable, problem.Unsure, problem.Conflict, problem.NotFound} {
 		if errors.Is(err, k) {
 			return &retry{err}
--- a/src/ledger/digest.go
+++ b/src/ledger/digest.go
@@ -21,11 +21,28 @@
 
 // digestBodies returns the digest over the names and digests of all documents.
 func digestBodies(bodies map[string]wire.Body) uint64 {
+	digests := make(map[string]string, len(bodies))
+	for name, b := range bodies {
+		digests[name] = b.Digest
+	}
+	return digestAll(digests)
+}
+
+// digestServices returns the digest that digestBodies returns for the same documents.
+func digestServices(services map[string]wire.HeadService) uint64 {
+	digests := make(map[string]string, len(services))
+	for name, s := range services {
+		digests[name] = s.Digest
+	}
+	return digestAll(digests)
+}
+
+func digestAll(digests map[string]string) uint64 {
 	h := xxh3.New()
-	for _, name := range slices.Sorted(maps.Keys(bodies)) {
+	for _, name := range slices.Sorted(maps.Keys(digests)) {
 		_, _ = h.WriteString(name)
 		_, _ = h.Write([]byte{0})
-		_, _ = h.WriteString(bodies[name].Digest)
+		_, _ = h.WriteString(digests[name])
 		_, _ = h.Write([]byte{0})
 	}
 	return h.Sum64()
--- a/src/ledger/editor.go
+++ b/src/ledger/editor.go
@@ -22,7 +22,7 @@
 	maxBackoff   = time.Second
 )
 
-// Editor accepts edits into the store's head record.
+// Editor accepts edits into the configuration that the store keeps.
 type Editor struct {
 	Store   platform.Store
 	Now     func() time.Time                                 // time.Now when nil
@@ -47,16 +47,16 @@
 	if edit.EditID == "" {
 		edit.EditID = fmt.Sprintf("%016x", e.uint64())
 	}
-	a := &attempt{editor: e, edit: edit, base: edit.BaseVersion}
+	a := &attempt{editor: e, edit: edit, base: edit.BaseVersion, headID: fmt.Sprintf("%016x", e.uint64())}
 	r, err := a.run(ctx)
 	e.report(edit, r, err)
 	return r, err
 }
 
-// Head returns the head record; one that does not exist is empty.
+// Head returns the accepted head; one that does not exist is empty.
 func (e *Editor) Head(ctx context.Context) (wire.Head, error) {
-	h, _, err := readHead(ctx, e.Store)
-	return h, err
+	st, err := readState(ctx, e.Store)
+	return st.head, err
 }
 
 // History returns the changes of a service that are kept, newest last.
--- /dev/null
+++ b/src/ledger/fetch_test.go
@@ -0,0 +1,93 @@
+package ledger
+
+import (
+	"context"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/yuccaport/yuccaport/src/platform"
+)
+
+// countingStore counts the reads of accepted heads.
+type countingStore struct {
+	platform.Store
+	heads, reads atomic.Int32
+}
+
+func (s *countingStore) Get(ctx context.Context, key string) (platform.Entry, error) {
+	s.reads.Add(1)
+	if strings.HasPrefix(key, headPrefix) {
+		s.heads.Add(1)
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func TestFetch(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	store := newMemoryStore()
+	e := testEditor(store, 1)
+	apply(c, e, testEdit("a", 0))
+	apply(c, e, testEdit("b", 0))
+	two, err := Load(ctx, store)
+	c.Assert(err, qt.IsNil)
+	apply(c, e, testEdit("a", 1))
+	apply(c, e, testEdit("c", 0))
+	apply(c, e, Edit{Service: "b", Remove: true})
+	apply(c, e, testEdit("a", 2))
+	other := build(c, 2, body("a", 1, testDocument("a", 0)), body("x", 2, testDocument("x", 0))) // version 2 of another history
+
+	tests := map[string]struct {
+		have  *Snapshot
+		heads int32
+		reads int32 // the reference, and documents
+	}{
+		"from nothing":             {nil, 0, 3},
+		"from a version before":    {two, 0, 3},
+		"from a different history": {other, 1, 4},
+	}
+	want, err := Load(ctx, store)
+	c.Assert(err, qt.IsNil)
+	c.Assert(want.Version, qt.Equals, uint64(6))
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			counting := &countingStore{Store: store}
+			n, err := ReadNotice(ctx, counting)
+			c.Assert(err, qt.IsNil)
+			u, err := Fetch(ctx, counting, test.have, n)
+			c.Assert(err, qt.IsNil)
+			got, err := test.have.Apply(u)
+			c.Assert(err, qt.IsNil)
+			c.Assert(got.Digest, qt.Equals, want.Digest)
+			c.Assert(got.Bodies, qt.DeepEquals, want.Bodies)
+			c.Assert(counting.heads.Load(), qt.Equals, test.heads)
+			c.Assert(counting.reads.Load(), qt.Equals, test.reads)
+		})
+	}
+}
+
+func TestFetchPastTheLatestChanges(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	store := newMemoryStore()
+	e := testEditor(store, 1)
+	apply(c, e, testEdit("a", 0))
+	one, err := Load(ctx, store)
+	c.Assert(err, qt.IsNil)
+	for n := range MaxLatest + 1 {
+		apply(c, e, testEdit("b", n))
+	}
+	counting := &countingStore{Store: store}
+	n, err := ReadNotice(ctx, counting)
+	c.Assert(err, qt.IsNil)
+	u, err := Fetch(ctx, counting, one, n)
+	c.Assert(err, qt.IsNil)
+	got, err := one.Apply(u)
+	c.Assert(err, qt.IsNil)
+	c.Assert(got.Version, qt.Equals, uint64(MaxLatest+2))
+	c.Assert(counting.heads.Load(), qt.Equals, int32(1))
+}
--- a/src/ledger/headedit.go
+++ b/src/ledger/headedit.go
@@ -17,9 +17,12 @@
 	ChangesKept   = 8    // for each service
 	MaxChanges    = 2000 // for all services
 	MaxRetired    = 1000
+	MaxLatest     = 16               // changes
+	MaxPending    = 64               // edits under way
 	MaxNote       = 80               // bytes
-	RetireAge     = 10 * time.Minute // a body stays this long after the head has stopped referring to it
-	doomedAtOnce  = 32
+	HeadAge       = time.Minute      // a replaced head stays this long
+	RetireAge     = 10 * time.Minute // a document stays this long after the head has stopped referring to it
+	doomedAtOnce  = 8
 	maxHeadSize   = platform.MaxValueSize
 	maxEditIDSize = 32 // bytes
 )
@@ -94,57 +97,13 @@
 		slices.ContainsFunc(h.Changes, func(c wire.HeadChange) bool { return c.Digest == digest })
 }
 
-// retire lists a body as unreferenced since now; it is written or replaced at that time.
-func retire(h *wire.Head, digest string, now time.Time) {
-	unretire(h, digest)
-	h.Retired = append(h.Retired, wire.RetiredBody{Digest: digest, At: now.UnixMilli()})
-}
-
-func unretire(h *wire.Head, digest string) {
-	h.Retired = slices.DeleteFunc(slices.Clone(h.Retired), func(r wire.RetiredBody) bool { return r.Digest == digest })
-}
-
-// retireDropped lists the bodies that before named and h no longer does, and takes those that h names off the list.
-func retireDropped(before, h *wire.Head, now time.Time) {
-	listed := map[string]bool{}
-	for _, r := range h.Retired {
-		listed[r.Digest] = true
-	}
-	drop := func(digest string) {
-		if digest != "" && !listed[digest] && !references(h, digest) {
-			listed[digest] = true
-			retire(h, digest, now)
-		}
-	}
-	for _, s := range before.Services {
-		drop(s.Digest)
-	}
-	for _, c := range before.Changes {
-		drop(c.Digest)
-	}
-	h.Retired = slices.DeleteFunc(slices.Clone(h.Retired), func(r wire.RetiredBody) bool { return references(h, r.Digest) })
-}
-
-// doom marks the retired bodies that are old enough, a few at a time; only marked ones are deleted.
-func doom(h *wire.Head, now time.Time) {
-	h.Retired = slices.Clone(h.Retired)
-	n := 0
-	for i := range h.Retired {
-		r := &h.Retired[i]
-		if n < doomedAtOnce && now.Sub(time.UnixMilli(r.At)) >= RetireAge {
-			r.Doomed = true
-			n++
-		}
-	}
-}
-
 // encodeHead returns the head's value, or an error of kind problem.Document when it is past its bounds.
 func encodeHead(h *wire.Head) ([]byte, error) {
 	if len(h.Services) > MaxServices {
 		return nil, problem.New(problem.Document, HeadKey, fmt.Sprintf("%d services", len(h.Services)), fmt.Sprintf("remove documents that are not used: a store holds at most %d", MaxServices))
 	}
 	if len(h.Retired) > MaxRetired {
-		return nil, problem.New(problem.Busy, HeadKey, fmt.Sprintf("%d replaced documents wait for deletion", len(h.Retired)), fmt.Sprintf("try again after %s", RetireAge))
+		return nil, problem.New(problem.Busy, HeadKey, fmt.Sprintf("%d replaced keys wait for deletion", len(h.Retired)), fmt.Sprintf("try again after %s", RetireAge))
 	}
 	b, err := h.MarshalMsg(nil)
 	if err != nil {
--- a/src/ledger/keys.go
+++ b/src/ledger/keys.go
@@ -2,9 +2,13 @@
 
 // The store's keys.
 const (
-	HeadKey    = "config/head"  // holds a wire.Head
-	bodyPrefix = "config/body/" // followed by the digest of the document that is held there
+	HeadKey    = "config/head"      // holds a wire.HeadRef
+	headPrefix = "config/accepted/" // followed by the id of the wire.Head that is held there
+	bodyPrefix = "config/body/"     // followed by the digest of the document that is held there
 )
 
 // BodyKey returns the key of the document with a digest.
 func BodyKey(digest string) string { return bodyPrefix + digest }
+
+// AcceptedKey returns the key of the wire.Head with an id.
+func AcceptedKey(id string) string { return headPrefix + id }
--- a/src/ledger/read.go
+++ b/src/ledger/read.go
@@ -14,30 +14,80 @@
 
 const fetchers = 8 // bodies read at once
 
-// DecodeHead reads the value of the head record; an error is of kind problem.Protocol.
-func DecodeHead(value []byte) (wire.Head, error) {
+// state is what the store holds: the reference, its revision and the head that it names.
+type state struct {
+	ref      wire.HeadRef
+	revision uint64 // 0 when no configuration was ever accepted
+	head     wire.Head
+}
+
+func emptyState() state {
+	return state{ref: wire.HeadRef{Schema: wire.SchemaNumber}, head: wire.Head{Schema: wire.SchemaNumber}}
+}
+
+// decodeRef reads the value of HeadKey; an error is of kind problem.Protocol.
+func decodeRef(value []byte) (wire.HeadRef, error) {
+	var r wire.HeadRef
+	rest, err := r.UnmarshalMsg(value)
+	if err != nil || len(rest) > 0 {
+		return r, problem.Wrap(problem.Protocol, err, HeadKey, "the record cannot be read", "check that settings name the right store and prefix")
+	}
+	return r, checkSchema(r.Schema)
+}
+
+// decodeHead reads the value of an accepted head; an error is of kind problem.Protocol.
+func decodeHead(value []byte) (wire.Head, error) {
 	var h wire.Head
 	rest, err := h.UnmarshalMsg(value)
 	if err != nil || len(rest) > 0 {
-		return h, problem.Wrap(problem.Protocol, err, HeadKey, "the head record cannot be read", "check that settings name the right store and prefix")
+		return h, problem.Wrap(problem.Protocol, err, headPrefix, "the record cannot be read", "restore the store's value")
 	}
-	if h.Schema != wire.SchemaNumber {
-		return h, problem.New(problem.Protocol, HeadKey, fmt.Sprintf("schema %d, this build reads %d", h.Schema, wire.SchemaNumber), "run the release that wrote it")
+	return h, checkSchema(h.Schema)
+}
+
+func checkSchema(schema uint16) error {
+	if schema == wire.SchemaNumber {
+		return nil
 	}
-	return h, nil
+	return problem.New(problem.Protocol, HeadKey, fmt.Sprintf("schema %d, this build reads %d", schema, wire.SchemaNumber), "run the release that wrote it")
 }
 
-// readHead returns the head and its revision; an absent one is empty, at revision 0.
-func readHead(ctx context.Context, store platform.Store) (wire.Head, uint64, error) {
+// readRef returns the reference and its revision; an absent one is empty, at revision 0.
+func readRef(ctx context.Context, store platform.Store) (wire.HeadRef, uint64, error) {
 	e, err := store.Get(ctx, HeadKey)
 	if errors.Is(err, problem.NotFound) {
-		return wire.Head{Schema: wire.SchemaNumber}, 0, nil
+		return emptyState().ref, 0, nil
 	}
 	if err != nil {
-		return wire.Head{}, 0, err
+		return wire.HeadRef{}, 0, err
+	}
+	r, err := decodeRef(e.Value)
+	return r, e.Revision, err
+}
+
+// readHead reads the head that a reference names.
+func readHead(ctx context.Context, store platform.Store, r wire.HeadRef) (wire.Head, error) {
+	if r.Head == "" {
+		return emptyState().head, nil
+	}
+	e, err := store.Get(ctx, AcceptedKey(r.Head))
+	if err != nil {
+		return wire.Head{}, err
+	}
+	if d := Digest(e.Value); d != r.HeadDigest {
+		return wire.Head{}, problem.New(problem.Protocol, AcceptedKey(r.Head), fmt.Sprintf("digest %s where %s is stated", d, r.HeadDigest), "restore the store's value")
+	}
+	return decodeHead(e.Value)
+}
+
+// readState reads the reference and the head that it names.
+func readState(ctx context.Context, store platform.Store) (state, error) {
+	r, revision, err := readRef(ctx, store)
+	if err != nil {
+		return state{}, err
 	}
-	h, err := DecodeHead(e.Value)
-	return h, e.Revision, err
+	h, err := readHead(ctx, store, r)
+	return state{ref: r, revision: revision, head: h}, err
 }
 
 // FetchBody reads one document and checks its digest; errors are those of the store and problem.Protocol.
@@ -73,14 +123,14 @@
 
 // Load reads the accepted configuration from the store; an error is of kind problem.NotFound when none was ever accepted.
 func Load(ctx context.Context, store platform.Store) (*Snapshot, error) {
-	h, revision, err := readHead(ctx, store)
+	n, err := ReadNotice(ctx, store)
 	if err != nil {
 		return nil, err
 	}
-	if revision == 0 {
+	if n.Version() == 0 {
 		return nil, problem.New(problem.NotFound, HeadKey, "no configuration has been accepted", "apply a document first")
 	}
-	u, err := Fetch(ctx, store, nil, h)
+	u, err := Fetch(ctx, store, nil, n)
 	if err != nil {
 		return nil, err
 	}
--- a/src/ledger/store_test.go
+++ b/src/ledger/store_test.go
@@ -95,7 +95,7 @@
 	return f(op, key)
 }
 
-// pausingStore runs something once, after a read or before a deletion of a key.
+// pausingStore runs something once, around a read or before a deletion of a key.
 type pausingStore struct {
 	hookStore
 	op, key string
@@ -103,6 +103,7 @@
 }
 
 func (s *pausingStore) Get(ctx context.Context, key string) (platform.Entry, error) {
+	s.pause("before get", key)
 	e, err := s.Store.Get(ctx, key)
 	s.pause("get", key)
 	return e, err
--- a/src/relay/storecalls.go
+++ b/src/relay/storecalls.go
@@ -35,17 +35,17 @@
 		return input{event: HeadFailed{Silent: silent}}
 	}
 	l.storeAnswered(true)
-	return input{event: HeadSeen{Revision: n.Revision, Version: n.Head.Version}, notice: &n}
+	return input{event: HeadSeen{Revision: n.Revision, Version: n.Version()}, notice: &n}
 }
 
 // fetch reads the documents of the head seen last.
 func (l *loop) fetch() {
-	held, head := l.holder.held, l.head.Head
+	held, head := l.holder.held, l.head
 	l.callStore(func(ctx context.Context) input {
 		u, err := ledger.Fetch(ctx, l.Store, held, head)
 		if err != nil {
 			l.storeAnswered(false)
-			l.Log.Info("documents not read", "version", head.Version, "reason", err.Error())
+			l.Log.Info("documents not read", "version", head.Version(), "reason", err.Error())
 			return input{event: FetchFailed{}}
 		}
 		return input{fetch: &u}
--- a/src/wire/head.go
+++ b/src/wire/head.go
@@ -5,18 +5,39 @@
 //msgp:limit arrays:4096 maps:4096
 //msgp:tuple HeadService
 //msgp:tuple HeadChange
-//msgp:tuple RetiredBody
+//msgp:tuple LatestChange
+//msgp:tuple RetiredKey
 
-// SchemaNumber is the schema of Head and Document that this build reads.
+// SchemaNumber is the schema of HeadRef, Head and Document that this build reads.
 const SchemaNumber = 1
 
-// Head is the one record in the store that names the accepted configuration.
+// HeadRef is the one record in the store that is swapped: it accepts the configuration that it names.
+//
+// It is kept small, since every reader gets it with each watch.
+type HeadRef struct {
+	Schema     uint16         `msg:"schema"`
+	Version    uint64         `msg:"version"`     // only grows
+	Digest     uint64         `msg:"digest"`      // of the whole configuration
+	Head       string         `msg:"head"`        // id of the key that holds the Head
+	HeadDigest string         `msg:"head_digest"` // hexadecimal 128-bit digest of the Head's value
+	Latest     []LatestChange `msg:"latest"`      // newest last, bounded
+	Pending    []RetiredKey   `msg:"pending"`     // keys that edits under way write before their acceptance
+}
+
+// LatestChange names a service that a version has changed.
+type LatestChange struct {
+	Version uint64 `msg:"version"`
+	Service string `msg:"service"`
+	Digest  string `msg:"digest"` // of the body, empty when the service was removed
+}
+
+// Head is the accepted configuration with its history, under a key of its own that is never written again once a HeadRef names it.
 type Head struct {
 	Schema   uint16        `msg:"schema"`
-	Version  uint64        `msg:"version"` // only grows
-	Services []HeadService `msg:"services"`
-	Changes  []HeadChange  `msg:"changes"` // newest last, a bounded number for each service
-	Retired  []RetiredBody `msg:"retired"` // bodies that are not referred to and will be deleted
+	Version  uint64        `msg:"version"`
+	Services []HeadService `msg:"services"` // by name
+	Changes  []HeadChange  `msg:"changes"`  // newest last, a bounded number for each service
+	Retired  []RetiredKey  `msg:"retired"`  // keys that are not referred to and will be deleted
 }
 
 // HeadService names the accepted document of one service.
@@ -38,9 +59,9 @@
 	Note    string `msg:"note"`
 }
 
-// RetiredBody names a body that can be deleted some time after it was written or replaced.
-type RetiredBody struct {
-	Digest string `msg:"digest"`
+// RetiredKey names a key that can be deleted some time after it was listed.
+type RetiredKey struct {
+	Key    string `msg:"key"`
 	At     int64  `msg:"at"`     // milliseconds since the Unix epoch
-	Doomed bool   `msg:"doomed"` // deletion may have begun: the body must be written again before it is referred to
+	Doomed bool   `msg:"doomed"` // deletion may have begun: the key must be pending and written again before it is referred to
 }
--- a/src/wire/head_gen.go
+++ b/src/wire/head_gen.go
@@ -48,7 +48,7 @@
 	for za0003 := range z.Retired {
 		// array header, size 3
 		o = append(o, 0x93)
-		o = msgp.AppendString(o, z.Retired[za0003].Digest)
+		o = msgp.AppendString(o, z.Retired[za0003].Key)
 		o = msgp.AppendInt64(o, z.Retired[za0003].At)
 		o = msgp.AppendBool(o, z.Retired[za0003].Doomed)
 	}
@@ -149,7 +149,7 @@
 			if cap(z.Retired) >= int(zb0004) {
 				z.Retired = (z.Retired)[:zb0004]
 			} else {
-				z.Retired = make([]RetiredBody, zb0004)
+				z.Retired = make([]RetiredKey, zb0004)
 			}
 			for za0003 := range z.Retired {
 				var zb0005 uint32
@@ -162,9 +162,9 @@
 					err = msgp.ArrayError{Wanted: 3, Got: zb0005}
 					return
 				}
-				z.Retired[za0003].Digest, bts, err = msgp.ReadStringBytes(bts)
+				z.Retired[za0003].Key, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Retired", za0003, "Digest")
+					err = msgp.WrapError(err, "Retired", za0003, "Key")
 					return
 				}
 				z.Retired[za0003].At, bts, err = msgp.ReadInt64Bytes(bts)
@@ -202,7 +202,7 @@
 	}
 	s += 8 + msgp.ArrayHeaderSize
 	for za0003 := range z.Retired {
-		s += 1 + msgp.StringPrefixSize + len(z.Retired[za0003].Digest) + msgp.Int64Size + msgp.BoolSize
+		s += 1 + msgp.StringPrefixSize + len(z.Retired[za0003].Key) + msgp.Int64Size + msgp.BoolSize
 	}
 	return
 }
@@ -273,6 +273,211 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *HeadRef) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 7
+	// string "schema"
+	o = append(o, 0x87, 0xa6, 0x73, 0x63, 0x68, 0x65, 0x6d, 0x61)
+	o = msgp.AppendUint16(o, z.Schema)
+	// string "version"
+	o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendUint64(o, z.Version)
+	// string "digest"
+	o = append(o, 0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
+	o = msgp.AppendUint64(o, z.Digest)
+	// string "head"
+	o = append(o, 0xa4, 0x68, 0x65, 0x61, 0x64)
+	o = msgp.AppendString(o, z.Head)
+	// string "head_digest"
+	o = append(o, 0xab, 0x68, 0x65, 0x61, 0x64, 0x5f, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
+	o = msgp.AppendString(o, z.HeadDigest)
+	// string "latest"
+	o = append(o, 0xa6, 0x6c, 0x61, 0x74, 0x65, 0x73, 0x74)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Latest)))
+	for za0001 := range z.Latest {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendUint64(o, z.Latest[za0001].Version)
+		o = msgp.AppendString(o, z.Latest[za0001].Service)
+		o = msgp.AppendString(o, z.Latest[za0001].Digest)
+	}
+	// string "pending"
+	o = append(o, 0xa7, 0x70, 0x65, 0x6e, 0x64, 0x69, 0x6e, 0x67)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Pending)))
+	for za0002 := range z.Pending {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendString(o, z.Pending[za0002].Key)
+		o = msgp.AppendInt64(o, z.Pending[za0002].At)
+		o = msgp.AppendBool(o, z.Pending[za0002].Doomed)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *HeadRef) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z26c206f1limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "schema":
+			z.Schema, bts, err = msgp.ReadUint16Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Schema")
+				return
+			}
+		case "version":
+			z.Version, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		case "digest":
+			z.Digest, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Digest")
+				return
+			}
+		case "head":
+			z.Head, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Head")
+				return
+			}
+		case "head_digest":
+			z.HeadDigest, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "HeadDigest")
+				return
+			}
+		case "latest":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Latest")
+				return
+			}
+			if zb0002 > z26c206f1limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Latest) >= int(zb0002) {
+				z.Latest = (z.Latest)[:zb0002]
+			} else {
+				z.Latest = make([]LatestChange, zb0002)
+			}
+			for za0001 := range z.Latest {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Latest", za0001)
+					return
+				}
+				if zb0003 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+					return
+				}
+				z.Latest[za0001].Version, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Latest", za0001, "Version")
+					return
+				}
+				z.Latest[za0001].Service, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Latest", za0001, "Service")
+					return
+				}
+				z.Latest[za0001].Digest, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Latest", za0001, "Digest")
+					return
+				}
+			}
+		case "pending":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Pending")
+				return
+			}
+			if zb0004 > z26c206f1limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Pending) >= int(zb0004) {
+				z.Pending = (z.Pending)[:zb0004]
+			} else {
+				z.Pending = make([]RetiredKey, zb0004)
+			}
+			for za0002 := range z.Pending {
+				var zb0005 uint32
+				zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Pending", za0002)
+					return
+				}
+				if zb0005 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0005}
+					return
+				}
+				z.Pending[za0002].Key, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Pending", za0002, "Key")
+					return
+				}
+				z.Pending[za0002].At, bts, err = msgp.ReadInt64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Pending", za0002, "At")
+					return
+				}
+				z.Pending[za0002].Doomed, bts, err = msgp.ReadBoolBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Pending", za0002, "Doomed")
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *HeadRef) Msgsize() (s int) {
+	s = 1 + 7 + msgp.Uint16Size + 8 + msgp.Uint64Size + 7 + msgp.Uint64Size + 5 + msgp.StringPrefixSize + len(z.Head) + 12 + msgp.StringPrefixSize + len(z.HeadDigest) + 7 + msgp.ArrayHeaderSize
+	for za0001 := range z.Latest {
+		s += 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Latest[za0001].Service) + msgp.StringPrefixSize + len(z.Latest[za0001].Digest)
+	}
+	s += 8 + msgp.ArrayHeaderSize
+	for za0002 := range z.Pending {
+		s += 1 + msgp.StringPrefixSize + len(z.Pending[za0002].Key) + msgp.Int64Size + msgp.BoolSize
+	}
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *HeadService) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -334,18 +539,18 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z RetiredBody) MarshalMsg(b []byte) (o []byte, err error) {
+func (z LatestChange) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// array header, size 3
 	o = append(o, 0x93)
+	o = msgp.AppendUint64(o, z.Version)
+	o = msgp.AppendString(o, z.Service)
 	o = msgp.AppendString(o, z.Digest)
-	o = msgp.AppendInt64(o, z.At)
-	o = msgp.AppendBool(o, z.Doomed)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *RetiredBody) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *LatestChange) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var zb0001 uint32
 	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
@@ -356,11 +561,59 @@
 		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
+	z.Version, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	z.Service, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
 	z.Digest, bts, err = msgp.ReadStringBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Digest")
 		return
 	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z LatestChange) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Digest)
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z RetiredKey) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendString(o, z.Key)
+	o = msgp.AppendInt64(o, z.At)
+	o = msgp.AppendBool(o, z.Doomed)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RetiredKey) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Key, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
 	z.At, bts, err = msgp.ReadInt64Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "At")
@@ -376,7 +629,7 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z RetiredBody) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Digest) + msgp.Int64Size + msgp.BoolSize
+func (z RetiredKey) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Key) + msgp.Int64Size + msgp.BoolSize
 	return
 }
