Booking: admission, exchange with the backend server, health

A core without I/O admits, queues or refuses; the shell runs what is admitted over its own connections with fasthttp's header and chunk code, so that nothing is retried and it is known whether a byte has been written.

Found on the way, each with a test: - fasthttp reports a chunked answer that is cut between two chunks, and a sized one that is cut, as whole: the ends are checked here. - fasthttp keeps a request's head in its buffer until the body comes, so an early refusal of a slow upload was never heard: the head is pushed out first. - a slot freed when its caller goes away lets the backend server run more than its slots: the write side is closed and the slot held until the backend server has closed too, or its deadline and 250 ms are over.

--- a/src/booking/body.go
+++ b/src/booking/body.go
@@ -1,6 +1,7 @@
 package booking
 
 import (
+	"bufio"
 	"errors"
 	"io"
 )
@@ -47,3 +48,19 @@
 
 // Read returns the error.
 func (b failedBody) Read([]byte) (int, error) { return 0, b.err }
+
+// uploadBody is a request body that pushes out what has been written before it waits for more.
+type uploadBody struct {
+	r io.Reader
+	w *bufio.Writer
+}
+
+// Read reads from the caller's side.
+func (b *uploadBody) Read(p []byte) (int, error) {
+	if h, ok := b.r.(interface{ Buffered() int }); !ok || h.Buffered() == 0 {
+		if err := b.w.Flush(); err != nil {
+			return 0, err
+		}
+	}
+	return b.r.Read(p)
+}
--- a/src/booking/conn.go
+++ b/src/booking/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -14,10 +15,10 @@
 	nc     net.Conn
 	r      *bufio.Reader
 	w      *bufio.Writer
-	wrote  bool      // a byte may have reached the backend server since the last reset
-	sawEnd bool      // the backend server has closed its side
-	proven time.Time // when its last answer ended
-	used   bool      // it has carried an answer
+	wrote  atomic.Bool // a byte of the call may have reached the backend server
+	sawEnd bool        // the backend server has closed its side
+	proven time.Time   // when its last answer ended
+	used   bool        // it has carried an answer
 }
 
 func newConn(nc net.Conn) *conn {
@@ -38,7 +39,7 @@
 
 // Write writes to the socket and notes that it did.
 func (c *conn) Write(p []byte) (int, error) {
-	c.wrote = true
+	c.wrote.Store(true)
 	return c.nc.Write(p)
 }
 
--- a/src/booking/conns.go
+++ b/src/booking/conns.go
@@ -86,7 +86,8 @@
 
 // put keeps a connection whose answer has ended for the next call.
 func (p *conns) put(c *conn) {
-	c.proven, c.used, c.wrote = p.Now(), true, false
+	c.proven, c.used = p.Now(), true
+	c.wrote.Store(false)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
--- /dev/null
+++ b/src/booking/conns_test.go
@@ -0,0 +1,96 @@
+package booking
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/yuccaport/yuccaport/src/standin"
+)
+
+// A connection that the backend server has closed after its answer is not used again, so nothing may have run for nothing.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	for _, method := range []string{"GET", "POST"} {
+		t.Run(method, func(t *testing.T) {
+			raw := startRaw(t)
+			s := startServer(t, raw.l, 4, 8)
+			raw.answer = func(string) string { return "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok" }
+			for range 3 {
+				in := newInbound(method, "/orders", "t", nil, 0).serve(t, s)
+				qt.Assert(t, in.refusal, qt.IsNil)
+				eventually(t, "the backend server's close is seen", func() bool {
+					s.conns.mu.Lock()
+					defer s.conns.mu.Unlock()
+					return len(s.conns.idle) == 1 && !s.conns.idle[0].alive()
+				})
+			}
+		})
+	}
+}
+
+func TestWhichConnectionACallGets(t *testing.T) {
+	tests := map[string]struct {
+		idle   time.Duration
+		proven bool
+		reuse  bool
+	}{
+		"just used":                         {idle: provenFor / 2, reuse: true},
+		"just used, must not run twice":     {idle: provenFor / 2, proven: true, reuse: true},
+		"idle for long":                     {idle: provenFor * 2, reuse: true},
+		"idle for long, must not run twice": {idle: provenFor * 2, proven: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := startBackend(t, &standin.Backend{})
+			now := time.Now()
+			p := &conns{Addr: addrOf(b.Listener), Max: 2, Now: func() time.Time { return now }}
+			defer p.close()
+			c, err := p.get(context.Background(), false)
+			qt.Assert(t, err, qt.IsNil)
+			p.put(c)
+			now = now.Add(test.idle)
+			got, err := p.get(context.Background(), test.proven)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, got == c, qt.Equals, test.reuse)
+			p.drop(got)
+		})
+	}
+}
+
+func TestConnectionsAreBounded(t *testing.T) {
+	b := startBackend(t, &standin.Backend{})
+	now := time.Now()
+	p := &conns{Addr: addrOf(b.Listener), Max: 2, Now: func() time.Time { return now }}
+	defer p.close()
+	first, err := p.get(context.Background(), false)
+	qt.Assert(t, err, qt.IsNil)
+	second, err := p.get(context.Background(), false)
+	qt.Assert(t, err, qt.IsNil)
+	_, err = p.get(context.Background(), false)
+	qt.Assert(t, err, qt.Equals, errNoConnection)
+	p.put(first)
+	now = now.Add(time.Hour)
+	third, err := p.get(context.Background(), true) // takes the place of the idle one
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, p.open, qt.Equals, 2)
+	p.put(third)
+	p.drop(second)
+	now = now.Add(time.Hour)
+	p.sweep()
+	qt.Assert(t, p.open, qt.Equals, 0)
+}
+
+func TestFieldsAreSentAsTheyCame(t *testing.T) {
+	raw := startRaw(t)
+	s := startServer(t, raw.l, 4, 8)
+	raw.answer = func(head string) string {
+		qt.Check(t, strings.HasPrefix(head, "GET /a%20b?c=d%2Fe HTTP/1.1\r\n"), qt.IsTrue, qt.Commentf("%s", head))
+		qt.Check(t, field(head, "Host"), qt.Equals, "bookings")
+		return "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	}
+	in := newInbound("GET", "/a%20b?c=d%2Fe", "t", nil, 0).serve(t, s)
+	qt.Assert(t, in.whole, qt.IsTrue)
+}
--- /dev/null
+++ b/src/booking/core_test.go
@@ -0,0 +1,256 @@
+package booking
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/yuccaport/yuccaport/src/wire"
+)
+
+var epoch = time.Unix(0, 0)
+
+// warmCore returns a core that is up, with every slot open and a known service time.
+func warmCore(slots, queue int, service time.Duration) *Core {
+	c := &Core{Slots: slots, QueueSize: queue, QueueWait: time.Second}
+	c.Step(epoch, Health{State: HealthUp})
+	c.limit = slots
+	c.times.add(epoch, "read", service)
+	return c
+}
+
+func fillSlots(c *Core, n int) {
+	for i := range n {
+		c.Step(epoch, Arrive{Call: uint64(1000 + i), Route: "read"})
+	}
+}
+
+func TestArrive(t *testing.T) {
+	const ms = time.Millisecond
+	tests := map[string]struct {
+		before func(c *Core)
+		event  Arrive
+		want   []Action
+	}{
+		"free slot": {event: Arrive{Call: 1}, want: []Action{Admit{Call: 1}}},
+		"no free slot": {
+			before: func(c *Core) { fillSlots(c, 2) }, event: Arrive{Call: 1},
+			want: []Action{Queue{Call: 1, Wait: time.Second}},
+		},
+		"deadline shorter than the service time": {
+			event: Arrive{Call: 1, Route: "read", Timeout: 9 * ms},
+			want:  []Action{Refuse{Call: 1, Reason: wire.ReasonDeadline, RetryAfter: minRetry}},
+		},
+		"deadline shorter than the wait": {
+			before: func(c *Core) { fillSlots(c, 4) }, event: Arrive{Call: 1, Route: "read", Timeout: 20 * ms},
+			want: []Action{Refuse{Call: 1, Reason: wire.ReasonDeadline, RetryAfter: 15 * ms}},
+		},
+		"deadline that can be met": {
+			before: func(c *Core) { fillSlots(c, 3) }, event: Arrive{Call: 1, Route: "read", Timeout: 50 * ms},
+			want: []Action{Queue{Call: 1, Wait: 40 * ms}},
+		},
+		"full queue": {
+			before: func(c *Core) { fillSlots(c, 6) }, event: Arrive{Call: 1},
+			want: []Action{Refuse{Call: 1, Reason: wire.ReasonQueueFull, RetryAfter: 25 * ms}},
+		},
+		"full queue of lower priority": {
+			before: func(c *Core) {
+				fillSlots(c, 2)
+				for i := range 4 {
+					c.Step(epoch, Arrive{Call: uint64(i + 10), Priority: 2})
+				}
+			},
+			event: Arrive{Call: 1, Priority: 0},
+			want: []Action{
+				Refuse{Call: 13, Reason: wire.ReasonQueueFull, RetryAfter: 20 * ms},
+				Queue{Call: 1, Wait: time.Second},
+			},
+		},
+		"draining": {
+			before: func(c *Core) { c.Step(epoch, Drain{}) }, event: Arrive{Call: 1},
+			want: []Action{Refuse{Call: 1, Reason: wire.ReasonLeaving, RetryAfter: minRetry}},
+		},
+		"draining within the grace": {
+			before: func(c *Core) { c.Step(epoch, Drain{Grace: time.Second}) }, event: Arrive{Call: 1},
+			want: []Action{Admit{Call: 1}},
+		},
+		"second drain does not put the first off": {
+			before: func(c *Core) { c.Step(epoch, Drain{}); c.Step(epoch, Drain{Grace: time.Second}) }, event: Arrive{Call: 1},
+			want: []Action{Refuse{Call: 1, Reason: wire.ReasonLeaving, RetryAfter: minRetry}},
+		},
+		"backend server drains by itself": {
+			before: func(c *Core) { c.Step(epoch, Health{State: HealthDraining}) }, event: Arrive{Call: 1},
+			want: []Action{Refuse{Call: 1, Reason: wire.ReasonLeaving, RetryAfter: minRetry}},
+		},
+		"backend server down": {
+			before: func(c *Core) { c.Step(epoch, Health{State: HealthDown}) }, event: Arrive{Call: 1},
+			want: []Action{Refuse{Call: 1, Reason: wire.ReasonNotReady, RetryAfter: notReadyFor}},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := warmCore(2, 4, 10*ms)
+			if test.before != nil {
+				test.before(c)
+			}
+			qt.Assert(t, c.Step(epoch, test.event), qt.DeepEquals, test.want)
+		})
+	}
+}
+
+func TestHigherPriorityLeavesTheQueueFirst(t *testing.T) {
+	c := warmCore(1, 4, time.Millisecond)
+	fillSlots(c, 1)
+	c.Step(epoch, Arrive{Call: 1, Priority: 2})
+	c.Step(epoch, Arrive{Call: 2, Priority: 0})
+	c.Step(epoch, Arrive{Call: 3, Priority: 0})
+	for _, want := range []uint64{2, 3, 1} {
+		var running uint64
+		for running = range c.running {
+		}
+		qt.Assert(t, c.Step(epoch, Release{Call: running}), qt.DeepEquals, []Action{Admit{Call: want}})
+	}
+}
+
+func TestDrainLetsQueuedCallsRun(t *testing.T) {
+	c := warmCore(1, 4, time.Millisecond)
+	fillSlots(c, 1)
+	c.Step(epoch, Arrive{Call: 1})
+	c.Step(epoch, Drain{})
+	qt.Assert(t, c.Step(epoch, Release{Call: 1000}), qt.DeepEquals, []Action{Admit{Call: 1}})
+}
+
+func TestDownRefusesQueuedCallsAtOnce(t *testing.T) {
+	c := warmCore(1, 4, time.Millisecond)
+	fillSlots(c, 1)
+	c.Step(epoch, Arrive{Call: 1})
+	qt.Assert(t, c.Step(epoch, Health{State: HealthDown}), qt.DeepEquals,
+		[]Action{Refuse{Call: 1, Reason: wire.ReasonNotReady, RetryAfter: notReadyFor}})
+}
+
+func TestLimit(t *testing.T) {
+	c := &Core{Slots: 12}
+	c.Step(epoch, Health{State: HealthUp})
+	qt.Assert(t, c.Load(epoch).Free, qt.Equals, int16(4))
+	now := epoch
+	run := func(r Result) {
+		now = now.Add(time.Second)
+		c.Step(now, Arrive{Call: 1})
+		c.Step(now, Release{Call: 1, Result: r, Took: time.Millisecond})
+	}
+	for range 4 + 5 + 6 + 7 + 8 + 9 + 10 + 11 {
+		run(ResultDone)
+	}
+	qt.Assert(t, c.Load(now).Free, qt.Equals, int16(12))
+	run(ResultShed)
+	qt.Assert(t, c.Load(now).Free, qt.Equals, int16(9))
+	for range 50 {
+		run(ResultShed)
+	}
+	qt.Assert(t, c.Load(now).Free, qt.Equals, int16(1))
+}
+
+// Whatever comes, in whatever order: slots are never exceeded, every call gets one verdict, and none that can run waits.
+func TestCoreProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 12).Draw(t, "slots")
+		m := &coreModel{t: t, core: &Core{Slots: slots, QueueSize: rapid.IntRange(0, 6).Draw(t, "queue"), QueueWait: time.Second},
+			slots: slots, now: epoch, waiting: map[uint64]time.Time{}, running: map[uint64]bool{}}
+		m.step(Health{State: HealthUp})
+		t.Repeat(map[string]func(*rapid.T){
+			"arrive":  m.arrive,
+			"release": m.release,
+			"abandon": m.abandon,
+			"advance": m.advance,
+			"health":  m.health,
+			"":        m.check,
+		})
+	})
+}
+
+type coreModel struct {
+	t       *rapid.T
+	core    *Core
+	slots   int
+	now     time.Time
+	last    uint64
+	waiting map[uint64]time.Time
+	running map[uint64]bool
+}
+
+func (m *coreModel) step(e Event) {
+	for _, a := range m.core.Step(m.now, e) {
+		switch a := a.(type) {
+		case Admit:
+			if m.running[a.Call] {
+				m.t.Fatalf("call %d was admitted twice", a.Call)
+			}
+			delete(m.waiting, a.Call)
+			m.running[a.Call] = true
+		case Queue:
+			m.waiting[a.Call] = m.now.Add(a.Wait)
+		case Refuse:
+			if m.running[a.Call] {
+				m.t.Fatalf("call %d was refused while it runs", a.Call)
+			}
+			if a.RetryAfter <= 0 {
+				m.t.Fatalf("call %d is not told when to come back", a.Call)
+			}
+			delete(m.waiting, a.Call)
+		}
+	}
+}
+
+func (m *coreModel) arrive(t *rapid.T) {
+	m.last++
+	m.step(Arrive{Call: m.last, Route: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "route"), Priority: rapid.Uint8Range(0, 3).Draw(t, "priority"),
+		Timeout: time.Duration(rapid.IntRange(0, 2000).Draw(t, "timeout")) * time.Millisecond})
+}
+
+func (m *coreModel) release(t *rapid.T) {
+	for _, call := range slices.Sorted(maps.Keys(m.running)) {
+		delete(m.running, call)
+		m.step(Release{Call: call, Result: Result(rapid.IntRange(0, 3).Draw(t, "result")),
+			Took: time.Duration(rapid.IntRange(0, 500).Draw(t, "took")) * time.Millisecond})
+		return
+	}
+}
+
+func (m *coreModel) abandon(*rapid.T) {
+	for _, call := range slices.Sorted(maps.Keys(m.waiting)) {
+		delete(m.waiting, call)
+		m.step(Abandon{Call: call})
+		return
+	}
+}
+
+func (m *coreModel) advance(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(1, 700).Draw(t, "ms")) * time.Millisecond)
+	m.step(Tick{})
+}
+
+func (m *coreModel) health(t *rapid.T) {
+	m.step(Health{State: HealthState(rapid.IntRange(0, 3).Draw(t, "state"))})
+	m.step(Health{State: HealthUp})
+}
+
+func (m *coreModel) check(t *rapid.T) {
+	if len(m.running) > m.slots || m.core.Running() != len(m.running) {
+		t.Fatalf("%d calls run on %d slots, the core counts %d", len(m.running), m.slots, m.core.Running())
+	}
+	if len(m.waiting) != m.core.queue.size || m.core.queue.size > m.core.QueueSize {
+		t.Fatalf("%d calls wait, the queue holds %d of %d", len(m.waiting), m.core.queue.size, m.core.QueueSize)
+	}
+	for call, until := range m.waiting {
+		if !m.now.Before(until) {
+			t.Fatalf("call %d waits past its time", call)
+		}
+	}
+	if len(m.waiting) > 0 && len(m.running) < m.core.limit {
+		t.Fatalf("%d calls wait while slots are free", len(m.waiting))
+	}
+}
--- a/src/booking/counters.go
+++ b/src/booking/counters.go
@@ -19,7 +19,7 @@
 	dialed    *metrics.Counter
 	reused    *metrics.Counter
 	reclaimed *metrics.Counter // slots taken back from calls whose end the backend server did not tell
-	service   *metrics.Summary
+	service   *metrics.Histogram
 }
 
 func newCounters(s *metrics.Set) *counters {
@@ -33,7 +33,7 @@
 		dialed:    s.GetOrCreateCounter("yuccaport_booking_connections_dialed_total"),
 		reused:    s.GetOrCreateCounter("yuccaport_booking_connections_reused_total"),
 		reclaimed: s.GetOrCreateCounter("yuccaport_booking_slots_reclaimed_total"),
-		service:   s.GetOrCreateSummary("yuccaport_booking_service_seconds"),
+		service:   s.GetOrCreateHistogram("yuccaport_booking_service_seconds"),
 	}
 }
 
--- a/src/booking/exchange.go
+++ b/src/booking/exchange.go
@@ -51,10 +51,11 @@
 	x.issueToken()
 	defer x.s.tokens.revoke(x.token)
 	x.resp = fasthttp.AcquireResponse()
+	x.resp.Header.SetNoDefaultContentType(true)
 	defer fasthttp.ReleaseResponse(x.resp)
 	stop := context.AfterFunc(x.ctx, func() { _ = c.nc.SetDeadline(longAgo) })
 	err = x.send()
-	if err == nil || c.wrote {
+	if err == nil || c.wrote.Load() {
 		err = x.readHead(err)
 	}
 	if err != nil {
@@ -116,7 +117,7 @@
 
 // fail ends a call that broke off before its answer began.
 func (x *exchange) fail(stop func() bool, err error) {
-	r := wire.Refusal{Reason: wire.ReasonCut, MayHaveRun: x.conn.wrote}
+	r := wire.Refusal{Reason: wire.ReasonCut, MayHaveRun: x.conn.wrote.Load()}
 	if x.ctx.Err() != nil {
 		r.Reason = reasonOf(x.ctx)
 	}
@@ -134,7 +135,7 @@
 func (x *exchange) linger(stop func() bool) {
 	stop()
 	c := x.conn
-	if tcp, ok := c.nc.(*net.TCPConn); ok && c.wrote {
+	if tcp, ok := c.nc.(*net.TCPConn); ok && c.wrote.Load() {
 		_ = tcp.CloseWrite()
 		_ = tcp.SetReadDeadline(time.Now().Add(x.lingerFor()))
 		_, err := io.Copy(io.Discard, c.nc)
--- /dev/null
+++ b/src/booking/fixture_test.go
@@ -0,0 +1,159 @@
+package booking
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"flag"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+
+	"github.com/yuccaport/yuccaport/src/settings"
+	"github.com/yuccaport/yuccaport/src/standin"
+	"github.com/yuccaport/yuccaport/src/wire"
+)
+
+const guard = 20 * time.Second // against a test that hangs
+
+// TestMain looks for goroutines of ours that outlive a test; the server in fasthttp keeps two of its own.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.steps", "150")
+	_ = flag.Set("rapid.nofailfile", "true")
+	goleak.VerifyTestMain(m,
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"),
+	)
+}
+
+func listen(tb testing.TB) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(tb, err, qt.IsNil)
+	return l
+}
+
+// runUntilCleanup runs f until the test is over.
+func runUntilCleanup(tb testing.TB, f func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- f(ctx) }()
+	tb.Cleanup(func() {
+		cancel()
+		select {
+		case err := <-done:
+			qt.Check(tb, err, qt.IsNil)
+		case <-time.After(guard):
+			tb.Error("did not stop")
+		}
+	})
+}
+
+func eventually(tb testing.TB, what string, f func() bool) {
+	for end := time.Now().Add(guard); !f(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			tb.Fatal("never came about: " + what)
+		}
+	}
+}
+
+// startBackend runs a backend server stand-in.
+func startBackend(tb testing.TB, b *standin.Backend) *standin.Backend {
+	b.Listener, b.Name, b.Runs = listen(tb), "s1", &standin.RunLog{}
+	if b.Slots == 0 {
+		b.Slots, b.Connections = 4, 8
+	}
+	runUntilCleanup(tb, b.Run)
+	return b
+}
+
+// startServer runs a Server beside the backend server at l and waits until it is healthy and warm.
+func startServer(tb testing.TB, l net.Listener, slots, connections int) *Server {
+	s := &Server{
+		Backend: settings.Backend{Addr: l.Addr().(*net.TCPAddr).AddrPort(), Slots: slots, Connections: connections, HealthPath: "/health"},
+		Service: "bookings", Self: 7,
+	}
+	s.init()
+	s.core.limit, s.core.running = slots, map[uint64]string{}
+	runUntilCleanup(tb, s.Run)
+	eventually(tb, "healthy", s.Healthy)
+	return s
+}
+
+// inbound is a call as the link would hand it over.
+type inbound struct {
+	head    wire.CallHead
+	body    io.Reader
+	mu      sync.Mutex
+	reply   *wire.ReplyHead
+	refusal *wire.Refusal
+	answer  bytes.Buffer
+	whole   bool
+	refused chan struct{}
+	block   chan struct{} // Write waits for it, when set
+}
+
+var errOver = errors.New("call is over")
+
+func newInbound(method, uri, token string, body io.Reader, length int64) *inbound {
+	h := wire.CallHead{Target: 7, Service: "bookings", Route: uri, Method: method, Host: "bookings", URI: uri, BodyLength: length,
+		Idempotent: method == "GET", Fields: []wire.Field{{Name: standin.HeaderToken, Value: token}}}
+	if body == nil {
+		body = bytes.NewReader(nil)
+	}
+	return &inbound{head: h, body: body, refused: make(chan struct{})}
+}
+
+func (in *inbound) Head() wire.CallHead { return in.head }
+func (in *inbound) Body() io.Reader     { return in.body }
+
+func (in *inbound) Reply(h wire.ReplyHead) (io.WriteCloser, error) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.reply = &h
+	return in, nil
+}
+
+func (in *inbound) Refuse(r wire.Refusal) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.refusal == nil && !in.whole {
+		in.refusal = &r
+		close(in.refused)
+	}
+}
+
+func (in *inbound) Write(p []byte) (int, error) {
+	if in.block != nil {
+		<-in.block
+	}
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.refusal != nil {
+		return 0, errOver
+	}
+	return in.answer.Write(p)
+}
+
+func (in *inbound) Close() error {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.whole = in.refusal == nil
+	return nil
+}
+
+// serve runs a call to its end.
+func (in *inbound) serve(tb testing.TB, s *Server) *inbound {
+	ctx, cancel := context.WithTimeout(context.Background(), guard)
+	defer cancel()
+	s.ServeCall(ctx, in)
+	return in
+}
+
+func addrOf(l net.Listener) netip.AddrPort { return l.Addr().(*net.TCPAddr).AddrPort() }
--- a/src/booking/health.go
+++ b/src/booking/health.go
@@ -33,8 +33,11 @@
 	if probe == HealthDraining {
 		return probe
 	}
-	if h.failures >= failuresDown && now.Sub(h.down) < retryDown {
-		return HealthDown
+	if h.failures >= failuresDown {
+		if now.Sub(h.down) < retryDown {
+			return HealthDown
+		}
+		h.failures = failuresDown - 1 // one more failure takes it down again
 	}
 	if probe == HealthDown && now.Sub(h.answered) < trustCallsFor && h.failures == 0 {
 		return HealthUp
--- /dev/null
+++ b/src/booking/load_test.go
@@ -0,0 +1,129 @@
+package booking
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/yuccaport/yuccaport/src/document"
+	"github.com/yuccaport/yuccaport/src/standin"
+)
+
+// crowd runs n calls at once and returns them when all have ended.
+func crowd(tb testing.TB, s *Server, n int, each func(i int) *inbound) []*inbound {
+	out := make([]*inbound, n)
+	var wg sync.WaitGroup
+	for i := range n {
+		out[i] = each(i)
+		wg.Go(func() { out[i].serve(tb, s) })
+	}
+	wg.Wait()
+	return out
+}
+
+// Slots and connections hold under a crowd; whoever is refused has not run, everybody else is answered.
+func TestOverload(t *testing.T) {
+	b := startBackend(t, &standin.Backend{Slots: 4, Connections: 6, Work: 5 * time.Millisecond})
+	s := startServer(t, b.Listener, 4, 6)
+	s.Document = func() *document.Document {
+		return &document.Document{Limits: document.Limits{Queue: 8, QueueWait: document.Duration(guard)}}
+	}
+	calls := crowd(t, s, 200, func(i int) *inbound {
+		method := []string{"GET", "POST"}[i%2]
+		return newInbound(method, "/diary", fmt.Sprint(i), nil, 0)
+	})
+	answered := 0
+	for i, in := range calls {
+		runs := b.Runs.Count(fmt.Sprint(i))
+		if in.refusal != nil {
+			qt.Check(t, in.refusal.MayHaveRun, qt.IsFalse)
+			qt.Check(t, in.refusal.RetryAfterMS > 0, qt.IsTrue)
+			qt.Check(t, runs, qt.Equals, 0)
+			continue
+		}
+		answered++
+		qt.Check(t, in.whole, qt.IsTrue)
+		qt.Check(t, runs, qt.Equals, 1)
+	}
+	qt.Assert(t, answered >= 12, qt.IsTrue, qt.Commentf("%d answered", answered))
+	qt.Assert(t, b.Runs.SlotsExceeded(), qt.Equals, 0)
+	qt.Assert(t, b.Runs.ConnectionsExceeded(), qt.Equals, 0)
+	qt.Assert(t, s.InFlight(), qt.Equals, 0)
+}
+
+// Calls given up at any moment leave no slot behind and never make the backend server run more than its slots.
+func TestCallersThatVanish(t *testing.T) {
+	b := startBackend(t, &standin.Backend{Slots: 3, Connections: 6, Work: 20 * time.Millisecond})
+	s := startServer(t, b.Listener, 3, 6)
+	var wg sync.WaitGroup
+	for i := range 60 {
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Duration(i)*time.Millisecond)
+			defer cancel()
+			s.ServeCall(ctx, newInbound("GET", "/diary", fmt.Sprint(i), nil, 0))
+		})
+	}
+	wg.Wait()
+	qt.Assert(t, b.Runs.SlotsExceeded(), qt.Equals, 0)
+	qt.Assert(t, s.InFlight(), qt.Equals, 0)
+	qt.Assert(t, len(s.waiters), qt.Equals, 0)
+}
+
+// A drain under load cuts nothing and lets nothing new in.
+func TestDrainUnderLoad(t *testing.T) {
+	b := startBackend(t, &standin.Backend{Slots: 4, Connections: 8, Work: 30 * time.Millisecond})
+	s := startServer(t, b.Listener, 4, 8)
+	s.Document = func() *document.Document {
+		return &document.Document{Limits: document.Limits{Queue: 64, QueueWait: document.Duration(guard)}}
+	}
+	done := make(chan []*inbound)
+	go func() {
+		done <- crowd(t, s, 20, func(i int) *inbound { return newInbound("GET", "/diary", fmt.Sprint("old", i), nil, 0) })
+	}()
+	eventually(t, "all calls are inside", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.core.Running()+s.core.queue.size == 20
+	})
+	s.Drain()
+	late := newInbound("GET", "/diary", "late", nil, 0).serve(t, s)
+	qt.Assert(t, late.refusal, qt.IsNotNil)
+	qt.Assert(t, late.refusal.MayHaveRun, qt.IsFalse)
+	qt.Assert(t, b.Runs.Count("late"), qt.Equals, 0)
+	for _, in := range <-done {
+		qt.Check(t, in.whole, qt.IsTrue)
+	}
+}
+
+func TestBackendServersOwnDrain(t *testing.T) {
+	b := startBackend(t, &standin.Backend{})
+	s := startServer(t, b.Listener, 4, 8)
+	b.Drain(true)
+	eventually(t, "the drain is seen", func() bool { return !s.Healthy() })
+	in := newInbound("GET", "/diary", "late", nil, 0).serve(t, s)
+	qt.Assert(t, in.refusal.MayHaveRun, qt.IsFalse)
+	qt.Assert(t, b.Runs.Count("late"), qt.Equals, 0)
+	b.Drain(false)
+	eventually(t, "the end of the drain is seen", s.Healthy)
+}
+
+// A backend server that accepts and never answers is taken for down although its health endpoint says otherwise.
+func TestLyingHealthEndpoint(t *testing.T) {
+	b := startBackend(t, &standin.Backend{})
+	s := startServer(t, b.Listener, 4, 8)
+	b.SetFaults(standin.BackendFaults{CutAnswers: true})
+	for i := range failuresDown {
+		newInbound("GET", "/diary", fmt.Sprint(i), nil, 0).serve(t, s)
+	}
+	qt.Assert(t, s.Healthy(), qt.IsFalse)
+	b.SetFaults(standin.BackendFaults{})
+	eventually(t, "it is tried again", s.Healthy)
+	b.SetFaults(standin.BackendFaults{Unhealthy: true})
+	newInbound("GET", "/diary", "fine", nil, 0).serve(t, s)
+	s.probe(context.Background())
+	qt.Assert(t, s.Healthy(), qt.IsTrue) // an answered call outweighs the probe
+}
--- /dev/null
+++ b/src/booking/raw_test.go
@@ -0,0 +1,71 @@
+package booking
+
+import (
+	"bufio"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+)
+
+// raw is a backend server that answers each request with bytes of the test's choice and closes the connection.
+type raw struct {
+	l      net.Listener
+	answer func(head string) string
+	wg     sync.WaitGroup
+}
+
+func startRaw(tb testing.TB) *raw {
+	b := &raw{l: listen(tb), answer: func(string) string { return "" }}
+	b.wg.Add(1)
+	go b.accept()
+	tb.Cleanup(func() {
+		_ = b.l.Close()
+		b.wg.Wait()
+	})
+	return b
+}
+
+func (b *raw) accept() {
+	defer b.wg.Done()
+	for {
+		c, err := b.l.Accept()
+		if err != nil {
+			return
+		}
+		b.wg.Add(1)
+		go b.serve(c)
+	}
+}
+
+func (b *raw) serve(c net.Conn) {
+	defer b.wg.Done()
+	defer func() { _ = c.Close() }()
+	var head strings.Builder
+	r := bufio.NewReader(c)
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			return
+		}
+		head.WriteString(line)
+		if line == "\r\n" {
+			break
+		}
+	}
+	answer := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	if !strings.HasPrefix(head.String(), "GET /health") {
+		answer = b.answer(head.String())
+	}
+	_, _ = c.Write([]byte(answer))
+}
+
+// field returns the value of a header field.
+func field(head, name string) string {
+	for line := range strings.SplitSeq(head, "\r\n") {
+		if k, v, ok := strings.Cut(line, ": "); ok && strings.EqualFold(k, name) {
+			return v
+		}
+	}
+	return ""
+}
--- a/src/booking/request.go
+++ b/src/booking/request.go
@@ -22,7 +22,7 @@
 	x.fill(req)
 	n := x.head.BodyLength
 	if n != 0 {
-		req.SetBodyStream(x.in.Body(), int(n))
+		req.SetBodyStream(&uploadBody{r: x.in.Body(), w: x.conn.w}, int(n))
 	}
 	if n >= 0 && n <= inlineBody {
 		return x.write(req)
@@ -50,7 +50,7 @@
 	h.SetMethod(x.head.Method)
 	h.SetRequestURI(x.head.URI)
 	for _, f := range x.head.Fields {
-		if !isOwn(f.Name) {
+		if !isOwn(f.Name) && !strings.EqualFold(f.Name, TimeoutHeader) {
 			h.Add(f.Name, f.Value)
 		}
 	}
--- a/src/booking/server.go
+++ b/src/booking/server.go
@@ -20,7 +20,7 @@
 	// ParentHeader names the request header that joins a backend server's own calls to the call it is running.
 	ParentHeader = "Yuccaport-Parent"
 	// TimeoutHeader names the request header that tells a backend server how many milliseconds it has.
-	TimeoutHeader = "Yuccaport-Timeout-Ms"
+	TimeoutHeader = "X-Deadline-Ms"
 	// NotRunHeader names the header by which a backend server marks a 503 answer to a request that it has not begun to run.
 	NotRunHeader = "X-Not-Run"
 
--- /dev/null
+++ b/src/booking/server_test.go
@@ -0,0 +1,215 @@
+package booking
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/yuccaport/yuccaport/src/standin"
+	"github.com/yuccaport/yuccaport/src/wire"
+)
+
+func TestAnswersAreWhole(t *testing.T) {
+	b := startBackend(t, &standin.Backend{})
+	s := startServer(t, b.Listener, 4, 8)
+	tests := map[string]struct {
+		method, uri string
+		size        int
+		answer      int
+		unsized     bool
+	}{
+		"read":             {method: "GET", uri: "/diary"},
+		"long read":        {method: "GET", uri: "/photos?size=3000000", answer: 3000000},
+		"longest short":    {method: "GET", uri: "/photos?size=65536", answer: 65536},
+		"head":             {method: "HEAD", uri: "/diary"},
+		"small upload":     {method: "POST", uri: "/orders", size: 100},
+		"upload":           {method: "PUT", uri: "/photos", size: 5 << 20},
+		"upload in chunks": {method: "PUT", uri: "/photos", size: 300000, unsized: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			length := int64(test.size)
+			if test.unsized {
+				length = -1
+			}
+			in := newInbound(test.method, test.uri, name, bytes.NewReader(make([]byte, test.size)), length).serve(t, s)
+			qt.Assert(t, in.refusal, qt.IsNil)
+			qt.Assert(t, in.whole, qt.IsTrue)
+			qt.Assert(t, in.reply.Status, qt.Equals, uint16(200))
+			path, _, _ := strings.Cut(test.uri, "?")
+			switch test.method {
+			case "GET":
+				qt.Assert(t, bytes.Equal(in.answer.Bytes(), standin.Body("GET", path, name, test.answer)), qt.IsTrue)
+				qt.Assert(t, in.reply.BodyLength, qt.Equals, int64(in.answer.Len()))
+			case "HEAD":
+				qt.Assert(t, in.answer.Len(), qt.Equals, 0)
+				qt.Assert(t, in.reply.BodyLength > 0, qt.IsTrue)
+			default:
+				var u standin.Upload
+				qt.Assert(t, json.Unmarshal(in.answer.Bytes(), &u), qt.IsNil)
+				qt.Assert(t, u.Length, qt.Equals, int64(test.size))
+				qt.Assert(t, u.Token, qt.Equals, name)
+			}
+			qt.Assert(t, b.Runs.Count(name), qt.Equals, 1)
+		})
+	}
+	qt.Assert(t, s.InFlight(), qt.Equals, 0)
+	qt.Assert(t, b.Runs.MaxConnections() <= 8, qt.IsTrue)
+}
+
+func TestRefusalsTellWhetherTheCallRan(t *testing.T) {
+	tests := map[string]struct {
+		faults  standin.BackendFaults
+		timeout int64 // milliseconds
+		target  uint64
+		want    wire.Refusal
+		runs    int
+	}{
+		"shed":          {faults: standin.BackendFaults{ShedAll: true}, want: wire.Refusal{Reason: wire.ReasonShed}},
+		"answer cut":    {faults: standin.BackendFaults{CutAnswers: true}, want: wire.Refusal{Reason: wire.ReasonCut, MayHaveRun: true}, runs: 1},
+		"never answers": {faults: standin.BackendFaults{AcceptNeverAnswer: true}, timeout: 50, want: wire.Refusal{Reason: wire.ReasonTimeout, MayHaveRun: true}, runs: 1},
+		"other member":  {target: 8, want: wire.Refusal{Reason: wire.ReasonWrongMember}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := startBackend(t, &standin.Backend{})
+			s := startServer(t, b.Listener, 4, 8)
+			b.SetFaults(test.faults)
+			in := newInbound("GET", "/diary", name, nil, 0)
+			in.head.TimeoutMS = test.timeout
+			if test.target != 0 {
+				in.head.Target = test.target
+			}
+			ctx, cancel := context.WithCancelCause(context.Background())
+			defer cancel(nil)
+			if test.timeout > 0 {
+				time.AfterFunc(time.Duration(test.timeout)*time.Millisecond, func() { cancel(context.DeadlineExceeded) })
+			}
+			s.ServeCall(ctx, in)
+			qt.Assert(t, in.reply, qt.IsNil)
+			qt.Assert(t, in.refusal.Reason, qt.Equals, test.want.Reason)
+			qt.Assert(t, in.refusal.MayHaveRun, qt.Equals, test.want.MayHaveRun)
+			qt.Assert(t, b.Runs.Count(name), qt.Equals, test.runs)
+			qt.Assert(t, s.InFlight(), qt.Equals, 0)
+		})
+	}
+}
+
+func TestConnectionRefusedIsNotRun(t *testing.T) {
+	b := startBackend(t, &standin.Backend{})
+	s := startServer(t, b.Listener, 4, 8)
+	_ = b.Listener.Close()
+	s.conns.close()
+	in := newInbound("POST", "/orders", "x", nil, 0).serve(t, s)
+	qt.Assert(t, in.refusal.Reason, qt.Equals, wire.ReasonConnect)
+	qt.Assert(t, in.refusal.MayHaveRun, qt.IsFalse)
+	qt.Assert(t, in.refusal.RetryAfterMS > 0, qt.IsTrue)
+}
+
+// A caller that goes away frees the slot as soon as the backend server has stopped, not before.
+func TestCancelledCallHoldsItsSlotUntilItHasStopped(t *testing.T) {
+	b := startBackend(t, &standin.Backend{Slots: 1, Connections: 4, Work: time.Hour})
+	s := startServer(t, b.Listener, 1, 4)
+	ctx, cancel := context.WithCancel(context.Background())
+	in := newInbound("GET", "/diary", "first", nil, 0)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.ServeCall(ctx, in)
+	}()
+	eventually(t, "the call runs", func() bool { return b.Runs.Count("first") == 1 })
+	cancel()
+	<-in.refused
+	qt.Assert(t, in.refusal.MayHaveRun, qt.IsTrue)
+	<-done
+	qt.Assert(t, b.Load().InFlight, qt.Equals, 0)
+	qt.Assert(t, s.InFlight(), qt.Equals, 0)
+}
+
+func TestOwnHeaderFieldsDoNotPassThrough(t *testing.T) {
+	raw := startRaw(t)
+	s := startServer(t, raw.l, 4, 8)
+	in := newInbound("GET", "/diary", "t", nil, 0)
+	in.head.Fields = append(in.head.Fields, wire.Field{Name: "yuccaport-parent", Value: "forged"}, wire.Field{Name: "x-deadline-ms", Value: "1"})
+	in.head.TraceID, in.head.Depth, in.head.TimeoutMS = "trace", 3, 5000
+	raw.answer = func(head string) string {
+		qt.Check(t, strings.Contains(head, "forged"), qt.IsFalse)
+		qt.Check(t, strings.Contains(strings.ToLower(head), "x-deadline-ms: 1\r\n"), qt.IsFalse)
+		token := field(head, ParentHeader)
+		p, ok := s.Parent(token)
+		qt.Check(t, ok, qt.IsTrue)
+		qt.Check(t, p.TraceID, qt.Equals, "trace")
+		qt.Check(t, p.Depth, qt.Equals, uint8(3))
+		qt.Check(t, p.Deadline.IsZero(), qt.IsFalse)
+		return "HTTP/1.1 200 OK\r\nYuccaport-Secret: 1\r\nX-Parent: " + token + "\r\nContent-Length: 2\r\n\r\nok"
+	}
+	in.serve(t, s)
+	qt.Assert(t, in.whole, qt.IsTrue)
+	qt.Assert(t, in.reply.Fields, qt.HasLen, 1)
+	_, ok := s.Parent(in.reply.Fields[0].Value)
+	qt.Assert(t, ok, qt.IsFalse)
+}
+
+// An answer that ends before its length, or between two chunks, is never presented as whole.
+func TestCutAnswersOfEveryShape(t *testing.T) {
+	big := strings.Repeat("x", shortAnswer+1)
+	tests := map[string]string{
+		"in the head":        "HTTP/1.1 200 OK\r\nContent-Le",
+		"short body":         "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n12345",
+		"long body":          "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + big,
+		"no chunk":           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"in a chunk":         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n123",
+		"between two chunks": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n",
+		"in the last chunk":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n0\r\n",
+	}
+	for name, answer := range tests {
+		t.Run(name, func(t *testing.T) {
+			raw := startRaw(t)
+			s := startServer(t, raw.l, 4, 8)
+			raw.answer = func(string) string { return answer }
+			in := newInbound("GET", "/diary", "t", nil, 0).serve(t, s)
+			qt.Assert(t, in.whole, qt.IsFalse)
+			qt.Assert(t, in.refusal, qt.IsNotNil)
+			qt.Assert(t, in.refusal.MayHaveRun, qt.IsTrue)
+		})
+	}
+}
+
+func TestWholeAnswersOfEveryShape(t *testing.T) {
+	tests := map[string]string{
+		"sized":            "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n12345",
+		"chunked":          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n12\r\n3\r\n345\r\n0\r\n\r\n",
+		"until the end":    "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n12345",
+		"after a continue": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n12345",
+	}
+	for name, answer := range tests {
+		t.Run(name, func(t *testing.T) {
+			raw := startRaw(t)
+			s := startServer(t, raw.l, 4, 8)
+			raw.answer = func(string) string { return answer }
+			in := newInbound("GET", "/diary", "t", nil, 0).serve(t, s)
+			qt.Assert(t, in.refusal, qt.IsNil)
+			qt.Assert(t, in.whole, qt.IsTrue)
+			qt.Assert(t, in.answer.String(), qt.Equals, "12345")
+		})
+	}
+}
+
+// A slow upload is answered although the backend server has not read it to its end.
+func TestEarlyAnswerToAnUpload(t *testing.T) {
+	raw := startRaw(t)
+	s := startServer(t, raw.l, 4, 8)
+	raw.answer = func(string) string {
+		return "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n"
+	}
+	r, w := io.Pipe()
+	defer func() { _ = w.Close() }()
+	in := newInbound("PUT", "/photos", "t", r, 1<<20).serve(t, s)
+	qt.Assert(t, *in.refusal, qt.Equals, wire.Refusal{Reason: wire.ReasonShed, RetryAfterMS: 3000, Load: in.refusal.Load})
+}
--- a/src/link/inbox.go
+++ b/src/link/inbox.go
@@ -87,6 +87,13 @@
 	return b.ended && b.err == nil
 }
 
+// Buffered returns the number of bytes that can be read without waiting.
+func (b *inbox) Buffered() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.buf) - b.off
+}
+
 // Read waits for bytes of the body.
 func (b *inbox) Read(p []byte) (int, error) {
 	b.mu.Lock()
