--- a/src/roster/core_test.go
+++ b/src/roster/core_test.go
@@ -91,6 +91,12 @@
 			n.run(30 * time.Minute)
 			n.cut = func(_, _ *host) bool { return false }
 		},
+		"failure domain cut off with the store down": func(c *qt.C, n *network) {
+			n.cut = betweenDomains("domain-1")
+			n.storeOut = true
+			n.run(10 * time.Minute)
+			n.cut = func(_, _ *host) bool { return false }
+		},
 		"herd restarts with the store down": func(c *qt.C, n *network) {
 			n.storeOut = true
 			for _, h := range n.hosts[2:] {
--- /dev/null
+++ b/src/roster/decisions_test.go
@@ -0,0 +1,271 @@
+package roster
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/yuccaport/yuccaport/src/settings"
+	"github.com/yuccaport/yuccaport/src/wire"
+)
+
+var epoch = time.Unix(0, 0).UTC()
+
+// member returns an alive member whose ID and port follow from i.
+func member(i int) wire.Member {
+	return wire.Member{
+		ID:        uint64(i),
+		Addr:      netip.MustParseAddrPort(fmt.Sprintf("127.0.0.1:%d", 1000+i)),
+		Service:   "bookings",
+		Domain:    "mid-a",
+		StartedAt: int64(i),
+	}
+}
+
+// coreOf returns the core of member 1, which knows the members 2 to n.
+func coreOf(n int) *Core {
+	c := &Core{Self: member(1), Timing: NewTiming(settings.ProfileFast), Rand: newRand(1)}
+	for i := 2; i <= n; i++ {
+		c.Step(epoch, gossipOf(2, wire.Brief{}, member(i)))
+	}
+	return c
+}
+
+// gossipOf is news that member from tells.
+func gossipOf(from int, b wire.Brief, ms ...wire.Member) Received {
+	p := wire.Probe{Kind: wire.ProbeGossip, From: uint64(from), Members: ms}
+	if b.ID != 0 {
+		p.Briefs = append(p.Briefs, b)
+	}
+	return Received{From: member(from).Addr, Size: 200, Probe: p}
+}
+
+func brief(id int, incarnation uint32, s wire.MemberState) wire.Brief {
+	return wire.Brief{ID: uint64(id), Incarnation: incarnation, Mark: wire.NewMark(s, false)}
+}
+
+func TestDecisions(t *testing.T) {
+	tests := map[string]func(c *qt.C){
+		"a death told of a member believed alive is put to it first": func(c *qt.C) {
+			core := coreOf(4)
+			core.Step(epoch, gossipOf(2, brief(3, 0, wire.StateDead)))
+			c.Assert(core.latest(3).State, qt.Equals, wire.StateAlive)
+			for _, a := range core.Step(epoch.Add(tickPeriod), Tick{}) {
+				if s, ok := a.(Send); ok && s.To == member(3).Addr && len(s.Probe.Briefs) > 0 {
+					c.Assert(s.Probe.Briefs[0], qt.Equals, brief(3, 0, wire.StateDead))
+					return
+				}
+			}
+			c.Fatal("not asked")
+		},
+		"a death told of a suspect is believed": func(c *qt.C) {
+			core := coreOf(4)
+			core.Step(epoch, gossipOf(2, brief(3, 0, wire.StateSuspect)))
+			core.Step(epoch, gossipOf(2, brief(3, 0, wire.StateDead)))
+			c.Assert(core.latest(3).State, qt.Equals, wire.StateDead)
+		},
+		"the dead come back only by a later incarnation": func(c *qt.C) {
+			core := coreOf(4)
+			core.Step(epoch, gossipOf(2, brief(3, 1, wire.StateSuspect)))
+			core.Step(epoch, gossipOf(2, brief(3, 1, wire.StateDead)))
+			core.Step(epoch, gossipOf(2, brief(3, 1, wire.StateAlive), member(3)))
+			c.Assert(core.latest(3).State, qt.Equals, wire.StateDead)
+			core.Step(epoch, gossipOf(2, brief(3, 2, wire.StateAlive)))
+			c.Assert(core.latest(3).State, qt.Equals, wire.StateAlive)
+		},
+		"who has left never comes back": func(c *qt.C) {
+			core := coreOf(4)
+			core.Step(epoch, gossipOf(2, brief(3, leftIncarnation, wire.StateDead)))
+			core.Step(epoch, gossipOf(2, brief(3, leftIncarnation, wire.StateAlive), member(3)))
+			c.Assert(core.latest(3).State, qt.Equals, wire.StateDead)
+			c.Assert(core.Lost(), qt.HasLen, 0)
+		},
+		"a member at the address of an earlier one replaces it at once": func(c *qt.C) {
+			core := coreOf(4)
+			fresh := member(9)
+			fresh.Addr = member(3).Addr
+			core.Step(epoch, gossipOf(2, wire.Brief{}, fresh))
+			c.Assert(core.latest(3).State, qt.Equals, wire.StateDead)
+			c.Assert(core.latest(9).State, qt.Equals, wire.StateAlive)
+			c.Assert(core.Lost(), qt.HasLen, 0)
+		},
+		"an earlier one at the own address is outlived whatever its clock said": func(c *qt.C) {
+			core := coreOf(4)
+			old := member(9)
+			old.Addr = core.Self.Addr
+			core.Step(epoch, gossipOf(2, wire.Brief{}, old))
+			c.Assert(core.latest(9).State, qt.Equals, wire.StateDead)
+			c.Assert(core.Self.StartedAt > old.StartedAt, qt.IsTrue)
+			c.Assert(core.Self.Incarnation, qt.Equals, uint32(1))
+		},
+		"the head of a datagram tells that its sender leaves": func(c *qt.C) {
+			core := coreOf(4)
+			r := gossipOf(3, wire.Brief{})
+			r.Probe.Incarnation, r.Probe.Mark = 1, wire.NewMark(wire.StateLeaving, false)
+			core.Step(epoch, r)
+			c.Assert(core.latest(3).State, qt.Equals, wire.StateLeaving)
+		},
+		"after a pause nobody is condemned for it": func(c *qt.C) {
+			core := coreOf(4)
+			core.Step(epoch, gossipOf(2, brief(3, 0, wire.StateSuspect)))
+			core.Step(epoch.Add(tickPeriod), Tick{})
+			for i := range 20 {
+				core.Step(epoch.Add(time.Hour+time.Duration(i)*tickPeriod), Tick{})
+			}
+			for _, id := range []uint64{2, 4} {
+				c.Check(core.latest(id).State, qt.Equals, wire.StateAlive)
+			}
+			c.Check(core.latest(3).State, qt.Equals, wire.StateSuspect)
+		},
+		"strangers get answers of at most three times their size": func(c *qt.C) {
+			core := coreOf(40)
+			stranger := netip.MustParseAddrPort("127.0.0.1:9")
+			for _, kind := range []wire.ProbeKind{wire.ProbePing, wire.ProbeJoin, wire.ProbeIndirect, wire.ProbeGossip} {
+				p := wire.Probe{Kind: kind, From: 99, Target: 3}
+				sent := 0
+				for _, a := range core.Step(epoch, Received{From: stranger, Size: 60, Probe: p}) {
+					if s, ok := a.(Send); ok {
+						b, err := s.Probe.MarshalMsg(nil)
+						c.Assert(err, qt.IsNil)
+						sent += len(b)
+					}
+				}
+				c.Check(sent <= 60*answerFactor, qt.IsTrue, qt.Commentf("kind %d: %d bytes", kind, sent))
+			}
+		},
+		"equal digests mean equal members": func(c *qt.C) {
+			a, b := coreOf(6), coreOf(6)
+			c.Assert(a.digest, qt.Equals, b.digest)
+			a.Step(epoch, gossipOf(2, brief(3, 1, wire.StateAlive)))
+			c.Assert(a.digest, qt.Not(qt.Equals), b.digest)
+			b.Step(epoch, gossipOf(2, brief(3, 1, wire.StateAlive)))
+			c.Assert(a.digest, qt.Equals, b.digest)
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) { test(qt.New(t)) })
+	}
+}
+
+func TestViewTakesOutAtMostHalfOfAService(t *testing.T) {
+	tests := map[string]struct{ size, dead, alive, suspect int }{
+		"one of six":   {6, 1, 5, 0},
+		"two of six":   {6, 2, 4, 0},
+		"three of six": {6, 3, 3, 0},
+		"five of six":  {6, 5, 1, 2},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			core := coreOf(tc.size)
+			for i := range tc.dead {
+				core.Step(epoch, gossipOf(2, brief(tc.size-i, 0, wire.StateSuspect)))
+				core.Step(epoch, gossipOf(2, brief(tc.size-i, 0, wire.StateDead)))
+			}
+			got := map[wire.MemberState]int{}
+			for _, m := range core.View().ByService["bookings"] {
+				got[m.State]++
+			}
+			c.Check(got[wire.StateAlive], qt.Equals, tc.alive)
+			c.Check(got[wire.StateSuspect], qt.Equals, tc.suspect)
+			c.Check(core.Lost(), qt.HasLen, tc.dead)
+			core.Step(epoch.Add(holdTime), Tick{})
+			c.Check(core.View().ByService["bookings"], qt.HasLen, tc.size-tc.dead)
+		})
+	}
+}
+
+func TestLeavingReachesAllSoon(t *testing.T) {
+	c := qt.New(t)
+	n := settled(c, 1, 60)
+	n.run(20 * time.Second)
+	n.loss = 0.1
+	n.step(n.hosts[0], LeaveAsked{})
+	n.run(time.Second)
+	for _, h := range n.hosts {
+		c.Check(h.core.latest(n.hosts[0].core.Self.ID).State, qt.Equals, wire.StateLeaving)
+	}
+}
+
+func TestNewsTravelsFasterThanPings(t *testing.T) {
+	c := qt.New(t)
+	n := newNetwork(1)
+	n.timing = NewTiming(settings.ProfileThrifty)
+	for i := range 60 {
+		n.start(1000+i, i%3, true)
+	}
+	n.mustSettle(c, "start")
+	n.loss = 0.1
+	n.step(n.hosts[0], ReadyChanged{})
+	n.run(1500 * time.Millisecond)
+	for _, h := range n.hosts {
+		c.Check(h.core.latest(n.hosts[0].core.Self.ID).Ready, qt.IsFalse, qt.Commentf("%s", h.core.Self.Addr))
+	}
+}
+
+func TestTwoThatCannotReachEachOtherAreNotSuspected(t *testing.T) {
+	c := qt.New(t)
+	n := settled(c, 1, 12)
+	n.run(10 * time.Second)
+	n.cut = func(a, b *host) bool {
+		return (a == n.hosts[1] && b == n.hosts[2]) || (a == n.hosts[2] && b == n.hosts[1])
+	}
+	n.changed = func(h *host, a Changed) {
+		c.Errorf("%s: %s is now %d, %s", h.core.Self.Addr, a.Addr, a.State, a.Reason)
+	}
+	n.run(2 * time.Minute)
+}
+
+func TestDeadStayDeadAfterAnHour(t *testing.T) {
+	c := qt.New(t)
+	n := settled(c, 1, 9)
+	dead := n.hosts[4]
+	stale := n.hosts[7]
+	stale.paused = n.now.Add(time.Hour)
+	n.run(time.Second)
+	dead.up = false
+	n.run(time.Hour - time.Minute)
+	n.changed = func(h *host, a Changed) {
+		if a.ID == dead.core.Self.ID && a.State != wire.StateDead && h != stale {
+			c.Errorf("%s: the dead %s is back, %s", h.core.Self.Addr, a.Addr, a.Reason)
+		}
+	}
+	n.run(time.Minute)
+	n.mustSettle(c, "after the pause")
+}
+
+func TestLostDomainRaisesOneAlarm(t *testing.T) {
+	c := qt.New(t)
+	n := settled(c, 1, 42)
+	n.run(20 * time.Second)
+	for _, h := range n.hosts {
+		h.up = h.core.Self.Domain != "domain-1"
+	}
+	n.alarms = 0
+	n.mustSettle(c, "a failure domain lost")
+	c.Assert(n.alarms <= 2*28, qt.IsTrue, qt.Commentf("%d alarms at 28 hosts for 14 deaths each", n.alarms))
+}
+
+func TestQuietBytes(t *testing.T) {
+	tests := map[settings.Profile]int{settings.ProfileFast: 700, settings.ProfileThrifty: 350}
+	for profile, limit := range tests {
+		t.Run(string(profile), func(t *testing.T) {
+			c := qt.New(t)
+			n := newNetwork(1)
+			n.timing = NewTiming(profile)
+			for i := range 120 {
+				n.start(1000+i, i%7, true)
+			}
+			n.mustSettle(c, "start")
+			n.run(3 * time.Minute)
+			n.bytes = 0
+			n.run(time.Minute)
+			got := n.bytes / len(n.hosts) / 60
+			t.Logf("%d bytes a second at each host", got)
+			c.Check(got < limit, qt.IsTrue, qt.Commentf("%d bytes a second", got))
+		})
+	}
+}
--- a/src/roster/network_test.go
+++ b/src/roster/network_test.go
@@ -30,6 +30,7 @@
 	alarms   int
 	reads    int
 	writes   int
+	changed  func(h *host, a Changed) // nil for none
 }
 
 type host struct {
@@ -161,6 +162,10 @@
 		h.ahead = max(h.ahead, a.Version)
 	case Alarm:
 		n.alarms++
+	case Changed:
+		if n.changed != nil {
+			n.changed(h, a)
+		}
 	case Exchange:
 		n.exchange(h, a)
 	case ReadSeeds:
@@ -229,6 +234,7 @@
 				continue
 			}
 			done.Reply, done.Failed = r.Reply, false
+			n.bytes += done.Request.Msgsize() + done.Reply.Msgsize()
 			n.reach(h, n.delay(), func() { n.step(h, done) })
 		}
 	})
@@ -248,8 +254,16 @@
 			continue
 		}
 		var got []uint64
+		var d digest
 		for _, m := range h.core.alive() {
 			got = append(got, m.ID)
+			d.toggle(&m)
+		}
+		if d != h.core.digest {
+			return fmt.Sprintf("%s: the digest is not that of its members", h.core.Self.Addr)
+		}
+		if d != n.hosts[len(n.hosts)-1].core.digest && n.hosts[len(n.hosts)-1].up {
+			return fmt.Sprintf("%s: same members, other digest", h.core.Self.Addr)
 		}
 		if !slices.Equal(got, want) {
 			return fmt.Sprintf("at %s: %s holds %d members, %d are up", n.now.Format("15:04:05.000"), h.core.Self.Addr, len(got), len(want))
--- a/src/roster/run.go
+++ b/src/roster/run.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"time"
 
@@ -33,6 +35,9 @@
 	cancel()
 	err := n.Conn.Close()
 	wg.Wait()
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
 	return err
 }
 
