--- a/src/daemon/daemon.go
+++ b/src/daemon/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,10 +45,11 @@
 type Daemon struct {
 	Settings  settings.Settings
 	Store     platform.Store
-	Proxy     net.Listener   // callers' HTTP
-	Control   net.Listener   // links
-	Probes    net.PacketConn // UDP on the address of Control
-	Admin     net.Listener   // nil for no admin endpoints
+	Proxy     net.Listener                                                   // callers' HTTP
+	Control   net.Listener                                                   // links
+	Probes    net.PacketConn                                                 // UDP on the address of Control
+	Dial      func(ctx context.Context, to netip.AddrPort) (net.Conn, error) // links to other daemons, nil for plain TCP
+	Admin     net.Listener                                                   // nil for no admin endpoints
 	Log       logr.Logger
 	Metrics   *metrics.Set                      // nil for a set of its own
 	Recorder  func(core string) *trace.Recorder // nil for no recording
@@ -94,7 +96,7 @@
 		Log: d.Log.WithName("booking"), Metrics: d.Metrics, Record: d.recorder("booking"),
 	}
 	d.pool = &link.Pool{
-		Self: d.id, Listener: d.Control, Calls: d.booking, Messages: d, Insecure: d.Settings.Insecure, Keys: d.keys(),
+		Self: d.id, Listener: d.Control, Dial: d.Dial, Calls: d.booking, Messages: d, Insecure: d.Settings.Insecure, Keys: d.keys(),
 		Grace: d.Settings.StopGrace.Std(), Log: d.Log.WithName("link"), Metrics: d.Metrics,
 	}
 	d.proxy = &dispatch.Proxy{
--- a/src/link/dial.go
+++ b/src/link/dial.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"time"
 
 	"github.com/yuccaport/yuccaport/src/problem"
@@ -135,6 +136,17 @@
 	r.next = time.Now().Add(d)
 }
 
+// open makes the TCP connection of a link.
+func (p *Pool) open(to netip.AddrPort) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(p.base, helloTimeout)
+	defer cancel()
+	if p.Dial != nil {
+		return p.Dial(ctx, to)
+	}
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", to.String())
+}
+
 func (p *Pool) dialOnce(to Peer) (*connection, error) {
 	select {
 	case p.handshakes <- struct{}{}:
@@ -143,8 +155,7 @@
 		return nil, errStopped
 	}
 	p.counters.dials.Inc()
-	d := net.Dialer{Timeout: helloTimeout}
-	nc, err := d.DialContext(p.base, "tcp", to.Addr.String())
+	nc, err := p.open(to.Addr)
 	if err != nil {
 		return nil, err
 	}
--- a/src/link/pool.go
+++ b/src/link/pool.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -20,14 +21,15 @@
 
 // Pool holds the links between this daemon and the others.
 type Pool struct {
-	Self     uint64         // this member's ID
-	Listener net.Listener   // where other daemons dial in; nil takes no links
-	Calls    CallHandler    // nil refuses every call
-	Messages MessageHandler // nil refuses every message
-	Keys     *Keys          // nil: no TLS
-	Insecure bool           // without keys, allows addresses other than loopback
-	Grace    time.Duration  // time that calls in flight get to end once Run's context is over
-	Limits   Limits         // a zero field takes its default
+	Self     uint64                                                         // this member's ID
+	Listener net.Listener                                                   // where other daemons dial in; nil takes no links
+	Dial     func(ctx context.Context, to netip.AddrPort) (net.Conn, error) // nil for plain TCP
+	Calls    CallHandler                                                    // nil refuses every call
+	Messages MessageHandler                                                 // nil refuses every message
+	Keys     *Keys                                                          // nil: no TLS
+	Insecure bool                                                           // without keys, allows addresses other than loopback
+	Grace    time.Duration                                                  // time that calls in flight get to end once Run's context is over
+	Limits   Limits                                                         // a zero field takes its default
 	Log      logr.Logger
 	Metrics  *metrics.Set
 
