--- a/src/deposit/call.go
+++ b/src/deposit/call.go
@@ -23,7 +23,8 @@
 	started  time.Time
 	tries    int
 	unsure   bool      // an earlier write of this call may have taken effect
-	stamp    time.Time // of the last write
+	first    time.Time // stamp of the first write
+	stamp    time.Time // stamp of the write that the store holds
 	revision uint64    // highest seen
 	slot     wire.ClaimSlot
 }
@@ -35,6 +36,9 @@
 
 // swap asks for the slot to be replaced.
 func (k *call) swap(now time.Time, s wire.ClaimSlot) []Action {
+	if k.first.IsZero() {
+		k.first = now
+	}
 	k.stamp = now
 	k.slot = s
 	return []Action{SwapSlot{Call: k.id, Key: k.key, Expect: k.revision, Slot: s}}
@@ -96,7 +100,7 @@
 	case claimGoal:
 		return c.grant(k, g, reason)
 	case confirmGoal:
-		return c.confirmed(k, g, reason)
+		return c.confirmed(now, k, g, reason)
 	case endGoal:
 		delete(c.strays, g.claim.ID.Sequence)
 		return c.close(k, g.claim, true, reason)
--- a/src/deposit/claiming.go
+++ b/src/deposit/claiming.go
@@ -19,6 +19,9 @@
 		key:     slotKey(digest),
 		started: now,
 	}
+	if len(c.open) >= maxOpen {
+		return decide(k, NotRun{RetryAfter: retryAfter}, "too many open claims")
+	}
 	if wait := c.overBudget(now); wait > 0 {
 		return decide(k, NotRun{RetryAfter: wait}, "budget of store writes spent")
 	}
@@ -26,9 +29,15 @@
 	return k.read(0)
 }
 
-// overBudget returns how long until a payment's writes are within the budget, 0 when they are.
+// overBudget returns how long until a further payment's writes are within the budget, 0 when they are.
 func (c *Core) overBudget(now time.Time) time.Duration {
-	missing := writesPerPayment - c.budget.TokensAt(now)
+	promised := len(c.open)
+	for _, k := range c.calls {
+		if _, claiming := k.goal.(claimGoal); claiming {
+			promised += writesPerPayment
+		}
+	}
+	missing := float64(writesPerPayment+promised) - c.budget.TokensAt(now)
 	if missing <= 0 {
 		return 0
 	}
@@ -44,6 +53,8 @@
 		return c.claim(now, k, g)
 	}
 	if found.ID == g.id {
+		// Which of the writes has taken effect is not known, so the oldest stamp counts.
+		k.stamp = k.first
 		return c.done(now, k, "own write found")
 	}
 	delete(c.calls, k.id)
@@ -112,7 +123,7 @@
 	}
 	c.strays[g.id.Sequence] = struct{}{}
 	next := &call{id: k.id, digest: k.digest, key: k.key, started: now, revision: k.revision}
-	next.goal = endGoal{claim: Claim{ID: g.id, Digest: k.digest}, ending: EndingRelease, silent: true}
+	next.goal = endGoal{claim: Claim{ID: g.id, Digest: k.digest}, ending: EndingRelease, unsure: k.revision, silent: true}
 	c.calls[next.id] = next
 	return next.read(c.jitter(longWait))
 }
--- a/src/deposit/confirming.go
+++ b/src/deposit/confirming.go
@@ -35,8 +35,8 @@
 	return k.swap(now, replace(k.slot, g.claim.ID, &x))
 }
 
-// confirmed lets a claim be sent on whose stamp was renewed.
-func (c *Core) confirmed(k *call, g confirmGoal, reason string) []Action {
+// confirmed lets a claim be sent on whose stamp was renewed, or renews it again after a pause.
+func (c *Core) confirmed(now time.Time, k *call, g confirmGoal, reason string) []Action {
 	h := c.open[g.claim.ID.Sequence]
 	if h == nil {
 		return c.close(k, g.claim, false, "claim not open here")
@@ -44,5 +44,13 @@
 	h.claim.Until = k.stamp.UTC().Add(c.window())
 	h.revision = k.revision
 	h.slot = k.slot
-	return c.close(k, h.claim, true, reason)
+	if h.claim.fresh(now) {
+		return c.close(k, h.claim, true, reason)
+	}
+	k.tries++
+	if k.tries >= maxTries {
+		return c.close(k, h.claim, false, "paused too often")
+	}
+	c.calls[k.id] = k
+	return c.plan(now, k)
 }
--- a/src/deposit/core.go
+++ b/src/deposit/core.go
@@ -20,6 +20,7 @@
 	writesPerPayment = 2               // claim and outcome
 	maxWindow        = 5 * time.Second // a send later than this after its claim was written needs the claim confirmed
 	maxStrays        = 4096
+	maxOpen          = 1024
 )
 
 // Core decides on claims; all holders that share a store need the same Expiry and Timeout.
--- a/src/deposit/ended.go
+++ b/src/deposit/ended.go
@@ -28,6 +28,10 @@
 func (c *Core) planEnd(now time.Time, k *call, g endGoal) []Action {
 	found := find(k.slot, func(x wire.Claim) bool { return x.ID == g.claim.ID })
 	if g.ending == EndingRelease {
+		if found == nil && g.silent && k.revision == g.unsure {
+			// A write of the same content makes the delayed one conflict.
+			return c.writeEnd(now, k, k.slot)
+		}
 		if found == nil {
 			return c.done(now, k, "claim not held by the store")
 		}
--- a/src/deposit/goal.go
+++ b/src/deposit/goal.go
@@ -19,7 +19,8 @@
 	claim  Claim
 	ending Ending
 	record Record
-	silent bool // nobody waits for the answer
+	silent bool   // nobody waits for the answer
+	unsure uint64 // of a silent release: the write of the claim can still take effect at this revision
 }
 
 func (claimGoal) isGoal()   {}
--- a/src/deposit/guard.go
+++ b/src/deposit/guard.go
@@ -28,7 +28,7 @@
 	Expiry          time.Duration    // 0 for DefaultExpiry
 	Timeout         time.Duration    // longest time that a payment is served, 0 for DefaultTimeout
 	WritesPerSecond int              // budget of store writes, 0 for DefaultWritesPerSecond, negative for none
-	Rand            *rand.Rand       // nil for a random seed
+	Rand            *rand.Rand       // nil for a random seed, or that of Record's header
 	Log             logr.Logger
 	Metrics         *metrics.Set // nil for an own set
 	Record          *trace.Recorder
@@ -103,8 +103,11 @@
 		if g.Metrics == nil {
 			g.Metrics = metrics.NewSet()
 		}
+		if g.Rand == nil && g.Record != nil {
+			g.Rand = rand.New(rand.NewPCG(uint64(g.Record.Header.Seed), 0))
+		}
 		if g.Rand == nil {
-			g.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+			g.Rand = rand.New(rand.NewPCG(rand.Uint64(), 0))
 		}
 		g.core = &Core{
 			Holder:          g.Holder,
--- a/src/platform/answer.go
+++ b/src/platform/answer.go
@@ -15,9 +15,12 @@
 	revision uint64
 	body     []byte
 	close    bool // the store closes the connection after this answer
-	valid    bool // a success carries a revision
+	valid    bool // a success carries a revision and the length of its body
 }
 
+// identityLength is fasthttp's length of a body that only the end of the connection bounds, so that a cut is not seen.
+const identityLength = -2
+
 // notSent marks the error of a call that the store has surely not carried out.
 type notSent struct{ error }
 
@@ -30,7 +33,7 @@
 		revision: revision,
 		body:     append([]byte(nil), resp.Body()...),
 		close:    resp.ConnectionClose(),
-		valid:    err == nil,
+		valid:    err == nil && resp.Header.ContentLength() != identityLength,
 	}
 }
 
@@ -42,7 +45,7 @@
 		if a.valid {
 			return nil
 		}
-		return problem.New(problem.Protocol, HeaderRevision, "missing or malformed", "check that [store] addr is the platform's store")
+		return problem.New(problem.Protocol, HeaderRevision, "this or the length is missing or malformed", "check that [store] addr is the platform's store")
 	case fasthttp.StatusNotFound:
 		return problem.New(problem.NotFound, "", text, "write the key first")
 	case fasthttp.StatusConflict:
