--- a/src/dispatch/proxy.go
+++ b/src/dispatch/proxy.go
@@ -70,7 +70,7 @@
 	defer p.kill()
 	srv := p.server()
 	done := make(chan error, 1)
-	go func() { done <- srv.Serve(p.conns) }()
+	go func() { done <- p.conns.serve(srv) }()
 	var err error
 	select {
 	case err = <-done:
@@ -144,7 +144,6 @@
 		NoDefaultContentType:         true,
 		ReadBufferSize:               maxHeaderSize,
 		MaxRequestBodySize:           prefetchSize,
-		Concurrency:                  maxConns,
 		Logger:                       serverLog{p.Log},
 		ConnState:                    markIdle,
 	}
@@ -185,7 +184,14 @@
 	defer p.mu.Unlock()
 	if t != p.current {
 		p.current = t
-		p.stepLocked(t.changed(p.Self()))
+		p.stepLocked(t.changed(p.Self(), p.Now()))
 	}
 	return t
 }
+
+// member returns a member that the core has chosen, from the table that it chose from.
+func (p *Proxy) member(id uint64) wire.Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.current.byID[id]
+}
