--- a/src/command/replay.go
+++ b/src/command/replay.go
@@ -9,14 +9,22 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/yuccaport/yuccaport/src/booking"
 	"github.com/yuccaport/yuccaport/src/deposit"
+	"github.com/yuccaport/yuccaport/src/dispatch"
 	"github.com/yuccaport/yuccaport/src/problem"
+	"github.com/yuccaport/yuccaport/src/relay"
+	"github.com/yuccaport/yuccaport/src/roster"
 	"github.com/yuccaport/yuccaport/src/trace"
 )
 
 // cores makes the decision core that a trace was recorded from.
 var cores = map[string]func(trace.Header) (trace.Core, error){
-	"deposit": deposit.NewReplay,
+	"booking":  booking.NewReplay,
+	"deposit":  deposit.NewReplay,
+	"dispatch": dispatch.NewReplay,
+	"relay":    relay.NewReplay,
+	"roster":   roster.NewReplay,
 }
 
 func replayCommand() *cli.Command {
--- a/src/command/status.go
+++ b/src/command/status.go
@@ -13,6 +13,7 @@
 
 	"github.com/yuccaport/yuccaport/src/daemon"
 	"github.com/yuccaport/yuccaport/src/dispatch"
+	"github.com/yuccaport/yuccaport/src/problem"
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
@@ -20,24 +21,46 @@
 	return &cli.Command{
 		Name:  "status",
 		Usage: "show the fleet: versions in force, laggards, readers, store health",
-		Flags: append(adminFlags(), jsonFlag(), &cli.StringFlag{Name: "service", Usage: "one service only"}),
-		Action: func(_ context.Context, cmd *cli.Command) error {
-			a, err := adminOf(cmd)
-			if err != nil {
-				return err
-			}
-			s, err := a.status("")
-			if err != nil {
-				return err
-			}
-			s.Members = ofService(s.Members, cmd.String("service"))
-			if cmd.Bool("json") {
-				return printJSON(cmd, s)
-			}
-			printStatus(cmd, s)
-			return nil
-		},
+		Flags: append(adminFlags(), jsonFlag(),
+			&cli.StringFlag{Name: "service", Usage: "one service only"},
+			&cli.IntFlag{Name: "min-ready", Usage: "fail unless at least `N` daemons are ready and know each other"}),
+		Action: showStatus,
+	}
+}
+
+func showStatus(_ context.Context, cmd *cli.Command) error {
+	a, err := adminOf(cmd)
+	if err != nil {
+		return err
+	}
+	s, err := a.status("")
+	if err != nil {
+		return err
+	}
+	s.Members = ofService(s.Members, cmd.String("service"))
+	if cmd.Bool("json") {
+		err = printJSON(cmd, s)
+	} else {
+		printStatus(cmd, s)
+	}
+	if err != nil {
+		return err
+	}
+	return enoughReady(s.Members, cmd.Int("min-ready"))
+}
+
+// enoughReady returns an error when fewer than n members are ready and know n members.
+func enoughReady(members []wire.MemberStatus, n int) error {
+	ready := 0
+	for _, m := range members {
+		if m.Ready && m.MemberCount >= n {
+			ready++
+		}
+	}
+	if ready >= n {
+		return nil
 	}
+	return problem.New(problem.Unavailable, "status", fmt.Sprintf("%d of %d daemons are ready and know each other", ready, n), "ask again, or see why in their state")
 }
 
 func ofService(members []wire.MemberStatus, service string) []wire.MemberStatus {
