Dispatch: payments through the guard, live proofs, cut uploads

Found by tests: the HTTP library ends a request body that was cut in the middle like a whole one, so a truncated upload looked whole (both with a stated length and between chunks); it now fails and the call is cancelled. A call whose caller or parent is gone was answered with a bare 503, which says not run; its connection is now closed without an answer.

A payment with a key goes on when its caller vanishes, so that the repeat is answered with the outcome; its end is recorded while the answer is on its way.

--- a/src/dispatch/answer.go
+++ b/src/dispatch/answer.go
@@ -26,6 +26,7 @@
 	case a.short:
 		c.ctx.Response.SetBodyRaw(a.whole)
 		c.ended(a, false)
+		c.payment.finish(record(a))
 	default:
 		c.stream(a)
 	}
@@ -60,6 +61,7 @@
 	sized   bool
 	left    int64 // bytes, when sized
 	cut     bool
+	whole   bool
 	once    sync.Once
 }
 
@@ -69,14 +71,16 @@
 	if b.sized {
 		n, err = b.count(n, err)
 	}
-	if err == nil || errors.Is(err, io.EOF) {
-		return n, err
+	if err == nil {
+		return n, nil
+	}
+	if errors.Is(err, io.EOF) {
+		b.whole = true
+		return n, io.EOF
 	}
 	b.cut = true
 	b.call.p.counters.cut.Inc()
-	if b.call.conn != nil {
-		b.call.conn.abort()
-	}
+	b.call.conn.abort()
 	return n, io.ErrUnexpectedEOF
 }
 
@@ -95,6 +99,11 @@
 // Close ends the call.
 func (b *answerBody) Close() error {
 	b.once.Do(func() {
+		if b.whole {
+			b.call.payment.finish(record(b.attempt))
+		} else {
+			b.call.payment.abandon()
+		}
 		_ = b.attempt.reply.Body.Close()
 		b.call.ended(b.attempt, b.cut)
 		b.call.cancel()
--- a/src/dispatch/attempt.go
+++ b/src/dispatch/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"sync"
 	"time"
@@ -12,6 +13,9 @@
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
+// uploadTimeout bounds a call whose request body is still coming; the route's timeout runs from the body's end.
+const uploadTimeout = 10 * time.Minute
+
 // attempt is one sending of a call to one member.
 type attempt struct {
 	call   *call
@@ -40,6 +44,9 @@
 	head := c.head
 	head.Target, head.Service, head.Attempt = s.Member, s.Service, uint8(s.Attempt)
 	head.TimeoutMS = max(1, s.Timeout.Milliseconds())
+	if !c.body.arrived() {
+		head.TimeoutMS = uploadTimeout.Milliseconds()
+	}
 	body := c.body.open()
 	c.count(s)
 	c.p.Log.Info("dispatch", "trace", head.TraceID, "route", c.policy.Route, "service", s.Service,
@@ -57,6 +64,10 @@
 }
 
 func (a *attempt) run(head wire.CallHead, body io.Reader) {
+	if y := a.call.payment; y != nil && y.confirm(a.ctx) != nil {
+		a.deliver(link.Refused{Refusal: wire.Refusal{Reason: wire.ReasonNotReady, RetryAfterMS: 1000}})
+		return
+	}
 	a.deliver(a.call.p.Caller.Call(a.ctx, link.Peer{ID: a.member.ID, Addr: a.member.Addr}, head, body))
 }
 
@@ -91,7 +102,7 @@
 	if err == nil {
 		_, err = io.ReadFull(a.reply.Body, make([]byte, 1))
 	}
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		_ = a.reply.Body.Close()
 		return
 	}
--- a/src/dispatch/body.go
+++ b/src/dispatch/body.go
@@ -1,9 +1,11 @@
 package dispatch
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"sync"
+	"time"
 
 	"github.com/valyala/fasthttp"
 )
@@ -17,18 +19,21 @@
 type requestBody struct {
 	size   int64 // bytes, -1 when unknown
 	source io.Reader
+	conn   *callerConn
 
 	readMu sync.Mutex // held while source is read
 	mu     sync.Mutex
-	kept   []byte // bytes read so far, nil once they are more than prefetchSize
-	lost   bool   // some bytes are not kept
-	ended  bool   // source is at its end
-	err    error  // that ended source
+	kept   []byte    // bytes read so far, nil once they are more than prefetchSize
+	lost   bool      // some bytes are not kept
+	total  int64     // bytes read
+	ended  bool      // source is at its end
+	err    error     // that ended source
+	moved  time.Time // last time that bytes came
 	reader *bodyReader
 }
 
 // readBody reads the first part of a request's body; nil means there is none.
-func readBody(ctx *fasthttp.RequestCtx) (*requestBody, error) {
+func readBody(ctx *fasthttp.RequestCtx, conn *callerConn) (*requestBody, error) {
 	n := ctx.Request.Header.ContentLength()
 	src := ctx.RequestBodyStream()
 	if n == 0 || src == nil {
@@ -37,7 +42,7 @@
 	if n > maxRequestBody {
 		return nil, errBodyLarge
 	}
-	b := &requestBody{size: int64(max(n, -1)), source: src}
+	b := &requestBody{size: int64(max(n, -1)), source: src, conn: conn}
 	if err := b.prefetch(); err != nil {
 		return nil, err
 	}
@@ -48,9 +53,9 @@
 func (b *requestBody) prefetch() error {
 	buf := make([]byte, 0, b.prefetchCap())
 	for len(buf) < cap(buf) {
-		n, err := b.source.Read(buf[len(buf):cap(buf)])
+		n, err := b.read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			b.ended = true
 			break
 		}
@@ -59,6 +64,7 @@
 		}
 	}
 	b.kept = buf
+	b.moved = time.Now()
 	if b.size >= 0 && int64(len(buf)) == b.size {
 		b.ended = true
 	}
@@ -68,6 +74,16 @@
 	return nil
 }
 
+// read reads from the caller; the HTTP library ends a body that was cut like a whole one.
+func (b *requestBody) read(p []byte) (int, error) {
+	n, err := b.source.Read(p)
+	b.total += int64(n)
+	if errors.Is(err, io.EOF) && (b.total < b.size || (b.size < 0 && b.conn.atEnd())) {
+		return n, io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
 func (b *requestBody) prefetchCap() int {
 	if b.size >= 0 && b.size < prefetchSize {
 		return int(b.size)
@@ -102,6 +118,26 @@
 	return b.ended && errors.Is(b.err, io.EOF)
 }
 
+// failed tells whether the caller's connection ended in the middle of the body.
+func (b *requestBody) failed() bool {
+	if b == nil {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ended && !errors.Is(b.err, io.EOF)
+}
+
+// lastMoved returns when the last bytes came, zero when there is no body.
+func (b *requestBody) lastMoved() time.Time {
+	if b == nil {
+		return time.Time{}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.moved
+}
+
 // open returns a reader from the body's start and ends the former one.
 func (b *requestBody) open() io.Reader {
 	if b == nil {
@@ -109,6 +145,10 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.ended && !b.lost && errors.Is(b.err, io.EOF) {
+		b.reader = nil
+		return bytes.NewReader(b.kept)
+	}
 	b.reader = &bodyReader{b: b}
 	return b.reader
 }
@@ -144,7 +184,7 @@
 	if n, err, done := r.readKept(p); done {
 		return n, err
 	}
-	n, err := r.b.source.Read(p)
+	n, err := r.b.read(p)
 	return r.took(p[:n], err)
 }
 
@@ -179,6 +219,7 @@
 		b.lost, b.kept = true, nil
 	}
 	r.at += len(p)
+	b.moved = time.Now()
 	if b.reader != r {
 		return 0, errBodyEnded
 	}
--- a/src/dispatch/call.go
+++ b/src/dispatch/call.go
@@ -25,6 +25,7 @@
 	policy   *Policy
 	body     *requestBody
 	parent   Parent
+	payment  *payment // nil for none
 	head     wire.CallHead
 	start    time.Time
 	deadline time.Time
@@ -41,14 +42,18 @@
 }
 
 type callTimer struct {
-	kind    TimerKind
+	kind    TimerKind // empty for the watch of the caller's connection
 	attempt int
 	at      time.Time
+	after   time.Duration
 }
 
 // run drives the call to its answer.
 func (c *call) run() {
 	defer c.finish()
+	if !c.admitPayment() {
+		return
+	}
 	c.do(c.p.step(CallArrived{
 		Call: c.id, Policy: c.policy, Left: c.deadline.Sub(c.start),
 		RetryLayer: c.parent.RetryLayer, HasBody: c.body != nil,
@@ -67,6 +72,7 @@
 			c.callerGone()
 		case <-c.parent.Done:
 			c.callerGone()
+			c.parent.Done = nil
 		case <-c.base.Done():
 			c.callerGone()
 		}
@@ -106,7 +112,7 @@
 		case RefuseCall:
 			c.refuse(a)
 		case SetTimer:
-			c.timers = append(c.timers, callTimer{kind: a.Timer, attempt: a.Attempt, at: c.p.Now().Add(a.After)})
+			c.timers = append(c.timers, callTimer{kind: a.Timer, attempt: a.Attempt, at: c.p.Now().Add(a.After), after: a.After})
 		}
 	}
 }
@@ -115,8 +121,10 @@
 	c.over = true
 	if a.MayHaveRun {
 		c.p.counters.mayHaveRun.Inc()
+		c.payment.abandon()
 	} else {
 		c.p.counters.notRun.Inc()
+		c.payment.release()
 	}
 	c.p.Log.Info("refused", "trace", c.head.TraceID, "route", c.policy.Route, "service", c.policy.Service,
 		"reason", reasonNames[a.Reason], "may_have_run", a.MayHaveRun)
@@ -126,6 +134,10 @@
 // result gives the core an attempt's result.
 func (c *call) result(n int) {
 	a := c.attempts[n]
+	if c.body.failed() {
+		c.callerGone()
+		return
+	}
 	if a.refused != nil {
 		r := a.refused
 		c.do(c.p.step(AttemptRefused{
@@ -137,12 +149,17 @@
 	c.do(c.p.step(AttemptAnswered{Call: c.id, Attempt: n, Status: int(a.reply.Head.Status), Load: newLoad(a.reply.Head.Load)}))
 }
 
+// callerGone cancels the call and closes the connection without an answer, which would say that the call did not run; a payment with a key goes on, so that its repeat is answered with the outcome.
 func (c *call) callerGone() {
+	if c.payment != nil && c.base.Err() == nil {
+		return
+	}
 	c.over = true
 	c.p.counters.callerGone.Inc()
+	c.payment.abandon()
 	c.do(c.p.step(CallerGone{Call: c.id}))
 	c.ctx.SetConnectionClose()
-	c.ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	c.conn.abort()
 }
 
 // nextTimer returns the time until the next timer.
@@ -169,14 +186,30 @@
 	}
 	c.timers = left
 	for _, t := range due {
-		if t.kind == "" {
+		switch {
+		case c.over:
+		case t.kind == "":
 			c.watch(now)
-		} else if !c.over {
+		case c.uploading(now, t):
+			c.timers = append(c.timers, callTimer{kind: t.kind, attempt: t.attempt, at: now.Add(t.after), after: t.after})
+		default:
 			c.do(c.p.step(TimerFired{Call: c.id, Attempt: t.attempt, Timer: t.kind}))
 		}
 	}
 }
 
+// uploading tells whether the request body has still been coming within a timer's time: a slow upload is not a slow server.
+func (c *call) uploading(now time.Time, t callTimer) bool {
+	moved := c.body.lastMoved()
+	if moved.IsZero() {
+		return false
+	}
+	if !c.body.arrived() {
+		return now.Sub(moved) < c.p.Stall
+	}
+	return now.Sub(moved) < t.after && moved.After(t.at.Add(-t.after))
+}
+
 // watch begins to watch the caller's connection, once the request's body no longer comes from it.
 func (c *call) watch(now time.Time) {
 	if c.conn == nil {
--- a/src/dispatch/caller_conn.go
+++ b/src/dispatch/caller_conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -20,6 +21,7 @@
 	stall  time.Duration // longest time without progress in a read or write
 	closed func(*callerConn)
 	once   sync.Once
+	ended  atomic.Bool // a read has failed
 
 	mu       sync.Mutex
 	busy     bool      // a request has begun to arrive and its answer is not yet written
@@ -43,10 +45,25 @@
 	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.setBusy(true)
+	} else if c.stoppedIdle() {
+		return 0, io.EOF
+	}
+	if err != nil {
+		c.ended.Store(true)
 	}
 	return n, err
 }
 
+// atEnd tells whether a read has met the end of the connection.
+func (c *callerConn) atEnd() bool { return c != nil && c.ended.Load() }
+
+// stoppedIdle tells whether the connection ends because it is idle at a planned stop.
+func (c *callerConn) stoppedIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stopping && !c.busy
+}
+
 // Write gives each write its own time limit.
 func (c *callerConn) Write(b []byte) (int, error) {
 	if err := c.SetWriteDeadline(time.Now().Add(c.stall)); err != nil {
@@ -79,6 +96,9 @@
 
 // abort closes the connection so that a cut answer cannot look whole.
 func (c *callerConn) abort() {
+	if c == nil {
+		return
+	}
 	if tc, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tc.SetLinger(0)
 	}
--- a/src/dispatch/proxy.go
+++ b/src/dispatch/proxy.go
@@ -38,6 +38,7 @@
 	Table    func() *Table // table in force, nil while the daemon is not ready
 	Caller   link.Caller
 	Parent   func(token string) (Parent, bool) // looks up the call that a backend server is running
+	Deposits Deposits                          // nil refuses payments with an idempotency key
 	Core     Settings
 	Grace    time.Duration // for requests in flight at a planned stop
 	Stall    time.Duration // longest time without progress on a caller's connection
@@ -111,7 +112,7 @@
 		p.tracePrefix = strconv.FormatUint(p.Rand.Uint64(), 36) + "-"
 		p.counters = newCounters(p.Metrics)
 		p.conns = newCallerListener(p.Listener, p.Stall)
-		p.pool = pond.NewPool(p.Core.MaxCalls, pond.WithNonBlocking(true))
+		p.pool = pond.NewPool(p.Core.MaxCalls, pond.WithQueueSize(0), pond.WithNonBlocking(true))
 		p.base, p.kill = context.WithCancel(context.Background())
 	})
 }
--- a/src/dispatch/refusal.go
+++ b/src/dispatch/refusal.go
@@ -13,7 +13,7 @@
 // refusalBody is the JSON body of an answer of our own.
 type refusalBody struct {
 	Reason       string `json:"reason"`
-	Outcome      string `json:"outcome"` // not-run or may-have-run
+	Outcome      string `json:"outcome"` // of the request, as in the header field
 	Remedy       string `json:"remedy"`
 	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
 }
@@ -29,11 +29,17 @@
 		return
 	}
 	after := max(r.RetryAfter, time.Millisecond)
-	ctx.Response.Header.Set("Retry-After", strconv.FormatInt(int64((after+time.Second-1)/time.Second), 10))
+	setRetryAfter(ctx, after)
 	writeOwn(ctx, fasthttp.StatusServiceUnavailable, outcomeNotRun,
 		refusalBody{Reason: reasonNames[r.Reason], Remedy: remedy(r.Reason), RetryAfterMS: after.Milliseconds()})
 }
 
+// setRetryAfter tells the caller in whole seconds when to come back.
+func setRetryAfter(ctx *fasthttp.RequestCtx, after time.Duration) {
+	s := max(1, int64((after+time.Second-1)/time.Second))
+	ctx.Response.Header.Set("Retry-After", strconv.FormatInt(s, 10))
+}
+
 func writeOwn(ctx *fasthttp.RequestCtx, status int, outcome string, b refusalBody) {
 	b.Outcome = outcome
 	ctx.SetStatusCode(status)
--- a/src/dispatch/serve.go
+++ b/src/dispatch/serve.go
@@ -39,7 +39,7 @@
 		})
 		return
 	}
-	body, err := readBody(ctx)
+	body, err := readBody(ctx, conn)
 	if err != nil {
 		ctx.SetConnectionClose()
 		writeOwn(ctx, fasthttp.StatusBadRequest, outcomeNotRun, refusalBody{Reason: "request_body", Remedy: "send the whole body, of at most " + strconv.Itoa(maxRequestBody) + " bytes"})
