--- a/src/daemon/daemon.go
+++ b/src/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/yuccaport/yuccaport/src/booking"
+	"github.com/yuccaport/yuccaport/src/deposit"
 	"github.com/yuccaport/yuccaport/src/dispatch"
 	"github.com/yuccaport/yuccaport/src/ledger"
 	"github.com/yuccaport/yuccaport/src/link"
@@ -101,7 +102,8 @@
 	}
 	d.proxy = &dispatch.Proxy{
 		Listener: d.Proxy, Self: d.Member, Table: d.table, Caller: d.pool, Parent: d.parent,
-		Grace: d.Settings.StopGrace.Std(), Log: d.Log.WithName("dispatch"), Metrics: d.Metrics, Record: d.recorder("dispatch"),
+		Deposits: &deposit.Guard{Store: d.store, Holder: d.id, Log: d.Log.WithName("deposit"), Metrics: d.Metrics, Record: d.recorder("deposit")},
+		Grace:    d.Settings.StopGrace.Std(), Log: d.Log.WithName("dispatch"), Metrics: d.Metrics, Record: d.recorder("dispatch"),
 	}
 }
 
