Bench distribute: real daemons, faults by name, promises checked at every swap

Cause: convergence and control bytes were not measured yet. The observer checks each state in force (version order, routes and members held, documents equal to those accepted for the version). Faults store_down, store_slow, lost_answers, crossed, herd, reconnect, cut, paused, stale_reads through a fabric of gated sockets and the store stand-in; churn at ten times the daily rate, two restarts a run at least. A change's time runs from the moment Apply returned, the daemon's first state, or the end of an outage (cut, pause, store down), whichever is last. Ruled out: polling (a swap hook is exact); telling the accepting end who dials. Seen to fail: each of the observer's checks and both bases of the lag.

--- a/src/bench/fleet.go
+++ b/src/bench/fleet.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -35,11 +36,13 @@
 	Keyspace *standin.Keyspace // the store's content and faults, made by Start unless set
 	Runs     *standin.RunLog   // what the backend stand-ins ran, made by Start unless set
 
-	mu        sync.Mutex
-	nodes     []*Node
-	storeAddr netip.AddrPort
-	stopStore context.CancelFunc
-	storeDone chan struct{}
+	mu         sync.Mutex
+	nodes      []*Node
+	fabric     *fabric       // network between the daemons with faults, nil for plain sockets
+	storeBytes atomic.Uint64 // at the store's sockets
+	storeAddr  netip.AddrPort
+	stopStore  context.CancelFunc
+	storeDone  chan struct{}
 }
 
 // Start opens the store, accepts the deployment's documents, and starts every daemon.
@@ -77,7 +80,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f.stopStore = cancel
 	f.storeDone = make(chan struct{})
-	s := &standin.StoreServer{Listener: l, Keyspace: f.Keyspace, Log: f.Log}
+	s := &standin.StoreServer{Listener: &countedListener{Listener: l, bytes: &f.storeBytes}, Keyspace: f.Keyspace, Log: f.Log}
 	go func() {
 		defer close(f.storeDone)
 		_ = s.Run(ctx)
--- a/src/bench/node.go
+++ b/src/bench/node.go
@@ -25,6 +25,7 @@
 
 	mu      sync.Mutex
 	daemon  *daemon.Daemon
+	port    *port // nil without a fabric
 	running bool
 	cancel  context.CancelFunc
 	done    chan struct{}
@@ -85,12 +86,28 @@
 	if d.Control, d.Probes, err = listenControl(); err != nil {
 		return nil, err
 	}
+	n.gate(d)
 	if hook := n.fleet.OnInForce; hook != nil {
 		d.OnInForce = func(f *daemon.InForce) { hook(n, f) }
 	}
 	return d, nil
 }
 
+// gate leads the daemon's traffic through the fleet's fabric, if there is one.
+func (n *Node) gate(d *daemon.Daemon) {
+	if n.fleet.fabric == nil {
+		return
+	}
+	p := n.fleet.fabric.add(n.Domain, d.Control.Addr())
+	n.mu.Lock()
+	n.port = p
+	n.mu.Unlock()
+	d.Control = &gatedListener{Listener: d.Control, port: p}
+	d.Probes = &gatedPackets{PacketConn: d.Probes, port: p, closed: make(chan struct{})}
+	d.Store = &gatedStore{store: d.Store, port: p}
+	d.Dial = p.dial
+}
+
 func (n *Node) settings() settings.Settings {
 	s := settings.Default()
 	s.Service, s.Domain, s.Region, s.Profile = n.Service, n.Domain, n.fleet.Deployment.Region, n.fleet.Profile
--- a/src/command/bench.go
+++ b/src/command/bench.go
@@ -8,8 +8,9 @@
 
 func benchCommand() *cli.Command {
 	return &cli.Command{
-		Name:  "bench",
-		Usage: "measure real daemons against stand-ins on loopback",
+		Name:     "bench",
+		Usage:    "measure real daemons against stand-ins on loopback",
+		Commands: []*cli.Command{distributeCommand()},
 		Action: func(context.Context, *cli.Command) error {
 			return usageProblem("bench takes distribute or route, neither given", "see yuccaport bench --help")
 		},
