--- a/src/daemon/daemon.go
+++ b/src/daemon/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/yuccaport/yuccaport/src/booking"
+	"github.com/yuccaport/yuccaport/src/deposit"
 	"github.com/yuccaport/yuccaport/src/dispatch"
 	"github.com/yuccaport/yuccaport/src/ledger"
 	"github.com/yuccaport/yuccaport/src/link"
@@ -44,10 +46,11 @@
 type Daemon struct {
 	Settings  settings.Settings
 	Store     platform.Store
-	Proxy     net.Listener   // callers' HTTP
-	Control   net.Listener   // links
-	Probes    net.PacketConn // UDP on the address of Control
-	Admin     net.Listener   // nil for no admin endpoints
+	Proxy     net.Listener                                                   // callers' HTTP
+	Control   net.Listener                                                   // links
+	Probes    net.PacketConn                                                 // UDP on the address of Control
+	Dial      func(ctx context.Context, to netip.AddrPort) (net.Conn, error) // links to other daemons, nil for plain TCP
+	Admin     net.Listener                                                   // nil for no admin endpoints
 	Log       logr.Logger
 	Metrics   *metrics.Set                      // nil for a set of its own
 	Recorder  func(core string) *trace.Recorder // nil for no recording
@@ -94,12 +97,13 @@
 		Log: d.Log.WithName("booking"), Metrics: d.Metrics, Record: d.recorder("booking"),
 	}
 	d.pool = &link.Pool{
-		Self: d.id, Listener: d.Control, Calls: d.booking, Messages: d, Insecure: d.Settings.Insecure, Keys: d.keys(),
+		Self: d.id, Listener: d.Control, Dial: d.Dial, Calls: d.booking, Messages: d, Insecure: d.Settings.Insecure, Keys: d.keys(),
 		Grace: d.Settings.StopGrace.Std(), Log: d.Log.WithName("link"), Metrics: d.Metrics,
 	}
 	d.proxy = &dispatch.Proxy{
 		Listener: d.Proxy, Self: d.Member, Table: d.table, Caller: d.pool, Parent: d.parent,
-		Grace: d.Settings.StopGrace.Std(), Log: d.Log.WithName("dispatch"), Metrics: d.Metrics, Record: d.recorder("dispatch"),
+		Deposits: &deposit.Guard{Store: d.store, Holder: d.id, Log: d.Log.WithName("deposit"), Metrics: d.Metrics, Record: d.recorder("deposit")},
+		Grace:    d.Settings.StopGrace.Std(), Log: d.Log.WithName("dispatch"), Metrics: d.Metrics, Record: d.recorder("dispatch"),
 	}
 }
 
