--- a/src/relay/head.go
+++ b/src/relay/head.go
@@ -4,11 +4,12 @@
 
 // headState is what a reader knows of the store's head and of its calls for it.
 type headState struct {
-	reading   bool // watches the store
-	calling   bool // a WatchHead or ReadHead is under way
-	read      bool // the store has answered at least once
-	poll      bool // read instead of watch next
-	pollUntil time.Time
+	reading   bool      // watches the store
+	calling   bool      // a WatchHead or ReadHead is under way
+	read      bool      // the store has answered at least once
+	poll      bool      // read instead of watch next
+	pollUntil time.Time // watches stay silent
+	silent    bool      // the last watch did, so the next is short
 	callAt    time.Time // of the next call
 	calledAt  time.Time // of the last call
 	failures  int       // calls without an answer in a row
@@ -41,7 +42,11 @@
 		c.do(ReadHead{})
 		return
 	}
-	c.do(WatchHead{After: h.revision, Wait: WatchWait})
+	wait := WatchWait
+	if h.silent {
+		wait = PollEvery
+	}
+	c.do(WatchHead{After: h.revision, Wait: wait})
 }
 
 // dueFirstRead reads the head for a daemon that starts and is no reader.
@@ -56,6 +61,7 @@
 	h := &c.head
 	h.calling, h.read, h.failures = false, true, 0
 	h.callAt = c.nextCall(now, e.Revision)
+	h.silent = h.silent && now.Before(h.pollUntil)
 	h.revision = e.Revision
 	if e.Version < c.have {
 		c.reportBehind(e.Version)
@@ -116,7 +122,7 @@
 	h := &c.head
 	h.calling, h.poll = false, true
 	if e.Silent {
-		h.pollUntil = now.Add(PollFor)
+		h.pollUntil, h.silent = now.Add(PollFor), true
 		h.callAt = now
 		return
 	}
--- a/src/relay/lease.go
+++ b/src/relay/lease.go
@@ -85,6 +85,9 @@
 func (c *Core) onLeaseFailed(now time.Time) {
 	c.lease.waiting = false
 	c.lease.at = now.Add(c.backoff(c.lease.failures))
+	if c.lease.held {
+		c.lease.at = now.Add(c.between(RenewEvery/2, RenewEvery)) // the watch goes on without it
+	}
 	c.lease.failures++
 }
 
--- a/src/relay/repair.go
+++ b/src/relay/repair.go
@@ -96,14 +96,14 @@
 	p.waiting = false
 	switch {
 	case e.Failed:
-		c.retryPull(now, "a peer did not answer")
+		c.retryPull(now, PullRetryMin, PullRetryMax, "a peer did not answer")
 	case e.BusyAfter > 0:
 		if e.BusyNext != 0 && e.BusyNext != c.Self {
 			c.addSource(e.BusyNext, p.target)
 		}
 		p.at, p.reason = now.Add(c.between(e.BusyAfter, 2*e.BusyAfter)), "a peer was busy"
 	case e.Current || !c.wants(now, e.Version):
-		c.retryPull(now, "a peer was no longer ahead")
+		c.retryPull(now, NotAheadMin, NotAheadMax, "a peer was not ahead")
 	default:
 		p.full = false
 		c.addSource(e.Peer, e.Version)
@@ -112,10 +112,10 @@
 }
 
 // retryPull tries another source when the daemon is still behind.
-func (c *Core) retryPull(now time.Time, reason string) {
+func (c *Core) retryPull(now time.Time, low, high time.Duration, reason string) {
 	p := &c.pull
 	if c.wants(now, p.target) {
-		p.at, p.reason = now.Add(c.between(PullRetryMin, PullRetryMax)), reason
+		p.at, p.reason = now.Add(c.between(low, high)), reason
 	}
 }
 
--- a/src/relay/spread.go
+++ b/src/relay/spread.go
@@ -8,7 +8,9 @@
 // push is one update on its way to a child, with the part of the list that the child serves.
 type push struct {
 	base, version uint64
-	rest          []uint64
+	to            uint64   // child, once it is sent
+	rest          []uint64 // members that are to be served
+	again         int      // of them, those at the end that could not be reached before
 }
 
 // pushState holds the pushes under way and what has been pushed to this daemon.
@@ -50,17 +52,20 @@
 	to, subtree := p.rest[0], p.rest[1:]
 	c.pushes.lastID++
 	id := c.pushes.lastID
-	c.pushes.open[id] = push{base: p.base, version: p.version, rest: subtree}
+	c.pushes.open[id] = push{base: p.base, version: p.version, to: to, rest: subtree, again: min(p.again, len(subtree))}
 	c.do(Push{ID: id, To: to, Base: p.base, Version: p.version, Subtree: slices.Clone(subtree), Timeout: c.Tuning.PushTimeout})
 }
 
-// onPushFailed lets the next member of the part take the place of one that cannot be reached.
+// onPushFailed lets the next member of the part take the place of one that cannot be reached, which is tried once more at the end of the part.
 func (c *Core) onPushFailed(e PushFailed) {
 	p, ok := c.pushes.open[e.ID]
 	if !ok {
 		return
 	}
 	delete(c.pushes.open, e.ID)
+	if len(p.rest) > p.again {
+		p.rest, p.again = append(slices.Clone(p.rest), p.to), p.again+1
+	}
 	c.pushPart(p)
 }
 
--- a/src/relay/tuning.go
+++ b/src/relay/tuning.go
@@ -24,17 +24,19 @@
 const (
 	LeaseTTL        = 15 * time.Second
 	RenewEvery      = 5 * time.Second
-	ShutOutWait     = 300 * time.Millisecond // a reader by rank that gets no lease reads without one after this time
-	WatchWait       = 2 * time.Second        // longest wait of a watch
+	ShutOutWait     = 300 * time.Millisecond  // a reader by rank that gets no lease reads without one after this time
+	WatchWait       = 1500 * time.Millisecond // longest wait of a watch
 	WatchMargin     = 250 * time.Millisecond
 	PollEvery       = 500 * time.Millisecond // between reads of the head while watches stay silent
 	PollFor         = 30 * time.Second       // until the watch is tried again
 	MinBackoff      = 200 * time.Millisecond // after a failed call to the store
-	MaxBackoff      = 2 * time.Second
-	DeltaTimeout    = 500 * time.Millisecond // of a pull
+	MaxBackoff      = 1500 * time.Millisecond
+	DeltaTimeout    = 300 * time.Millisecond // of a pull
 	CopyTimeout     = 2 * time.Second        // of a pull of a full copy
-	PullRetryMin    = 50 * time.Millisecond
-	PullRetryMax    = 500 * time.Millisecond
+	PullRetryMin    = 20 * time.Millisecond
+	PullRetryMax    = 100 * time.Millisecond
+	NotAheadMin     = 100 * time.Millisecond // until another peer is asked after one that was not ahead
+	NotAheadMax     = 500 * time.Millisecond
 	BusyMin         = 200 * time.Millisecond // what a peer that is busy asks to wait
 	BusyMax         = 600 * time.Millisecond
 	RefusedRetry    = 30 * time.Second       // until a version that could not be taken is tried again
@@ -58,8 +60,8 @@
 func TuningOf(p settings.Profile) Tuning {
 	if p == settings.ProfileThrifty {
 		return Tuning{
-			Readers: 2, Fanout: 6, Coalesce: 400 * time.Millisecond, StandbyWait: 500 * time.Millisecond, PushTimeout: 500 * time.Millisecond,
-			PullDelayMin: 700 * time.Millisecond, PullDelayMax: 1100 * time.Millisecond, RescueWait: 300 * time.Millisecond,
+			Readers: 2, Fanout: 6, Coalesce: 250 * time.Millisecond, StandbyWait: 300 * time.Millisecond, PushTimeout: 300 * time.Millisecond,
+			PullDelayMin: 350 * time.Millisecond, PullDelayMax: 550 * time.Millisecond, RescueWait: 200 * time.Millisecond,
 			FullCopies: 2, FullCopiesBurst: 2,
 		}
 	}
