--- a/src/demo/caller.go
+++ b/src/demo/caller.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"strconv"
 	"strings"
 	"time"
 
@@ -18,14 +19,23 @@
 
 const (
 	callTimeout   = 5 * time.Second
-	maxRepeats    = 5 // of a call that a caller may safely repeat
-	repeatPause   = 50 * time.Millisecond
+	maxRepeats    = 5                     // of a call that a caller may safely repeat
+	repeatPause   = 50 * time.Millisecond // before a repeat when the answer names no other
+	maxPause      = 2 * time.Second
 	maxAnswerSize = 4 << 20 // bytes
 	photoSize     = 256 << 10
 	outcomeField  = "yuccaport-outcome"
 	outcomeNotRun = "not-run"
 )
 
+// Shares of the calls, of drawOf; the rest are payments.
+const (
+	drawOf       = 100
+	diaryShare   = 55
+	historyShare = 30
+	photoShare   = 10
+)
+
 // verdict is what a caller makes of one call.
 type verdict int
 
@@ -69,12 +79,12 @@
 // next draws a request: mostly reads, some photo uploads and deposits.
 func (c *caller) next(n int) request {
 	token := fmt.Sprintf("%016x-%d", c.rand.Uint64(), n)
-	switch k := c.rand.IntN(10); {
-	case k < 5:
+	switch k := c.rand.IntN(drawOf); {
+	case k < diaryShare:
 		return request{method: "GET", host: "bookings.example", path: "/diary/" + token, token: token, size: c.rand.IntN(32 << 10)}
-	case k < 7:
+	case k < diaryShare+historyShare:
 		return request{method: "GET", host: "jobrecords.example", path: "/histories/" + token, token: token}
-	case k < 8:
+	case k < diaryShare+historyShare+photoShare:
 		return request{method: "PUT", host: "bookings.example", path: "/photos/" + token, token: token, size: c.rand.IntN(photoSize)}
 	default:
 		return request{method: "POST", host: "bookings.example", path: "/deposits", token: token, key: "key-" + token, size: 64}
@@ -84,16 +94,16 @@
 // do sends a request, repeating it where that is safe, until it has an answer.
 func (c *caller) do(r request) verdict {
 	for i := 0; ; i++ {
-		v, repeat := c.attempt(r)
-		if v == whole || !repeat || i == maxRepeats {
+		v, pause := c.attempt(r)
+		if v == whole || pause == 0 || i == maxRepeats {
 			return v
 		}
-		time.Sleep(repeatPause)
+		time.Sleep(pause)
 	}
 }
 
-// attempt sends a request once; a repeat is safe when it did not run, is idempotent or carries a key.
-func (c *caller) attempt(r request) (v verdict, repeat bool) {
+// attempt sends a request once and returns how long to wait before a repeat, 0 for none.
+func (c *caller) attempt(r request) (verdict, time.Duration) {
 	proxies := c.proxies()
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
@@ -110,19 +120,24 @@
 		req.SetBody(upload(r))
 	}
 	if err := c.client.DoTimeout(req, resp, callTimeout); err != nil {
-		return failed, true
+		return failed, repeatPause // the request is idempotent or carries a key
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
 		return refusal(resp)
 	}
-	return check(r, resp), false
+	return check(r, resp), 0
 }
 
-func refusal(resp *fasthttp.Response) (verdict, bool) {
+// refusal reads an answer that is not the request's own; every request may be repeated.
+func refusal(resp *fasthttp.Response) (verdict, time.Duration) {
+	pause := repeatPause
+	if after, err := strconv.Atoi(string(resp.Header.Peek("Retry-After"))); err == nil {
+		pause = min(max(time.Duration(after)*time.Second, repeatPause), maxPause)
+	}
 	if string(resp.Header.Peek(outcomeField)) == outcomeNotRun || resp.StatusCode() == fasthttp.StatusConflict {
-		return failed, true
+		return failed, pause
 	}
-	return mayHaveRun, true
+	return mayHaveRun, pause
 }
 
 // check compares an answer with the one that the backend stand-in gives to this request.
