deposit: refuses at once after the store has failed, and when its clock differs from the store's

- A store that hangs cost each payment the store's timeout before its refusal.
One answered call ends the pause.
- A daemon with a wrong wall clock would take others' claims as expired and grant them anew.
The store's Date field tells the difference (platform.Clock); over a minute refuses claims as not run.
- The budget counts each promised write once.

--- /dev/null
+++ b/src/deposit/bench_test.go
@@ -0,0 +1,55 @@
+package deposit_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/yuccaport/yuccaport/src/deposit"
+	"github.com/yuccaport/yuccaport/src/platform"
+	"github.com/yuccaport/yuccaport/src/standin"
+	"github.com/yuccaport/yuccaport/src/wire"
+)
+
+// BenchmarkPayment serves payments through the store's HTTP face, with the records of a day in each slot.
+func BenchmarkPayment(b *testing.B) {
+	for _, perSlot := range []int{0, 13, 130} {
+		b.Run(fmt.Sprintf("records=%d", perSlot), func(b *testing.B) {
+			c := qt.New(b)
+			k := &standin.Keyspace{}
+			store := &platform.Counted{Store: remote(c, k)}
+			g := &deposit.Guard{Store: store, Holder: 1, WritesPerSecond: -1}
+			slot := wire.ClaimSlot{}
+			for i := range perSlot {
+				slot.Claims = append(slot.Claims, wire.Claim{
+					ID: wire.ClaimID{Holder: 1, Sequence: uint64(i)}, Digest: make([]byte, 16), At: time.Now().UnixMilli(),
+					State: wire.ClaimEnded, Status: 201, Body: make([]byte, 200),
+					Fields: []wire.Field{{Name: "Content-Type", Value: "application/json"}, {Name: "X-Request-Token", Value: "0123456789abcdef"}},
+				})
+			}
+			value, err := slot.MarshalMsg(nil)
+			c.Assert(err, qt.IsNil)
+			ctx := context.Background()
+			for i := range 1 << 16 {
+				if perSlot == 0 {
+					break
+				}
+				_, err := k.Swap(ctx, fmt.Sprintf("deposit/%04x", i), 0, value)
+				c.Assert(err, qt.IsNil)
+			}
+			reads, writes := store.Reads(), store.Writes()
+			for n := 0; b.Loop(); n++ {
+				if !pay(ctx, g, fmt.Sprint(n)) {
+					b.Fatal("payment did not run")
+				}
+			}
+			b.ReportMetric(float64(store.Reads()-reads)/float64(b.N), "reads/op")
+			b.ReportMetric(float64(store.Writes()-writes)/float64(b.N), "writes/op")
+			b.ReportMetric(float64(len(value)), "slot-bytes")
+			c.Check(g.Close(), qt.IsNil)
+		})
+	}
+}
--- a/src/deposit/call.go
+++ b/src/deposit/call.go
@@ -22,7 +22,8 @@
 	key      string // of the store
 	started  time.Time
 	tries    int
-	unsure   bool      // an earlier write of this call may have taken effect
+	unsure   bool // an earlier write of this call may have taken effect
+	writes   int
 	first    time.Time // stamp of the first write
 	stamp    time.Time // stamp of the write that the store holds
 	revision uint64    // highest seen
@@ -36,9 +37,10 @@
 
 // swap asks for the slot to be replaced.
 func (k *call) swap(now time.Time, s wire.ClaimSlot) []Action {
-	if k.first.IsZero() {
+	if k.writes == 0 {
 		k.first = now
 	}
+	k.writes++
 	k.stamp = now
 	k.slot = s
 	return []Action{SwapSlot{Call: k.id, Key: k.key, Expect: k.revision, Slot: s}}
@@ -53,11 +55,16 @@
 	if e.Result == ResultUnavailable {
 		return c.failed(now, k, "store unavailable")
 	}
+	c.breaker.worked()
 	if e.Revision < k.revision {
 		return c.retry(now, k, longWait, "stale read")
 	}
 	k.revision = e.Revision
 	k.slot = e.Slot
+	if _, claiming := k.goal.(claimGoal); claiming && e.Skew.Abs() > maxSkew {
+		// By a wrong clock the claims of others would count as expired.
+		return c.giveUp(now, k, "clock differs from the store's")
+	}
 	return c.plan(now, k)
 }
 
@@ -69,6 +76,7 @@
 	}
 	switch e.Result {
 	case ResultOK:
+		c.breaker.worked()
 		k.revision = e.Revision
 		return c.done(now, k, "written")
 	case ResultUnavailable:
@@ -110,6 +118,7 @@
 
 // failed goes on after a call that the store did not carry out.
 func (c *Core) failed(now time.Time, k *call, reason string) []Action {
+	c.breaker.failed(now, c.Rand)
 	if _, ending := k.goal.(endGoal); ending {
 		return c.retry(now, k, longWait, reason)
 	}
--- a/src/deposit/claiming.go
+++ b/src/deposit/claiming.go
@@ -22,6 +22,9 @@
 	if len(c.open) >= maxOpen {
 		return decide(k, NotRun{RetryAfter: retryAfter}, "too many open claims")
 	}
+	if wait := c.breaker.wait(now); wait > 0 {
+		return decide(k, NotRun{RetryAfter: wait + c.jitter(retryAfter)}, "store failed a moment ago")
+	}
 	if wait := c.overBudget(now); wait > 0 {
 		return decide(k, NotRun{RetryAfter: wait}, "budget of store writes spent")
 	}
@@ -37,7 +40,7 @@
 	promised := len(c.open)
 	for _, k := range c.calls {
 		if _, claiming := k.goal.(claimGoal); claiming {
-			promised += writesPerPayment
+			promised += writesPerPayment - min(k.writes, 1)
 		}
 	}
 	missing := float64(writesPerPayment+promised) - c.budget.TokensAt(now)
--- a/src/deposit/core.go
+++ b/src/deposit/core.go
@@ -21,6 +21,7 @@
 	maxWindow        = 5 * time.Second // a send later than this after its claim was written needs the claim confirmed
 	maxStrays        = 4096
 	maxOpen          = 1024
+	maxSkew          = time.Minute // between the clocks of store and holder
 )
 
 // Core decides on claims; all holders that share a store need the same Expiry and Timeout.
@@ -36,6 +37,7 @@
 	open     map[uint64]*held    // claims granted and not ended, by sequence
 	strays   map[uint64]struct{} // claims never sent that the store may still hold, by sequence
 	budget   *rate.Limiter
+	breaker  breaker
 }
 
 // held is a granted claim with the slot as its last write left it.
--- a/src/deposit/drive.go
+++ b/src/deposit/drive.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/yuccaport/yuccaport/src/platform"
 	"github.com/yuccaport/yuccaport/src/problem"
 	"github.com/yuccaport/yuccaport/src/trace"
 )
@@ -78,6 +79,9 @@
 		return e
 	}
 	entry, err := g.Store.Get(ctx, a.Key)
+	if s, ok := g.Store.(platform.Clock); ok {
+		e.Skew = s.Skew()
+	}
 	switch {
 	case err == nil:
 		e.Revision = entry.Revision
--- a/src/deposit/event.go
+++ b/src/deposit/event.go
@@ -1,6 +1,10 @@
 package deposit
 
-import "github.com/yuccaport/yuccaport/src/wire"
+import (
+	"time"
+
+	"github.com/yuccaport/yuccaport/src/wire"
+)
 
 // Event is something that a Core is told: Arrived, Confirming, Ended, SlotRead or SlotSwapped.
 type Event interface{ isEvent() }
@@ -33,6 +37,7 @@
 	Result   Result         `json:"result"`
 	Revision uint64         `json:"revision"`
 	Slot     wire.ClaimSlot `json:"slot"`
+	Skew     time.Duration  `json:"skew_ns,omitempty"` // of the store's clock against the holder's
 }
 
 // SlotSwapped answers SwapSlot.
--- a/src/deposit/trace_test.go
+++ b/src/deposit/trace_test.go
@@ -91,6 +91,8 @@
 			s.begin(s.guard, "not_run")
 			s.tape.bytes(6) // the clean-up has given up
 			s.begin(s.other, "unknown")
+			s.begin(s.guard, "not_run") // the pause after a failure
+			s.clock.Add(time.Second)
 			s.finish(s.guard, s.begin(s.guard, "granted"))
 		}},
 		"delayed_write": {"a refused request's write is still under way", func(s *scene) {
--- a/src/platform/answer.go
+++ b/src/platform/answer.go
@@ -16,6 +16,7 @@
 	status   int
 	revision uint64
 	body     []byte
+	date     []byte
 	close    bool // the store closes the connection after this answer
 	valid    bool // it carries a revision
 }
@@ -46,6 +47,7 @@
 		status:   resp.StatusCode(),
 		revision: revision,
 		body:     bytes.Clone(resp.Body()),
+		date:     bytes.Clone(resp.Header.Peek(fasthttp.HeaderDate)),
 		close:    resp.ConnectionClose(),
 		valid:    err == nil,
 	}, nil
--- a/src/platform/remote.go
+++ b/src/platform/remote.go
@@ -26,6 +26,7 @@
 	mu    sync.Mutex
 	idle  []*lane
 	calls atomic.Int64 // under way
+	skew  skew
 }
 
 var _ Store = (*Remote)(nil)
@@ -139,6 +140,7 @@
 	if err != nil {
 		return answer{}, err
 	}
+	r.skew.observe(a.date, time.Now())
 	return a, a.check()
 }
 
