Roster: a herd's news is sent less often, pings carry less of it

Now news is sent 3 times while more than 32 members have some, and exchanges carry the rest; pings and answers hold at most 400 bytes. Ruled out: a smaller byte budget alone (the spell only gets longer).

--- a/src/roster/news.go
+++ b/src/roster/news.go
@@ -46,7 +46,7 @@
 
 // fill adds news to a datagram until it has limit bytes.
 func (c *Core) fill(p *wire.Probe, limit int) {
-	most := retransmitFactor * int(magnitude(len(c.ring))+1)
+	most := c.retransmits()
 	size := probeSize(p)
 	told := false
 	for i := range c.news.items {
@@ -64,6 +64,14 @@
 	slices.SortStableFunc(c.news.items, func(a, b item) int { return cmp.Compare(a.sent, b.sent) })
 }
 
+// retransmits returns how often news is sent; while a herd comes or goes, exchanges carry the rest.
+func (c *Core) retransmits() int {
+	if len(c.news.items) > crowd {
+		return crowdRetransmits
+	}
+	return retransmitFactor * int(magnitude(len(c.ring))+1)
+}
+
 // tell adds one member to a datagram if it takes at most room bytes.
 func (c *Core) tell(p *wire.Probe, it *item, room int) (int, bool) {
 	m := c.latest(it.id)
--- a/src/roster/ping.go
+++ b/src/roster/ping.go
@@ -53,7 +53,7 @@
 	if e.m.State == wire.StateSuspect || e.dead() {
 		p.Briefs = append(p.Briefs, e.m.Brief())
 	}
-	c.fill(&p, wire.MaxProbeSize)
+	c.fill(&p, piggybackSize)
 	c.send(e.m.Addr, p)
 }
 
--- a/src/roster/receive.go
+++ b/src/roster/receive.go
@@ -76,7 +76,7 @@
 func (c *Core) sendAck(r Received) {
 	p := r.Probe
 	out := wire.Probe{Kind: wire.ProbeAck, Seq: p.Seq, To: uint32(p.From)}
-	limit := wire.MaxProbeSize
+	limit := piggybackSize
 	e := c.members[p.From]
 	if e == nil || e.m.Addr != r.From {
 		limit = min(limit, answerFactor*r.Size)
