--- a/src/link/accept.go
+++ b/src/link/accept.go
@@ -6,12 +6,16 @@
 	"time"
 )
 
-const acceptPause = 20 * time.Millisecond // after an accept that failed, as when descriptors run out
+const (
+	acceptPause  = 20 * time.Millisecond  // after an accept that failed, as when descriptors run out
+	helloHurry   = 250 * time.Millisecond // a link that says nothing for it makes room for another
+	helloWaiting = 10 * time.Millisecond  // between two looks for such a link
+)
 
-// accept takes links until the listener is closed.
+// accept takes links until the listener is closed; those beyond the hellos awaited stay in the listener's backlog.
 func (p *Pool) accept() {
 	defer p.tasks.Done()
-	for {
+	for p.awaitHelloRoom() {
 		nc, err := p.Listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
@@ -28,16 +32,41 @@
 	}
 }
 
-// admit starts a link within the limits on links and on hellos awaited.
+// awaitHelloRoom waits until another hello can be awaited; it tells false when no more links are taken.
+func (p *Pool) awaitHelloRoom() bool {
+	for {
+		p.mu.Lock()
+		open := !p.stopped && !p.leaving
+		room := len(p.raw) < p.limits.Handshakes
+		if open && !room {
+			p.hurry(time.Now())
+		}
+		p.mu.Unlock()
+		if !open || room {
+			return open
+		}
+		time.Sleep(helloWaiting)
+	}
+}
+
+// hurry closes the links that have said nothing for long; p.mu is held.
+func (p *Pool) hurry(now time.Time) {
+	for nc, since := range p.raw {
+		if now.Sub(since) > helloHurry {
+			_ = nc.Close()
+		}
+	}
+}
+
+// admit starts a link within the limit on links.
 func (p *Pool) admit(nc net.Conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.stopped || p.leaving || p.accepted >= p.limits.Links || p.awaited >= p.limits.Handshakes {
+	if p.stopped || p.leaving || p.accepted >= p.limits.Links {
 		return false
 	}
 	p.accepted++
-	p.awaited++
-	p.raw[nc] = struct{}{}
+	p.raw[nc] = time.Now()
 	p.tasks.Add(1)
 	go p.welcome(nc)
 	return true
@@ -49,7 +78,6 @@
 	defer func() { _ = raw.Close() }()
 	nc, fr, h, err := p.greet(raw, 0, false)
 	p.mu.Lock()
-	p.awaited--
 	delete(p.raw, raw)
 	if err == nil && p.stopped {
 		err = errStopped
--- a/src/link/connection.go
+++ b/src/link/connection.go
@@ -11,6 +11,8 @@
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
+const abandonedAfter = 5 // idle times after which an accepted link is closed, should its other end not do it
+
 // connection is one link after both hellos; only the end that dialled opens calls and messages on it.
 type connection struct {
 	pool   *Pool
@@ -148,7 +150,7 @@
 	}
 }
 
-func (c *connection) schedule() { _ = c.nc.SetReadDeadline(time.Now().Add(pingEvery)) }
+func (c *connection) schedule() { _ = c.nc.SetReadDeadline(time.Now().Add(c.pool.limits.Ping)) }
 
 // tick runs once a ping period: it looks for a silent peer and for a link that nobody uses.
 func (c *connection) tick() error {
@@ -162,6 +164,10 @@
 	switch {
 	case !busy && c.dialed && idle > c.pool.limits.Idle:
 		return errIdle
+	case !busy && idle > abandonedAfter*c.pool.limits.Idle:
+		return errIdle
+	case !busy && idle > (abandonedAfter-1)*c.pool.limits.Idle:
+		c.leave()
 	case !busy:
 		c.silent = 0
 	case c.silent > silentLimit:
--- a/src/link/fixture_test.go
+++ b/src/link/fixture_test.go
@@ -34,6 +34,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(tb, err, qt.IsNil)
 	p.Listener = l
+	p.init()
 	if p.Grace == 0 {
 		p.Grace = guard
 	}
--- /dev/null
+++ b/src/link/keys_test.go
@@ -0,0 +1,111 @@
+package link
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"encoding/pem"
+	"math/big"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/yuccaport/yuccaport/src/wire"
+)
+
+// authority signs certificates for a test.
+type authority struct {
+	tb   testing.TB
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	pem  []byte
+}
+
+func newAuthority(tb testing.TB) *authority {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	qt.Assert(tb, err, qt.IsNil)
+	tmpl := &x509.Certificate{SerialNumber: big.NewInt(1), IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour)}
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, tmpl, &key.PublicKey, key)
+	qt.Assert(tb, err, qt.IsNil)
+	cert, err := x509.ParseCertificate(der)
+	qt.Assert(tb, err, qt.IsNil)
+	return &authority{tb, cert, key, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})}
+}
+
+// write makes the files of a daemon's keys in dir; roots are the authorities that it trusts.
+func (a *authority) write(dir string, roots *authority) *Keys {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	qt.Assert(a.tb, err, qt.IsNil)
+	tmpl := &x509.Certificate{SerialNumber: big.NewInt(2), NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour)}
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, a.cert, &key.PublicKey, a.key)
+	qt.Assert(a.tb, err, qt.IsNil)
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	qt.Assert(a.tb, err, qt.IsNil)
+	k := &Keys{Cert: filepath.Join(dir, "cert.pem"), Key: filepath.Join(dir, "key.pem"), CA: filepath.Join(dir, "ca.pem")}
+	for name, b := range map[string][]byte{
+		k.Cert: pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}),
+		k.Key:  pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: keyDER}),
+		k.CA:   roots.pem,
+	} {
+		qt.Assert(a.tb, os.WriteFile(name, b, 0o600), qt.IsNil)
+	}
+	return k
+}
+
+func TestMutualTLS(t *testing.T) {
+	ours, other := newAuthority(t), newAuthority(t)
+	to, _ := startPool(t, &Pool{Self: 2, Calls: serveFunc(echo), Keys: ours.write(t.TempDir(), ours)})
+	tests := map[string]struct {
+		keys *Keys
+		ok   bool
+	}{
+		"same authority":                         {keys: ours.write(t.TempDir(), ours), ok: true},
+		"certificate of another authority":       {keys: other.write(t.TempDir(), ours)},
+		"authority of the server is not trusted": {keys: ours.write(t.TempDir(), other)},
+		"no keys":                                {},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := &Pool{Self: 1, Keys: test.keys}
+			t.Cleanup(p.Kill)
+			got, out, err := call(guarded(t), p, to, []byte("secret"))
+			qt.Assert(t, err, qt.IsNil)
+			if test.ok {
+				qt.Assert(t, string(got), qt.Equals, "secret", qt.Commentf("%+v", out))
+				return
+			}
+			r, ok := out.(Refused)
+			qt.Assert(t, ok, qt.IsTrue)
+			qt.Assert(t, r.Refusal.Reason == wire.ReasonConnect || r.Refusal.Reason == wire.ReasonLinkLost, qt.IsTrue, qt.Commentf("%+v", r))
+		})
+	}
+}
+
+// Keys that change are taken up by the next link; a fault in them leaves the old ones in force.
+func TestKeysReload(t *testing.T) {
+	ours, other := newAuthority(t), newAuthority(t)
+	dir := t.TempDir()
+	k := ours.write(dir, ours)
+	now := time.Now()
+	first, _, err := k.load(now)
+	qt.Assert(t, err, qt.IsNil)
+
+	qt.Assert(t, os.WriteFile(k.Cert, []byte("broken"), 0o600), qt.IsNil)
+	now = now.Add(keysCheckEvery)
+	kept, _, err := k.load(now)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, kept == first, qt.IsTrue)
+
+	other.write(dir, other)
+	soon, _, err := k.load(now.Add(keysCheckEvery / 2))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, soon == first, qt.IsTrue)
+	next, _, err := k.load(now.Add(keysCheckEvery))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, next == first, qt.IsFalse)
+}
--- a/src/link/limits.go
+++ b/src/link/limits.go
@@ -17,7 +17,6 @@
 
 	helloTimeout = 5 * time.Second
 	writeTimeout = 10 * time.Second
-	pingEvery    = 2 * time.Second
 	silentLimit  = 3 // ping periods without a byte before a link in use is taken for dead
 	backoffMin   = 50 * time.Millisecond
 	backoffMax   = 5 * time.Second
@@ -31,6 +30,7 @@
 	CallsPerLink int           // inbound calls on one link
 	Memory       int           // bytes that windows may grow by over all calls, and that partial messages hold
 	Idle         time.Duration // time without calls after which a dialled link is closed
+	Ping         time.Duration // time without a byte after which a link in use is pinged
 }
 
 func (l Limits) withDefaults() Limits {
@@ -39,13 +39,12 @@
 	setDefault(&l.Calls, 1024)
 	setDefault(&l.CallsPerLink, 256)
 	setDefault(&l.Memory, 32<<20)
-	if l.Idle == 0 {
-		l.Idle = time.Minute
-	}
+	setDefault(&l.Idle, time.Minute)
+	setDefault(&l.Ping, 2*time.Second)
 	return l
 }
 
-func setDefault(v *int, d int) {
+func setDefault[T int | time.Duration](v *T, d T) {
 	if *v == 0 {
 		*v = d
 	}
--- a/src/link/pool.go
+++ b/src/link/pool.go
@@ -46,9 +46,8 @@
 	mu       sync.Mutex
 	routes   map[Peer]*route
 	conns    map[*connection]struct{}
-	raw      map[net.Conn]struct{} // accepted, hello awaited
+	raw      map[net.Conn]time.Time // accepted at, hello awaited
 	accepted int
-	awaited  int
 	leaving  bool
 	stopped  bool
 }
@@ -71,7 +70,7 @@
 		p.memory.max = int64(p.limits.Memory)
 		p.routes = map[Peer]*route{}
 		p.conns = map[*connection]struct{}{}
-		p.raw = map[net.Conn]struct{}{}
+		p.raw = map[net.Conn]time.Time{}
 	})
 }
 
@@ -130,7 +129,7 @@
 func (p *Pool) busy() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.awaited > 0 {
+	if len(p.raw) > 0 {
 		return true
 	}
 	for c := range p.conns {
--- /dev/null
+++ b/src/link/pool_test.go
@@ -0,0 +1,194 @@
+package link
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/yuccaport/yuccaport/src/wire"
+)
+
+func TestCallsShareOneDial(t *testing.T) {
+	to, _ := startPool(t, &Pool{Self: 2, Calls: serveFunc(echo)})
+	p := startClient(t)
+	var wg sync.WaitGroup
+	for range 50 {
+		wg.Go(func() {
+			_, _, err := call(guarded(t), p, to, []byte("x"))
+			qt.Check(t, err, qt.IsNil)
+		})
+	}
+	wg.Wait()
+	qt.Assert(t, p.counters.dials.Get(), qt.Equals, uint64(1))
+}
+
+// A planned stop answers what is in flight, refuses nothing that ran, and lets the callers go elsewhere.
+func TestStopCutsNothing(t *testing.T) {
+	begun, release := make(chan struct{}, 100), make(chan struct{})
+	server := &Pool{Self: 2, Calls: serveFunc(func(ctx context.Context, in Inbound) {
+		begun <- struct{}{}
+		<-release
+		echo(ctx, in)
+	})}
+	to, stop := startPool(t, server)
+	p := startClient(t)
+	var results []chan []byte
+	body := make([]byte, 2*initialWindow)
+	for range 20 {
+		ch := make(chan []byte, 1)
+		results = append(results, ch)
+		go func() {
+			got, _, err := call(guarded(t), p, to, body)
+			qt.Check(t, err, qt.IsNil)
+			ch <- got
+		}()
+	}
+	for range 20 {
+		<-begun
+	}
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		stop()
+	}()
+	eventually(t, "new calls are refused", func() bool {
+		_, out, _ := call(guarded(t), p, to, nil)
+		r, ok := out.(Refused)
+		return ok && !r.Refusal.MayHaveRun
+	})
+	close(release)
+	for _, ch := range results {
+		qt.Assert(t, len(<-ch), qt.Equals, len(body))
+	}
+	<-stopped
+}
+
+func eventually(tb testing.TB, what string, f func() bool) {
+	for end := time.Now().Add(guard); !f(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			tb.Fatal("never came about: " + what)
+		}
+	}
+}
+
+func TestGraceEndsCallsThatStay(t *testing.T) {
+	begun := make(chan struct{})
+	server := &Pool{Self: 2, Grace: time.Millisecond, Calls: serveFunc(func(ctx context.Context, _ Inbound) {
+		close(begun)
+		<-ctx.Done()
+	})}
+	to, stop := startPool(t, server)
+	p := startClient(t)
+	ch := begin(t, p, to, "a", nil, 0)
+	<-begun
+	stop()
+	qt.Assert(t, (<-ch).refusal(t), qt.Equals, wire.Refusal{Reason: wire.ReasonLinkLost, MayHaveRun: true})
+}
+
+func TestKillEndsEverything(t *testing.T) {
+	server := &Pool{Self: 2, Calls: serveFunc(hold)}
+	to, stop := startPool(t, server)
+	p := startClient(t)
+	ch := begin(t, p, to, "a", nil, 0)
+	eventually(t, "the call has arrived", func() bool { return server.callWorkers.RunningWorkers() == 1 })
+	server.Kill()
+	stop()
+	qt.Assert(t, (<-ch).refusal(t).MayHaveRun, qt.IsTrue)
+	r := (<-begin(t, p, to, "b", nil, 0)).refusal(t)
+	qt.Assert(t, r.MayHaveRun, qt.IsFalse)
+}
+
+func TestIdleLinksClose(t *testing.T) {
+	server := &Pool{Self: 2, Calls: serveFunc(echo)}
+	to, _ := startPool(t, server)
+	p := &Pool{Self: 1, Limits: Limits{Idle: time.Millisecond, Ping: 5 * time.Millisecond}}
+	t.Cleanup(p.Kill)
+	for range 2 {
+		_, _, err := call(guarded(t), p, to, []byte("x"))
+		qt.Assert(t, err, qt.IsNil)
+		eventually(t, "no link is left", func() bool {
+			server.mu.Lock()
+			defer server.mu.Unlock()
+			return server.accepted == 0 && len(server.conns) == 0
+		})
+	}
+}
+
+// When a few hundred daemons come back at once, links and awaited hellos stay within their limits, calls in flight go on and everybody gets in.
+func TestReconnectStorm(t *testing.T) {
+	const daemons = 300
+	limits := Limits{Links: daemons + 1, Handshakes: 16}
+	server := &Pool{Self: 2, Calls: serveFunc(echo), Limits: limits}
+	to, _ := startPool(t, server)
+	silent := make([]net.Conn, 5*limits.Handshakes) // never say hello
+	for i := range silent {
+		nc, err := net.Dial("tcp", to.Addr.String())
+		qt.Assert(t, err, qt.IsNil)
+		silent[i] = nc
+		defer func() { _ = nc.Close() }()
+	}
+	var wg sync.WaitGroup
+	for i := range daemons {
+		p := &Pool{Self: uint64(100 + i)}
+		t.Cleanup(p.Kill)
+		wg.Go(func() { storm(t, p, to, fmt.Sprint(i)) })
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		wg.Wait()
+	}()
+	for {
+		server.mu.Lock()
+		awaited, accepted := len(server.raw), server.accepted
+		server.mu.Unlock()
+		qt.Assert(t, awaited <= limits.Handshakes, qt.IsTrue)
+		qt.Assert(t, accepted <= limits.Links, qt.IsTrue)
+		select {
+		case <-done:
+			return
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
+
+// storm calls until it is served; every refusal on the way must be not run.
+func storm(t *testing.T, p *Pool, to Peer, body string) {
+	ctx := guarded(t)
+	for ctx.Err() == nil {
+		got, out, err := call(ctx, p, to, []byte(body))
+		if r, ok := out.(Refused); ok {
+			qt.Check(t, r.Refusal.MayHaveRun, qt.IsFalse)
+			time.Sleep(time.Duration(max(1, r.Refusal.RetryAfterMS)) * time.Millisecond)
+			continue
+		}
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, string(got), qt.Equals, body)
+		return
+	}
+	t.Error("never served")
+}
+
+func TestLinkLimit(t *testing.T) {
+	to, _ := startPool(t, &Pool{Self: 2, Calls: serveFunc(echo)})
+	p := &Pool{Self: 1, Limits: Limits{Links: 1}}
+	t.Cleanup(p.Kill)
+	_, _, err := call(guarded(t), p, to, []byte("x"))
+	qt.Assert(t, err, qt.IsNil)
+	r := (<-begin(t, p, Peer{ID: 3, Addr: loopback(1)}, "a", nil, 0)).refusal(t)
+	qt.Assert(t, r, qt.Equals, wire.Refusal{Reason: wire.ReasonLimit})
+}
+
+func TestInsecureLinks(t *testing.T) {
+	remote := net.TCPAddrFromAddrPort(netip.MustParseAddrPort("192.0.2.1:7000"))
+	local := net.TCPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:7000"))
+	qt.Assert(t, (&Pool{}).checkInsecure(local), qt.IsNil)
+	qt.Assert(t, (&Pool{}).checkInsecure(remote), qt.IsNotNil)
+	qt.Assert(t, (&Pool{Insecure: true}).checkInsecure(remote), qt.IsNil)
+}
