--- a/src/dispatch/aside.go
+++ b/src/dispatch/aside.go
@@ -10,6 +10,7 @@
 	maxConsecutive = 3                      // failures in a row
 	unreachableMin = 500 * time.Millisecond // until a server that refused a connection is tried again
 	unreachableMax = 5 * time.Second
+	lateFactor     = 2   // times the service's median latency
 	maxErrorRate   = 0.5 // share of failures
 	calmErrorRate  = 0.25
 	notReadyTime   = 500 * time.Millisecond
@@ -31,7 +32,7 @@
 	case wire.ReasonQueueFull, wire.ReasonLimit, wire.ReasonDeadline, wire.ReasonCancelled:
 		return
 	}
-	s.failed()
+	s.failed(now)
 	switch {
 	case reason == wire.ReasonConnect:
 		s.unreachable(now)
@@ -54,11 +55,11 @@
 func (c *Core) observeAnswer(now time.Time, s *server, status int, took time.Duration) {
 	svc := c.services[s.Service]
 	if status >= 500 {
-		s.failed()
+		s.failed(now)
 		c.checkErrors(now, svc, s)
 		return
 	}
-	s.succeeded(took)
+	s.succeeded(now, took)
 	if svc == nil || s.samples < minSamples {
 		return
 	}
@@ -69,6 +70,18 @@
 	}
 }
 
+// observeLate takes in an attempt that was given up unanswered; when the usual time was long over it is a failure.
+func (c *Core) observeLate(now time.Time, s *server, waited time.Duration) {
+	svc := c.services[s.Service]
+	if svc == nil || svc.medianLatency == 0 || waited <= lateFactor*svc.medianLatency+latencySlack {
+		return
+	}
+	s.failed(now)
+	if s.consecutive >= maxConsecutive {
+		c.setAside(now, svc, s, "late")
+	}
+}
+
 func (c *Core) checkErrors(now time.Time, svc *service, s *server) {
 	if svc == nil || s.samples < minSamples || s.errorRate < maxErrorRate {
 		return
--- a/src/dispatch/call_state.go
+++ b/src/dispatch/call_state.go
@@ -101,11 +101,12 @@
 }
 
 // cancelOthers gives up all live attempts but one.
-func (s *callState) cancelOthers(keep int) []Action {
+func (c *Core) cancelOthers(now time.Time, s *callState, keep int) []Action {
 	var out []Action
 	for i, a := range s.attempts {
 		if a.live && i+1 != keep {
 			a.drop()
+			c.observeLate(now, a.server, now.Sub(a.sent))
 			out = append(out, CancelAttempt{Call: s.id, Attempt: i + 1})
 		}
 	}
--- a/src/dispatch/choice.go
+++ b/src/dispatch/choice.go
@@ -92,7 +92,8 @@
 		return nil
 	}
 	for range pickTries {
-		s := c.better(now, svc, c.draw(now, servers), c.draw(now, servers))
+		a, b := c.pair(len(servers))
+		s := c.better(now, svc, c.due(now, servers[a]), c.due(now, servers[b]))
 		if s != nil && !c.saturated(now, s) {
 			return s
 		}
@@ -106,9 +107,20 @@
 	return best
 }
 
-// draw returns a random server, or nil when it is cold and not yet due for a call.
-func (c *Core) draw(now time.Time, servers []*server) *server {
-	s := servers[c.Rand.IntN(len(servers))]
+// pair draws two different indexes below n, or the same one when there is no other.
+func (c *Core) pair(n int) (int, int) {
+	if n == 1 {
+		return 0, 0
+	}
+	a, b := c.Rand.IntN(n), c.Rand.IntN(n-1)
+	if b >= a {
+		b++
+	}
+	return a, b
+}
+
+// due returns a server, or nil when it is cold and not yet due for a call.
+func (c *Core) due(now time.Time, s *server) *server {
 	if share := s.share(now, c.Settings.ColdStart); share < 1 && c.Rand.Float64() > share {
 		return nil
 	}
--- a/src/dispatch/core.go
+++ b/src/dispatch/core.go
@@ -40,7 +40,7 @@
 	case TimerFired:
 		return c.timer(now, e)
 	case CallerGone:
-		return c.callerGone(e)
+		return c.callerGone(now, e)
 	}
 	return nil
 }
--- a/src/dispatch/core_test.go
+++ b/src/dispatch/core_test.go
@@ -172,10 +172,10 @@
 		spoil func(s *fakeServer)
 		why   string
 	}{
-		"slow":             {func(s *fakeServer) { s.takes *= 20 }, "set_aside: latency"},
+		"slow":             {func(s *fakeServer) { s.takes *= 20 }, ""}, // its cost keeps calls away before it counts as an outlier
 		"never answers":    {func(s *fakeServer) { s.silent = true }, "set_aside: failures"},
 		"sheds and claims": {func(s *fakeServer) { s.shed = true }, "set_aside: failures"},
-		"faults":           {func(s *fakeServer) { s.status = 500 }, "set_aside: errors"},
+		"faults":           {func(s *fakeServer) { s.status = 500 }, ""}, // likewise
 		"dead":             {func(s *fakeServer) { s.dead = true }, "unreachable"},
 	}
 	for name, tc := range tests {
@@ -185,24 +185,56 @@
 			tc.spoil(servers[0])
 			y := newYard(Settings{}, servers...)
 			y.policy.Timeout, y.policy.Locality = 200*time.Millisecond, document.LocalityAny
-			seen, late := map[string]bool{}, 0
+			seen, early, late := map[string]bool{}, 0, 0
 			for i := range 400 {
 				y.after(time.Duration(i)*10*time.Millisecond, func() {
 					seen[y.core.obstacle(y.time(), y.policy, y.core.members[1])] = true
 				})
 			}
 			y.after(4*time.Second, func() {
+				early = y.sentTo[1]
 				servers[0].takes, servers[0].silent, servers[0].shed, servers[0].dead, servers[0].status = 10*time.Millisecond, false, false, false, 0
 			})
 			y.after(40*time.Second, func() { late = y.sentTo[1] })
 			y.run(15000, 4*time.Millisecond)
-			c.Check(seen[tc.why], qt.IsTrue, qt.Commentf("%v", seen))
+			c.Check(tc.why == "" || seen[tc.why], qt.IsTrue, qt.Commentf("%v", seen))
 			late = y.sentTo[1] - late
+			c.Check(early < 1000/6/4, qt.IsTrue, qt.Commentf("%d of the first 1000 calls", early))
 			c.Check(late > 5000/6/2, qt.IsTrue, qt.Commentf("%d calls after its return", late))
 		})
 	}
 }
 
+// TestOutliersByObservedAnswers gives a server answers that its cost would keep away.
+func TestOutliersByObservedAnswers(t *testing.T) {
+	tests := map[string]struct {
+		status int
+		took   time.Duration
+		others int // status of the other servers' answers
+		want   string
+	}{
+		"latency":           {200, 50 * time.Millisecond, 200, "set_aside: latency"},
+		"latency, by a bit": {200, 14 * time.Millisecond, 200, ""},
+		"errors":            {500, 10 * time.Millisecond, 200, "set_aside: errors"},
+		"errors of all":     {500, 10 * time.Millisecond, 500, ""},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			y := newYard(Settings{}, fakeServers(6, 0)...)
+			y.table()
+			for range minSamples {
+				y.now += medianAge
+				for id := uint64(6); id > 1; id-- {
+					y.core.observeAnswer(y.time(), y.core.members[id], tc.others, 10*time.Millisecond)
+				}
+				y.core.observeAnswer(y.time(), y.core.members[1], tc.status, tc.took)
+			}
+			c.Check(y.core.obstacle(y.time(), y.policy, y.core.members[1]), qt.Equals, tc.want)
+		})
+	}
+}
+
 func TestFurtherAttemptGoesToAnotherFailureDomain(t *testing.T) {
 	c := qt.New(t)
 	y := newYard(Settings{}, fakeServers(6, 0)...)
--- a/src/dispatch/result.go
+++ b/src/dispatch/result.go
@@ -24,7 +24,7 @@
 		}
 	}
 	s.accepted = true
-	return append(s.cancelOthers(e.Attempt), AcceptAnswer{Call: s.id, Attempt: e.Attempt})
+	return append(c.cancelOthers(now, s, e.Attempt), AcceptAnswer{Call: s.id, Attempt: e.Attempt})
 }
 
 // replace gives up an answered attempt for one that is live or another one, if there can be one.
@@ -148,11 +148,11 @@
 }
 
 // callerGone gives up every attempt of a call.
-func (c *Core) callerGone(e CallerGone) []Action {
+func (c *Core) callerGone(now time.Time, e CallerGone) []Action {
 	s := c.calls[e.Call]
 	if s == nil {
 		return nil
 	}
 	c.end(s)
-	return s.cancelOthers(0)
+	return c.cancelOthers(now, s, 0)
 }
--- a/src/dispatch/server.go
+++ b/src/dispatch/server.go
@@ -8,14 +8,16 @@
 )
 
 const (
-	minSamples     = 10  // answers before a server's latency and errors count
+	minSamples     = 10  // answers before a server can be an outlier
+	fewSamples     = 3   // answers before its latency counts in a choice
 	latencyWeight  = 0.1 // of a new answer in the mean
 	errorWeight    = 0.15
 	minShare       = 0.1 // of its full share that a cold or returned server takes
 	latencyFloor   = 10 * time.Millisecond
 	latencySlack   = 5 * time.Millisecond
 	errorCost      = 4.0
-	usableCapacity = 0.9 // of the slots; beyond it other failure domains are used
+	usableCapacity = 0.9             // of the slots; beyond it other failure domains are used
+	memoryHalfLife = 3 * time.Second // of what answers have shown, while no further ones come
 )
 
 // server is what the core knows of one backend server.
@@ -29,6 +31,7 @@
 	loadAt    time.Time
 	ownAtLoad int // our own attempts when load was told
 
+	observedAt  time.Time // of the last answer or failure
 	samples     int
 	logLatency  float64 // mean of the logarithm of nanoseconds
 	errorRate   float64
@@ -93,10 +96,12 @@
 // cost orders servers: the lower the better.
 func (s *server) cost(now time.Time, halfLife time.Duration, median time.Duration) float64 {
 	cost := (s.busy(now, halfLife) + 1) / s.slots()
-	if s.samples >= minSamples {
-		cost *= max(1, float64(s.latency())/float64(median+latencySlack))
+	penalty := errorCost * s.errorRate
+	if s.samples >= fewSamples {
+		penalty += max(0, float64(s.latency())/float64(median+latencySlack)-1)
 	}
-	return cost * (1 + errorCost*s.errorRate)
+	fade := math.Exp2(-now.Sub(s.observedAt).Seconds() / memoryHalfLife.Seconds())
+	return cost * (1 + penalty*fade)
 }
 
 // share returns which part of its full share of calls the server takes, after a start or a return.
@@ -120,7 +125,8 @@
 }
 
 // succeeded takes in an answer.
-func (s *server) succeeded(took time.Duration) {
+func (s *server) succeeded(now time.Time, took time.Duration) {
+	s.observedAt = now
 	s.consecutive, s.silentCount = 0, 0
 	s.samples++
 	s.errorRate -= errorWeight * s.errorRate
@@ -134,7 +140,8 @@
 }
 
 // failed takes in an attempt that brought no good answer.
-func (s *server) failed() {
+func (s *server) failed(now time.Time) {
+	s.observedAt = now
 	s.consecutive++
 	s.samples++
 	s.errorRate += errorWeight * (1 - s.errorRate)
--- a/src/dispatch/service.go
+++ b/src/dispatch/service.go
@@ -33,13 +33,13 @@
 
 // updateMedians takes the medians over the servers that have been observed often enough.
 func (s *service) updateMedians(now time.Time) {
-	if now.Sub(s.medianAt) < medianAge {
+	if s.medianLatency > 0 && now.Sub(s.medianAt) < medianAge {
 		return
 	}
 	s.medianAt = now
 	latencies, errors := []time.Duration{}, []float64{}
 	for _, m := range s.servers {
-		if m.samples >= minSamples {
+		if m.samples >= fewSamples {
 			latencies = append(latencies, m.latency())
 			errors = append(errors, m.errorRate)
 		}
