--- a/src/dispatch/core_test.go
+++ b/src/dispatch/core_test.go
@@ -223,18 +223,38 @@
 			c := qt.New(t)
 			y := newYard(Settings{}, fakeServers(6, 0)...)
 			y.table()
-			for range minSamples {
+			for range minSamples + 1 {
 				y.now += medianAge
-				for id := uint64(6); id > 1; id-- {
+				y.core.observeAnswer(y.time(), y.core.members[1], tc.status, tc.took)
+				for id := uint64(2); id <= 6; id++ {
 					y.core.observeAnswer(y.time(), y.core.members[id], tc.others, 10*time.Millisecond)
 				}
-				y.core.observeAnswer(y.time(), y.core.members[1], tc.status, tc.took)
 			}
 			c.Check(y.core.obstacle(y.time(), y.policy, y.core.members[1]), qt.Equals, tc.want)
 		})
 	}
 }
 
+func TestServerThatRefusesAsLeavingIsNotChosenUntilATableShowsIt(t *testing.T) {
+	tests := map[string]wire.RefusalReason{"leaving": wire.ReasonLeaving, "replaced": wire.ReasonWrongMember}
+	for name, reason := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			y := newYard(Settings{}, fakeServers(1, 0)...)
+			y.table()
+			now := time.Unix(0, 0)
+			y.core.Step(now, CallArrived{Call: 1, Policy: y.policy, Left: time.Second})
+			y.core.Step(now, AttemptRefused{Call: 1, Attempt: 1, Reason: reason})
+			refused := y.core.Step(now, CallArrived{Call: 2, Policy: y.policy, Left: time.Second})
+			c.Check(refused, qt.DeepEquals, []Action{RefuseCall{Call: 2, Reason: wire.ReasonNotReady, RetryAfter: time.Second}})
+			y.servers[1].Ready = false
+			y.table()
+			sent := y.core.Step(now, CallArrived{Call: 3, Policy: y.policy, Left: time.Second})
+			c.Check(sent, qt.HasLen, 2)
+		})
+	}
+}
+
 func TestFurtherAttemptGoesToAnotherFailureDomain(t *testing.T) {
 	c := qt.New(t)
 	y := newYard(Settings{}, fakeServers(6, 0)...)
