--- a/src/command/bench_distribute.go
+++ b/src/command/bench_distribute.go
@@ -42,25 +42,11 @@
 	defer closeLog()
 	d := &bench.Distribute{
 		Daemons: cmd.Int("daemons"), Changes: cmd.Int("changes"), Rate: cmd.Float("rate"), Profile: profile,
-		Baseline: cmd.String("baseline"), Seed: cmd.Uint64("seed"), Log: log, Progress: cmd.Root().Writer,
-	}
-	if s := cmd.String("faults"); s != "" {
-		d.Faults = strings.Split(s, ",")
+		Baseline: cmd.String("baseline"), Faults: splitList(cmd.String("faults")), Seed: cmd.Uint64("seed"), Log: log, Progress: cmd.Root().Writer,
 	}
 	r, err := d.Run(ctx)
 	if err != nil {
 		return err
 	}
-	printDistribute(cmd, r)
-	if cmd.Bool("json") {
-		if err := printJSON(cmd, r); err != nil {
-			return err
-		}
-	}
-	return r.Held()
-}
-
-func printDistribute(cmd *cli.Command, r bench.DistributeReport) {
-	_, _ = fmt.Fprintf(cmd.Root().Writer, "convergence p50 %.1f ms, p99 %.1f ms, max %.1f ms over %d changes and %d daemons\n",
-		r.ConvergenceP50MS, r.ConvergenceP99MS, r.ConvergenceMaxMS, r.Changes, r.Daemons)
+	return reportBench(cmd, r, r.Held())
 }
