--- a/src/command/run.go
+++ b/src/command/run.go
@@ -53,7 +53,7 @@
 	}
 	ctx, stop := planStop(ctx, d, log)
 	defer stop()
-	log.Info("daemon started", "proxy", s.Listen.Proxy, "control", s.Listen.Control, "admin", d.Admin.Addr().String(), "service", s.Service, "domain", s.Domain)
+	log.Info("daemon started", "proxy", d.Proxy.Addr().String(), "control", d.Control.Addr().String(), "admin", d.Admin.Addr().String(), "service", s.Service, "domain", s.Domain)
 	return d.Run(ctx)
 }
 
