--- a/src/standin/backend_handler.go
+++ b/src/standin/backend_handler.go
@@ -117,7 +117,7 @@
 }
 
 func (b *Backend) end(i int, now time.Time, whole bool) {
-	b.Runs.end(i, now, whole)
+	b.Runs.end(b.Name, i, now, whole)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.inFlight--
--- a/src/standin/run_log.go
+++ b/src/standin/run_log.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// maxRuns bounds the runs kept one by one; the counts go on beyond it.
+const maxRuns = 1 << 20
+
 // RunLog records every run of the backend servers that share it.
 type RunLog struct {
 	mu          sync.Mutex
@@ -15,6 +18,9 @@
 	connections peak
 }
 
+// notKept is the index of a run beyond maxRuns.
+const notKept = -1
+
 // peak tracks a number for each server and how often it passed its limit.
 type peak struct {
 	now      map[string]int
@@ -61,7 +67,7 @@
 	return doubled
 }
 
-// Runs returns a copy of all runs in the order in which they began.
+// Runs returns a copy of the first million runs in the order in which they began.
 func (l *RunLog) Runs() []Run {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -124,17 +130,23 @@
 		l.keys[r.Key]++
 	}
 	l.inFlight.add(r.Server, slots)
+	if len(l.runs) == maxRuns {
+		return notKept
+	}
 	l.runs = append(l.runs, r)
 	return len(l.runs) - 1
 }
 
-// end records the end of a run.
-func (l *RunLog) end(i int, now time.Time, whole bool) {
+// end records the end of a run of a server.
+func (l *RunLog) end(server string, i int, now time.Time, whole bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.inFlight.now[server]--
+	if i == notKept {
+		return
+	}
 	l.runs[i].End = now
 	l.runs[i].Whole = whole
-	l.inFlight.now[l.runs[i].Server]--
 }
 
 func (l *RunLog) connect(server string, limit int) {
