--- a/src/deposit/drive.go
+++ b/src/deposit/drive.go
@@ -85,10 +85,11 @@
 	switch {
 	case err == nil:
 		e.Revision = entry.Revision
-		if _, err = e.Slot.UnmarshalMsg(entry.Value); err == nil {
+		rest, err := e.Slot.UnmarshalMsg(entry.Value)
+		if err == nil && len(rest) == 0 {
 			e.Result = ResultOK
 		} else {
-			g.Log.Error(err, "claims unreadable, payments refused", "key", a.Key, "remedy", "restore or delete this key of the store")
+			g.Log.Error(err, "claims unreadable, payments refused", "key", a.Key, "remedy", "restore this key of the store, or delete it a day after the last payment")
 		}
 	case errors.Is(err, problem.NotFound):
 		e.Result = ResultMissing
--- a/src/deposit/guard_test.go
+++ b/src/deposit/guard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/yuccaport/yuccaport/src/platform"
 	"github.com/yuccaport/yuccaport/src/problem"
 	"github.com/yuccaport/yuccaport/src/standin"
+	"github.com/yuccaport/yuccaport/src/wire"
 )
 
 func TestGuardRunsAKeyOnce(t *testing.T) {
@@ -52,3 +54,30 @@
 	c.Assert(deposit.RetryAfter(err) > time.Second, qt.IsTrue)
 	c.Assert(g.Close(), qt.IsNil)
 }
+
+func TestGuardRefusesUnreadableClaims(t *testing.T) {
+	whole, err := (&wire.ClaimSlot{}).MarshalMsg(nil)
+	qt.Assert(t, err, qt.IsNil)
+	tests := map[string]struct {
+		value   []byte
+		refused bool
+	}{
+		"whole":    {whole, false},
+		"empty":    {nil, true},
+		"cut":      {whole[:len(whole)-1], true},
+		"trailing": {append(whole, 0), true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			ctx := context.Background()
+			k := &standin.Keyspace{}
+			_, err := k.Swap(ctx, "deposit/af3d", 0, tc.value) // the slot of bookings and k1
+			c.Assert(err, qt.IsNil)
+			g := &deposit.Guard{Store: k, Holder: 1}
+			_, err = g.Begin(ctx, "bookings", "k1", 7)
+			c.Check(errors.Is(err, problem.NotRun), qt.Equals, tc.refused)
+			c.Check(g.Close(), qt.IsNil)
+		})
+	}
+}
