--- a/src/roster/news.go
+++ b/src/roster/news.go
@@ -33,6 +33,19 @@
 		return
 	}
 	n.items = slices.Insert(n.items, 0, item{id: id, full: full})
+	if len(n.items) > crowd {
+		n.dropJoin()
+	}
+}
+
+// dropJoin leaves the oldest news of a join to exchanges.
+func (n *news) dropJoin() {
+	for i := len(n.items) - 1; i > 0; i-- {
+		if n.items[i].full {
+			n.items = slices.Delete(n.items, i, i+1)
+			return
+		}
+	}
 }
 
 // earn adds the bytes that the rate allows since the last call.
