--- a/src/booking/conns.go
+++ b/src/booking/conns.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	provenFor   = 250 * time.Millisecond // an idle connection older than it is not given to a call that must not run twice
-	idleFor     = 30 * time.Second       // an idle connection is closed after it
+	provenFor   = time.Second      // a connection idle for longer is not given to a call that must not run twice
+	idleFor     = 30 * time.Second // an idle connection is closed after it
 	dialTimeout = 2 * time.Second
 )
 
--- a/src/booking/conns_test.go
+++ b/src/booking/conns_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/yuccaport/yuccaport/src/settings"
 	"github.com/yuccaport/yuccaport/src/standin"
 )
 
@@ -94,3 +95,21 @@
 	in := newInbound("GET", "/a%20b?c=d%2Fe", "t", nil, 0).serve(t, s)
 	qt.Assert(t, in.whole, qt.IsTrue)
 }
+
+// A probe goes over a pooled connection, so that a payment finds one that has just answered.
+func TestProbeProvesAConnection(t *testing.T) {
+	b := startBackend(t, &standin.Backend{})
+	s := &Server{Backend: settings.Backend{Addr: addrOf(b.Listener), Slots: 4, Connections: 8, HealthPath: "/health"}}
+	now := time.Now()
+	s.Now = func() time.Time { return now }
+	s.init()
+	defer s.conns.close()
+	qt.Assert(t, s.ask(context.Background()), qt.Equals, HealthUp)
+	now = now.Add(2 * provenFor)
+	qt.Assert(t, s.ask(context.Background()), qt.Equals, HealthUp)
+	c, err := s.conns.get(context.Background(), true)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, c.used, qt.IsTrue)
+	qt.Assert(t, s.conns.open, qt.Equals, 1)
+	s.conns.drop(c)
+}
--- a/src/booking/health.go
+++ b/src/booking/health.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"net"
+	"errors"
 	"strings"
 	"time"
 
@@ -71,13 +71,13 @@
 }
 
 func (s *Server) probe(ctx context.Context) {
-	state := s.ask(ctx)
+	s.probed = s.ask(ctx)
 	if ctx.Err() != nil {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.setHealth(s.health.judge(s.Now(), state))
+	s.setHealth(s.health.judge(s.Now(), s.probed))
 }
 
 // setHealth steps the core when the state has changed; s.mu is held.
@@ -106,33 +106,59 @@
 	}
 }
 
-// ask reads the health endpoint over a connection of its own.
+// ask reads the health endpoint over the connection used last, which a payment can then rely on.
 func (s *Server) ask(ctx context.Context) HealthState {
-	d := net.Dialer{Timeout: probeTimeout}
-	nc, err := d.DialContext(ctx, "tcp", s.Backend.Addr.String())
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	for {
+		c, err := s.conns.get(ctx, false)
+		if errors.Is(err, errNoConnection) {
+			return s.probed // every connection carries a call: those tell
+		}
+		if err != nil {
+			return HealthDown
+		}
+		fresh := !c.used
+		state, ok := s.askOn(ctx, c)
+		if ok || fresh || ctx.Err() != nil {
+			return state
+		}
+	}
+}
+
+// askOn tells the state, and whether there was an answer.
+func (s *Server) askOn(ctx context.Context, c *conn) (HealthState, bool) {
+	stop := context.AfterFunc(ctx, func() { _ = c.nc.SetDeadline(longAgo) })
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	err := askHealth(c, s.Backend, resp)
+	if stop() && err == nil && !resp.ConnectionClose() {
+		s.conns.put(c)
+	} else {
+		s.conns.drop(c)
+	}
 	if err != nil {
-		return HealthDown
+		return HealthDown, false
 	}
-	defer func() { _ = nc.Close() }()
-	stop := context.AfterFunc(ctx, func() { _ = nc.Close() })
-	defer stop()
-	_ = nc.SetDeadline(time.Now().Add(probeTimeout))
-	return readHealth(nc, s.Backend)
+	return healthOf(resp), true
 }
 
-func readHealth(nc net.Conn, b settings.Backend) HealthState {
-	c := newConn(nc)
+func askHealth(c *conn, b settings.Backend, resp *fasthttp.Response) error {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetMethod(fasthttp.MethodGet)
 	req.Header.SetRequestURI(b.HealthPath)
 	req.Header.SetHost(b.Addr.String())
-	req.SetConnectionClose()
-	if req.Write(c.w) != nil || c.w.Flush() != nil || resp.ReadLimitBody(c.r, maxHealthBody) != nil {
-		return HealthDown
+	if err := req.Write(c.w); err != nil {
+		return err
+	}
+	if err := c.w.Flush(); err != nil {
+		return err
 	}
+	return resp.ReadLimitBody(c.r, maxHealthBody)
+}
+
+func healthOf(resp *fasthttp.Response) HealthState {
 	switch {
 	case strings.Contains(strings.ToLower(string(resp.Body())), "draining"):
 		return HealthDraining
--- a/src/booking/load_test.go
+++ b/src/booking/load_test.go
@@ -124,6 +124,9 @@
 	eventually(t, "it is tried again", s.Healthy)
 	b.SetFaults(standin.BackendFaults{Unhealthy: true})
 	newInbound("GET", "/diary", "fine", nil, 0).serve(t, s)
-	s.probe(context.Background())
+	qt.Assert(t, s.ask(context.Background()), qt.Equals, HealthDown)
+	s.mu.Lock()
+	qt.Assert(t, s.health.judge(s.Now(), HealthDown), qt.Equals, HealthUp)
+	s.mu.Unlock()
 	qt.Assert(t, s.Healthy(), qt.IsTrue) // an answered call outweighs the probe
 }
--- a/src/booking/server.go
+++ b/src/booking/server.go
@@ -25,7 +25,6 @@
 	NotRunHeader = "X-Not-Run"
 
 	maxDrainGrace = 2 * time.Second
-	probeReserve  = 1 // connections kept for health probes
 )
 
 // Server runs the calls that arrive on the backend server beside this daemon.
@@ -44,6 +43,7 @@
 	tokens   tokens
 	counters *counters
 	lastCall atomic.Uint64
+	probed   HealthState // by the last probe; used by Run alone
 
 	mu      sync.Mutex
 	core    Core
@@ -64,7 +64,7 @@
 			s.Log = logr.Discard()
 		}
 		s.counters = newCounters(s.Metrics)
-		s.conns.Addr, s.conns.Max, s.conns.Now = s.Backend.Addr, max(1, s.Backend.Connections-probeReserve), s.Now
+		s.conns.Addr, s.conns.Max, s.conns.Now = s.Backend.Addr, max(1, s.Backend.Connections), s.Now
 		s.core.Slots = max(1, s.Backend.Slots)
 		s.limits = document.Limits{Queue: document.DefaultQueue, QueueWait: document.Duration(document.DefaultQueueWait)}
 		s.core.QueueSize, s.core.QueueWait = s.limits.Queue, s.limits.QueueWait.Std()
--- /dev/null
+++ b/src/booking/trace_test.go
@@ -0,0 +1,124 @@
+package booking
+
+import (
+	"bytes"
+	"encoding/json"
+	"flag"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/yuccaport/yuccaport/src/trace"
+)
+
+const traceDir = "../../testdata/traces"
+
+var record = flag.Bool("record", false, "write the booking traces anew; check their outcomes before committing them")
+
+// at is an event and when it comes.
+type at struct {
+	ms    int
+	event Event
+}
+
+// scenario is a run of the core that a trace keeps.
+type scenario struct {
+	title    string
+	settings traceSettings
+	events   []at
+}
+
+func arrivals(ms, from, n int, priority uint8, timeout time.Duration) []at {
+	var out []at
+	for i := range n {
+		out = append(out, at{ms, Arrive{Call: uint64(from + i), Route: "read", Priority: priority, Timeout: timeout}})
+	}
+	return out
+}
+
+func releases(ms, from, n int, r Result) []at {
+	var out []at
+	for i := range n {
+		out = append(out, at{ms, Release{Call: uint64(from + i), Result: r, Took: 20 * time.Millisecond}})
+	}
+	return out
+}
+
+func join(parts ...[]at) []at {
+	var out []at
+	for _, p := range parts {
+		out = append(out, p...)
+	}
+	return out
+}
+
+var up = []at{{0, Health{State: HealthUp}}}
+
+func scenarios() map[string]scenario {
+	four := traceSettings{Slots: 4, Queue: 3, QueueWait: 500 * time.Millisecond}
+	return map[string]scenario{
+		"cold_start": {"a cold backend server gets a third of its slots, then one more after as many answers as it has slots",
+			traceSettings{Slots: 6}, join(up, arrivals(1, 1, 3, 0, 0), releases(20, 1, 2, ResultDone), arrivals(21, 10, 4, 0, 0),
+				releases(40, 10, 3, ResultDone), arrivals(41, 20, 5, 0, 0))},
+		"priorities": {"reads displace photo uploads from a full queue and leave it first",
+			four, join(up, arrivals(1, 1, 1, 1, 0), arrivals(2, 10, 4, 2, 0), arrivals(3, 20, 4, 0, 0),
+				releases(20, 1, 1, ResultDone), releases(40, 20, 1, ResultDone))},
+		"deadline": {"calls that cannot be in time are refused when they come, or as soon as their time to wait is over",
+			four, join(up, arrivals(1, 1, 1, 0, 0), releases(21, 1, 1, ResultDone), arrivals(22, 2, 2, 0, 0),
+				arrivals(23, 10, 1, 0, 10*time.Millisecond), arrivals(23, 11, 1, 0, 30*time.Millisecond),
+				arrivals(23, 12, 1, 0, 70*time.Millisecond), []at{{50, Tick{}}, {73, Tick{}}})},
+		"drain": {"calls that come within the grace and those queued run; later ones are refused as not run",
+			four, join(up, arrivals(1, 1, 2, 0, 0), []at{{2, Drain{Grace: 50 * time.Millisecond}}}, arrivals(30, 3, 1, 0, 0),
+				arrivals(60, 4, 1, 0, 0), releases(70, 1, 1, ResultDone), releases(80, 2, 1, ResultDone))},
+		"shed": {"a backend server that sheds gets fewer calls at once, and more again as it answers",
+			traceSettings{Slots: 12}, join(up, arrivals(1, 1, 4, 0, 0), releases(20, 1, 4, ResultDone), arrivals(21, 5, 5, 0, 0),
+				releases(40, 5, 5, ResultShed), arrivals(41, 20, 5, 0, 0), releases(60, 20, 4, ResultDone), arrivals(61, 30, 6, 0, 0))},
+		"down": {"queued calls are refused at once when the backend server goes down, and calls come back slowly",
+			four, join(up, arrivals(1, 1, 3, 0, 0), []at{{10, Health{State: HealthDown}}}, arrivals(11, 9, 1, 0, 0),
+				[]at{{500, Health{State: HealthUp}}}, releases(510, 1, 1, ResultFailed), arrivals(511, 10, 2, 0, 0))},
+	}
+}
+
+// TestRecordTraces writes the traces when asked to.
+func TestRecordTraces(t *testing.T) {
+	if !*record {
+		t.Skip("-record is not set")
+	}
+	for name, s := range scenarios() {
+		settings, err := json.Marshal(s.settings)
+		qt.Assert(t, err, qt.IsNil)
+		var b bytes.Buffer
+		r := &trace.Recorder{W: &b, Header: trace.Header{Core: CoreName, Title: s.title, Settings: settings}}
+		c := &Core{Slots: s.settings.Slots, QueueSize: s.settings.Queue, QueueWait: s.settings.QueueWait}
+		for _, e := range s.events {
+			now := epoch.Add(time.Duration(e.ms) * time.Millisecond)
+			out, err := trace.Outcomes(c.Step(now, e.event))
+			qt.Assert(t, err, qt.IsNil)
+			r.Record(now, e.event, out)
+		}
+		qt.Assert(t, r.Err(), qt.IsNil)
+		qt.Assert(t, os.MkdirAll(traceDir, 0o755), qt.IsNil)
+		qt.Assert(t, os.WriteFile(filepath.Join(traceDir, "booking_"+name+".jsonl"), b.Bytes(), 0o644), qt.IsNil)
+	}
+}
+
+func TestReplayTraces(t *testing.T) {
+	names, err := filepath.Glob(filepath.Join(traceDir, "booking_*.jsonl"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(names) >= len(scenarios()), qt.IsTrue)
+	for _, name := range names {
+		t.Run(filepath.Base(name), func(t *testing.T) {
+			f, err := os.Open(name)
+			qt.Assert(t, err, qt.IsNil)
+			defer func() { _ = f.Close() }()
+			tr, err := trace.Read(f)
+			qt.Assert(t, err, qt.IsNil)
+			core, err := NewReplay(tr.Header)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, tr.Run(core), qt.IsNil)
+		})
+	}
+}
