Log lines and JSON name daemons so that other programs read them

Cause: the log's own daemon and the chosen member shared the key member, and ids past 2^53 lose digits in JSON numbers. Change: the daemon's own id is logged as daemon; ids are strings in JSON; status says ready beside reader.

--- a/src/command/status.go
+++ b/src/command/status.go
@@ -99,13 +99,11 @@
 	add(m.Unreachable, "unreachable")
 	add(!m.Unreachable && m.Leaving, "leaving")
 	add(!m.Unreachable && !m.Leaving && !m.Ready, "not ready")
+	add(m.Ready && !m.Leaving, "ready")
 	add(!m.Unreachable && m.Version < newest, "behind")
 	add(m.RefusedWhy != "", fmt.Sprintf("refused %d: %s", m.Refused, m.RefusedWhy))
 	add(m.Reader, "reader")
 	add(m.StoreDown, "store down")
-	if len(notes) == 0 {
-		return "ready"
-	}
 	return strings.Join(notes, ", ")
 }
 
--- a/src/daemon/daemon.go
+++ b/src/daemon/daemon.go
@@ -85,7 +85,7 @@
 	for d.id == 0 {
 		d.id = rand.Uint64()
 	}
-	d.Log = d.Log.WithValues("member", d.id)
+	d.Log = d.Log.WithValues("daemon", d.id)
 	d.store = &platform.Counted{Store: d.Store, Metrics: d.Metrics}
 	d.buildCalls()
 	d.buildControl()
--- a/src/dispatch/explanation.go
+++ b/src/dispatch/explanation.go
@@ -6,14 +6,14 @@
 	Service    string           `json:"service,omitempty"`
 	Route      string           `json:"route,omitempty"`
 	Idempotent bool             `json:"idempotent"`
-	Choice     uint64           `json:"choice,omitempty"` // member
+	Choice     uint64           `json:"choice,omitempty,string"` // member
 	Reason     string           `json:"reason"`
 	Candidates []CandidateScore `json:"candidates"`
 }
 
 // CandidateScore is a member with what the choice looks at.
 type CandidateScore struct {
-	Member   uint64  `json:"member"`
+	Member   uint64  `json:"member,string"`
 	Service  string  `json:"service"`
 	Domain   string  `json:"domain"`
 	Usable   bool    `json:"usable"`
--- a/src/wire/status.go
+++ b/src/wire/status.go
@@ -22,7 +22,7 @@
 
 // MemberStatus is what one daemon says of itself, or that it did not answer.
 type MemberStatus struct {
-	ID          uint64         `msg:"id" json:"id"`
+	ID          uint64         `msg:"id" json:"id,string"`
 	Service     string         `msg:"service" json:"service"`
 	Domain      string         `msg:"domain" json:"domain"`
 	Region      string         `msg:"region" json:"region"`
