--- a/src/bench/fleet.go
+++ b/src/bench/fleet.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/yuccaport/yuccaport/src/daemon"
+	"github.com/yuccaport/yuccaport/src/dispatch"
 	"github.com/yuccaport/yuccaport/src/ledger"
 	"github.com/yuccaport/yuccaport/src/platform"
 	"github.com/yuccaport/yuccaport/src/settings"
@@ -29,6 +30,8 @@
 	Deployment Deployment
 	Profile    settings.Profile
 	Baseline   bool // every daemon watches the store by itself
+	Dispatch   dispatch.Settings
+	ColdStart  time.Duration // of backend servers added from now on
 	Seed       uint64
 	Log        logr.Logger
 	OnInForce  func(n *Node, f *daemon.InForce) // called with each state that comes into force, nil for none
--- a/src/bench/node.go
+++ b/src/bench/node.go
@@ -11,6 +11,9 @@
 	"github.com/yuccaport/yuccaport/src/standin"
 )
 
+// workJitter is the share by which the time of a request varies either way.
+const workJitter = 0.2
+
 // Node is one VM of a fleet: a backend stand-in with a daemon beside it.
 type Node struct {
 	Index   int
@@ -41,7 +44,8 @@
 	n.backendAddr = l.Addr().(*net.TCPAddr).AddrPort()
 	n.Backend = &standin.Backend{
 		Listener: l, Name: n.backendAddr.String(), Service: n.Service, Slots: d.Slots, Connections: d.Connections,
-		ConnectCost: d.ConnectCost, Work: d.WorkTime, Runs: n.fleet.Runs,
+		ConnectCost: d.ConnectCost, Work: d.WorkTime, Jitter: workJitter, Seed: n.fleet.Seed + uint64(n.Index),
+		ColdStart: n.fleet.ColdStart, Runs: n.fleet.Runs,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stopBackend = cancel
@@ -78,7 +82,7 @@
 
 // open makes a daemon on listeners of the system's choice.
 func (n *Node) open() (*daemon.Daemon, error) {
-	d := &daemon.Daemon{Settings: n.settings(), Store: n.fleet.Store(), Baseline: n.fleet.Baseline, Log: n.fleet.Log.WithValues("node", n.Index)}
+	d := &daemon.Daemon{Settings: n.settings(), Store: n.fleet.Store(), Baseline: n.fleet.Baseline, Dispatch: n.fleet.Dispatch, Log: n.fleet.Log.WithValues("node", n.Index)}
 	var err error
 	if d.Proxy, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 		return nil, err
--- a/src/daemon/daemon.go
+++ b/src/daemon/daemon.go
@@ -55,6 +55,7 @@
 	Metrics   *metrics.Set                      // nil for a set of its own
 	Recorder  func(core string) *trace.Recorder // nil for no recording
 	Baseline  bool                              // every daemon watches the store by itself
+	Dispatch  dispatch.Settings                 // how calls are dispatched, zero for the defaults
 	OnInForce func(*InForce)                    // called with each state that comes into force, nil for none
 
 	id       uint64
@@ -103,7 +104,7 @@
 	d.proxy = &dispatch.Proxy{
 		Listener: d.Proxy, Self: d.Member, Table: d.table, Caller: d.pool, Parent: d.parent,
 		Deposits: &deposit.Guard{Store: d.store, Holder: d.id, Log: d.Log.WithName("deposit"), Metrics: d.Metrics, Record: d.recorder("deposit")},
-		Grace:    d.Settings.StopGrace.Std(), Log: d.Log.WithName("dispatch"), Metrics: d.Metrics, Record: d.recorder("dispatch"),
+		Core:     d.Dispatch, Grace: d.Settings.StopGrace.Std(), Log: d.Log.WithName("dispatch"), Metrics: d.Metrics, Record: d.recorder("dispatch"),
 	}
 }
 
--- a/src/dispatch/arrival.go
+++ b/src/dispatch/arrival.go
@@ -82,8 +82,9 @@
 		timeout = c.Settings.Timeout
 	}
 	timeout = min(timeout, s.deadline.Sub(now))
-	s.attempts = append(s.attempts, &attemptState{server: ch.server, sent: now, live: true})
-	ch.server.inFlight++
+	a := &attemptState{server: ch.server, sent: now, live: true}
+	s.attempts = append(s.attempts, a)
+	ch.server.began(a)
 	n := len(s.attempts)
 	return []Action{
 		SetTimer{Call: s.id, Attempt: n, Timer: TimerAttempt, After: timeout + timerSlack},
--- a/src/dispatch/aside.go
+++ b/src/dispatch/aside.go
@@ -64,8 +64,9 @@
 		return
 	}
 	svc.updateMedians(now)
-	l, median := s.latency(), svc.medianLatency
-	if l > time.Duration(c.Settings.LatencyFactor*float64(median)) && l > median+latencyFloor {
+	median := svc.medianLatency
+	limit := max(time.Duration(c.Settings.LatencyFactor*float64(median)), median+latencyFloor)
+	if s.latency() > limit && took > limit {
 		c.setAside(now, svc, s, "latency")
 	}
 }
@@ -111,6 +112,6 @@
 		return false
 	}
 	s.asideUntil, s.asideWhy, s.returned = now.Add(d), why, now.Add(d)
-	s.samples, s.consecutive, s.errorRate = 0, 0, 0
+	s.consecutive = min(s.consecutive, maxConsecutive-1)
 	return true
 }
--- a/src/dispatch/attempt.go
+++ b/src/dispatch/attempt.go
@@ -50,7 +50,7 @@
 	body := c.body.open()
 	c.count(s)
 	c.p.Log.Info("dispatch", "trace", head.TraceID, "route", c.policy.Route, "service", s.Service,
-		"member", s.Member, "attempt", s.Attempt, "reason", string(s.Reason), "version", c.head.Version)
+		"to", s.Member, "attempt", s.Attempt, "reason", string(s.Reason), "version", c.head.Version)
 	if err := c.p.pool.Go(func() { a.run(head, body) }); err != nil {
 		a.deliver(link.Refused{Refusal: wire.Refusal{Reason: wire.ReasonLimit, RetryAfterMS: 1000}})
 	}
--- a/src/dispatch/call_state.go
+++ b/src/dispatch/call_state.go
@@ -97,6 +97,7 @@
 	if a.live {
 		a.live = false
 		a.server.inFlight--
+		a.server.settled(a)
 	}
 }
 
--- a/src/dispatch/choice.go
+++ b/src/dispatch/choice.go
@@ -33,7 +33,11 @@
 		return choice{c.leastBad(now, svc, pool), ChoiceLastResort}, true
 	}
 	svc.updateMedians(now)
+	warmest := c.maxShare(now, good)
 	for _, ring := range c.rings(p, good, s) {
+		if c.skips(now, ring, warmest) {
+			continue
+		}
 		if s := c.pickFree(now, svc, ring.servers); s != nil {
 			return choice{s, ring.reason}, true
 		}
@@ -41,6 +45,20 @@
 	return c.chooseCrowded(now, svc, good), true
 }
 
+// skips tells whether a ring of cold servers only is passed over this time.
+func (c *Core) skips(now time.Time, r ring, warmest float64) bool {
+	share := c.maxShare(now, r.servers)
+	return share < warmest && c.Rand.Float64() > share/warmest
+}
+
+func (c *Core) maxShare(now time.Time, servers []*server) float64 {
+	most := 0.0
+	for _, s := range servers {
+		most = max(most, s.share(now, c.Settings.ColdStart))
+	}
+	return most
+}
+
 // candidates returns the servers that may be chosen at all.
 func (c *Core) candidates(p *Policy, svc *service, s *callState) []*server {
 	out := make([]*server, 0, len(svc.servers))
@@ -93,14 +111,14 @@
 	}
 	for range pickTries {
 		a, b := c.pair(len(servers))
-		s := c.better(now, svc, c.due(now, servers[a]), c.due(now, servers[b]))
-		if s != nil && !c.saturated(now, s) {
+		s := c.warmer(now, svc, c.better(now, svc, servers[a], servers[b]), servers[a], servers[b])
+		if !c.saturated(now, s) {
 			return s
 		}
 	}
 	var best *server
 	for _, s := range servers {
-		if !c.saturated(now, s) && s.share(now, c.Settings.ColdStart) == 1 {
+		if !c.saturated(now, s) {
 			best = c.better(now, svc, best, s)
 		}
 	}
@@ -119,12 +137,22 @@
 	return a, b
 }
 
-// due returns a server, or nil when it is cold and not yet due for a call.
-func (c *Core) due(now time.Time, s *server) *server {
-	if share := s.share(now, c.Settings.ColdStart); share < 1 && c.Rand.Float64() > share {
-		return nil
+// warmer returns the best of a pair, or the other one when the best is colder and not yet due for a call.
+//
+// The other one is not taken when it is worse by more than the best is colder.
+func (c *Core) warmer(now time.Time, svc *service, best, a, b *server) *server {
+	other := a
+	if best == a {
+		other = b
+	}
+	share := best.share(now, c.Settings.ColdStart) / other.share(now, c.Settings.ColdStart)
+	if share >= 1 || c.Rand.Float64() < share {
+		return best
+	}
+	if c.cost(now, svc, other) > c.cost(now, svc, best)/share {
+		return best
 	}
-	return s
+	return other
 }
 
 func (c *Core) better(now time.Time, svc *service, a, b *server) *server {
--- a/src/dispatch/core_test.go
+++ b/src/dispatch/core_test.go
@@ -298,18 +298,36 @@
 
 // TestColdServerTakesItsShareGradually counts the calls of a server that has just started among six.
 func TestColdServerTakesItsShareGradually(t *testing.T) {
-	c := qt.New(t)
-	servers := fakeServers(6, 10*time.Millisecond)
-	servers[0].Age = 0
-	y := newYard(Settings{ColdStart: 10 * time.Second}, servers...)
-	y.policy.Locality = document.LocalityAny
-	early := 0
-	y.after(2*time.Second, func() { early = y.sentTo[1] })
-	y.run(6000, 4*time.Millisecond)
-	late := y.sentTo[1] - early
-	c.Logf("first 2 s %d of 500, then %d of 5500", early, late)
-	c.Check(early > 0 && early < 500/6/2, qt.IsTrue, qt.Commentf("%d of its first calls", early))
-	c.Check(late > 5500/6/2, qt.IsTrue, qt.Commentf("%d of the later calls", late))
+	tests := map[string]struct {
+		locality document.Locality
+		domain   string // of the cold server
+		share    float64
+	}{
+		"among all":                     {document.LocalityAny, "mid-a", 1.0 / 6},
+		"alone in its failure domain":   {document.LocalityPrefer, "mid-a", 1},
+		"beside another in its domain":  {document.LocalityPrefer, "mid-a", 0.5},
+		"in a failure domain not asked": {document.LocalityPrefer, "mid-b", 0},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			servers := fakeServers(6, 10*time.Millisecond)
+			servers[0].Age, servers[0].Domain = 0, tc.domain
+			if tc.share == 1 {
+				servers[1].Domain = "mid-b"
+			}
+			y := newYard(Settings{ColdStart: 10 * time.Second}, servers...)
+			y.policy.Locality = tc.locality
+			early := 0
+			y.after(2*time.Second, func() { early = y.sentTo[1] })
+			y.run(6000, 4*time.Millisecond)
+			late := y.sentTo[1] - early
+			c.Logf("first 2 s %d of 500, then %d of 5500", early, late)
+			c.Check(float64(early) <= 500*tc.share/2, qt.IsTrue, qt.Commentf("%d of its first calls", early))
+			c.Check(float64(late) >= 5500*tc.share/2, qt.IsTrue, qt.Commentf("%d of the later calls", late))
+			c.Check((early > 0) == (tc.share > 0), qt.IsTrue)
+		})
+	}
 }
 
 func TestRefusalIsFinalAtOnce(t *testing.T) {
--- a/src/dispatch/result.go
+++ b/src/dispatch/result.go
@@ -16,6 +16,7 @@
 	if a == nil {
 		return nil
 	}
+	a.server.settled(a)
 	a.server.told(now, e.Load)
 	c.observeAnswer(now, a.server, e.Status, now.Sub(a.sent))
 	if unavailable(e.Status) && s.policy.Idempotent {
--- a/src/dispatch/server.go
+++ b/src/dispatch/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/yuccaport/yuccaport/src/wire"
@@ -11,11 +12,14 @@
 	minSamples     = 10  // answers before a server can be an outlier
 	fewSamples     = 3   // answers before its latency counts in a choice
 	latencyWeight  = 0.1 // of a new answer in the mean
+	riseWeight     = 0.7 // of a new answer in the recent latency when it took longer
+	fallWeight     = 0.2 // when it did not
 	errorWeight    = 0.15
 	minShare       = 0.1 // of its full share that a cold or returned server takes
 	latencyFloor   = 10 * time.Millisecond
-	latencySlack   = 5 * time.Millisecond
+	latencySlack   = 2 * time.Millisecond
 	errorCost      = 4.0
+	maxWaitingCost = 4.0
 	usableCapacity = 0.9             // of the slots; beyond it other failure domains are used
 	memoryHalfLife = 3 * time.Second // of what answers have shown, while no further ones come
 )
@@ -24,8 +28,9 @@
 type server struct {
 	Member
 	started  time.Time
-	gone     bool // it refused because it is leaving or replaced, and the table does not show it yet
-	inFlight int  // our own attempts
+	gone     bool            // it refused because it is leaving or replaced, and the table does not show it yet
+	inFlight int             // our own attempts
+	waiting  []*attemptState // those without an answer yet, the oldest first
 
 	load      Load
 	loadAt    time.Time
@@ -34,6 +39,7 @@
 	observedAt  time.Time // of the last answer or failure
 	samples     int
 	logLatency  float64 // mean of the logarithm of nanoseconds
+	logRecent   float64 // the same, quick to rise
 	errorRate   float64
 	consecutive int // failures without an answer between
 
@@ -71,6 +77,9 @@
 
 func (s *server) latency() time.Duration { return time.Duration(math.Exp(s.logLatency)) }
 
+// recent returns a latency that rises with a single slow answer.
+func (s *server) recent() time.Duration { return time.Duration(math.Exp(s.logRecent)) }
+
 // busy returns the estimated number of slots in use: our own calls and, fading with age, those of other daemons.
 func (s *server) busy(now time.Time, halfLife time.Duration) float64 {
 	others := 0.0
@@ -96,12 +105,26 @@
 // cost orders servers: the lower the better.
 func (s *server) cost(now time.Time, halfLife time.Duration, median time.Duration) float64 {
 	cost := (s.busy(now, halfLife) + 1) / s.slots()
+	return cost * (1 + s.memory(now, median) + s.lateness(now, median))
+}
+
+// memory returns the cost of earlier errors and slow answers, which fades while no further ones come.
+func (s *server) memory(now time.Time, median time.Duration) float64 {
 	penalty := errorCost * s.errorRate
 	if s.samples >= fewSamples {
-		penalty += max(0, float64(s.latency())/float64(median+latencySlack)-1)
+		penalty += max(0, float64(s.recent())/float64(median+latencySlack)-1)
 	}
 	fade := math.Exp2(-now.Sub(s.observedAt).Seconds() / memoryHalfLife.Seconds())
-	return cost * (1 + penalty*fade)
+	return penalty * fade
+}
+
+// lateness returns the cost of an attempt that has waited for longer than usual.
+func (s *server) lateness(now time.Time, median time.Duration) float64 {
+	if len(s.waiting) == 0 || median == 0 {
+		return 0
+	}
+	waited := now.Sub(s.waiting[0].sent)
+	return min(maxWaitingCost, max(0, float64(waited)/float64(lateFactor*median+latencySlack)-1))
 }
 
 // share returns which part of its full share of calls the server takes, after a start or a return.
@@ -116,6 +139,19 @@
 	return minShare + (1-minShare)*max(0, age.Seconds())/full.Seconds()
 }
 
+// began takes in an attempt that has been sent.
+func (s *server) began(a *attemptState) {
+	s.inFlight++
+	s.waiting = append(s.waiting, a)
+}
+
+// settled takes in that an attempt no longer waits for an answer.
+func (s *server) settled(a *attemptState) {
+	if i := slices.Index(s.waiting, a); i >= 0 {
+		s.waiting = slices.Delete(s.waiting, i, i+1)
+	}
+}
+
 // told takes over the load that came with an answer.
 func (s *server) told(now time.Time, l Load) {
 	if l.Slots <= 0 {
@@ -132,9 +168,14 @@
 	s.errorRate -= errorWeight * s.errorRate
 	l := math.Log(float64(max(took, time.Microsecond)))
 	if s.samples == 1 {
-		s.logLatency = l
+		s.logLatency, s.logRecent = l, l
 		return
 	}
+	if l > s.logRecent {
+		s.logRecent += riseWeight * (l - s.logRecent)
+	} else {
+		s.logRecent += fallWeight * (l - s.logRecent)
+	}
 	w := max(latencyWeight, 1/float64(s.samples))
 	s.logLatency += w * (l - s.logLatency)
 }
