--- a/src/command/bench.go
+++ b/src/command/bench.go
@@ -12,9 +12,9 @@
 	return &cli.Command{
 		Name:     "bench",
 		Usage:    "measure real daemons against stand-ins on loopback",
-		Commands: []*cli.Command{distributeCommand()},
+		Commands: []*cli.Command{distributeCommand(), benchRouteCommand()},
 		Action: func(_ context.Context, cmd *cli.Command) error {
-			return usageProblem(fmt.Sprintf("bench %q is not one", cmd.Args().First()), "see yuccaport bench --help")
+			return usageProblem(fmt.Sprintf("bench %q is not one", cmd.Args().First()), "use distribute or route")
 		},
 	}
 }
