bench capacity: slopes over fleet sizes and rates of change, worked out to the design size

Cause: the capacity page must be reproducible by one command. Ruled out: one run at one size (no slope), and a fit with products of size and rate (too few points to trust).

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 RED  := $(shell sed -n 's/^test: *\([A-Za-z0-9_]*\).*/\1/p' KNOWN-RED.txt | paste -sd'|' -)
 SKIP := $(if $(RED),-skip '^($(RED))$$')
 
-.PHONY: build test lint generate
+.PHONY: build test lint generate capacity
 
 build:
 	go build -o yuccaport .
@@ -18,3 +18,10 @@
 
 generate:
 	go generate ./...
+
+# Takes about ten minutes and up to 200 daemons in one process; prints the tables of docs/CAPACITY.md.
+capacity: build
+	./yuccaport bench capacity --profile fast
+	./yuccaport bench capacity --profile thrifty
+	./yuccaport bench route --rate 55 --duration 20s --json
+	./yuccaport bench route --rate 550 --duration 20s --json
--- a/src/command/bench.go
+++ b/src/command/bench.go
@@ -12,9 +12,9 @@
 	return &cli.Command{
 		Name:     "bench",
 		Usage:    "measure real daemons against stand-ins on loopback",
-		Commands: []*cli.Command{distributeCommand(), benchRouteCommand()},
+		Commands: []*cli.Command{distributeCommand(), benchRouteCommand(), benchCapacityCommand()},
 		Action: func(_ context.Context, cmd *cli.Command) error {
-			return usageProblem(fmt.Sprintf("bench %q is not one", cmd.Args().First()), "use distribute or route")
+			return usageProblem(fmt.Sprintf("bench %q is not one", cmd.Args().First()), "use distribute, route or capacity")
 		},
 	}
 }
