Link: the stop test no longer waits for its own probe

The test was wrong: it looks for the begin of the stop by calling, and a call that arrived before the stop waited for the handler's release, which comes only after that look. Calls without a body are now answered at once; what is checked is unchanged.

--- a/src/link/pool_test.go
+++ b/src/link/pool_test.go
@@ -32,8 +32,10 @@
 func TestStopCutsNothing(t *testing.T) {
 	begun, release := make(chan struct{}, 100), make(chan struct{})
 	server := &Pool{Self: 2, Calls: serveFunc(func(ctx context.Context, in Inbound) {
-		begun <- struct{}{}
-		<-release
+		if in.Head().BodyLength > 0 { // the calls without a body only look whether the stop has begun
+			begun <- struct{}{}
+			<-release
+		}
 		echo(ctx, in)
 	})}
 	to, stop := startPool(t, server)
