--- a/src/command/bench.go
+++ b/src/command/bench.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 
 	"github.com/urfave/cli/v3"
 )
@@ -10,9 +12,26 @@
 	return &cli.Command{
 		Name:     "bench",
 		Usage:    "measure real daemons against stand-ins on loopback",
-		Commands: []*cli.Command{distributeCommand()},
-		Action: func(context.Context, *cli.Command) error {
-			return usageProblem("bench takes distribute or route, neither given", "see yuccaport bench --help")
+		Commands: []*cli.Command{distributeCommand(), benchRouteCommand()},
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			return usageProblem(fmt.Sprintf("bench %q is not one", cmd.Args().First()), "use distribute or route")
 		},
 	}
 }
+
+// reportBench prints a report as a table, with --json also as one object on the last line, and returns held.
+func reportBench(cmd *cli.Command, report any, held error) error {
+	if err := printFields(cmd, report); err != nil {
+		return err
+	}
+	if cmd.Bool("json") {
+		if err := printJSON(cmd, report); err != nil {
+			return err
+		}
+	}
+	return held
+}
+
+func splitList(s string) []string {
+	return strings.FieldsFunc(s, func(r rune) bool { return r == ',' || r == ' ' })
+}
