--- a/src/deposit/drive.go
+++ b/src/deposit/drive.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/yuccaport/yuccaport/src/platform"
 	"github.com/yuccaport/yuccaport/src/problem"
 	"github.com/yuccaport/yuccaport/src/trace"
 )
@@ -78,13 +79,17 @@
 		return e
 	}
 	entry, err := g.Store.Get(ctx, a.Key)
+	if s, ok := g.Store.(platform.Clock); ok {
+		e.Skew = s.Skew()
+	}
 	switch {
 	case err == nil:
 		e.Revision = entry.Revision
-		if _, err = e.Slot.UnmarshalMsg(entry.Value); err == nil {
+		rest, err := e.Slot.UnmarshalMsg(entry.Value)
+		if err == nil && len(rest) == 0 {
 			e.Result = ResultOK
 		} else {
-			g.Log.Error(err, "claims unreadable, payments refused", "key", a.Key, "remedy", "restore or delete this key of the store")
+			g.Log.Error(err, "claims unreadable, payments refused", "key", a.Key, "remedy", "restore this key of the store, or delete it a day after the last payment")
 		}
 	case errors.Is(err, problem.NotFound):
 		e.Result = ResultMissing
--- a/src/dispatch/aside.go
+++ b/src/dispatch/aside.go
@@ -10,6 +10,7 @@
 	maxConsecutive = 3                      // failures in a row
 	unreachableMin = 500 * time.Millisecond // until a server that refused a connection is tried again
 	unreachableMax = 5 * time.Second
+	lateFactor     = 2   // times the service's median latency
 	maxErrorRate   = 0.5 // share of failures
 	calmErrorRate  = 0.25
 	notReadyTime   = 500 * time.Millisecond
@@ -31,7 +32,7 @@
 	case wire.ReasonQueueFull, wire.ReasonLimit, wire.ReasonDeadline, wire.ReasonCancelled:
 		return
 	}
-	s.failed()
+	s.failed(now)
 	switch {
 	case reason == wire.ReasonConnect:
 		s.unreachable(now)
@@ -54,21 +55,34 @@
 func (c *Core) observeAnswer(now time.Time, s *server, status int, took time.Duration) {
 	svc := c.services[s.Service]
 	if status >= 500 {
-		s.failed()
+		s.failed(now)
 		c.checkErrors(now, svc, s)
 		return
 	}
-	s.succeeded(took)
+	s.succeeded(now, took)
 	if svc == nil || s.samples < minSamples {
 		return
 	}
 	svc.updateMedians(now)
-	l, median := s.latency(), svc.medianLatency
-	if l > time.Duration(c.Settings.LatencyFactor*float64(median)) && l > median+latencyFloor {
+	median := svc.medianLatency
+	limit := max(time.Duration(c.Settings.LatencyFactor*float64(median)), median+latencyFloor)
+	if s.latency() > limit && took > limit {
 		c.setAside(now, svc, s, "latency")
 	}
 }
 
+// observeLate takes in an attempt that was given up unanswered; when the usual time was long over it is a failure.
+func (c *Core) observeLate(now time.Time, s *server, waited time.Duration) {
+	svc := c.services[s.Service]
+	if svc == nil || svc.medianLatency == 0 || waited <= lateFactor*svc.medianLatency+latencySlack {
+		return
+	}
+	s.failed(now)
+	if s.consecutive >= maxConsecutive {
+		c.setAside(now, svc, s, "late")
+	}
+}
+
 func (c *Core) checkErrors(now time.Time, svc *service, s *server) {
 	if svc == nil || s.samples < minSamples || s.errorRate < maxErrorRate {
 		return
@@ -98,6 +112,6 @@
 		return false
 	}
 	s.asideUntil, s.asideWhy, s.returned = now.Add(d), why, now.Add(d)
-	s.samples, s.consecutive, s.errorRate = 0, 0, 0
+	s.consecutive = min(s.consecutive, maxConsecutive-1)
 	return true
 }
