--- a/src/bench/route_caller.go
+++ b/src/bench/route_caller.go
@@ -88,7 +88,7 @@
 	c.note(call.do(c.client))
 	if call.kind == kindPayment && xorShare(call.token) < repeatShare {
 		time.Sleep(repeatAfter)
-		call.due = time.Now()
+		call.due, call.first, call.token = time.Now(), call.token, call.token+"-again"
 		c.note(call.do(c.client))
 	}
 }
--- a/src/command/bench_route.go
+++ b/src/command/bench_route.go
@@ -54,7 +54,7 @@
 		Log: log, Progress: cmd.Root().Writer,
 	}
 	if s := cmd.String("faults"); s != "" {
-		r.Faults = strings.Split(s, ",")
+		r.Faults = splitList(s)
 	}
 	report, err := r.Run(ctx)
 	if err != nil {
--- a/src/dispatch/attempt.go
+++ b/src/dispatch/attempt.go
@@ -14,7 +14,9 @@
 )
 
 // uploadTimeout bounds a call whose request body is still coming; the route's timeout runs from the body's end.
-const uploadTimeout = 10 * time.Minute
+//
+// A backend server that never ends such a call loses a slot for as long.
+const uploadTimeout = 2 * time.Minute
 
 // attempt is one sending of a call to one member.
 type attempt struct {
--- a/src/dispatch/payment.go
+++ b/src/dispatch/payment.go
@@ -121,13 +121,23 @@
 	defer cancel()
 	d, err := c.p.Deposits.Begin(ctx, c.match.Service, key, c.fingerprint())
 	if err != nil {
-		c.p.counters.notRun.Inc()
-		writeRefusal(c.ctx, RefuseCall{Reason: wire.ReasonNotReady, RetryAfter: deposit.RetryAfter(err)})
+		c.refusePayment(err)
 		return false
 	}
 	return c.decided(d)
 }
 
+// refusePayment answers a payment that the store has granted no claim for.
+func (c *call) refusePayment(err error) {
+	c.p.counters.notRun.Inc()
+	after := max(deposit.RetryAfter(err), time.Millisecond)
+	c.p.Log.Info("refused", "trace", c.head.TraceID, "route", c.policy.Route, "service", c.policy.Service, "reason", "no_claim", "cause", err.Error())
+	setRetryAfter(c.ctx, after)
+	writeOwn(c.ctx, 503, outcomeNotRun, refusalBody{
+		Reason: "no_claim", Remedy: "repeat the request with the same key after retry-after; see the metrics of the store", RetryAfterMS: after.Milliseconds(),
+	})
+}
+
 // decided acts on what the store knows of a payment's key.
 func (c *call) decided(d deposit.Decision) bool {
 	switch d := d.(type) {
--- a/src/dispatch/proxy.go
+++ b/src/dispatch/proxy.go
@@ -27,6 +27,8 @@
 	prefetchSize   = 64 << 10 // bytes of a request body that are read before the call is dispatched
 	defaultStall   = 60 * time.Second
 	defaultGrace   = 30 * time.Second
+	defaultStart   = 2 * time.Second
+	startPoll      = 5 * time.Millisecond
 	killWait       = 5 * time.Second
 	maxRequestBody = 256 << 20 // bytes
 )
@@ -41,6 +43,7 @@
 	Deposits Deposits                          // nil refuses payments with an idempotency key
 	Core     Settings
 	Grace    time.Duration // for requests in flight at a planned stop
+	Start    time.Duration // longest time for which a new proxy takes no connection because it knows no server of some service
 	Stall    time.Duration // longest time without progress on a caller's connection
 	Now      func() time.Time
 	Rand     *rand.Rand
@@ -69,6 +72,7 @@
 func (p *Proxy) Run(ctx context.Context) error {
 	p.init()
 	defer p.kill()
+	p.awaitServers(ctx)
 	srv := p.server()
 	done := make(chan error, 1)
 	go func() { done <- p.conns.serve(srv) }()
@@ -93,11 +97,32 @@
 	p.conns.abort()
 }
 
+// awaitServers waits until there is a table with a usable server of each service; callers' connections wait in the listener for as long.
+func (p *Proxy) awaitServers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, p.Start)
+	defer cancel()
+	tick := time.NewTicker(startPoll)
+	defer tick.Stop()
+	for {
+		if t := p.Table(); t != nil && t.served() {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.base.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
 // init makes the parts that Run, Kill and Explain share.
 func (p *Proxy) init() {
 	p.ready.Do(func() {
 		setDefault(&p.Grace, defaultGrace)
 		setDefault(&p.Stall, defaultStall)
+		setDefault(&p.Start, defaultStart)
 		if p.Now == nil {
 			p.Now = time.Now
 		}
--- a/src/dispatch/table.go
+++ b/src/dispatch/table.go
@@ -51,6 +51,16 @@
 // Members returns the members of a service; the slice is not to be changed.
 func (t *Table) Members(service string) []wire.Member { return t.members[service] }
 
+// served tells whether every service has a member that is alive and ready.
+func (t *Table) served() bool {
+	for _, ms := range t.members {
+		if !slices.ContainsFunc(ms, func(m wire.Member) bool { return m.State == wire.StateAlive && m.Ready }) {
+			return false
+		}
+	}
+	return true
+}
+
 func (t *Table) addDocument(name string, doc *document.Document, s *ledger.Snapshot) error {
 	for i := range doc.Routes {
 		r := newRule(name, &doc.Routes[i])
