A planned stop has one grace for all its stages

Cause: callers, links and admission each took stop_grace for themselves, one after the other; a stop could last three times what the settings say. Change: when the grace is over, one line says what is cut and all that is left ends. The news of leaving goes out before the reader's lease is released, so that a slow store does not hold it up.

--- a/failure_test.go
+++ b/failure_test.go
@@ -142,3 +142,18 @@
 		})
 	}
 }
+
+// TestPlannedStopEndsWithinItsGrace stops a daemon whose backend server never answers.
+func TestPlannedStopEndsWithinItsGrace(t *testing.T) {
+	c := qt.New(t)
+	m := newMesh(c)
+	m.StopGrace = 2 * time.Second
+	p := m.start("bookings", "mid-a", time.Hour)
+	awaitReady(c, 1, p)
+	var wg sync.WaitGroup
+	wg.Go(func() { p.call("PUT", "bookings.example", "/photos/a", "token", "") })
+	eventually(c, "request runs", func() bool { return m.Runs.Count("token") > 0 })
+	p.signal(syscall.SIGTERM)
+	c.Assert(p.wait(), qt.IsNil)
+	wg.Wait()
+}
--- a/process_test.go
+++ b/process_test.go
@@ -64,14 +64,15 @@
 
 // mesh is a store and backend servers in the test, with daemons as processes of their own.
 type mesh struct {
-	c        *qt.C
-	Keyspace *standin.Keyspace
-	Runs     *standin.RunLog
-	store    netip.AddrPort
+	c         *qt.C
+	Keyspace  *standin.Keyspace
+	Runs      *standin.RunLog
+	StopGrace time.Duration // of the daemons started from now on
+	store     netip.AddrPort
 }
 
 func newMesh(c *qt.C) *mesh {
-	m := &mesh{c: c, Keyspace: &standin.Keyspace{}, Runs: &standin.RunLog{}}
+	m := &mesh{c: c, Keyspace: &standin.Keyspace{}, Runs: &standin.RunLog{}, StopGrace: time.Minute}
 	l := m.listen()
 	m.store = l.Addr().(*net.TCPAddr).AddrPort()
 	m.background((&standin.StoreServer{Listener: l, Keyspace: m.Keyspace}).Run)
@@ -129,8 +130,8 @@
 	quoted, err := json.Marshal(append([]string{}, peers...))
 	m.c.Assert(err, qt.IsNil)
 	file := filepath.Join(m.c.TempDir(), "daemon.toml")
-	text := fmt.Sprintf("service = %q\ndomain = %q\nregion = \"midlands\"\npeers = %s\n[listen]\nproxy = \"127.0.0.1:0\"\ncontrol = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\n[backend]\naddr = %q\n[store]\naddr = %q\ntimeout = \"500ms\"\n",
-		service, domain, quoted, l.Addr(), m.store)
+	text := fmt.Sprintf("service = %q\ndomain = %q\nregion = \"midlands\"\nstop_grace = %q\npeers = %s\n[listen]\nproxy = \"127.0.0.1:0\"\ncontrol = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\n[backend]\naddr = %q\n[store]\naddr = %q\ntimeout = \"500ms\"\n",
+		service, domain, m.StopGrace, quoted, l.Addr(), m.store)
 	m.c.Assert(os.WriteFile(file, []byte(text), 0o600), qt.IsNil)
 	return m.run(exec.Command(build(m.c), "run", "--config", file))
 }
--- a/src/daemon/run.go
+++ b/src/daemon/run.go
@@ -12,7 +12,7 @@
 	readyPeriod = 100 * time.Millisecond // between checks of the backend server beside the daemon
 	drainPoll   = 20 * time.Millisecond  // between looks at the requests in flight
 	newsTimeout = 500 * time.Millisecond // longest wait for the news of leaving to be sent
-	stopMargin  = 2 * time.Second        // time for the parts to end after their own grace
+	cutMargin   = time.Second            // time for calls that have been cut to end
 )
 
 // Run serves until ctx is over, then stops as planned: the news first, new work refused, requests in flight finished.
@@ -32,10 +32,12 @@
 	work.start(d.watchBackend)
 
 	<-ctx.Done()
-	work.stop()
+	cut := time.AfterFunc(d.Settings.StopGrace.Std(), d.cutCalls)
+	defer cut.Stop()
 	if !d.killed.Load() {
-		d.leave(work.ctx)
+		d.leave(members.ctx)
 	}
+	work.stop()
 	callers.stop()
 	if !d.killed.Load() {
 		d.awaitCalls()
@@ -65,18 +67,21 @@
 	d.booking.Drain()
 }
 
-// awaitCalls waits until no call is in flight at the backend server, at most for the grace of the settings.
+// awaitCalls waits until no call is in flight at the backend server, a little longer than until they are cut.
 func (d *Daemon) awaitCalls() {
-	end := time.Now().Add(d.Settings.StopGrace.Std())
-	for d.booking.InFlight() > 0 {
-		if time.Now().After(end) {
-			d.Log.Info("calls cut at the planned stop", "reason", "stop_grace is over", "cut", d.booking.InFlight())
-			return
-		}
+	end := time.Now().Add(d.Settings.StopGrace.Std() + cutMargin)
+	for d.booking.InFlight() > 0 && time.Now().Before(end) {
 		time.Sleep(drainPoll)
 	}
 }
 
+// cutCalls ends what is still in flight when the grace of a planned stop is over.
+func (d *Daemon) cutCalls() {
+	d.Log.Info("calls cut at the planned stop", "reason", "stop_grace is over", "cut", d.booking.InFlight())
+	d.proxy.Kill()
+	d.pool.Kill()
+}
+
 // Drain takes the backend server out of service while the daemon goes on.
 func (d *Daemon) Drain() {
 	if d.leaving.Swap(true) {
