--- /dev/null
+++ b/src/document/reference_test.go
@@ -0,0 +1,43 @@
+package document_test
+
+import (
+	"os"
+	"reflect"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/yuccaport/yuccaport/src/document"
+)
+
+func TestReferenceNamesEveryKey(t *testing.T) {
+	page, err := os.ReadFile("../../docs/DOCUMENT.md")
+	qt.Assert(t, err, qt.IsNil)
+	for _, key := range keys("", reflect.TypeFor[document.Document]()) {
+		qt.Check(t, string(page), qt.Contains, "| `"+key+"` |")
+	}
+}
+
+// keys returns the TOML keys of a struct type, those of tables and lists of tables with a dot.
+func keys(prefix string, t reflect.Type) []string {
+	var out []string
+	for i := range t.NumField() {
+		f := t.Field(i)
+		if !f.IsExported() {
+			continue
+		}
+		key := prefix + f.Tag.Get("toml")
+		inner := f.Type
+		if inner.Kind() == reflect.Slice {
+			inner = inner.Elem()
+		}
+		if inner.Kind() == reflect.Struct {
+			out = append(out, keys(key+".", inner)...)
+			if f.Type.Kind() != reflect.Slice {
+				continue
+			}
+		}
+		out = append(out, key)
+	}
+	return out
+}
