--- a/src/roster/network_test.go
+++ b/src/roster/network_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/yuccaport/yuccaport/src/settings"
+	"github.com/yuccaport/yuccaport/src/trace"
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
@@ -31,6 +32,7 @@
 	reads    int
 	writes   int
 	changed  func(h *host, a Changed) // nil for none
+	record   *trace.Recorder          // of the first host, nil for none
 }
 
 type host struct {
@@ -98,7 +100,7 @@
 		Ready:     true,
 		StartedAt: n.now.UnixMilli(),
 	}
-	h := &host{up: true, core: &Core{Self: m, Timing: n.timing, Rand: rand.New(rand.NewPCG(m.ID, 2)), HasStore: withStore}}
+	h := &host{up: true, core: &Core{Self: m, Timing: n.timing, Rand: newRand(int64(m.ID)), HasStore: withStore}}
 	if !withStore && len(n.hosts) > 0 {
 		h.core.Peers = []netip.AddrPort{n.hosts[0].core.Self.Addr}
 	}
@@ -120,11 +122,23 @@
 }
 
 func (n *network) step(h *host, e Event) {
-	for _, a := range h.core.Step(n.now, e) {
+	for _, a := range n.decide(h, e) {
 		n.act(h, a)
 	}
 }
 
+func (n *network) decide(h *host, e Event) []Action {
+	actions := h.core.Step(n.now, e)
+	if n.record != nil && h == n.hosts[0] {
+		out, err := trace.Outcomes(actions)
+		if err != nil {
+			panic(err)
+		}
+		n.record.Record(n.now, e, out)
+	}
+	return actions
+}
+
 // reach steps a host later, once it is not paused.
 func (n *network) reach(h *host, d time.Duration, run func()) {
 	n.after(d, func() {
@@ -227,7 +241,7 @@
 		return
 	}
 	n.reach(to, n.delay(), func() {
-		for _, a := range to.core.Step(n.now, Asked{Request: x.Request}) {
+		for _, a := range n.decide(to, Asked{Request: x.Request}) {
 			r, ok := a.(Answer)
 			if !ok {
 				n.act(to, a)
