Booking: a long request body arrives before a slot is asked for

Cause: a caller with patchy signal that sends a photo set held one of 12 slots for as long as it took. Bodies of up to 8 MB now wait in memory (32 MB over all of them, in chunks of 64 KB); beyond either bound they are passed on as they come, with the slot, as before. A caller that vanishes meanwhile is told that nothing ran.

A recorder without a header gets the core's settings, and a live run's recording replays with the same outcomes (TestRecordedRunReplays). A link that carried nothing and was closed in good order is no longer an event in the log.

--- a/src/booking/admit.go
+++ b/src/booking/admit.go
@@ -9,9 +9,9 @@
 )
 
 // admit waits until the core admits or refuses a call, or until its caller gives it up.
-func (s *Server) admit(ctx context.Context, call uint64, h wire.CallHead) (wire.Refusal, bool) {
+func (s *Server) admit(ctx context.Context, call uint64, h wire.CallHead, spent time.Duration) (wire.Refusal, bool) {
 	verdict := make(chan Action, 1)
-	wait, queued := s.arrive(call, h, verdict)
+	wait, queued := s.arrive(call, h, spent, verdict)
 	if !queued {
 		return verdictOf(<-verdict)
 	}
@@ -32,12 +32,15 @@
 }
 
 // arrive steps the core and tells whether the call is queued, and for how long at most.
-func (s *Server) arrive(call uint64, h wire.CallHead, verdict chan Action) (time.Duration, bool) {
+func (s *Server) arrive(call uint64, h wire.CallHead, spent time.Duration, verdict chan Action) (time.Duration, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.configure()
 	s.waiters[call] = verdict
-	e := Arrive{Call: call, Route: h.Route, Priority: h.Priority, Timeout: time.Duration(h.TimeoutMS) * time.Millisecond}
+	e := Arrive{Call: call, Route: h.Route, Priority: h.Priority}
+	if h.TimeoutMS > 0 {
+		e.Timeout = max(1, time.Duration(h.TimeoutMS)*time.Millisecond-spent)
+	}
 	for _, a := range s.step(e) {
 		if q, ok := a.(Queue); ok && q.Call == call {
 			return q.Wait, true
--- a/src/booking/answer.go
+++ b/src/booking/answer.go
@@ -32,7 +32,7 @@
 	case n >= 0 && n <= shortAnswer:
 		buf := buffers.Get().(*[shortAnswer]byte)
 		defer buffers.Put(buf)
-		if _, err := io.ReadFull(x.body(), buf[:n]); err != nil {
+		if _, err := io.ReadFull(x.answerBody(), buf[:n]); err != nil {
 			x.fail(stop, err)
 			return
 		}
@@ -66,7 +66,7 @@
 		return
 	}
 	x.s.observe(true)
-	from, err := x.copy(w, x.body())
+	from, err := x.copy(w, x.answerBody())
 	switch {
 	case err == nil && w.Close() == nil:
 		x.finish(stop, length >= 0 || x.resp.Header.ContentLength() == -1, ResultDone)
@@ -108,7 +108,7 @@
 
 // discard reads the body of an answer that is not passed on.
 func (x *exchange) discard() error {
-	n, err := io.Copy(io.Discard, io.LimitReader(x.body(), maxDiscard))
+	n, err := io.Copy(io.Discard, io.LimitReader(x.answerBody(), maxDiscard))
 	if err == nil && n == maxDiscard {
 		return errTooLong
 	}
--- a/src/booking/exchange.go
+++ b/src/booking/exchange.go
@@ -29,7 +29,9 @@
 	ctx      context.Context
 	in       link.Inbound
 	head     wire.CallHead
+	body     io.Reader
 	call     uint64
+	arrived  time.Time // its timeout runs from then
 	admitted time.Time
 
 	conn     *conn
@@ -76,7 +78,7 @@
 func (x *exchange) issueToken() {
 	p := Parent{Depth: x.head.Depth, RetryLayer: x.head.RetryLayer, TraceID: x.head.TraceID, Done: x.ctx.Done()}
 	if x.head.TimeoutMS > 0 {
-		p.Deadline = x.admitted.Add(x.timeout())
+		p.Deadline = x.arrived.Add(x.timeout())
 	}
 	x.token = x.s.tokens.issue(p)
 }
@@ -152,7 +154,7 @@
 	if x.head.TimeoutMS <= 0 {
 		return lingerMax
 	}
-	left := x.timeout() - x.s.Now().Sub(x.admitted)
+	left := x.timeout() - x.s.Now().Sub(x.arrived)
 	return max(0, left) + lingerExtra
 }
 
--- a/src/booking/request.go
+++ b/src/booking/request.go
@@ -22,7 +22,7 @@
 	x.fill(req)
 	n := x.head.BodyLength
 	if n != 0 {
-		req.SetBodyStream(&uploadBody{r: x.in.Body(), w: x.conn.w}, int(n))
+		req.SetBodyStream(&uploadBody{r: x.body, w: x.conn.w}, int(n))
 	}
 	if n >= 0 && n <= inlineBody {
 		return x.write(req)
@@ -57,7 +57,7 @@
 	h.SetHost(x.host())
 	h.Set(ParentHeader, x.token)
 	if x.head.TimeoutMS > 0 {
-		h.Set(TimeoutHeader, strconv.FormatInt(max(1, (x.timeout()-x.s.Now().Sub(x.admitted)).Milliseconds()), 10))
+		h.Set(TimeoutHeader, strconv.FormatInt(max(1, (x.timeout()-x.s.Now().Sub(x.arrived)).Milliseconds()), 10))
 	}
 }
 
@@ -109,8 +109,8 @@
 	return false
 }
 
-// body returns the answer's body; a body that was cut ends with io.ErrUnexpectedEOF.
-func (x *exchange) body() io.Reader {
+// answerBody returns the answer's body; a body that was cut ends with io.ErrUnexpectedEOF.
+func (x *exchange) answerBody() io.Reader {
 	switch n := x.resp.Header.ContentLength(); {
 	case x.noBody():
 		return strings.NewReader("")
--- a/src/booking/server.go
+++ b/src/booking/server.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"io"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -41,6 +43,7 @@
 	once     sync.Once
 	conns    conns
 	tokens   tokens
+	spool    spool
 	counters *counters
 	lastCall atomic.Uint64
 	probed   HealthState // by the last probe; used by Run alone
@@ -69,9 +72,20 @@
 		s.limits = document.Limits{Queue: document.DefaultQueue, QueueWait: document.Duration(document.DefaultQueueWait)}
 		s.core.QueueSize, s.core.QueueWait = s.limits.Queue, s.limits.QueueWait.Std()
 		s.waiters = map[uint64]chan Action{}
+		s.describe()
 	})
 }
 
+// describe writes the core's settings into the header of a recording that has none.
+func (s *Server) describe() {
+	if s.Record == nil || len(s.Record.Header.Settings) > 0 {
+		return
+	}
+	settings := traceSettings{Slots: s.core.Slots, Queue: s.core.QueueSize, QueueWait: s.core.QueueWait}
+	s.Record.Header.Core = CoreName
+	s.Record.Header.Settings, _ = json.Marshal(settings) // plain numbers cannot fail
+}
+
 // step runs one event through the core and hands its decisions to the calls that wait for them; s.mu is held.
 func (s *Server) step(e Event) []Action {
 	now := s.Now()
@@ -117,16 +131,36 @@
 		s.refuse(in, h, wire.Refusal{Reason: wire.ReasonWrongMember})
 		return
 	}
+	arrived := s.Now()
+	body, release, ok := s.receive(ctx, in, &h)
+	if !ok {
+		return
+	}
+	defer release()
 	call := s.lastCall.Add(1)
-	if r, ok := s.admit(ctx, call, h); !ok {
+	if r, ok := s.admit(ctx, call, h, s.Now().Sub(arrived)); !ok {
 		s.refuse(in, h, r)
 		return
 	}
 	s.counters.admitted.Inc()
-	x := &exchange{s: s, ctx: ctx, in: in, head: h, call: call, admitted: s.Now()}
+	x := &exchange{s: s, ctx: ctx, in: in, head: h, body: body, call: call, arrived: arrived, admitted: s.Now()}
 	x.run()
 }
 
+// receive takes in a long request body before a slot is asked for; h states its length from then on.
+func (s *Server) receive(ctx context.Context, in link.Inbound, h *wire.CallHead) (io.Reader, func(), bool) {
+	if h.BodyLength >= 0 && h.BodyLength <= inlineBody || h.BodyLength > maxSpool {
+		return in.Body(), func() {}, true
+	}
+	b, err := s.spool.read(in.Body())
+	if err != nil {
+		s.refuse(in, *h, wire.Refusal{Reason: reasonOf(ctx)})
+		return nil, nil, false
+	}
+	h.BodyLength = b.length(h.BodyLength)
+	return b.reader(), b.release, true
+}
+
 func (s *Server) refuse(in link.Inbound, h wire.CallHead, r wire.Refusal) {
 	r.Load = s.Load()
 	in.Refuse(r)
--- a/src/booking/trace_test.go
+++ b/src/booking/trace_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"flag"
+	"fmt"
 	"os"
 	"path/filepath"
 	"testing"
@@ -11,6 +13,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/yuccaport/yuccaport/src/settings"
+	"github.com/yuccaport/yuccaport/src/standin"
 	"github.com/yuccaport/yuccaport/src/trace"
 )
 
@@ -122,3 +126,33 @@
 		})
 	}
 }
+
+// What a live server records is replayed by the core with the same outcomes.
+func TestRecordedRunReplays(t *testing.T) {
+	b := startBackend(t, &standin.Backend{Slots: 4, Connections: 6, Work: 2 * time.Millisecond})
+	var out bytes.Buffer
+	s := &Server{
+		Backend: settings.Backend{Addr: addrOf(b.Listener), Slots: 4, Connections: 6, HealthPath: "/health"},
+		Service: "bookings", Self: 7, Record: &trace.Recorder{W: &out},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	eventually(t, "healthy", s.Healthy)
+	crowd(t, s, 100, func(i int) *inbound {
+		in := newInbound("GET", "/diary", fmt.Sprint(i), nil, 0)
+		in.head.Priority = uint8(i % 3)
+		in.head.TimeoutMS = int64(10 + i)
+		return in
+	})
+	s.Drain()
+	cancel()
+	qt.Assert(t, <-done, qt.IsNil)
+	qt.Assert(t, s.Record.Err(), qt.IsNil)
+	tr, err := trace.Read(&out)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(tr.Entries) >= 100, qt.IsTrue)
+	core, err := NewReplay(tr.Header)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, tr.Run(core), qt.IsNil)
+}
--- a/src/link/connection.go
+++ b/src/link/connection.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -98,13 +99,14 @@
 	for _, s := range partial {
 		s.drop()
 	}
-	c.logEnd(err)
+	c.logEnd(err, len(outgoing)+len(asked)+len(inbound)+len(partial))
 }
 
-func (c *connection) logEnd(err error) {
-	log := c.pool.Log.WithValues("peer", c.peer.ID, "addr", c.peer.Addr.String(), "dialed", c.dialed)
+// logEnd tells why the link ended; one that carried nothing and was closed in good order is no event.
+func (c *connection) logEnd(err error, carried int) {
+	log := c.pool.Log.WithValues("peer", c.peer.ID, "addr", c.peer.Addr.String(), "dialed", c.dialed, "carried", carried)
 	switch {
-	case errors.Is(err, errIdle), errors.Is(err, errLeft), errors.Is(err, errStopped):
+	case errors.Is(err, io.EOF) && carried == 0, errors.Is(err, errIdle), errors.Is(err, errLeft), errors.Is(err, errStopped):
 		log.V(1).Info("link closed", "reason", err.Error())
 	default:
 		log.Info("link closed", "reason", err.Error())
--- a/src/link/fault_test.go
+++ b/src/link/fault_test.go
@@ -196,3 +196,18 @@
 	peer.expectOpen()
 	qt.Assert(t, (<-b).refusal(t), qt.Equals, wire.Refusal{Reason: wire.ReasonLinkLost, MayHaveRun: true})
 }
+
+// A handler that waits for a request body is freed when the call's timeout is over.
+func TestTimeoutEndsTheWaitForABody(t *testing.T) {
+	to, _ := startPool(t, &Pool{Self: 2, Calls: serveFunc(func(ctx context.Context, in Inbound) {
+		_, err := io.Copy(io.Discard, in.Body())
+		qt.Check(t, errors.Is(err, context.DeadlineExceeded), qt.IsTrue)
+		qt.Check(t, context.Cause(ctx), qt.Equals, context.DeadlineExceeded)
+		in.Refuse(wire.Refusal{Reason: wire.ReasonTimeout})
+	})})
+	p := startClient(t)
+	body, w := io.Pipe()
+	defer func() { _ = w.Close() }()
+	out := p.Call(guarded(t), to, wire.CallHead{BodyLength: -1, TimeoutMS: 10}, body)
+	qt.Assert(t, out, qt.Equals, Outcome(Refused{wire.Refusal{Reason: wire.ReasonTimeout}}))
+}
--- a/src/link/inbound.go
+++ b/src/link/inbound.go
@@ -58,7 +58,7 @@
 	in.ctx, in.cancel = context.WithCancelCause(c.ctx)
 	if f.Head.TimeoutMS > 0 {
 		d := time.Duration(f.Head.TimeoutMS) * time.Millisecond
-		in.timer = time.AfterFunc(d, func() { in.cancel(context.DeadlineExceeded) })
+		in.timer = time.AfterFunc(d, in.expire)
 	}
 	c.mu.Lock()
 	c.inbound[in.id] = in
@@ -83,6 +83,12 @@
 	in.c.pool.calls.give(1)
 }
 
+// expire ends a call that has not begun to be answered in time, also where its request body is awaited.
+func (in *inbound) expire() {
+	in.cancel(context.DeadlineExceeded)
+	in.inbox.cut(context.DeadlineExceeded)
+}
+
 // stopTimer lets an answer that has begun take the time that its reader needs.
 func (in *inbound) stopTimer() {
 	if in.timer != nil {
