--- a/src/link/bench_test.go
+++ b/src/link/bench_test.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"runtime"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -42,3 +43,27 @@
 		b.Fatal(r, err)
 	}
 }
+
+// BenchmarkIdleLinks reports the memory that one end of a link holds while nothing is under way on it.
+func BenchmarkIdleLinks(b *testing.B) {
+	const links = 400
+	to, _ := startPool(b, &Pool{Self: 2, Calls: serveFunc(echo)})
+	before := memoryInUse()
+	for range links {
+		p := startClient(b)
+		_, _, err := call(b.Context(), p, to, make([]byte, 256))
+		qt.Assert(b, err, qt.IsNil)
+	}
+	held := memoryInUse() - before
+	for b.Loop() {
+		runtime.KeepAlive(to)
+	}
+	b.ReportMetric(float64(held)/links/2, "bytes/end")
+}
+
+func memoryInUse() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapInuse + m.StackInuse)
+}
