--- a/src/dispatch/call.go
+++ b/src/dispatch/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/valyala/fasthttp"
 
 	"github.com/yuccaport/yuccaport/src/wire"
@@ -117,6 +118,9 @@
 	}
 }
 
+// log returns the logger for decisions on calls of this route.
+func (c *call) log() logr.Logger { return c.match.rule.logger(c.p.Log, c.match.Table.Version) }
+
 func (c *call) refuse(a RefuseCall) {
 	c.over = true
 	if a.MayHaveRun {
@@ -126,8 +130,7 @@
 		c.p.counters.notRun.Inc()
 		c.payment.release()
 	}
-	c.p.Log.Info("refused", "trace", c.head.TraceID, "route", c.policy.Route, "service", c.policy.Service,
-		"reason", reasonNames[a.Reason], "may_have_run", a.MayHaveRun)
+	c.log().Info("refused", "trace", c.head.TraceID, "reason", reasonNames[a.Reason], "may_have_run", a.MayHaveRun)
 	writeRefusal(c.ctx, a)
 }
 
--- a/src/dispatch/table.go
+++ b/src/dispatch/table.go
@@ -5,8 +5,11 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"github.com/yuccaport/yuccaport/src/document"
 	"github.com/yuccaport/yuccaport/src/ledger"
 	"github.com/yuccaport/yuccaport/src/problem"
@@ -31,6 +34,15 @@
 	fallback   string
 	idempotent *Policy
 	once       *Policy // of calls that may run only once
+
+	logOnce sync.Once
+	log     logr.Logger
+}
+
+// logger returns a logger that has the route's fields encoded already, since every call writes a line.
+func (r *rule) logger(base logr.Logger, version uint64) logr.Logger {
+	r.logOnce.Do(func() { r.log = base.WithValues("route", r.route.Name, "owner", r.service, "version", version) })
+	return r.log
 }
 
 // NewTable joins a configuration with a roster view; an error of kind problem.Document names a route that points at a service the configuration lacks.
