--- a/src/dispatch/bench_test.go
+++ b/src/dispatch/bench_test.go
@@ -61,5 +61,7 @@
 	}
 	client.CloseIdleConnections()
 	cancel()
-	<-done
+	if err := <-done; err != nil {
+		b.Fatal(err)
+	}
 }
