--- a/src/dispatch/live_test.go
+++ b/src/dispatch/live_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -19,6 +20,7 @@
 	"github.com/yuccaport/yuccaport/src/dispatch"
 	"github.com/yuccaport/yuccaport/src/document"
 	"github.com/yuccaport/yuccaport/src/link"
+	"github.com/yuccaport/yuccaport/src/trace"
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
@@ -409,6 +411,51 @@
 	c.Check(err, qt.IsNotNil)
 }
 
+// TestLiveRunReplays records calls through a proxy and replays them on a core.
+func TestLiveRunReplays(t *testing.T) {
+	c := qt.New(t)
+	var buf bytes.Buffer
+	var n atomic.Int64
+	p := start(t, diary, func(context.Context, link.Peer, wire.CallHead, io.Reader) link.Outcome {
+		if n.Add(1)%5 == 0 {
+			return refused(wire.ReasonQueueFull, false)
+		}
+		return reply(200, "whole")
+	}, func(p *dispatch.Proxy) {
+		p.Record = &trace.Recorder{W: &buf, Header: trace.Header{Core: dispatch.CoreName, Seed: 7}}
+	})
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() {
+			for range 20 {
+				_, err := p.do("GET", "/diary", nil)
+				c.Check(err, qt.IsNil)
+			}
+		})
+	}
+	wg.Wait()
+	p.Explain("bookings.example", "/diary", "GET") // draws nothing
+	c.Assert(p.Record.Err(), qt.IsNil)
+	tr, err := trace.Read(&buf)
+	c.Assert(err, qt.IsNil)
+	c.Assert(len(tr.Entries) >= 80*3, qt.IsTrue, qt.Commentf("%d", len(tr.Entries)))
+	core, err := dispatch.NewReplay(tr.Header)
+	c.Assert(err, qt.IsNil)
+	c.Assert(tr.Run(core), qt.IsNil)
+}
+
+func TestExplain(t *testing.T) {
+	c := qt.New(t)
+	p := start(t, diary, func(context.Context, link.Peer, wire.CallHead, io.Reader) link.Outcome { return reply(200, "") })
+	x := p.Explain("bookings.example", "/diary/7", "GET")
+	c.Check(x.Reason, qt.Equals, "same_domain")
+	c.Check(x.Route, qt.Equals, "diary")
+	c.Check(x.Idempotent, qt.IsTrue)
+	c.Check(x.Candidates, qt.HasLen, 3)
+	c.Check(x.Choice != 0, qt.IsTrue)
+	c.Check(p.Explain("bookings.example", "/other", "GET").Reason, qt.Equals, "no_route")
+}
+
 // TestNewProxyTakesCallersOnceItKnowsServers connects before there is a table.
 func TestNewProxyTakesCallersOnceItKnowsServers(t *testing.T) {
 	c := qt.New(t)
--- a/src/dispatch/proxy.go
+++ b/src/dispatch/proxy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"math/rand/v2"
 	"net"
@@ -46,7 +47,7 @@
 	Start    time.Duration // longest time for which a new proxy takes no connection because it knows no server of some service
 	Stall    time.Duration // longest time without progress on a caller's connection
 	Now      func() time.Time
-	Rand     *rand.Rand
+	Rand     *rand.Rand // nil for Seeded with the seed of Record's header
 	Log      logr.Logger
 	Metrics  *metrics.Set
 	Record   *trace.Recorder
@@ -126,15 +127,13 @@
 		if p.Now == nil {
 			p.Now = time.Now
 		}
-		if p.Rand == nil {
-			p.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-		}
 		if p.Metrics == nil {
 			p.Metrics = metrics.NewSet()
 		}
 		p.Core = p.Core.WithDefaults()
+		p.initRandom()
 		p.core = &Core{Settings: p.Core, Rand: p.Rand}
-		p.tracePrefix = strconv.FormatUint(p.Rand.Uint64(), 36) + "-"
+		p.tracePrefix = strconv.FormatUint(rand.Uint64(), 36) + "-"
 		p.counters = newCounters(p.Metrics)
 		p.conns = newCallerListener(p.Listener, p.Stall)
 		p.pool = pond.NewPool(p.Core.MaxCalls, pond.WithQueueSize(0), pond.WithNonBlocking(true))
@@ -142,6 +141,18 @@
 	})
 }
 
+// initRandom seeds the core as its recording says, so that a replay draws the same numbers.
+func (p *Proxy) initRandom() {
+	seed := rand.Int64()
+	if p.Record != nil {
+		p.Record.Header.Settings, _ = json.Marshal(p.Core)
+		seed = p.Record.Header.Seed
+	}
+	if p.Rand == nil {
+		p.Rand = Seeded(seed)
+	}
+}
+
 // stop finishes the requests in flight and cuts those that outlast Grace.
 func (p *Proxy) stop() {
 	p.stopping.Store(true)
