--- a/src/bench/route.go
+++ b/src/bench/route.go
@@ -40,6 +40,7 @@
 	mix     []routeMix
 	photo   []byte
 	callers []*routeCaller
+	nodes   []*Node // at the start
 	began   time.Time
 
 	mu      sync.Mutex
@@ -118,6 +119,7 @@
 // load warms up, then sends the measured calls while the faults come and go.
 func (r *Route) load(ctx context.Context) error {
 	nodes := r.fleet.Nodes()
+	r.nodes = nodes
 	r.send(ctx, nodes, newRouteTally(), warmUp, "warm")
 	before := r.attempts()
 	r.began = time.Now()
--- a/src/bench/route_faults.go
+++ b/src/bench/route_faults.go
@@ -54,7 +54,7 @@
 func (r *Route) set(name string, on bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	first := r.fleet.Nodes()[0].Backend
+	first := r.nodes[0].Backend
 	f := first.Faults()
 	store := r.fleet.Keyspace.Faults()
 	switch name {
@@ -94,7 +94,7 @@
 // half returns every other node of the first service.
 func (r *Route) half() []*Node {
 	var out []*Node
-	for i, n := range r.fleet.Nodes() {
+	for i, n := range r.nodes {
 		if n.Service == r.Deployment.Services[0].Name && i%2 == 0 {
 			out = append(out, n)
 		}
@@ -104,7 +104,7 @@
 
 func (r *Route) inDomain(domain string) []*Node {
 	var out []*Node
-	for _, n := range r.fleet.Nodes() {
+	for _, n := range r.nodes {
 		if n.Domain == domain {
 			out = append(out, n)
 		}
@@ -141,7 +141,7 @@
 
 // replaceAll drains and replaces one daemon after another.
 func (r *Route) replaceAll(ctx context.Context) {
-	for _, n := range r.fleet.Nodes() {
+	for _, n := range r.nodes {
 		if ctx.Err() != nil || !n.Running() {
 			continue
 		}
