--- a/src/bench/route.go
+++ b/src/bench/route.go
@@ -194,6 +194,7 @@
 		out.AttemptsPerCall = float64(t.attempts) / float64(t.calls)
 		out.GoodputShare = float64(t.ok) / min(float64(t.calls), r.capacity()*r.Duration.Seconds())
 	}
+	r.say("added p50 %.3f ms, direct %.3f ms", out.AddedP50MS, quantile(t.direct, 50))
 	for reason, n := range t.reasons {
 		r.say("%6d %s", n, reason)
 	}
--- a/src/dispatch/call.go
+++ b/src/dispatch/call.go
@@ -56,7 +56,7 @@
 		return
 	}
 	c.do(c.p.step(CallArrived{
-		Call: c.id, Policy: c.policy, Left: c.deadline.Sub(c.start),
+		Call: c.id, Policy: c.policy, Left: c.deadline.Sub(c.p.Now()),
 		RetryLayer: c.parent.RetryLayer, HasBody: c.body != nil,
 	}))
 	c.timers = append(c.timers, callTimer{at: c.start.Add(watchAfter)})
--- a/src/dispatch/core_test.go
+++ b/src/dispatch/core_test.go
@@ -376,6 +376,31 @@
 	c.Assert(y.sentTo, qt.DeepEquals, map[uint64]int{2: 10})
 }
 
+func TestDoubtfulServersAreAvoidedUnlessThereIsNoOther(t *testing.T) {
+	tests := map[string]struct {
+		spoil func(s *fakeServer)
+		alone int // calls of 100 when all servers are like this
+	}{
+		"suspect":   {func(s *fakeServer) { s.State = wire.StateSuspect }, 100},
+		"not ready": {func(s *fakeServer) { s.Ready = false }, 100},
+		"leaving":   {func(s *fakeServer) { s.State = wire.StateLeaving }, 0},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			servers := fakeServers(2, time.Millisecond)
+			tc.spoil(servers[0])
+			y := newYard(Settings{}, servers...)
+			y.run(100, 4*time.Millisecond)
+			c.Check(y.sentTo, qt.DeepEquals, map[uint64]int{2: 100})
+			tc.spoil(servers[1])
+			y = newYard(Settings{}, servers...)
+			y.run(100, 4*time.Millisecond)
+			c.Check(y.attempts, qt.Equals, tc.alone)
+		})
+	}
+}
+
 func TestWeightedTargets(t *testing.T) {
 	c := qt.New(t)
 	servers := fakeServers(2, time.Millisecond)
--- a/src/dispatch/serve.go
+++ b/src/dispatch/serve.go
@@ -32,6 +32,7 @@
 	m, ok := t.Match(string(ctx.Host()), string(ctx.Path()), string(ctx.Method()))
 	if !ok {
 		p.counters.noRoute.Inc()
+		p.Log.Info("refused", "host", string(ctx.Host()), "path", string(ctx.Path()), "reason", "no_route", "version", t.Version)
 		closeUnread(ctx)
 		writeOwn(ctx, fasthttp.StatusNotFound, outcomeNotRun, refusalBody{
 			Reason: "no_route",
@@ -51,6 +52,7 @@
 // refuse answers a request that was not sent anywhere.
 func (p *Proxy) refuse(ctx *fasthttp.RequestCtx, r RefuseCall) {
 	p.counters.notRun.Inc()
+	p.Log.Info("refused", "host", string(ctx.Host()), "path", string(ctx.Path()), "reason", reasonNames[r.Reason], "may_have_run", false)
 	closeUnread(ctx)
 	writeRefusal(ctx, r)
 }
