--- a/src/dispatch/live_test.go
+++ b/src/dispatch/live_test.go
@@ -339,6 +339,35 @@
 	c.Check(got.body, qt.Matches, `{"reason":"deadline","outcome":"not-run".*\n`)
 }
 
+// closedBody is a long answer that tells when it is given up.
+type closedBody struct {
+	cutBody
+	closed chan struct{}
+}
+
+func (b *closedBody) Close() error {
+	close(b.closed)
+	return nil
+}
+
+func TestStalledCallerStallsNobodyElse(t *testing.T) {
+	c := qt.New(t)
+	long := &closedBody{cutBody: cutBody{left: 1 << 30}, closed: make(chan struct{})}
+	p := start(t, diary, func(_ context.Context, _ link.Peer, head wire.CallHead, _ io.Reader) link.Outcome {
+		if head.URI == "/diary/long" {
+			return link.Reply{Head: wire.ReplyHead{Status: 200, BodyLength: 1 << 30}, Body: long}
+		}
+		return reply(200, "whole")
+	}, func(p *dispatch.Proxy) { p.Stall = 300 * time.Millisecond })
+	p.raw(c, "GET /diary/long HTTP/1.1\r\nHost: bookings.example\r\n\r\n") // is never read
+	for range 20 {
+		got, err := p.do("GET", "/diary", nil)
+		c.Assert(err, qt.IsNil)
+		c.Check(got.body, qt.Equals, "whole")
+	}
+	wait(c, long.closed, "the end of the stalled call")
+}
+
 func TestTimeoutsOfServersThatNeverAnswer(t *testing.T) {
 	c := qt.New(t)
 	route := diary
