Payments: the fleet shares the store's writes, and a stop waits for the claims' clean-up

Cause: 20 writes a second for each daemon come to 16,000 at 800 daemons, 40 times what the store takes. Ruled out: a budget set by the operator (it would have to change with the fleet), a counter in the store (a write for each payment). Change: the budget refills at the daemon's part of 240 writes a second; ten payments at once still pass. Recorded header fields are in snake case; the traces hold the same outcomes.

--- a/src/daemon/daemon.go
+++ b/src/daemon/daemon.go
@@ -63,6 +63,7 @@
 	pool     *link.Pool
 	booking  *booking.Server
 	proxy    *dispatch.Proxy
+	deposits *deposit.Guard
 	node     *roster.Node
 	carrier  *relay.Carrier
 	gatherer *status.Gatherer
@@ -101,9 +102,10 @@
 		Self: d.id, Listener: d.Control, Dial: d.Dial, Calls: d.booking, Messages: d, Insecure: d.Settings.Insecure, Keys: d.keys(),
 		Grace: d.Settings.StopGrace.Std(), Log: d.Log.WithName("link"), Metrics: d.Metrics,
 	}
+	d.deposits = &deposit.Guard{Store: d.store, Holder: d.id, Log: d.Log.WithName("deposit"), Metrics: d.Metrics, Record: d.recorder("deposit")}
 	d.proxy = &dispatch.Proxy{
 		Listener: d.Proxy, Self: d.Member, Table: d.table, Caller: d.pool, Parent: d.parent,
-		Deposits: &deposit.Guard{Store: d.store, Holder: d.id, Log: d.Log.WithName("deposit"), Metrics: d.Metrics, Record: d.recorder("deposit")},
+		Deposits: d.deposits,
 		Core:     d.Dispatch, Grace: d.Settings.StopGrace.Std(), Log: d.Log.WithName("dispatch"), Metrics: d.Metrics, Record: d.recorder("dispatch"),
 	}
 }
--- a/src/daemon/run.go
+++ b/src/daemon/run.go
@@ -43,6 +43,7 @@
 		d.awaitCalls()
 	}
 	links.stop()
+	_ = d.deposits.Close()
 	members.stop()
 	if err := context.Cause(ctx); !errors.Is(err, context.Canceled) {
 		return err
--- a/src/deposit/core.go
+++ b/src/deposit/core.go
@@ -16,6 +16,12 @@
 	DefaultWritesPerSecond = 20
 )
 
+// Bounds of the budget when many holders share the store.
+const (
+	fleetWritesPerSecond = 240 // of all holders together, leaving the rest of the store's 400 to edits and leases
+	minWritesPerSecond   = 1   // of one holder, so that a payment can be made anywhere
+)
+
 const (
 	writesPerPayment = 2               // claim and outcome
 	maxWindow        = 5 * time.Second // a send later than this after its claim was written needs the claim confirmed
@@ -61,6 +67,8 @@
 		return c.slotRead(now, e)
 	case SlotSwapped:
 		return c.slotSwapped(now, e)
+	case Shared:
+		c.share(now, e.Holders)
 	}
 	return nil
 }
@@ -84,5 +92,14 @@
 	c.budget = rate.NewLimiter(limit, max(c.WritesPerSecond, writesPerPayment))
 }
 
+// share gives this holder its part of the fleet's writes, at most its own budget; the burst stays, so that single payments go on in a large fleet.
+func (c *Core) share(now time.Time, holders int) {
+	if c.WritesPerSecond <= 0 || holders <= 0 {
+		return
+	}
+	part := max(minWritesPerSecond, fleetWritesPerSecond/float64(holders))
+	c.budget.SetLimitAt(now, rate.Limit(min(part, float64(c.WritesPerSecond))))
+}
+
 // window is how long after the stamp of its claim a request can be sent.
 func (c *Core) window() time.Duration { return min(maxWindow, c.Timeout/2) }
--- a/src/deposit/event.go
+++ b/src/deposit/event.go
@@ -6,7 +6,7 @@
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
-// Event is something that a Core is told: Arrived, Confirming, Ended, SlotRead or SlotSwapped.
+// Event is something that a Core is told: Arrived, Confirming, Ended, SlotRead, SlotSwapped or Shared.
 type Event interface{ isEvent() }
 
 // Arrived is a request that asks for a claim.
@@ -31,6 +31,11 @@
 	Record Record `json:"record"` // of EndingFinish
 }
 
+// Shared tells how many holders share the writes of the store.
+type Shared struct {
+	Holders int `json:"holders"`
+}
+
 // SlotRead answers ReadSlot.
 type SlotRead struct {
 	Call     uint64         `json:"call"`
@@ -49,6 +54,7 @@
 
 func (Arrived) isEvent()     {}
 func (Confirming) isEvent()  {}
+func (Shared) isEvent()      {}
 func (Ended) isEvent()       {}
 func (SlotRead) isEvent()    {}
 func (SlotSwapped) isEvent() {}
--- a/src/deposit/guard.go
+++ b/src/deposit/guard.go
@@ -76,6 +76,12 @@
 	return g.end(ctx, Ended{Claim: c, Ending: EndingAbandon})
 }
 
+// Share tells how many daemons share the store's writes, this one among them.
+func (g *Guard) Share(holders int) {
+	g.setup()
+	g.step(Shared{Holders: holders})
+}
+
 // Close waits until what goes on in the background has ended.
 func (g *Guard) Close() error {
 	g.setup()
--- a/src/deposit/replay.go
+++ b/src/deposit/replay.go
@@ -77,6 +77,8 @@
 		return decodeAs[Ended](event)
 	case "slot_read":
 		return decodeAs[SlotRead](event)
+	case "shared":
+		return decodeAs[Shared](event)
 	case "slot_swapped":
 		return decodeAs[SlotSwapped](event)
 	}
--- a/src/wire/call.go
+++ b/src/wire/call.go
@@ -7,8 +7,8 @@
 
 // Field is one HTTP header field.
 type Field struct {
-	Name  string `msg:"name"`
-	Value string `msg:"value"`
+	Name  string `msg:"name" json:"name"`
+	Value string `msg:"value" json:"value"`
 }
 
 // CallHead opens a call on a link.
