Ledger: deltas send a changed document as a difference

Now a delta holds what lies between the first and the last byte that changed, with the digest of the document that it differs from. A gap for an update made for another version leads to a pull from one's own version, no longer to a full copy. Ruled out: compression with the old document as dictionary, which needs a library that is not among ours. Seen to fail first: the digest of the other document, the bounds, the choice of pull, the difference itself.

--- a/src/ledger/snapshot.go
+++ b/src/ledger/snapshot.go
@@ -21,7 +21,8 @@
 	Documents map[string]*document.Document // by service
 	Bodies    map[string]wire.Body          // by service
 
-	removed map[string]uint64 // version that removed a service, as far as known
+	removed  map[string]uint64   // version that removed a service, as far as known
+	replaced map[string]replaced // documents before the present ones
 }
 
 // Build parses and checks a whole configuration; errors are of kind problem.Document.
@@ -56,6 +57,7 @@
 			return nil, err
 		}
 	}
+	n.noteReplaced(s)
 	if d := digestBodies(n.Bodies); d != u.Digest {
 		return nil, problem.New(Gap, place(u.Version), fmt.Sprintf("digest %016x where %016x is stated", d, u.Digest), "pull a full copy")
 	}
@@ -123,10 +125,14 @@
 		return problem.New(problem.Protocol, place(s.Version), fmt.Sprintf("document of %q is of version %d", b.Service, b.Version), "fetch it again")
 	}
 	if old, ok := s.Bodies[b.Service]; ok && old.Digest == b.Digest {
-		b.Data = old.Data
+		b.Data, b.Patch = old.Data, wire.Patch{}
 		s.Bodies[b.Service] = b
 		return nil
 	}
+	b, err := unpatch(b, s.Bodies[b.Service])
+	if err != nil {
+		return err
+	}
 	if d := Digest(b.Data); d != b.Digest {
 		return problem.New(problem.Protocol, place(b.Version), fmt.Sprintf("document of %q has digest %s where %s is stated", b.Service, d, b.Digest), "fetch it again")
 	}
--- a/src/ledger/snapshot_test.go
+++ b/src/ledger/snapshot_test.go
@@ -13,6 +13,7 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"github.com/yuccaport/yuccaport/examples"
 	"github.com/yuccaport/yuccaport/src/document"
 	"github.com/yuccaport/yuccaport/src/problem"
 	"github.com/yuccaport/yuccaport/src/wire"
@@ -55,6 +56,9 @@
 		u    wire.Update
 		want error
 	}{
+		"patch of another document": {one, with(full, func(u *wire.Update) { u.Bodies[0].Patch.Base = "x" }), Gap},
+		"patch past its document":   {one, with(full, func(u *wire.Update) { u.From, u.Bodies[0].Patch = 1, wire.Patch{Base: a1.Digest, Head: 9, Tail: 99} }), problem.Protocol},
+		"patch of nothing":          {one, with(full, func(u *wire.Update) { u.From, u.Bodies[0].Patch = 1, wire.Patch{Base: a1.Digest, Head: -1} }), problem.Protocol},
 		"full copy on nothing":      {nil, full, nil},
 		"full copy on older":        {one, full, nil},
 		"delta on older":            {one, delta, nil},
@@ -107,6 +111,9 @@
 			if err != nil {
 				t.Fatal(err)
 			}
+			if s, err = history[v-1].Apply(s.UpdateFrom(0)); err != nil { // knows what it replaces
+				t.Fatal(err)
+			}
 			history = append(history, s)
 		}
 		var held *Snapshot
@@ -171,6 +178,39 @@
 	c.Assert(s.Bodies["a"].Data, qt.DeepEquals, data)
 }
 
+func TestUpdateSendsADifference(t *testing.T) {
+	c := qt.New(t)
+	one := build(c, 1, body("a", 1, testDocument("a", 1)))
+	two, err := one.Apply(build(c, 2, body("a", 2, testDocument("a", 2)), body("b", 2, testDocument("b", 1))).UpdateFrom(0))
+	c.Assert(err, qt.IsNil)
+	three, err := two.Apply(build(c, 3, body("a", 2, testDocument("a", 2)), body("b", 3, testDocument("b", 2))).UpdateFrom(0))
+	c.Assert(err, qt.IsNil)
+	u := three.UpdateFrom(2)
+	c.Assert(string(u.Bodies[0].Data), qt.Equals, "2")
+	got, err := two.Apply(u)
+	c.Assert(err, qt.IsNil)
+	c.Assert(got.Bodies, qt.DeepEquals, three.Bodies)
+	c.Assert(three.UpdateFrom(1).Bodies[0].Patch.Base, qt.Equals, "") // a full copy: all documents have changed
+	_, err = one.Apply(u)
+	c.Assert(err, qt.ErrorIs, Gap)
+}
+
+// TestUpdateSizeOfAnEdit shows what one changed value of a team's document costs in a push.
+func TestUpdateSizeOfAnEdit(t *testing.T) {
+	c := qt.New(t)
+	before, err := examples.Files.ReadFile("hollins/bookings.toml")
+	c.Assert(err, qt.IsNil)
+	after := bytes.Replace(before, []byte("deadline = \""), []byte("deadline = \"1"), 1)
+	c.Assert(bytes.Equal(before, after), qt.IsFalse)
+	old, next := body("bookings", 1, before), body("bookings", 2, after)
+	whole, err := (&wire.Update{Bodies: []wire.Body{next}}).MarshalMsg(nil)
+	c.Assert(err, qt.IsNil)
+	difference, err := (&wire.Update{Bodies: []wire.Body{patch(next, old)}}).MarshalMsg(nil)
+	c.Assert(err, qt.IsNil)
+	c.Logf("update of one value: %d bytes, %d as a difference", len(whole), len(difference))
+	c.Assert(len(difference) < len(whole)/2, qt.IsTrue)
+}
+
 func TestUpdateNamesRemovedServices(t *testing.T) {
 	c := qt.New(t)
 	a, b := body("a", 1, testDocument("a", 1)), body("b", 2, testDocument("b", 1))
--- a/src/ledger/update.go
+++ b/src/ledger/update.go
@@ -20,6 +20,9 @@
 	if len(u.Bodies) == len(s.Bodies) {
 		u.From = 0
 	}
+	if u.From != 0 {
+		s.patchBodies(u.Bodies, have)
+	}
 	slices.SortFunc(u.Bodies, func(a, b wire.Body) int { return cmp.Compare(a.Service, b.Service) })
 	if u.From == 0 {
 		return u
@@ -32,3 +35,12 @@
 	slices.Sort(u.Removed)
 	return u
 }
+
+// patchBodies turns the bodies whose document at version have is known into differences.
+func (s *Snapshot) patchBodies(bodies []wire.Body, have uint64) {
+	for i, b := range bodies {
+		if r, ok := s.replaced[b.Service]; ok && r.body.Version <= have && have <= r.until {
+			bodies[i] = patch(b, r.body)
+		}
+	}
+}
--- a/src/relay/core.go
+++ b/src/relay/core.go
@@ -154,6 +154,10 @@
 		return
 	}
 	if e.Gap && e.Source != SourceStore {
+		if e.Base != c.have && e.Base != 0 {
+			c.pullNow(now, e.Peer, e.Version) // it was made for another version
+			return
+		}
 		c.pullFull(now, e.Peer, e.Version)
 		return
 	}
--- a/src/relay/core_test.go
+++ b/src/relay/core_test.go
@@ -57,7 +57,7 @@
 		"the version after a refused one is taken":                     {[]Event{push(5, 6), Refused{Version: 6, Source: SourcePush}, push(5, 7)}, []string{"apply"}},
 		"a child that cannot be reached is replaced":                   {[]Event{push(5, 6, 3), PushFailed{ID: 1}}, []string{}},
 		"a refused version is not pulled":                              {[]Event{Refused{Version: 6, Source: SourcePush}, PeerAhead{Peer: 11, Version: 6}, Tick{}}, []string{}},
-		"a broken delta leads to a full copy":                          {[]Event{Refused{Version: 6, Source: SourcePush, Peer: 2, Gap: true}}, []string{"pull"}},
+		"a broken delta leads to a full copy":                          {[]Event{Refused{Version: 6, Source: SourcePush, Peer: 2, Base: 5, Gap: true}}, []string{"pull"}},
 		"a peer that is not behind":                                    {[]Event{PullRequested{From: 2, Have: 5}}, []string{"answer_current"}},
 		"a peer that is behind":                                        {[]Event{PullRequested{From: 2, Have: 4}}, []string{"answer_update"}},
 		"a head below the version in force":                            {[]Event{HeadSeen{Revision: 9, Version: 3}}, []string{"store_behind"}},
@@ -130,6 +130,23 @@
 	c.Assert(kinds(later), qt.DeepEquals, []string{"answer_update"})
 }
 
+func TestCorePullsWhatAGapNeeds(t *testing.T) {
+	tests := map[string]struct{ base, have uint64 }{
+		"made for the version held": {5, 0},
+		"a full copy":               {0, 0},
+		"made for an older version": {4, 5},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			core, now := testCore(c)
+			p := core.Step(now, Refused{Version: 7, Source: SourcePush, Peer: 2, Base: test.base, Gap: true})[0].(Pull)
+			c.Assert(p.Have, qt.Equals, test.have)
+			c.Assert(p.To, qt.Equals, uint64(2))
+		})
+	}
+}
+
 func TestCoreTriesARefusedVersionAgain(t *testing.T) {
 	c := qt.New(t)
 	core, now := testCore(c)
--- a/src/relay/event.go
+++ b/src/relay/event.go
@@ -104,7 +104,8 @@
 	Version uint64 `json:"version"`
 	Source  Source `json:"source"`
 	Peer    uint64 `json:"peer,omitempty"`
-	Gap     bool   `json:"gap,omitempty"` // a full copy would help
+	Base    uint64 `json:"base,omitempty"` // version that the update started from, 0 for a full copy
+	Gap     bool   `json:"gap,omitempty"`  // another update would help
 }
 
 func (Tick) isEvent()          {}
--- a/src/wire/update.go
+++ b/src/wire/update.go
@@ -3,13 +3,22 @@
 //go:generate go tool -modfile=../../tools/go.mod msgp -tests=false -io=false
 
 //msgp:limit arrays:4096 maps:4096
+//msgp:tuple Patch
 
 // Body is one service document as its team wrote it.
 type Body struct {
 	Service string `msg:"service"`
-	Version uint64 `msg:"version"` // configuration version that accepted this document
-	Digest  string `msg:"digest"`
+	Version uint64 `msg:"version"`          // configuration version that accepted this document
+	Digest  string `msg:"digest"`           // of the whole document
 	Data    []byte `msg:"data,limit=65536"` // at most document.MaxSize
+	Patch   Patch  `msg:"patch"`
+}
+
+// Patch tells that a Body's Data is the middle of a document whose ends are those of another one.
+type Patch struct {
+	Base string `msg:"base"` // digest of the other document, empty when Data is whole
+	Head int    `msg:"head"` // bytes of its beginning that are kept
+	Tail int    `msg:"tail"` // bytes of its end that are kept
 }
 
 // Update carries a daemon from one configuration version to a later one.
--- a/src/wire/update_gen.go
+++ b/src/wire/update_gen.go
@@ -15,9 +15,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Body) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "service"
-	o = append(o, 0x84, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = append(o, 0x85, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
 	o = msgp.AppendString(o, z.Service)
 	// string "version"
 	o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
@@ -28,6 +28,13 @@
 	// string "data"
 	o = append(o, 0xa4, 0x64, 0x61, 0x74, 0x61)
 	o = msgp.AppendBytes(o, z.Data)
+	// string "patch"
+	o = append(o, 0xa5, 0x70, 0x61, 0x74, 0x63, 0x68)
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendString(o, z.Patch.Base)
+	o = msgp.AppendInt(o, z.Patch.Head)
+	o = msgp.AppendInt(o, z.Patch.Tail)
 	return
 }
 
@@ -93,6 +100,32 @@
 			}
 			copy(z.Data, bts[:zb0002])
 			bts = bts[zb0002:]
+		case "patch":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Patch")
+				return
+			}
+			if zb0003 != 3 {
+				err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+				return
+			}
+			z.Patch.Base, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Patch", "Base")
+				return
+			}
+			z.Patch.Head, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Patch", "Head")
+				return
+			}
+			z.Patch.Tail, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Patch", "Tail")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -107,7 +140,55 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Body) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.Uint64Size + 7 + msgp.StringPrefixSize + len(z.Digest) + 5 + msgp.BytesPrefixSize + len(z.Data)
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.Uint64Size + 7 + msgp.StringPrefixSize + len(z.Digest) + 5 + msgp.BytesPrefixSize + len(z.Data) + 6 + 1 + msgp.StringPrefixSize + len(z.Patch.Base) + msgp.IntSize + msgp.IntSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Patch) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendString(o, z.Base)
+	o = msgp.AppendInt(o, z.Head)
+	o = msgp.AppendInt(o, z.Tail)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Patch) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Base, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Base")
+		return
+	}
+	z.Head, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Head")
+		return
+	}
+	z.Tail, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Tail")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Patch) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Base) + msgp.IntSize + msgp.IntSize
 	return
 }
 
