Booking: a payment waits out servers that close after each answer

Cause, found by a new test: a backend server that closes after an answer without "Connection: close" got the next request within the microseconds before its close was seen, and the call ended as "may have run" for nothing. A payment now takes a connection that has carried more than one answer (the health probe makes it two), or whose answer is 5 ms old; reads that this happens to are told "may have run" truthfully and are dispatch's to repeat.

TestReadsPassUploadsUnderOverload: reads are answered while uploads fill slots and queue.

--- a/src/booking/conn.go
+++ b/src/booking/conn.go
@@ -12,13 +12,13 @@
 
 // conn is one connection to the backend server.
 type conn struct {
-	nc     net.Conn
-	r      *bufio.Reader
-	w      *bufio.Writer
-	wrote  atomic.Bool // a byte of the call may have reached the backend server
-	sawEnd bool        // the backend server has closed its side
-	proven time.Time   // when its last answer ended
-	used   bool        // it has carried an answer
+	nc      net.Conn
+	r       *bufio.Reader
+	w       *bufio.Writer
+	wrote   atomic.Bool // a byte of the call may have reached the backend server
+	sawEnd  bool        // the backend server has closed its side
+	proven  time.Time   // when its last answer ended
+	answers int         // whole answers that it has carried
 }
 
 func newConn(nc net.Conn) *conn {
--- a/src/booking/conns.go
+++ b/src/booking/conns.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	provenFor   = time.Second      // a connection idle for longer is not given to a call that must not run twice
-	idleFor     = 30 * time.Second // an idle connection is closed after it
+	provenFor   = time.Second          // a connection idle for longer is not given to a call that must not run twice
+	settleFor   = 5 * time.Millisecond // a server that closes after its first answer has done it by then
+	idleFor     = 30 * time.Second     // an idle connection is closed after it
 	dialTimeout = 2 * time.Second
 )
 
@@ -53,10 +54,9 @@
 func (p *conns) take(proven bool) (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if n := len(p.idle); n > 0 {
-		c := p.idle[n-1]
-		if !proven || p.Now().Sub(c.proven) < provenFor {
-			p.idle = p.idle[:n-1]
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if c := p.idle[i]; !proven || p.isProven(c) {
+			p.idle = slices.Delete(p.idle, i, i+1)
 			return c, nil
 		}
 	}
@@ -72,6 +72,13 @@
 	return nil, nil
 }
 
+// isProven tells whether the backend server will surely not close a connection just now.
+func (p *conns) isProven(c *conn) bool {
+	age := p.Now().Sub(c.proven)
+	kept := c.answers > 1 || age > settleFor // it does not close after each answer
+	return kept && age < provenFor
+}
+
 func (p *conns) dial(ctx context.Context) (*conn, error) {
 	d := net.Dialer{Timeout: dialTimeout}
 	nc, err := d.DialContext(ctx, "tcp", p.Addr.String())
@@ -86,7 +93,8 @@
 
 // put keeps a connection whose answer has ended for the next call.
 func (p *conns) put(c *conn) {
-	c.proven, c.used = p.Now(), true
+	c.proven = p.Now()
+	c.answers++
 	c.wrote.Store(false)
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/src/booking/conns_test.go
+++ b/src/booking/conns_test.go
@@ -34,23 +34,29 @@
 
 func TestWhichConnectionACallGets(t *testing.T) {
 	tests := map[string]struct {
-		idle   time.Duration
-		proven bool
-		reuse  bool
+		idle    time.Duration
+		answers int // before the last one
+		proven  bool
+		reuse   bool
 	}{
-		"just used":                         {idle: provenFor / 2, reuse: true},
-		"just used, must not run twice":     {idle: provenFor / 2, proven: true, reuse: true},
-		"idle for long":                     {idle: provenFor * 2, reuse: true},
-		"idle for long, must not run twice": {idle: provenFor * 2, proven: true},
+		"just used":                                        {idle: provenFor / 2, reuse: true},
+		"just used, must not run twice":                    {idle: provenFor / 2, proven: true, reuse: true},
+		"idle for long":                                    {idle: provenFor * 2, reuse: true},
+		"first answer this moment":                         {reuse: true},
+		"first answer this moment, must not run twice":     {proven: true},
+		"kept after an earlier answer, must not run twice": {answers: 1, proven: true, reuse: true},
+		"idle for long, must not run twice":                {answers: 1, idle: provenFor * 2, proven: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			b := startBackend(t, &standin.Backend{})
+			l := listen(t) // connections are opened and never spoken on
+			defer func() { _ = l.Close() }()
 			now := time.Now()
-			p := &conns{Addr: addrOf(b.Listener), Max: 2, Now: func() time.Time { return now }}
+			p := &conns{Addr: addrOf(l), Max: 2, Now: func() time.Time { return now }}
 			defer p.close()
 			c, err := p.get(context.Background(), false)
 			qt.Assert(t, err, qt.IsNil)
+			c.answers = test.answers
 			p.put(c)
 			now = now.Add(test.idle)
 			got, err := p.get(context.Background(), test.proven)
@@ -62,9 +68,10 @@
 }
 
 func TestConnectionsAreBounded(t *testing.T) {
-	b := startBackend(t, &standin.Backend{})
+	l := listen(t)
+	defer func() { _ = l.Close() }()
 	now := time.Now()
-	p := &conns{Addr: addrOf(b.Listener), Max: 2, Now: func() time.Time { return now }}
+	p := &conns{Addr: addrOf(l), Max: 2, Now: func() time.Time { return now }}
 	defer p.close()
 	first, err := p.get(context.Background(), false)
 	qt.Assert(t, err, qt.IsNil)
@@ -109,7 +116,7 @@
 	qt.Assert(t, s.ask(context.Background()), qt.Equals, HealthUp)
 	c, err := s.conns.get(context.Background(), true)
 	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, c.used, qt.IsTrue)
+	qt.Assert(t, c.answers, qt.Equals, 2)
 	qt.Assert(t, s.conns.open, qt.Equals, 1)
 	s.conns.drop(c)
 }
--- a/src/booking/exchange.go
+++ b/src/booking/exchange.go
@@ -68,7 +68,7 @@
 }
 
 func (x *exchange) countConnection() {
-	if x.conn.used {
+	if x.conn.answers > 0 {
 		x.s.counters.reused.Inc()
 		return
 	}
--- a/src/booking/health.go
+++ b/src/booking/health.go
@@ -118,7 +118,7 @@
 		if err != nil {
 			return HealthDown
 		}
-		fresh := !c.used
+		fresh := c.answers == 0
 		state, ok := s.askOn(ctx, c)
 		if ok || fresh || ctx.Err() != nil {
 			return state
--- a/src/booking/load_test.go
+++ b/src/booking/load_test.go
@@ -130,3 +130,52 @@
 	s.mu.Unlock()
 	qt.Assert(t, s.Healthy(), qt.IsTrue) // an answered call outweighs the probe
 }
+
+// While photo uploads fill every slot and the queue, diary reads are all answered.
+func TestReadsPassUploadsUnderOverload(t *testing.T) {
+	release := make(chan struct{})
+	raw := startRaw(t)
+	raw.answer = func(string) string {
+		<-release
+		return "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok"
+	}
+	s := startServer(t, raw.l, 2, 6)
+	s.Document = func() *document.Document {
+		return &document.Document{Limits: document.Limits{Queue: 8, QueueWait: document.Duration(guard)}}
+	}
+	queued := func(p document.Priority, n int) func() bool {
+		return func() bool {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return len(s.core.queue.lines[p.Rank()]) == n
+		}
+	}
+	send := func(method string, p document.Priority, n int) chan []*inbound {
+		out := make(chan []*inbound, 1)
+		go func() {
+			out <- crowd(t, s, n, func(int) *inbound {
+				in := newInbound(method, "/", "", nil, 0)
+				in.head.Priority = p.Rank()
+				return in
+			})
+		}()
+		return out
+	}
+	uploads := send("POST", document.PriorityLow, 40)
+	eventually(t, "uploads fill the queue", queued(document.PriorityLow, 8))
+	reads := send("GET", document.PriorityHigh, 6)
+	eventually(t, "all reads are queued", queued(document.PriorityHigh, 6))
+	close(release)
+	for _, in := range <-reads {
+		qt.Check(t, in.whole, qt.IsTrue, qt.Commentf("%+v", in.refusal))
+	}
+	answered := 0
+	for _, in := range <-uploads {
+		if in.whole {
+			answered++
+			continue
+		}
+		qt.Check(t, in.refusal.MayHaveRun, qt.IsFalse)
+	}
+	qt.Assert(t, answered, qt.Equals, 4) // the two that ran and the two that kept their place
+}
