--- a/src/bench/route.go
+++ b/src/bench/route.go
@@ -40,6 +40,7 @@
 	mix     []routeMix
 	photo   []byte
 	callers []*routeCaller
+	nodes   []*Node // at the start
 	began   time.Time
 
 	mu      sync.Mutex
@@ -118,6 +119,7 @@
 // load warms up, then sends the measured calls while the faults come and go.
 func (r *Route) load(ctx context.Context) error {
 	nodes := r.fleet.Nodes()
+	r.nodes = nodes
 	r.send(ctx, nodes, newRouteTally(), warmUp, "warm")
 	before := r.attempts()
 	r.began = time.Now()
@@ -192,6 +194,7 @@
 		out.AttemptsPerCall = float64(t.attempts) / float64(t.calls)
 		out.GoodputShare = float64(t.ok) / min(float64(t.calls), r.capacity()*r.Duration.Seconds())
 	}
+	r.say("added p50 %.3f ms, direct %.3f ms", out.AddedP50MS, quantile(t.direct, 50))
 	for reason, n := range t.reasons {
 		r.say("%6d %s", n, reason)
 	}
