--- /dev/null
+++ b/src/dispatch/live_answers_test.go
@@ -0,0 +1,138 @@
+package dispatch_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/yuccaport/yuccaport/src/dispatch"
+	"github.com/yuccaport/yuccaport/src/document"
+	"github.com/yuccaport/yuccaport/src/link"
+	"github.com/yuccaport/yuccaport/src/wire"
+)
+
+// cutBody is an answer's body that ends in the middle.
+type cutBody struct{ left int }
+
+func (b *cutBody) Read(p []byte) (int, error) {
+	if b.left == 0 {
+		return 0, io.ErrUnexpectedEOF
+	}
+	n := min(len(p), b.left)
+	for i := range n {
+		p[i] = 'x'
+	}
+	b.left -= n
+	return n, nil
+}
+
+func (b *cutBody) Close() error { return nil }
+
+func TestCutAnswerNeverLooksWhole(t *testing.T) {
+	tests := map[string]struct {
+		length int64 // stated, -1 for none
+		proto  string
+	}{
+		"stated length":      {1 << 20, "HTTP/1.1"},
+		"chunked":            {-1, "HTTP/1.1"},
+		"until the end, 1.0": {-1, "HTTP/1.0"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			p := start(t, diary, func(context.Context, link.Peer, wire.CallHead, io.Reader) link.Outcome {
+				return link.Reply{Head: wire.ReplyHead{Status: 200, BodyLength: tc.length}, Body: &cutBody{left: 200_000}}
+			})
+			conn := p.raw(c, "GET /diary "+tc.proto+"\r\nHost: bookings.example\r\n\r\n")
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err == nil {
+				_, err = io.Copy(io.Discard, resp.Body)
+				_ = resp.Body.Close()
+			}
+			c.Assert(err, qt.IsNotNil)
+		})
+	}
+}
+
+func TestAnswerLongerThanItsHeadIsCut(t *testing.T) {
+	c := qt.New(t)
+	p := start(t, diary, func(context.Context, link.Peer, wire.CallHead, io.Reader) link.Outcome {
+		return link.Reply{Head: wire.ReplyHead{Status: 200, BodyLength: 100_000}, Body: io.NopCloser(strings.NewReader(strings.Repeat("x", 100_000) + "HTTP/1.1 200 OK\r\n\r\n"))}
+	})
+	_, err := p.do("GET", "/diary", nil)
+	c.Assert(err, qt.IsNotNil)
+}
+
+func TestShortCutAnswer(t *testing.T) {
+	tests := map[string]struct {
+		method, outcome string
+		status, calls   int
+	}{
+		"read is repeated":   {"GET", "", 200, 2},
+		"write is uncertain": {"POST", "may-have-run", 502, 1},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			var calls atomic.Int64
+			p := start(t, diary, func(context.Context, link.Peer, wire.CallHead, io.Reader) link.Outcome {
+				if calls.Add(1) == 1 {
+					return link.Reply{Head: wire.ReplyHead{Status: 200, BodyLength: 100}, Body: &cutBody{left: 50}}
+				}
+				return reply(200, "whole")
+			})
+			got, err := p.do(tc.method, "/diary", nil)
+			c.Assert(err, qt.IsNil)
+			c.Check(got.status, qt.Equals, tc.status)
+			c.Check(got.header.Get("yuccaport-outcome"), qt.Equals, tc.outcome)
+			c.Check(int(calls.Load()), qt.Equals, tc.calls)
+		})
+	}
+}
+
+// TestAnswersAreNotCrossed lets reads be hedged, so that late answers of given-up attempts come beside those of others.
+func TestAnswersAreNotCrossed(t *testing.T) {
+	c := qt.New(t)
+	route := diary
+	route.Hedge.After = document.Duration(time.Millisecond)
+	p := start(t, route, func(_ context.Context, _ link.Peer, head wire.CallHead, _ io.Reader) link.Outcome {
+		time.Sleep(time.Duration(len(head.URI)*int(head.Attempt)%7) * time.Millisecond)
+		return reply(200, strings.Repeat(head.URI, 50))
+	}, func(p *dispatch.Proxy) { p.Core.RetryShare = 1 })
+	var wg sync.WaitGroup
+	for i := range 8 {
+		wg.Go(func() {
+			for j := range 50 {
+				uri := fmt.Sprintf("/diary/%d/%s", i, strings.Repeat("y", j))
+				got, err := p.do("GET", uri, nil)
+				c.Check(err, qt.IsNil)
+				c.Check(got.body, qt.Equals, strings.Repeat(uri, 50))
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func TestKillCutsRequestsInFlight(t *testing.T) {
+	c := qt.New(t)
+	running := make(chan struct{})
+	p := start(t, diary, func(ctx context.Context, _ link.Peer, _ wire.CallHead, _ io.Reader) link.Outcome {
+		close(running)
+		<-ctx.Done()
+		return refused(wire.ReasonCancelled, true)
+	})
+	conn := p.raw(c, "GET /diary HTTP/1.1\r\nHost: bookings.example\r\n\r\n")
+	<-running
+	p.Kill()
+	_, err := conn.Read(make([]byte, 1))
+	c.Check(err, qt.IsNotNil)
+}
--- /dev/null
+++ b/src/dispatch/live_callers_test.go
@@ -0,0 +1,196 @@
+package dispatch_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/yuccaport/yuccaport/src/dispatch"
+	"github.com/yuccaport/yuccaport/src/document"
+	"github.com/yuccaport/yuccaport/src/link"
+	"github.com/yuccaport/yuccaport/src/wire"
+)
+
+func TestCallerThatVanishesCancelsItsCall(t *testing.T) {
+	tests := map[string]string{
+		"without a body": "GET /diary HTTP/1.1\r\nHost: bookings.example\r\n\r\n",
+		"after its body": "POST /diary HTTP/1.1\r\nHost: bookings.example\r\nContent-Length: 4\r\n\r\nbody",
+		"in its body":    "POST /diary HTTP/1.1\r\nHost: bookings.example\r\nContent-Length: 100000\r\n\r\n" + strings.Repeat("x", 70_000),
+	}
+	for name, request := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			arrived, cancelled := make(chan struct{}), make(chan struct{})
+			route := diary
+			route.Timeout, route.Deadline = document.Duration(6*guard), document.Duration(6*guard)
+			p := start(t, route, func(ctx context.Context, _ link.Peer, _ wire.CallHead, body io.Reader) link.Outcome {
+				close(arrived)
+				if body != nil {
+					if _, err := io.Copy(io.Discard, body); err != nil {
+						close(cancelled)
+						return refused(wire.ReasonCancelled, true)
+					}
+				}
+				<-ctx.Done()
+				close(cancelled)
+				return refused(wire.ReasonCancelled, true)
+			})
+			conn := p.raw(c, request)
+			wait(c, arrived, "the call")
+			_ = conn.Close()
+			wait(c, cancelled, "the cancellation")
+		})
+	}
+}
+
+// TestTruncatedUploadNeverLooksWhole ends the caller's connection in the middle of a body.
+func TestTruncatedUploadNeverLooksWhole(t *testing.T) {
+	tests := map[string]string{
+		"stated length": "Content-Length: 100000\r\n\r\n" + strings.Repeat("x", 70_000),
+		"in a chunk":    "Transfer-Encoding: chunked\r\n\r\n13880\r\n" + strings.Repeat("x", 70_000),
+		"after a chunk": "Transfer-Encoding: chunked\r\n\r\n11170\r\n" + strings.Repeat("x", 70_000) + "\r\n",
+	}
+	for name, rest := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			arrived, read := make(chan struct{}), make(chan error, 1)
+			p := start(t, diary, func(_ context.Context, _ link.Peer, _ wire.CallHead, body io.Reader) link.Outcome {
+				close(arrived)
+				_, err := io.Copy(io.Discard, body)
+				read <- err
+				return refused(wire.ReasonCancelled, true)
+			})
+			conn := p.raw(c, "PUT /diary HTTP/1.1\r\nHost: bookings.example\r\n"+rest)
+			wait(c, arrived, "the call")
+			_ = conn.Close()
+			c.Assert(<-read, qt.IsNotNil)
+		})
+	}
+}
+
+func TestCallOfACancelledParentEndsWithoutAnAnswer(t *testing.T) {
+	c := qt.New(t)
+	done := make(chan struct{})
+	p := start(t, diary, func(ctx context.Context, _ link.Peer, _ wire.CallHead, _ io.Reader) link.Outcome {
+		close(done)
+		<-ctx.Done()
+		return refused(wire.ReasonCancelled, true)
+	}, func(p *dispatch.Proxy) {
+		p.Parent = func(string) (dispatch.Parent, bool) { return dispatch.Parent{Done: done}, true }
+	})
+	_, err := p.do("GET", "/diary", nil, "Yuccaport-Parent", "x")
+	c.Assert(err, qt.IsNotNil)
+}
+
+func TestBytesOfANextRequestAreKeptWhileACallRuns(t *testing.T) {
+	c := qt.New(t)
+	running, release := make(chan struct{}, 2), make(chan struct{})
+	p := start(t, diary, func(_ context.Context, _ link.Peer, head wire.CallHead, _ io.Reader) link.Outcome {
+		running <- struct{}{}
+		<-release
+		return reply(200, head.URI)
+	})
+	conn := p.raw(c, "GET /diary/1 HTTP/1.1\r\nHost: bookings.example\r\n\r\n")
+	<-running
+	time.Sleep(50 * time.Millisecond) // lets the watch begin; the outcome is the same without
+	_, err := io.WriteString(conn, "GET /diary/2 HTTP/1.1\r\nHost: bookings.example\r\n\r\n")
+	c.Assert(err, qt.IsNil)
+	time.Sleep(20 * time.Millisecond)
+	close(release)
+	r := bufio.NewReader(conn)
+	for _, want := range []string{"/diary/1", "/diary/2"} {
+		resp, err := http.ReadResponse(r, nil)
+		c.Assert(err, qt.IsNil)
+		b, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		c.Assert(err, qt.IsNil)
+		c.Assert(string(b), qt.Equals, want)
+	}
+}
+
+// TestUnreadBodyIsNotTakenForARequest refuses an upload whose rest looks like another request.
+func TestUnreadBodyIsNotTakenForARequest(t *testing.T) {
+	tests := map[string]string{"refused": "/diary", "no route": "/other"}
+	for name, path := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			var calls atomic.Int64
+			p := start(t, diary, func(_ context.Context, _ link.Peer, head wire.CallHead, _ io.Reader) link.Outcome {
+				if head.URI == "/diary/smuggled" {
+					calls.Add(1)
+				}
+				return refused(wire.ReasonQueueFull, false)
+			})
+			inner := "GET /diary/smuggled HTTP/1.1\r\nHost: bookings.example\r\n\r\n"
+			conn := p.raw(c, fmt.Sprintf("POST %s HTTP/1.1\r\nHost: bookings.example\r\nContent-Length: 400000\r\n\r\n%s", path, strings.Repeat("x", 65<<10)+inner))
+			r := bufio.NewReader(conn)
+			resp, err := http.ReadResponse(r, nil)
+			c.Assert(err, qt.IsNil)
+			_, err = io.Copy(io.Discard, resp.Body)
+			c.Check(err, qt.IsNil)
+			_ = resp.Body.Close()
+			c.Check(resp.Close, qt.IsTrue)
+			_, err = r.ReadByte()
+			c.Check(err, qt.IsNotNil)
+			c.Check(calls.Load(), qt.Equals, int64(0))
+		})
+	}
+}
+
+// closedBody is a long answer that tells when it is given up.
+type closedBody struct {
+	cutBody
+	closed chan struct{}
+}
+
+func (b *closedBody) Close() error {
+	close(b.closed)
+	return nil
+}
+
+func TestStalledCallerStallsNobodyElse(t *testing.T) {
+	c := qt.New(t)
+	long := &closedBody{cutBody: cutBody{left: 1 << 30}, closed: make(chan struct{})}
+	p := start(t, diary, func(_ context.Context, _ link.Peer, head wire.CallHead, _ io.Reader) link.Outcome {
+		if head.URI == "/diary/long" {
+			return link.Reply{Head: wire.ReplyHead{Status: 200, BodyLength: 1 << 30}, Body: long}
+		}
+		return reply(200, "whole")
+	}, func(p *dispatch.Proxy) { p.Stall = 300 * time.Millisecond })
+	p.raw(c, "GET /diary/long HTTP/1.1\r\nHost: bookings.example\r\n\r\n") // is never read
+	for range 20 {
+		got, err := p.do("GET", "/diary", nil)
+		c.Assert(err, qt.IsNil)
+		c.Check(got.body, qt.Equals, "whole")
+	}
+	wait(c, long.closed, "the end of the stalled call")
+}
+
+func TestSlowUploadIsNoTimeout(t *testing.T) {
+	c := qt.New(t)
+	route := diary
+	route.Timeout = document.Duration(50 * time.Millisecond)
+	p := start(t, route, func(_ context.Context, _ link.Peer, _ wire.CallHead, body io.Reader) link.Outcome {
+		n, err := io.Copy(io.Discard, body)
+		return reply(200, fmt.Sprint(n, err))
+	})
+	r, w := io.Pipe()
+	go func() {
+		for range 20 {
+			_, _ = w.Write(make([]byte, 5_000))
+			time.Sleep(15 * time.Millisecond)
+		}
+		_ = w.Close()
+	}()
+	got, err := p.do("POST", "/diary", r)
+	c.Assert(err, qt.IsNil)
+	c.Check(got.body, qt.Equals, "100000 <nil>")
+}
