--- a/src/bench/route_report.go
+++ b/src/bench/route_report.go
@@ -1,5 +1,11 @@
 package bench
 
+import (
+	"fmt"
+
+	"github.com/yuccaport/yuccaport/src/problem"
+)
+
 // RouteReport is what Route has measured.
 //
 // Added times are those of plain reads: the caller's time from the moment a call was due, less the backend server's own handler time.
@@ -25,8 +31,14 @@
 	Baseline *RouteReport `json:"baseline,omitempty"` // the same calls and faults with the baseline's choice
 }
 
-// Kept tells whether every promise was kept.
-func (r RouteReport) Kept() bool {
+// Held returns an error of kind problem.Broken when a promise did not hold.
+func (r RouteReport) Held() error {
 	broken := r.Doubled + r.Crossed + r.Truncated + r.NotRunButRan + r.SlotsExceeded + r.LateNewWork
-	return broken == 0
+	if broken == 0 {
+		return nil
+	}
+	return problem.New(problem.Broken, "bench route",
+		fmt.Sprintf("doubled %d, crossed %d, truncated %d, not run but ran %d, slots exceeded %d, late new work %d",
+			r.Doubled, r.Crossed, r.Truncated, r.NotRunButRan, r.SlotsExceeded, r.LateNewWork),
+		"run it again with --log to see the decisions, and file an issue with them")
 }
--- a/src/booking/health.go
+++ b/src/booking/health.go
@@ -85,7 +85,7 @@
 	if state == s.health.state {
 		return
 	}
-	s.Log.Info("backend server health", "reason", "probe and calls", "was", s.health.state, "is", state)
+	s.Log.Info("backend server health", "reason", "probe and calls", "was", s.health.state.String(), "is", state.String())
 	s.health.state = state
 	s.step(Health{State: state})
 }
--- a/src/booking/health_state.go
+++ b/src/booking/health_state.go
@@ -10,3 +10,16 @@
 	HealthDown
 	HealthDraining // takes no new calls of its own will
 )
+
+// String returns the state's name as log lines show it.
+func (h HealthState) String() string {
+	switch h {
+	case HealthUp:
+		return "up"
+	case HealthDown:
+		return "down"
+	case HealthDraining:
+		return "draining"
+	}
+	return "unknown"
+}
--- a/src/command/app.go
+++ b/src/command/app.go
@@ -44,7 +44,7 @@
 		Commands: []*cli.Command{
 			runCommand(), checkCommand(), applyCommand(), getCommand(), historyCommand(), rollbackCommand(),
 			statusCommand(), routeCommand(), drainCommand(), replayCommand(), demoCommand(), standinCommand(),
-			benchCommand(),
+			benchCommand(), loadCommand(),
 		},
 		Action: func(_ context.Context, cmd *cli.Command) error {
 			if cmd.Args().Present() {
--- a/src/demo/caller.go
+++ b/src/demo/caller.go
@@ -52,16 +52,23 @@
 	method string
 	host   string
 	path   string
-	token  string
+	name   string // differs between requests
+	token  string // differs between the attempts at a request
 	key    string // idempotency key of a payment
 	size   int    // of the answer to a read, or of an upload
 }
 
+// owns tells whether an answer with this token is the request's own; the recorded answer of a payment carries that of the attempt that ran.
+func (r request) owns(token string) bool {
+	return token == r.token || r.key != "" && strings.HasPrefix(token, r.name+".")
+}
+
 // caller sends requests to daemons as a van's or a dock's application would.
 type caller struct {
 	proxies func() []netip.AddrPort // daemons that take callers now
 	rand    *rand.Rand
 	client  *fasthttp.Client
+	refused []string // tokens of the attempts answered as not run
 }
 
 func newCaller(proxies func() []netip.AddrPort, seed uint64) *caller {
@@ -78,22 +85,23 @@
 
 // next draws a request: mostly reads, some photo uploads and deposits.
 func (c *caller) next(n int) request {
-	token := fmt.Sprintf("%016x-%d", c.rand.Uint64(), n)
+	name := fmt.Sprintf("%016x-%d", c.rand.Uint64(), n)
 	switch k := c.rand.IntN(drawOf); {
 	case k < diaryShare:
-		return request{method: "GET", host: "bookings.example", path: "/diary/" + token, token: token, size: c.rand.IntN(32 << 10)}
+		return request{method: "GET", host: "bookings.example", path: "/diary/" + name, name: name, size: c.rand.IntN(32 << 10)}
 	case k < diaryShare+historyShare:
-		return request{method: "GET", host: "jobrecords.example", path: "/histories/" + token, token: token}
+		return request{method: "GET", host: "jobrecords.example", path: "/histories/" + name, name: name}
 	case k < diaryShare+historyShare+photoShare:
-		return request{method: "PUT", host: "bookings.example", path: "/photos/" + token, token: token, size: c.rand.IntN(photoSize)}
+		return request{method: "PUT", host: "bookings.example", path: "/photos/" + name, name: name, size: c.rand.IntN(photoSize)}
 	default:
-		return request{method: "POST", host: "bookings.example", path: "/deposits", token: token, key: "key-" + token, size: 64}
+		return request{method: "POST", host: "bookings.example", path: "/deposits", name: name, key: "key-" + name, size: 64}
 	}
 }
 
 // do sends a request, repeating it where that is safe, until it has an answer.
 func (c *caller) do(r request) verdict {
 	for i := 0; ; i++ {
+		r.token = fmt.Sprintf("%s.%d", r.name, i)
 		v, pause := c.attempt(r)
 		if v == whole || pause == 0 || i == maxRepeats {
 			return v
@@ -123,18 +131,22 @@
 		return failed, repeatPause // the request is idempotent or carries a key
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
-		return refusal(resp)
+		return c.refusal(r, resp)
 	}
 	return check(r, resp), 0
 }
 
 // refusal reads an answer that is not the request's own; every request may be repeated.
-func refusal(resp *fasthttp.Response) (verdict, time.Duration) {
+func (c *caller) refusal(r request, resp *fasthttp.Response) (verdict, time.Duration) {
 	pause := repeatPause
 	if after, err := strconv.Atoi(string(resp.Header.Peek("Retry-After"))); err == nil {
 		pause = min(max(time.Duration(after)*time.Second, repeatPause), maxPause)
 	}
-	if string(resp.Header.Peek(outcomeField)) == outcomeNotRun || resp.StatusCode() == fasthttp.StatusConflict {
+	if string(resp.Header.Peek(outcomeField)) == outcomeNotRun {
+		c.refused = append(c.refused, r.token)
+		return failed, pause
+	}
+	if resp.StatusCode() == fasthttp.StatusConflict {
 		return failed, pause
 	}
 	return mayHaveRun, pause
@@ -142,7 +154,7 @@
 
 // check compares an answer with the one that the backend stand-in gives to this request.
 func check(r request, resp *fasthttp.Response) verdict {
-	if got := string(resp.Header.Peek(standin.HeaderToken)); got != r.token {
+	if got := string(resp.Header.Peek(standin.HeaderToken)); !r.owns(got) {
 		return crossed
 	}
 	if r.method != "GET" {
@@ -165,7 +177,7 @@
 	}
 	sum := xxh3.Hash128(upload(r)).Bytes()
 	switch {
-	case u.Token != r.token:
+	case !r.owns(u.Token):
 		return crossed
 	case u.Length != int64(r.size) || u.XXH3 != hex.EncodeToString(sum[:]):
 		return truncated
@@ -175,5 +187,5 @@
 
 // upload returns a body of the request's size that differs between requests.
 func upload(r request) []byte {
-	return []byte(strings.Repeat(r.token, r.size/len(r.token)+1)[:r.size])
+	return []byte(strings.Repeat(r.name, r.size/len(r.name)+1)[:r.size])
 }
--- a/src/demo/demo.go
+++ b/src/demo/demo.go
@@ -32,9 +32,10 @@
 	Log      logr.Logger
 	Progress io.Writer // a line for each step
 
-	fleet  *bench.Fleet
-	mu     sync.Mutex
-	report Report
+	fleet   *bench.Fleet
+	mu      sync.Mutex
+	report  Report
+	refused []string // tokens of the attempts answered as not run
 }
 
 // Run plays the demo and returns what was seen.
@@ -165,6 +166,9 @@
 		d.mu.Unlock()
 		time.Sleep(callerPause)
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.refused = append(d.refused, c.refused...)
 }
 
 // proxies returns the daemons that callers know of: all that run.
@@ -181,6 +185,11 @@
 // count takes from the run log what only the backend servers know.
 func (d *Demo) count() {
 	d.report.Doubled = d.fleet.Runs.Doubled()
+	for _, token := range d.refused {
+		if d.fleet.Runs.Count(token) > 0 {
+			d.report.NotRunButRan++
+		}
+	}
 }
 
 func (d *Demo) say(format string, args ...any) {
--- a/src/wire/claim.go
+++ b/src/wire/claim.go
@@ -2,6 +2,8 @@
 
 //go:generate go tool -modfile=../../tools/go.mod msgp -tests=false -io=false
 
+//msgp:limit arrays:65536 maps:4096
+
 //msgp:tuple ClaimID
 
 // ClaimState tells how far the payment of a claim has come.
--- a/src/wire/claim_gen.go
+++ b/src/wire/claim_gen.go
@@ -6,6 +6,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	z74f9a541limitArrays = 65536
+	z74f9a541limitMaps   = 4096
+)
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Claim) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -60,6 +66,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z74f9a541limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -90,11 +100,27 @@
 				return
 			}
 		case "digest":
-			z.Digest, bts, err = msgp.ReadBytesBytes(bts, z.Digest)
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Digest")
 				return
 			}
+			if zb0003 > z74f9a541limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Digest == nil || uint32(cap(z.Digest)) < zb0003 {
+				z.Digest = make([]byte, zb0003)
+			} else {
+				z.Digest = z.Digest[:zb0003]
+			}
+			if uint32(len(bts)) < zb0003 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Digest, bts[:zb0003])
+			bts = bts[zb0003:]
 		case "fingerprint":
 			z.Fingerprint, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
@@ -109,13 +135,13 @@
 			}
 		case "state":
 			{
-				var zb0003 uint8
-				zb0003, bts, err = msgp.ReadUint8Bytes(bts)
+				var zb0004 uint8
+				zb0004, bts, err = msgp.ReadUint8Bytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "State")
 					return
 				}
-				z.State = ClaimState(zb0003)
+				z.State = ClaimState(zb0004)
 			}
 		case "status":
 			z.Status, bts, err = msgp.ReadUint16Bytes(bts)
@@ -124,16 +150,20 @@
 				return
 			}
 		case "fields":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Fields")
 				return
 			}
-			if cap(z.Fields) >= int(zb0004) {
-				z.Fields = (z.Fields)[:zb0004]
+			if zb0005 > z74f9a541limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Fields) >= int(zb0005) {
+				z.Fields = (z.Fields)[:zb0005]
 			} else {
-				z.Fields = make([]Field, zb0004)
+				z.Fields = make([]Field, zb0005)
 			}
 			for za0001 := range z.Fields {
 				bts, err = z.Fields[za0001].UnmarshalMsg(bts)
@@ -143,11 +173,27 @@
 				}
 			}
 		case "body":
-			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Body")
 				return
 			}
+			if zb0006 > z74f9a541limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Body == nil || uint32(cap(z.Body)) < zb0006 {
+				z.Body = make([]byte, zb0006)
+			} else {
+				z.Body = z.Body[:zb0006]
+			}
+			if uint32(len(bts)) < zb0006 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Body, bts[:zb0006])
+			bts = bts[zb0006:]
 		case "omitted":
 			z.Omitted, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -245,6 +291,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z74f9a541limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -260,6 +310,10 @@
 				err = msgp.WrapError(err, "Claims")
 				return
 			}
+			if zb0002 > z74f9a541limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Claims) >= int(zb0002) {
 				z.Claims = (z.Claims)[:zb0002]
 			} else {
--- a/src/wire/status.go
+++ b/src/wire/status.go
@@ -4,6 +4,8 @@
 
 //go:generate go tool -modfile=../../tools/go.mod msgp -tests=false -io=false
 
+//msgp:limit arrays:65536 maps:4096
+
 //msgp:shim netip.AddrPort as:string using:addrPortToString/addrPortFromString witherr:true
 
 // StatusRequest asks for the status of a set of members.
--- a/src/wire/status_gen.go
+++ b/src/wire/status_gen.go
@@ -6,6 +6,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	z5630a442limitArrays = 65536
+	z5630a442limitMaps   = 4096
+)
+
 // MarshalMsg implements msgp.Marshaler
 func (z *MemberStatus) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -68,6 +74,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5630a442limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -226,6 +236,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5630a442limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -253,6 +267,10 @@
 				err = msgp.WrapError(err, "Members")
 				return
 			}
+			if zb0002 > z5630a442limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Members) >= int(zb0002) {
 				z.Members = (z.Members)[:zb0002]
 			} else {
@@ -315,6 +333,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5630a442limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -330,6 +352,10 @@
 				err = msgp.WrapError(err, "Members")
 				return
 			}
+			if zb0002 > z5630a442limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Members) >= int(zb0002) {
 				z.Members = (z.Members)[:zb0002]
 			} else {
