Reasons have one list of names; daemons with keys tested as processes

Cause: admission and dispatch each held the names of the refusal reasons, documents and settings each joined key paths by hand; the settings' keys had been tried in the link's tests only. Change: RefusalReason.String; strings.Join.

--- a/process_test.go
+++ b/process_test.go
@@ -68,6 +68,7 @@
 	Keyspace  *standin.Keyspace
 	Runs      *standin.RunLog
 	StopGrace time.Duration // of the daemons started from now on
+	Keys      string        // table of TOML added to their settings
 	store     netip.AddrPort
 }
 
@@ -130,8 +131,8 @@
 	quoted, err := json.Marshal(append([]string{}, peers...))
 	m.c.Assert(err, qt.IsNil)
 	file := filepath.Join(m.c.TempDir(), "daemon.toml")
-	text := fmt.Sprintf("service = %q\ndomain = %q\nregion = \"midlands\"\nstop_grace = %q\npeers = %s\n[listen]\nproxy = \"127.0.0.1:0\"\ncontrol = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\n[backend]\naddr = %q\n[store]\naddr = %q\ntimeout = \"500ms\"\n",
-		service, domain, m.StopGrace, quoted, l.Addr(), m.store)
+	text := fmt.Sprintf("service = %q\ndomain = %q\nregion = \"midlands\"\nstop_grace = %q\npeers = %s\n[listen]\nproxy = \"127.0.0.1:0\"\ncontrol = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\n[backend]\naddr = %q\n[store]\naddr = %q\ntimeout = \"500ms\"\n%s",
+		service, domain, m.StopGrace, quoted, l.Addr(), m.store, m.Keys)
 	m.c.Assert(os.WriteFile(file, []byte(text), 0o600), qt.IsNil)
 	return m.run(exec.Command(build(m.c), "run", "--config", file))
 }
--- a/src/booking/counters.go
+++ b/src/booking/counters.go
@@ -38,5 +38,5 @@
 }
 
 func (c *counters) refused(r wire.RefusalReason) {
-	c.set.GetOrCreateCounter(fmt.Sprintf(`yuccaport_booking_calls_refused_total{reason="%s"}`, reasonName(r))).Inc()
+	c.set.GetOrCreateCounter(fmt.Sprintf(`yuccaport_booking_calls_refused_total{reason="%s"}`, r)).Inc()
 }
--- a/src/booking/server.go
+++ b/src/booking/server.go
@@ -166,7 +166,7 @@
 	in.Refuse(r)
 	s.counters.refused(r.Reason)
 	if log := s.Log.V(1); log.Enabled() {
-		log.Info("call refused", "reason", reasonName(r.Reason), "may_have_run", r.MayHaveRun,
+		log.Info("call refused", "reason", r.Reason.String(), "may_have_run", r.MayHaveRun,
 			"trace", h.TraceID, "route", h.Route, "retry_after_ms", r.RetryAfterMS)
 	}
 }
--- a/src/dispatch/call.go
+++ b/src/dispatch/call.go
@@ -130,7 +130,7 @@
 		c.p.counters.notRun.Inc()
 		c.payment.release()
 	}
-	c.log().Info("refused", "trace", c.head.TraceID, "reason", reasonNames[a.Reason], "may_have_run", a.MayHaveRun)
+	c.log().Info("refused", "trace", c.head.TraceID, "reason", a.Reason.String(), "may_have_run", a.MayHaveRun)
 	writeRefusal(c.ctx, a)
 }
 
--- a/src/dispatch/reason.go
+++ b/src/dispatch/reason.go
@@ -2,22 +2,6 @@
 
 import "github.com/yuccaport/yuccaport/src/wire"
 
-var reasonNames = map[wire.RefusalReason]string{
-	wire.ReasonNone:        "none",
-	wire.ReasonQueueFull:   "queue_full",
-	wire.ReasonDeadline:    "deadline",
-	wire.ReasonLeaving:     "leaving",
-	wire.ReasonWrongMember: "wrong_member",
-	wire.ReasonNotReady:    "not_ready",
-	wire.ReasonConnect:     "connect",
-	wire.ReasonShed:        "shed",
-	wire.ReasonLinkLost:    "link_lost",
-	wire.ReasonLimit:       "limit",
-	wire.ReasonCancelled:   "cancelled",
-	wire.ReasonTimeout:     "timeout",
-	wire.ReasonCut:         "cut",
-}
-
 var reasonRemedies = map[wire.RefusalReason]string{
 	wire.ReasonQueueFull:   "repeat the request after retry-after; add backend servers if it goes on",
 	wire.ReasonDeadline:    "repeat the request after retry-after, or raise the route's deadline",
--- a/src/dispatch/refusal.go
+++ b/src/dispatch/refusal.go
@@ -25,13 +25,13 @@
 		if r.Reason == wire.ReasonTimeout || r.Reason == wire.ReasonDeadline {
 			status = fasthttp.StatusGatewayTimeout
 		}
-		writeOwn(ctx, status, outcomeMay, refusalBody{Reason: reasonNames[r.Reason], Remedy: remedy(r.Reason)})
+		writeOwn(ctx, status, outcomeMay, refusalBody{Reason: r.Reason.String(), Remedy: remedy(r.Reason)})
 		return
 	}
 	after := max(r.RetryAfter, time.Millisecond)
 	setRetryAfter(ctx, after)
 	writeOwn(ctx, fasthttp.StatusServiceUnavailable, outcomeNotRun,
-		refusalBody{Reason: reasonNames[r.Reason], Remedy: remedy(r.Reason), RetryAfterMS: after.Milliseconds()})
+		refusalBody{Reason: r.Reason.String(), Remedy: remedy(r.Reason), RetryAfterMS: after.Milliseconds()})
 }
 
 // setRetryAfter tells the caller in whole seconds when to come back.
--- a/src/dispatch/serve.go
+++ b/src/dispatch/serve.go
@@ -52,7 +52,7 @@
 // refuse answers a request that was not sent anywhere.
 func (p *Proxy) refuse(ctx *fasthttp.RequestCtx, r RefuseCall) {
 	p.counters.notRun.Inc()
-	p.Log.Info("refused", "host", string(ctx.Host()), "path", string(ctx.Path()), "reason", reasonNames[r.Reason], "may_have_run", false)
+	p.Log.Info("refused", "host", string(ctx.Host()), "path", string(ctx.Path()), "reason", r.Reason.String(), "may_have_run", false)
 	closeUnread(ctx)
 	writeRefusal(ctx, r)
 }
--- a/src/document/parse.go
+++ b/src/document/parse.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"strings"
 
 	"github.com/pelletier/go-toml/v2"
 
@@ -41,7 +42,7 @@
 		var errs []error
 		for _, e := range missing.Errors {
 			row, _ := e.Position()
-			errs = append(errs, problem.New(problem.Document, fmt.Sprintf("%s:%d: %s", file, row, dotted(e.Key())),
+			errs = append(errs, problem.New(problem.Document, fmt.Sprintf("%s:%d: %s", file, row, strings.Join(e.Key(), ".")),
 				"unknown key", "remove it or correct its spelling; docs/DOCUMENT.md lists the keys"))
 		}
 		return errors.Join(errs...)
@@ -70,14 +71,3 @@
 	}
 	return string(bytes.TrimSpace(key))
 }
-
-func dotted(k toml.Key) string {
-	var b bytes.Buffer
-	for i, s := range k {
-		if i > 0 {
-			b.WriteByte('.')
-		}
-		b.WriteString(s)
-	}
-	return b.String()
-}
--- a/src/settings/load.go
+++ b/src/settings/load.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"strings"
 
 	"github.com/pelletier/go-toml/v2"
 
@@ -37,24 +38,13 @@
 		e := strict.Errors[0]
 		row, _ := e.Position()
 		return problem.New(problem.Settings, fmt.Sprintf("%s:%d", file, row),
-			fmt.Sprintf("unknown key %q", keyPath(e.Key())), "remove it, or see docs/SETTINGS.md for the keys")
+			fmt.Sprintf("unknown key %q", strings.Join(e.Key(), ".")), "remove it, or see docs/SETTINGS.md for the keys")
 	}
 	var de *toml.DecodeError
 	if errors.As(err, &de) {
 		row, _ := de.Position()
 		return problem.Wrap(problem.Settings, err, fmt.Sprintf("%s:%d", file, row),
-			fmt.Sprintf("key %q has no usable value", keyPath(de.Key())), "see docs/SETTINGS.md for its type")
+			fmt.Sprintf("key %q has no usable value", strings.Join(de.Key(), ".")), "see docs/SETTINGS.md for its type")
 	}
 	return problem.Wrap(problem.Settings, err, file, "not TOML", "see docs/SETTINGS.md")
 }
-
-func keyPath(k toml.Key) string {
-	var b bytes.Buffer
-	for i, p := range k {
-		if i > 0 {
-			b.WriteByte('.')
-		}
-		b.WriteString(p)
-	}
-	return b.String()
-}
