--- a/process_test.go
+++ b/process_test.go
@@ -69,6 +69,7 @@
 	Runs      *standin.RunLog
 	StopGrace time.Duration // of the daemons started from now on
 	Keys      string        // table of TOML added to their settings
+	Record    string        // prefix of the trace files that they write, empty for none
 	store     netip.AddrPort
 }
 
@@ -134,7 +135,11 @@
 	text := fmt.Sprintf("service = %q\ndomain = %q\nregion = \"midlands\"\nstop_grace = %q\npeers = %s\n[listen]\nproxy = \"127.0.0.1:0\"\ncontrol = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\n[backend]\naddr = %q\n[store]\naddr = %q\ntimeout = \"500ms\"\n%s",
 		service, domain, m.StopGrace, quoted, l.Addr(), m.store, m.Keys)
 	m.c.Assert(os.WriteFile(file, []byte(text), 0o600), qt.IsNil)
-	return m.run(exec.Command(build(m.c), "run", "--config", file))
+	args := []string{"run", "--config", file}
+	if m.Record != "" {
+		args = append(args, "--record", m.Record)
+	}
+	return m.run(exec.Command(build(m.c), args...))
 }
 
 // run starts a daemon and reads its addresses from its log.
--- a/src/deposit/drive.go
+++ b/src/deposit/drive.go
@@ -128,7 +128,8 @@
 	}
 	out, err := trace.Outcomes(actions)
 	if err == nil {
-		g.Record.Record(now, e, out)
+		// Claims carry wall clock stamps, so the trace counts by the wall clock too.
+		g.Record.Record(now.Round(0), e, out)
 	}
 }
 
--- a/src/roster/run.go
+++ b/src/roster/run.go
@@ -51,7 +51,7 @@
 		Peers:    n.Peers,
 		HasStore: n.Store != nil,
 	}
-	if n.Record != nil && n.Record.Header.Core == "" {
+	if n.Record != nil && len(n.Record.Header.Settings) == 0 {
 		b, _ := json.Marshal(coreSettings{Self: c.Self, Timing: c.Timing, Peers: c.Peers, HasStore: c.HasStore})
 		n.Record.Header = trace.Header{Core: CoreName, Title: "roster of a running daemon", Seed: seed, Settings: b}
 	}
