A stop no longer waits for a backend server that never ends a call given up

Cause: a slot is held for a call given up until its backend server ends it or the call's time is over, two minutes for an upload; the end of the daemon waited for that as well, past stop_grace. Ruled out: the stages' own graces (mended before, no change here), the callers (all had their answers). Change: cutting or killing ends that wait. The slot itself is still held as long as the daemon lives. Seen to fail: the new test without the kill.

--- a/src/booking/exchange.go
+++ b/src/booking/exchange.go
@@ -145,6 +145,8 @@
 	if tcp, ok := c.nc.(*net.TCPConn); ok && c.wrote.Load() {
 		_ = tcp.CloseWrite()
 		_ = tcp.SetReadDeadline(time.Now().Add(x.lingerFor()))
+		unwatch := context.AfterFunc(x.s.killed, func() { _ = tcp.SetReadDeadline(longAgo) })
+		defer unwatch()
 		_, err := io.Copy(io.Discard, c.nc)
 		if errors.Is(err, errTimeout) {
 			x.s.counters.reclaimed.Inc()
--- /dev/null
+++ b/src/booking/kill_test.go
@@ -0,0 +1,39 @@
+package booking
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// A killed server no longer waits for a backend server that never ends a call given up.
+func TestKillEndsTheWaitForCallsGivenUp(t *testing.T) {
+	c := qt.New(t)
+	raw := startRaw(t)
+	s := startServer(t, raw.l, 4, 8)
+	runs, end := make(chan struct{}), make(chan struct{})
+	defer close(end)
+	raw.answer = func(string) string {
+		close(runs)
+		<-end
+		return ""
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	in := newInbound("GET", "/diary", "t", nil, 0)
+	in.head.TimeoutMS = time.Hour.Milliseconds()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.ServeCall(ctx, in)
+	}()
+	<-runs
+	cancel()
+	s.Kill()
+	select {
+	case <-done:
+	case <-time.After(guard):
+		c.Fatal("the call is still waited for")
+	}
+}
--- a/src/booking/server.go
+++ b/src/booking/server.go
@@ -41,6 +41,8 @@
 	Record   *trace.Recorder
 
 	once     sync.Once
+	killed   context.Context // over once slots are no longer held for calls given up
+	kill     context.CancelFunc
 	conns    conns
 	tokens   tokens
 	spool    spool
@@ -55,6 +57,12 @@
 	health  health
 }
 
+// Kill ends the wait for backend servers that still run calls given up; the daemon is about to end.
+func (s *Server) Kill() {
+	s.init()
+	s.kill()
+}
+
 func (s *Server) init() {
 	s.once.Do(func() {
 		if s.Now == nil {
@@ -72,6 +80,7 @@
 		s.limits = document.Limits{Queue: document.DefaultQueue, QueueWait: document.Duration(document.DefaultQueueWait)}
 		s.core.QueueSize, s.core.QueueWait = s.limits.Queue, s.limits.QueueWait.Std()
 		s.waiters = map[uint64]chan Action{}
+		s.killed, s.kill = context.WithCancel(context.Background())
 		s.describe()
 	})
 }
--- a/src/daemon/run.go
+++ b/src/daemon/run.go
@@ -81,6 +81,7 @@
 	d.Log.Info("calls cut at the planned stop", "reason", "stop_grace is over", "cut", d.booking.InFlight())
 	d.proxy.Kill()
 	d.pool.Kill()
+	d.booking.Kill()
 }
 
 // Drain takes the backend server out of service while the daemon goes on.
@@ -98,6 +99,7 @@
 	_ = d.Probes.Close()
 	d.proxy.Kill()
 	d.pool.Kill()
+	d.booking.Kill()
 }
 
 // watchBackend tells the roster whether this daemon can take calls.
