One wait that ends with a context, in place of five

Cause: load, the bench (twice), the stand-ins and the claims each held the same timer beside a context; the command repeated the store stand-in's rates. Ruled out: merging the route and distribute benches' flags and reports, which only look alike; generated code stands as msgp writes it.

--- a/src/bench/distribute.go
+++ b/src/bench/distribute.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/yuccaport/yuccaport/src/clock"
 	"github.com/yuccaport/yuccaport/src/daemon"
 	"github.com/yuccaport/yuccaport/src/ledger"
 	"github.com/yuccaport/yuccaport/src/problem"
@@ -124,7 +125,7 @@
 	}
 	calls := d.fleet.Keyspace.Calls()
 	d.say("%d daemons know each other after %s; store reads %d, writes %d so far", d.Daemons, time.Since(t).Round(time.Millisecond), calls.Reads, calls.Writes)
-	sleep(ctx, d.Quiet)
+	clock.Sleep(ctx, d.Quiet)
 	base := d.fleet.Nodes()[0].Daemon().InForce().Snapshot
 	docs := map[string][]byte{}
 	for name, b := range base.Bodies {
--- a/src/bench/distribute_faults.go
+++ b/src/bench/distribute_faults.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/yuccaport/yuccaport/src/clock"
 	"github.com/yuccaport/yuccaport/src/standin"
 )
 
@@ -33,38 +34,38 @@
 
 // bring begins a fault in the middle third of the run and ends it.
 func (d *Distribute) bring(ctx context.Context, name string) {
-	sleep(ctx, time.Until(d.began.Add(time.Duration(faultFromShare*float64(d.length)))))
+	clock.Sleep(ctx, time.Until(d.began.Add(time.Duration(faultFromShare*float64(d.length)))))
 	from := time.Now()
 	length := time.Duration((faultToShare - faultFromShare) * float64(d.length))
 	d.say("%s begins after %.1f s, for %.1f s", name, from.Sub(d.began).Seconds(), length.Seconds())
 	switch name {
 	case "store_down":
 		d.storeFault(func(f *standin.Faults) { f.Down = true })
-		sleep(ctx, length)
+		clock.Sleep(ctx, length)
 		d.storeFault(func(f *standin.Faults) { f.Down = false })
 		d.addOutage(from, func(*Node) bool { return true })
 	case "store_slow":
 		d.storeFault(func(f *standin.Faults) { f.Slow = slowStore })
-		sleep(ctx, length)
+		clock.Sleep(ctx, length)
 		d.storeFault(func(f *standin.Faults) { f.Slow = 0 })
 	case "lost_answers":
 		d.storeFault(func(f *standin.Faults) { f.LoseAnswers = lostShare })
-		sleep(ctx, length)
+		clock.Sleep(ctx, length)
 		d.storeFault(func(f *standin.Faults) { f.LoseAnswers = 0 })
 	case "stale_reads":
 		d.storeFault(func(f *standin.Faults) { f.StaleReads = staleShare })
-		sleep(ctx, length)
+		clock.Sleep(ctx, length)
 		d.storeFault(func(f *standin.Faults) { f.StaleReads = 0 })
 	case "crossed":
 		d.storeFault(func(f *standin.Faults) { f.Reorder = true })
 		d.fleet.fabric.set(func() { d.fleet.fabric.jitter = crossedJitter })
-		sleep(ctx, length)
+		clock.Sleep(ctx, length)
 		d.storeFault(func(f *standin.Faults) { f.Reorder = false })
 		d.fleet.fabric.set(func() { d.fleet.fabric.jitter = 0 })
 	case "herd":
 		d.herd(ctx, length/2)
 	case "reconnect":
-		sleep(ctx, length/2)
+		clock.Sleep(ctx, length/2)
 		d.fleet.fabric.closeAll()
 	case "cut":
 		d.cut(ctx, from, length)
@@ -92,14 +93,14 @@
 func (d *Distribute) herd(ctx context.Context, length time.Duration) {
 	nodes := d.take(int(herdShare * float64(d.Daemons)))
 	each(nodes, d.kill)
-	sleep(ctx, length)
+	clock.Sleep(ctx, length)
 	each(nodes, d.revive)
 }
 
 func (d *Distribute) cut(ctx context.Context, from time.Time, length time.Duration) {
 	domain := d.fleet.Deployment.Domains[0]
 	d.fleet.fabric.set(func() { d.fleet.fabric.cut = domain })
-	sleep(ctx, length)
+	clock.Sleep(ctx, length)
 	d.fleet.fabric.set(func() { d.fleet.fabric.cut = "" })
 	d.addOutage(from, func(n *Node) bool { return n.Domain == domain })
 }
@@ -119,7 +120,7 @@
 		})
 	}
 	set(true)
-	sleep(ctx, length)
+	clock.Sleep(ctx, length)
 	set(false)
 	d.addOutage(from, func(n *Node) bool { return held[n] })
 	d.give(nodes)
@@ -130,7 +131,7 @@
 	perSecond := churnFactor * (dailyRestarts + dailyFailures) * float64(d.Daemons) / secondsInADay
 	period := min(time.Duration(float64(time.Second)/perSecond), d.length/(churnSteps+1))
 	for i := 1; ; i++ {
-		sleep(ctx, period)
+		clock.Sleep(ctx, period)
 		if ctx.Err() != nil {
 			return
 		}
@@ -140,7 +141,7 @@
 			} else {
 				d.stop(n)
 			}
-			sleep(ctx, restartPause)
+			clock.Sleep(ctx, restartPause)
 			d.revive(n)
 		}
 	}
@@ -201,12 +202,3 @@
 	}
 	wg.Wait()
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/src/bench/route_caller.go
+++ b/src/bench/route_caller.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/yuccaport/yuccaport/src/clock"
 )
 
 const (
@@ -69,7 +71,7 @@
 	due := time.Now()
 	for !c.gone.Load() {
 		due = due.Add(time.Duration(c.rand.ExpFloat64() / c.route.Rate * float64(time.Second)))
-		if !sleepUntil(ctx, due) {
+		if !clock.Sleep(ctx, time.Until(due)) {
 			break
 		}
 		call := c.next(due)
@@ -126,19 +128,3 @@
 	}
 	return float64(h) / (1 << 32)
 }
-
-// sleepUntil waits for a moment and tells whether ctx is still alive.
-func sleepUntil(ctx context.Context, t time.Time) bool {
-	d := time.Until(t)
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/src/bench/route_direct.go
+++ b/src/bench/route_direct.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/yuccaport/yuccaport/src/clock"
 	"github.com/yuccaport/yuccaport/src/standin"
 )
 
@@ -37,7 +38,7 @@
 	due := time.Now()
 	for n := 0; ; n++ {
 		due = due.Add(time.Duration(c.rand.ExpFloat64() / rate * float64(time.Second)))
-		if !sleepUntil(ctx, due) {
+		if !clock.Sleep(ctx, time.Until(due)) {
 			break
 		}
 		call := &routeCall{host: "direct.example", path: c.route.mix[0].read, token: fmt.Sprintf("direct-%d", n), due: due}
--- a/src/bench/route_faults.go
+++ b/src/bench/route_faults.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/yuccaport/yuccaport/src/clock"
 	"github.com/yuccaport/yuccaport/src/standin"
 )
 
@@ -25,7 +26,7 @@
 
 // bring begins a fault, and ends it if it can end.
 func (r *Route) bring(ctx context.Context, name string) {
-	if !sleepUntil(ctx, r.began.Add(time.Duration(routeFaultFrom*float64(r.Duration)))) {
+	if !clock.Sleep(ctx, time.Until(r.began.Add(time.Duration(routeFaultFrom*float64(r.Duration))))) {
 		return
 	}
 	r.say("fault %s begins", name)
@@ -46,7 +47,7 @@
 // passing begins a fault that ends before the run does.
 func (r *Route) passing(ctx context.Context, name string) {
 	r.set(name, true)
-	sleepUntil(ctx, r.began.Add(time.Duration(routeFaultUntil*float64(r.Duration))))
+	clock.Sleep(ctx, time.Until(r.began.Add(time.Duration(routeFaultUntil*float64(r.Duration)))))
 	r.set(name, false)
 	r.say("fault %s ends", name)
 }
@@ -172,5 +173,5 @@
 	for !n.Daemon().Ready() && ctx.Err() == nil {
 		time.Sleep(readyPoll)
 	}
-	sleepUntil(ctx, time.Now().Add(rollingPause))
+	clock.Sleep(ctx, rollingPause)
 }
--- a/src/command/standin.go
+++ b/src/command/standin.go
@@ -13,11 +13,6 @@
 	"github.com/yuccaport/yuccaport/src/standin"
 )
 
-const (
-	storeReadsPerSecond  = 2000
-	storeWritesPerSecond = 400
-)
-
 func standinCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "standin",
@@ -59,7 +54,7 @@
 	log.Info("store stand-in started", "listen", l.Addr().String())
 	s := &standin.StoreServer{
 		Listener: l, Log: log,
-		Keyspace: &standin.Keyspace{ReadsPerSecond: storeReadsPerSecond, WritesPerSecond: storeWritesPerSecond},
+		Keyspace: &standin.Keyspace{ReadsPerSecond: standin.DefaultReadsPerSecond, WritesPerSecond: standin.DefaultWritesPerSecond},
 	}
 	return s.Run(ctx)
 }
--- a/src/deposit/drive.go
+++ b/src/deposit/drive.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/yuccaport/yuccaport/src/clock"
 	"github.com/yuccaport/yuccaport/src/platform"
 	"github.com/yuccaport/yuccaport/src/problem"
 	"github.com/yuccaport/yuccaport/src/trace"
@@ -75,7 +76,7 @@
 
 func (g *Guard) read(ctx context.Context, a ReadSlot) Event {
 	e := SlotRead{Call: a.Call, Result: ResultUnavailable}
-	if !wait(ctx, a.After) {
+	if !clock.Sleep(ctx, a.After) {
 		return e
 	}
 	entry, err := g.Store.Get(ctx, a.Key)
@@ -132,18 +133,3 @@
 		g.Record.Record(now.Round(0), e, out)
 	}
 }
-
-// wait waits for d and tells whether ctx is still alive after it.
-func wait(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/src/load/load.go
+++ b/src/load/load.go
@@ -10,6 +10,8 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/alitto/pond/v2"
 	"github.com/valyala/fasthttp"
+
+	"github.com/yuccaport/yuccaport/src/clock"
 )
 
 const (
@@ -53,7 +55,7 @@
 	calls := int(l.Rate * l.Duration.Seconds())
 	for i := range calls {
 		due := start.Add(time.Duration(float64(i) / l.Rate * float64(time.Second)))
-		if !sleepUntil(ctx, due) {
+		if !clock.Sleep(ctx, time.Until(due)) {
 			break
 		}
 		workers.Submit(func() { l.call(i, due) })
@@ -64,17 +66,6 @@
 	return l.report
 }
 
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	t := time.NewTimer(time.Until(at))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // call sends the i-th call.
 func (l *Load) call(i int, due time.Time) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
--- a/src/standin/backend_handler.go
+++ b/src/standin/backend_handler.go
@@ -11,6 +11,8 @@
 
 	"github.com/valyala/fasthttp"
 	"github.com/zeebo/xxh3"
+
+	"github.com/yuccaport/yuccaport/src/clock"
 )
 
 // peekInterval is how often a run looks whether its caller has gone.
@@ -183,7 +185,7 @@
 		if left <= 0 {
 			return true
 		}
-		if !sleep(b.ctx, min(left, peekInterval)) {
+		if !clock.Sleep(b.ctx, min(left, peekInterval)) {
 			return false
 		}
 		if conn != nil && conn.gone() {
--- a/src/standin/behaviour.go
+++ b/src/standin/behaviour.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/yuccaport/yuccaport/src/clock"
 	"github.com/yuccaport/yuccaport/src/problem"
 )
 
@@ -16,7 +17,7 @@
 	if err != nil {
 		return err
 	}
-	if !sleep(ctx, slow) {
+	if !clock.Sleep(ctx, slow) {
 		return unavailable("the call was ended by its caller before it was carried out")
 	}
 	k.mu.Lock()
@@ -27,7 +28,7 @@
 		delay = time.Duration(k.rand.Int64N(int64(maxReorderDelay)))
 	}
 	k.mu.Unlock()
-	answered := sleep(ctx, delay)
+	answered := clock.Sleep(ctx, delay)
 	if err != nil {
 		return err
 	}
@@ -103,18 +104,3 @@
 func unavailable(what string) error {
 	return problem.New(problem.Unavailable, "", what, "try again later")
 }
-
-// sleep waits for d and tells whether ctx is still alive after it.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
