--- a/process_test.go
+++ b/process_test.go
@@ -22,8 +22,8 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/yuccaport/yuccaport/src/bench"
+	"github.com/yuccaport/yuccaport/src/kv"
 	"github.com/yuccaport/yuccaport/src/ledger"
-	"github.com/yuccaport/yuccaport/src/platform"
 	"github.com/yuccaport/yuccaport/src/standin"
 )
 
@@ -105,7 +105,7 @@
 
 // apply accepts a document and returns its version.
 func (m *mesh) apply(service, doc string) uint64 {
-	store := &platform.Remote{Addr: m.store, Prefix: "yuccaport/", Timeout: 5 * time.Second}
+	store := &kv.Remote{Addr: m.store, Prefix: "yuccaport/", Timeout: 5 * time.Second}
 	e := &ledger.Editor{Store: store, Now: time.Now, Log: logr.Discard()}
 	r, err := e.Apply(context.Background(), ledger.Edit{Service: service, Data: []byte(doc), File: service})
 	m.c.Assert(err, qt.IsNil)
--- /dev/null
+++ b/src/agent/agent.go
@@ -0,0 +1,144 @@
+package agent
+
+import (
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
+	"github.com/valyala/fasthttp"
+
+	"github.com/yuccaport/yuccaport/src/booking"
+	"github.com/yuccaport/yuccaport/src/dispatch"
+	"github.com/yuccaport/yuccaport/src/header"
+	"github.com/yuccaport/yuccaport/src/link"
+	"github.com/yuccaport/yuccaport/src/registry"
+	"github.com/yuccaport/yuccaport/src/roster"
+	"github.com/yuccaport/yuccaport/src/settings"
+	"github.com/yuccaport/yuccaport/src/wire"
+)
+
+// Agent is one process beside one backend server.
+type Agent struct {
+	Settings Settings
+	File     string // settings file, read again when it changes; empty for none
+	Store    registry.Store
+	Keys     registry.Keys
+	Headers  header.Names
+	Decode   func(value []byte) (*Config, error) // reads a configuration as the store holds it
+
+	Callers    net.Listener
+	Links      net.Listener
+	Ready      net.Listener
+	Heartbeats net.Listener
+	Metrics    net.Listener // nil for none
+
+	ServeReady      fasthttp.RequestHandler
+	ServeHeartbeats fasthttp.RequestHandler
+
+	Log logr.Logger
+	Set *metrics.Set // nil for a set of its own
+
+	id        uint64
+	pool      *link.Pool
+	booking   *booking.Server
+	proxy     *dispatch.Proxy
+	follower  *registry.Follower
+	announcer *registry.Announcer
+	inForce   atomic.Pointer[inForce]
+	leaving   atomic.Bool
+
+	mu      sync.Mutex // held while a table is built
+	members *roster.View
+
+	localMu sync.Mutex // held while the backend server's state changes
+	local   registry.Local
+	drained string    // instance whose drain has been written to the store
+	heard   time.Time // last heartbeat
+}
+
+const (
+	linkPing  = 250 * time.Millisecond // a link in use that is silent for four of them is taken for dead
+	linkHello = 500 * time.Millisecond // a VM that does not answer within it is not there
+	startWait = 300 * time.Millisecond // for which a new agent lets callers wait for its first configuration
+)
+
+// Build wires the parts; Run does it when it has not been done.
+func (a *Agent) Build() {
+	if a.pool != nil {
+		return
+	}
+	if a.Set == nil {
+		a.Set = metrics.NewSet()
+	}
+	for a.id == 0 {
+		a.id = rand.Uint64()
+	}
+	s := a.Settings
+	a.members = roster.NewView(0, nil)
+	a.local = registry.Local{Service: s.Service, Addr: s.Backend.Addr}
+	a.booking = &booking.Server{
+		Backend: settings.Backend{Addr: s.Backend.Addr, Slots: settings.DefaultSlots, Connections: settings.DefaultConnections, HealthPath: "/health"},
+		Service: s.Service, Self: a.id, Document: a.document, Headers: a.Headers, Told: true,
+		Log: a.Log.WithName("booking"), Metrics: a.Set,
+	}
+	a.pool = &link.Pool{
+		Self: a.id, Listener: a.Links, Calls: a.booking, Messages: messages{a}, Insecure: true,
+		Grace: s.StopGrace.Std(), Limits: link.Limits{Ping: linkPing, Hello: linkHello}, Log: a.Log.WithName("link"), Metrics: a.Set,
+	}
+	a.proxy = &dispatch.Proxy{
+		Listener: a.Callers, Self: a.member, Table: a.table, Caller: a.pool, Headers: a.Headers, Limits: a.limits,
+		Core: a.dispatchSettings(), Grace: s.StopGrace.Std(), Start: startWait, Log: a.Log.WithName("dispatch"), Metrics: a.Set,
+	}
+	a.buildRegistry()
+}
+
+func (a *Agent) buildRegistry() {
+	key := a.Keys.Members + linkAddr(a.Links).String()
+	a.follower = &registry.Follower{
+		Store: a.Store, Keys: a.Keys, Key: key, ID: a.id, Exchanger: a.pool,
+		OnConfig: a.takeConfig, OnMembers: a.takeMembers, OnMissing: func() { a.announcer.Missing() }, Log: a.Log.WithName("registry"),
+	}
+	a.announcer = &registry.Announcer{Store: a.Store, Keys: a.Keys, Key: key, Log: a.Log.WithName("registry")}
+}
+
+func (a *Agent) dispatchSettings() dispatch.Settings {
+	return dispatch.Settings{RetryShare: a.Settings.RetryBudget.Share / 2, ColdStart: 3 * time.Second}
+}
+
+// member returns what the agent announces of itself.
+func (a *Agent) member() wire.Member {
+	a.localMu.Lock()
+	defer a.localMu.Unlock()
+	return a.memberLocked()
+}
+
+func (a *Agent) memberLocked() wire.Member {
+	s := a.Settings
+	m := wire.Member{
+		ID: a.id, Addr: linkAddr(a.Links), Service: s.Service, Domain: s.Domain, Region: s.Region,
+		Slots: uint16(a.local.Slots()), Ready: a.local.Instance() != "" && a.booking.Healthy(),
+	}
+	if b := a.local.Born(); !b.IsZero() {
+		m.StartedAt = b.UnixMilli()
+	}
+	if a.leaving.Load() || a.local.Leaving() {
+		m.State, m.Ready = wire.StateLeaving, false
+	}
+	return m
+}
+
+// IsReady tells whether clients are to be sent here.
+func (a *Agent) IsReady() bool { return a.inForce.Load() != nil && !a.leaving.Load() }
+
+func linkAddr(l net.Listener) netip.AddrPort {
+	t, ok := l.Addr().(*net.TCPAddr)
+	if !ok {
+		return netip.AddrPort{}
+	}
+	return netip.AddrPortFrom(t.AddrPort().Addr().Unmap(), t.AddrPort().Port())
+}
--- /dev/null
+++ b/src/agent/backend.go
@@ -0,0 +1,140 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/yuccaport/yuccaport/src/booking"
+	"github.com/yuccaport/yuccaport/src/registry"
+)
+
+const (
+	ackWithin   = 800 * time.Millisecond // the backend server waits a second for its acknowledgement
+	queueGrace  = time.Second            // for which calls that wait may still reach a leaving backend server
+	askEvery    = 300 * time.Millisecond // between questions to a backend server that has not been heard
+	askTimeout  = 500 * time.Millisecond
+	silentBeats = 3 // heartbeats missed in a row after which a backend server that fails calls is down
+)
+
+// Hear takes a heartbeat of the backend server.
+func (a *Agent) Hear(ctx context.Context, h registry.Heartbeat) (registry.Verdict, error) {
+	a.localMu.Lock()
+	was, wasLeaving := a.local.Instance(), a.local.Leaving()
+	v := a.local.Hear(time.Now(), h)
+	if v != registry.VerdictTaken {
+		a.localMu.Unlock()
+		a.Log.Info("heartbeat", "verdict", string(v), "instance", h.Instance, "service", h.Service, "sequence", h.Sequence, "born", h.Born.UnixMilli(), "leaving", h.Leaving)
+		return v, nil
+	}
+	a.heard = time.Now()
+	now, leaving, slots := a.local.Instance(), a.local.Leaving(), a.local.Slots()
+	a.localMu.Unlock()
+	if now != was || leaving != wasLeaving {
+		a.Log.Info("backend server heard", "instance", now, "before", was, "leaving", leaving, "sequence", h.Sequence, "born", h.Born.UnixMilli(), "slots", slots)
+	}
+	if leaving {
+		return v, a.drain(ctx, now)
+	}
+	if now != was {
+		if a.hasLeft(ctx, now) {
+			return v, a.drain(ctx, now)
+		}
+		a.booking.Resume()
+	}
+	a.booking.SetInstance(now, slots, true)
+	a.announce()
+	return v, nil
+}
+
+// Leave takes the end of an incarnation.
+func (a *Agent) Leave(ctx context.Context, instance string, born time.Time) (registry.Verdict, error) {
+	a.localMu.Lock()
+	v := a.local.Leave(instance, born)
+	a.localMu.Unlock()
+	a.Log.Info("backend server leaves", "instance", instance, "verdict", string(v))
+	if v != registry.VerdictTaken {
+		return v, nil
+	}
+	return v, a.drain(ctx, instance)
+}
+
+// Unreadable notes a heartbeat that cannot be used.
+func (a *Agent) Unreadable(instance string, err error) {
+	a.Log.Info("heartbeat", "verdict", string(registry.VerdictRefused), "instance", instance, "reason", err.Error())
+}
+
+// drain stops admission, then writes the drain to the store, so that the acknowledgement binds a restarted agent too.
+func (a *Agent) drain(ctx context.Context, instance string) error {
+	a.booking.DrainWithin(0)
+	a.announce()
+	a.localMu.Lock()
+	done := a.drained == instance
+	a.localMu.Unlock()
+	if done {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, ackWithin)
+	defer cancel()
+	if err := a.announcer.Leave(ctx, instance); err != nil {
+		a.Log.Error(err, "drain not acknowledged", "instance", instance)
+		return err
+	}
+	a.localMu.Lock()
+	a.drained = instance
+	a.localMu.Unlock()
+	a.Log.Info("drain acknowledged", "instance", instance)
+	return nil
+}
+
+// hasLeft tells whether an earlier agent has acknowledged the drain of an incarnation.
+func (a *Agent) hasLeft(ctx context.Context, instance string) bool {
+	ctx, cancel := context.WithTimeout(ctx, ackWithin)
+	defer cancel()
+	left, err := a.announcer.HasLeft(ctx, instance)
+	if err != nil {
+		a.Log.Error(err, "not known whether the backend server has left", "instance", instance)
+	}
+	return left
+}
+
+// announce has the entry written when it has changed.
+func (a *Agent) announce() { a.announcer.Set(a.member()) }
+
+// watchBackend learns the instance before the first heartbeat, and announces when the backend server goes down or up.
+func (a *Agent) watchBackend(ctx context.Context) error {
+	t := time.NewTicker(askEvery)
+	defer t.Stop()
+	for {
+		a.askInstance(ctx)
+		a.announce()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+	}
+}
+
+// askInstance asks the health endpoint while no heartbeat has come.
+func (a *Agent) askInstance(ctx context.Context) {
+	a.localMu.Lock()
+	known := a.local.Instance() != ""
+	a.localMu.Unlock()
+	if known || a.inForce.Load() == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	state, instance := a.booking.Ask(ctx)
+	if state != booking.HealthUp || instance == "" || a.hasLeft(ctx, instance) {
+		return
+	}
+	a.localMu.Lock()
+	probed := a.local.Probed(instance)
+	leaving := a.local.Leaving()
+	a.localMu.Unlock()
+	if probed && !leaving {
+		a.Log.Info("backend server found", "instance", instance, "reason", "health endpoint")
+		a.booking.SetInstance(instance, 0, true)
+	}
+}
--- a/src/bench/fleet.go
+++ b/src/bench/fleet.go
@@ -14,8 +14,8 @@
 
 	"github.com/yuccaport/yuccaport/src/daemon"
 	"github.com/yuccaport/yuccaport/src/dispatch"
+	"github.com/yuccaport/yuccaport/src/kv"
 	"github.com/yuccaport/yuccaport/src/ledger"
-	"github.com/yuccaport/yuccaport/src/platform"
 	"github.com/yuccaport/yuccaport/src/settings"
 	"github.com/yuccaport/yuccaport/src/standin"
 )
@@ -92,8 +92,8 @@
 }
 
 // Store returns a client of the fleet's store.
-func (f *Fleet) Store() platform.Store {
-	return &platform.Remote{Addr: f.storeAddr, Prefix: "yuccaport/", Timeout: storeTimeout}
+func (f *Fleet) Store() kv.Store {
+	return &kv.Remote{Addr: f.storeAddr, Prefix: "yuccaport/", Timeout: storeTimeout}
 }
 
 // Editor returns an editor on the fleet's store.
--- a/src/booking/conns.go
+++ b/src/booking/conns.go
@@ -91,6 +91,13 @@
 	return newConn(nc), nil
 }
 
+// setMax changes the number of connections; those beyond it end as they become idle.
+func (p *conns) setMax(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.Max = n
+}
+
 // put keeps a connection whose answer has ended for the next call.
 func (p *conns) put(c *conn) {
 	c.proven = p.Now()
--- a/src/booking/core.go
+++ b/src/booking/core.go
@@ -46,10 +46,15 @@
 		return c.fill(c.expire(now, nil))
 	case Configure:
 		c.QueueSize, c.QueueWait = e.Queue, e.QueueWait
+		if e.Slots > 0 {
+			c.Slots, c.limit = e.Slots, min(c.limit, e.Slots)
+		}
 	case Drain:
 		c.drain(now.Add(e.Grace))
 	case Health:
 		return c.setHealth(now, e.State)
+	case Resume:
+		c.draining = false
 	}
 	return nil
 }
--- a/src/booking/event.go
+++ b/src/booking/event.go
@@ -30,8 +30,9 @@
 
 // Configure sets the limits of the document in force.
 type Configure struct {
-	Queue     int           `json:"queue"`         // calls that wait for a slot
-	QueueWait time.Duration `json:"queue_wait_ns"` // longest wait for a slot
+	Queue     int           `json:"queue"`           // calls that wait for a slot
+	QueueWait time.Duration `json:"queue_wait_ns"`   // longest wait for a slot
+	Slots     int           `json:"slots,omitempty"` // requests that the backend server runs at once, 0 for no change
 }
 
 // Drain makes the Core refuse new calls after a grace.
@@ -44,6 +45,9 @@
 	State HealthState `json:"state"`
 }
 
+// Resume ends a drain.
+type Resume struct{}
+
 func (Arrive) isEvent()    {}
 func (Abandon) isEvent()   {}
 func (Release) isEvent()   {}
@@ -51,3 +55,4 @@
 func (Configure) isEvent() {}
 func (Drain) isEvent()     {}
 func (Health) isEvent()    {}
+func (Resume) isEvent()    {}
--- a/src/booking/exchange.go
+++ b/src/booking/exchange.go
@@ -35,6 +35,8 @@
 	admitted time.Time
 
 	conn     *conn
+	instance string // incarnation that is meant, empty for any
+	skipped  int    // answers to other requests read past
 	token    string
 	gone     chan struct{} // closed when the call is given up before its answer is whole
 	upload   chan error    // the end of a request body that is sent beside the answer; nil for none
@@ -50,6 +52,7 @@
 		return
 	}
 	x.conn = c
+	x.instance = x.s.Instance()
 	x.countConnection()
 	x.gone = make(chan struct{})
 	x.issueToken()
@@ -81,6 +84,9 @@
 }
 
 func (x *exchange) issueToken() {
+	if x.s.Headers.Caller != "" {
+		return // a backend server's own calls carry no parent there
+	}
 	p := Parent{Depth: x.head.Depth, RetryLayer: x.head.RetryLayer, TraceID: x.head.TraceID, Done: x.gone}
 	if x.head.TimeoutMS > 0 {
 		p.Deadline = x.arrived.Add(x.timeout())
@@ -171,12 +177,17 @@
 	x.s.counters.shed.Inc()
 	whole := x.discard() == nil
 	x.finish(stop, whole, ResultShed)
+	if x.isMisdirected() {
+		x.s.misdirected(x.instance)
+		x.refuse(wire.Refusal{Reason: wire.ReasonWrongMember})
+		return
+	}
 	x.refuse(wire.Refusal{Reason: wire.ReasonShed, RetryAfterMS: max(minRetry.Milliseconds(), int64(after)*1000)})
 }
 
 // finish gives the connection and the slot back.
 func (x *exchange) finish(stop func() bool, whole bool, r Result) {
-	reusable := stop() && whole && x.uploaded() && !x.resp.ConnectionClose()
+	reusable := stop() && whole && x.uploaded() && x.skipped == 0 && !x.resp.ConnectionClose()
 	if reusable {
 		x.s.conns.put(x.conn)
 	} else {
--- a/src/booking/health.go
+++ b/src/booking/health.go
@@ -71,7 +71,9 @@
 }
 
 func (s *Server) probe(ctx context.Context) {
-	s.probed = s.ask(ctx)
+	if !s.Told {
+		s.probed = s.ask(ctx)
+	}
 	if ctx.Err() != nil {
 		return
 	}
@@ -119,15 +121,15 @@
 			return HealthDown
 		}
 		fresh := c.answers == 0
-		state, ok := s.askOn(ctx, c)
+		state, _, ok := s.askOn(ctx, c)
 		if ok || fresh || ctx.Err() != nil {
 			return state
 		}
 	}
 }
 
-// askOn tells the state, and whether there was an answer.
-func (s *Server) askOn(ctx context.Context, c *conn) (HealthState, bool) {
+// askOn tells the state and the incarnation that answers, and whether there was an answer.
+func (s *Server) askOn(ctx context.Context, c *conn) (HealthState, string, bool) {
 	stop := context.AfterFunc(ctx, func() { _ = c.nc.SetDeadline(longAgo) })
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
@@ -138,9 +140,13 @@
 		s.conns.drop(c)
 	}
 	if err != nil {
-		return HealthDown, false
+		return HealthDown, "", false
+	}
+	instance := ""
+	if n := s.Headers.Instance; n != "" {
+		instance = string(resp.Header.Peek(n))
 	}
-	return healthOf(resp), true
+	return healthOf(resp), instance, true
 }
 
 func askHealth(c *conn, b settings.Backend, resp *fasthttp.Response) error {
@@ -167,3 +173,14 @@
 	}
 	return HealthDown
 }
+
+// Ask asks the health endpoint once and returns the state with the incarnation that answers, empty when it does not say.
+func (s *Server) Ask(ctx context.Context) (HealthState, string) {
+	s.init()
+	c, err := s.conns.get(ctx, false)
+	if err != nil {
+		return HealthDown, ""
+	}
+	state, instance, _ := s.askOn(ctx, c)
+	return state, instance
+}
--- /dev/null
+++ b/src/booking/instance.go
@@ -0,0 +1,63 @@
+package booking
+
+import "time"
+
+// SetInstance takes in the incarnation that alone may run calls, how many it runs at once (0 for no change) and whether it takes calls; an empty instance means that none is known.
+func (s *Server) SetInstance(instance string, slots int, up bool) {
+	s.init()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fresh := instance != s.instance
+	s.instance = instance
+	if slots > 0 && slots != s.core.Slots {
+		s.step(Configure{Queue: s.limits.Queue, QueueWait: s.limits.QueueWait.Std(), Slots: slots})
+	}
+	state := HealthDown
+	if up && instance != "" {
+		state = HealthUp
+	}
+	if fresh {
+		s.health = health{state: s.health.state}
+	}
+	s.probed = state
+	s.setHealth(s.health.judge(s.Now(), state))
+}
+
+// SetConnections takes in how many connections the backend server takes, 0 for no change.
+func (s *Server) SetConnections(n int) {
+	s.init()
+	if n > 0 {
+		s.conns.setMax(n)
+	}
+}
+
+// Instance returns the incarnation that alone may run calls, empty for any.
+func (s *Server) Instance() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.instance
+}
+
+// misdirected takes in that another incarnation than the one meant has the backend server's address.
+func (s *Server) misdirected(instance string) {
+	s.Log.Info("another instance answers", "reason", "421", "meant", instance)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.instance == instance {
+		s.instance, s.probed = "", HealthDown
+		s.setHealth(HealthDown)
+	}
+}
+
+// DrainWithin refuses new calls as not run once grace is over.
+func (s *Server) DrainWithin(grace time.Duration) {
+	s.init()
+	s.event(Drain{Grace: grace})
+	s.Log.Info("draining", "reason", "told to leave", "grace", grace.String())
+}
+
+// Resume takes calls again after a drain, for another incarnation.
+func (s *Server) Resume() {
+	s.init()
+	s.event(Resume{})
+}
--- a/src/booking/replay.go
+++ b/src/booking/replay.go
@@ -54,6 +54,8 @@
 		return decode[Configure](b)
 	case "drain":
 		return decode[Drain](b)
+	case "resume":
+		return Resume{}, nil
 	case "health":
 		return decode[Health](b)
 	}
--- a/src/booking/request.go
+++ b/src/booking/request.go
@@ -14,7 +14,12 @@
 
 const ownPrefix = "Yuccaport-" // of header fields that are never taken from outside
 
-var errTimeout = os.ErrDeadlineExceeded
+const maxSkipped = 3 // answers to other requests that are read past
+
+var (
+	errTimeout = os.ErrDeadlineExceeded
+	errForeign = errors.New("answer belongs to another request or was not made by the backend server")
+)
 
 // send writes the request; a long body goes on being written beside the wait for the answer.
 func (x *exchange) send() error {
@@ -50,17 +55,29 @@
 	h.SetMethod(x.head.Method)
 	h.SetRequestURI(x.head.URI)
 	for _, f := range x.head.Fields {
-		if !isOwn(f.Name) && !strings.EqualFold(f.Name, TimeoutHeader) {
+		if !isOwn(f.Name) && !x.sets(f.Name) {
 			h.Add(f.Name, f.Value)
 		}
 	}
 	h.SetHost(x.host())
-	h.Set(ParentHeader, x.token)
+	if x.token != "" {
+		h.Set(ParentHeader, x.token)
+	}
+	if n := x.s.Headers; n.Caller != "" {
+		h.Set(n.Caller, x.head.Caller)
+		h.Set(n.Expect, x.instance)
+	}
 	if x.head.TimeoutMS > 0 {
-		h.Set(TimeoutHeader, strconv.FormatInt(max(1, (x.timeout()-x.s.Now().Sub(x.arrived)).Milliseconds()), 10))
+		h.Set(x.s.Headers.Deadline, strconv.FormatInt(max(1, (x.timeout()-x.s.Now().Sub(x.arrived)).Milliseconds()), 10))
 	}
 }
 
+// sets tells whether a header field is set by the daemon, whatever the caller sent.
+func (x *exchange) sets(name string) bool {
+	n := x.s.Headers
+	return strings.EqualFold(name, n.Deadline) || (n.Caller != "" && (strings.EqualFold(name, n.Caller) || strings.EqualFold(name, n.Expect)))
+}
+
 func (x *exchange) host() string {
 	if x.head.Host != "" {
 		return x.head.Host
@@ -78,15 +95,64 @@
 		if err := x.resp.Header.Read(x.conn.r); err != nil {
 			return errors.Join(sendErr, err)
 		}
-		if x.resp.StatusCode() >= fasthttp.StatusOK || x.resp.StatusCode() == fasthttp.StatusSwitchingProtocols {
-			return nil
+		if x.resp.StatusCode() < fasthttp.StatusOK && x.resp.StatusCode() != fasthttp.StatusSwitchingProtocols {
+			continue
 		}
+		if x.answersAnother() {
+			if err := x.skipAnswer(); err != nil {
+				return errors.Join(sendErr, err)
+			}
+			continue
+		}
+		return x.checkAnswer()
+	}
+}
+
+// answersAnother tells whether an answer bears the ID of another request: one that came late or twice.
+func (x *exchange) answersAnother() bool {
+	name := x.s.Headers.RequestID
+	if name == "" {
+		return false
+	}
+	id := x.resp.Header.Peek(name)
+	return len(id) > 0 && string(id) != x.head.TraceID
+}
+
+// skipAnswer reads past an answer that belongs to another request; the connection carries no further call.
+func (x *exchange) skipAnswer() error {
+	if x.skipped++; x.skipped > maxSkipped || x.resp.Header.ContentLength() < 0 {
+		return errForeign
+	}
+	return x.discard()
+}
+
+// checkAnswer refuses an answer that no backend server has made for this request.
+func (x *exchange) checkAnswer() error {
+	n, code := x.s.Headers, x.resp.StatusCode()
+	if n.Proof == "" || code >= fasthttp.StatusMultipleChoices {
+		return nil
+	}
+	if len(x.resp.Header.Peek(n.Proof)) == 0 || len(x.resp.Header.Peek(fasthttp.HeaderContentEncoding)) > 0 {
+		return errForeign
 	}
+	return nil
 }
 
 // isShed tells whether the backend server says that it has not begun to run the request.
 func (x *exchange) isShed() bool {
-	return x.resp.StatusCode() == fasthttp.StatusServiceUnavailable && string(x.resp.Header.Peek(NotRunHeader)) == "1"
+	if len(x.resp.Header.Peek(x.s.Headers.NotRun)) == 0 {
+		return x.isMisdirected()
+	}
+	switch x.resp.StatusCode() {
+	case fasthttp.StatusServiceUnavailable, fasthttp.StatusTooManyRequests, fasthttp.StatusMisdirectedRequest, fasthttp.StatusBadRequest:
+		return true
+	}
+	return false
+}
+
+// isMisdirected tells whether another incarnation has answered than the one that was meant.
+func (x *exchange) isMisdirected() bool {
+	return x.instance != "" && x.resp.StatusCode() == fasthttp.StatusMisdirectedRequest
 }
 
 // replyHead returns the head of the answer for the caller's daemon.
--- a/src/booking/server.go
+++ b/src/booking/server.go
@@ -12,6 +12,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/yuccaport/yuccaport/src/document"
+	"github.com/yuccaport/yuccaport/src/header"
 	"github.com/yuccaport/yuccaport/src/link"
 	"github.com/yuccaport/yuccaport/src/settings"
 	"github.com/yuccaport/yuccaport/src/trace"
@@ -21,10 +22,6 @@
 const (
 	// ParentHeader names the request header that joins a backend server's own calls to the call it is running.
 	ParentHeader = "Yuccaport-Parent"
-	// TimeoutHeader names the request header that tells a backend server how many milliseconds it has.
-	TimeoutHeader = "X-Deadline-Ms"
-	// NotRunHeader names the header by which a backend server marks a 503 answer to a request that it has not begun to run.
-	NotRunHeader = "X-Not-Run"
 
 	maxDrainGrace = 2 * time.Second
 )
@@ -35,6 +32,8 @@
 	Service  string
 	Self     uint64                    // this member's ID
 	Document func() *document.Document // own service's document in force, nil before there is one
+	Headers  header.Names              // zero for the default ones
+	Told     bool                      // the backend server tells its state by heartbeats, see SetInstance; its health endpoint is not asked
 	Now      func() time.Time          // nil: time.Now
 	Log      logr.Logger
 	Metrics  *metrics.Set
@@ -50,11 +49,12 @@
 	lastCall atomic.Uint64
 	probed   HealthState // by the last probe; used by Run alone
 
-	mu      sync.Mutex
-	core    Core
-	limits  document.Limits
-	waiters map[uint64]chan Action
-	health  health
+	mu       sync.Mutex
+	core     Core
+	limits   document.Limits
+	waiters  map[uint64]chan Action
+	health   health
+	instance string // incarnation that may run calls, empty for any
 }
 
 // Kill ends the wait for backend servers that still run calls given up; the daemon is about to end.
@@ -68,6 +68,9 @@
 		if s.Now == nil {
 			s.Now = time.Now
 		}
+		if s.Headers == (header.Names{}) {
+			s.Headers = header.Default()
+		}
 		if s.Metrics == nil {
 			s.Metrics = metrics.NewSet()
 		}
--- a/src/booking/tokens.go
+++ b/src/booking/tokens.go
@@ -24,6 +24,9 @@
 }
 
 func (t *tokens) revoke(token string) {
+	if token == "" {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.parent, token)
--- /dev/null
+++ b/src/command/agent.go
@@ -0,0 +1,78 @@
+package command
+
+import (
+	"context"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/go-logr/logr"
+	"github.com/urfave/cli/v3"
+
+	"github.com/yuccaport/yuccaport/platform"
+	"github.com/yuccaport/yuccaport/src/agent"
+	"github.com/yuccaport/yuccaport/src/logs"
+)
+
+func agentCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "agent",
+		Usage: "run beside one backend server of the users' platform",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "config", Usage: "settings `FILE`", Required: true, Sources: cli.EnvVars("YUCCAPORT_NODE_FILE")},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings and stop"},
+		},
+		Action: runAgent,
+	}
+}
+
+func runAgent(ctx context.Context, cmd *cli.Command) error {
+	file := cmd.String("config")
+	s, err := agent.LoadSettings(file)
+	if err != nil {
+		return err
+	}
+	if cmd.Bool("check") {
+		printf(cmd, "%s: settings are usable\n", file)
+		return nil
+	}
+	log := logs.New(os.Stdout, logs.FormatJSON, 0).WithValues("agent", s.Name)
+	a, err := openAgent(s, log)
+	if err != nil {
+		return err
+	}
+	a.File = file
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	log.Info("agent started", "callers", s.Listen.Callers.String(), "service", s.Service, "domain", s.Domain)
+	err = a.Run(ctx)
+	log.Info("agent stopped")
+	return err
+}
+
+// openAgent opens the listeners that settings name.
+func openAgent(s agent.Settings, log logr.Logger) (*agent.Agent, error) {
+	a := &agent.Agent{
+		Settings: s, Store: &platform.Store{Addr: s.Store.Addr}, Keys: platform.Keys, Headers: platform.Headers, Decode: platform.DecodeConfig, Log: log,
+	}
+	a.ServeReady = platform.Ready(a.IsReady)
+	a.ServeHeartbeats = platform.Heartbeats(a)
+	for _, l := range []struct {
+		key  string
+		addr string
+		to   *net.Listener
+	}{
+		{"listen.callers", s.Listen.Callers.String(), &a.Callers},
+		{"listen.links", s.Listen.Links.String(), &a.Links},
+		{"listen.ready", s.Listen.Ready.String(), &a.Ready},
+		{"listen.heartbeats", s.Listen.Heartbeats.String(), &a.Heartbeats},
+		{"listen.metrics", s.Listen.Metrics.String(), &a.Metrics},
+	} {
+		var err error
+		if *l.to, err = listen(l.key, l.addr); err != nil {
+			return nil, err
+		}
+	}
+	return a, nil
+}
--- a/src/command/app.go
+++ b/src/command/app.go
@@ -42,7 +42,7 @@
 		Writer:    w,
 		ErrWriter: errw,
 		Commands: []*cli.Command{
-			runCommand(), checkCommand(), applyCommand(), getCommand(), historyCommand(), rollbackCommand(),
+			runCommand(), agentCommand(), checkCommand(), applyCommand(), getCommand(), historyCommand(), rollbackCommand(),
 			statusCommand(), routeCommand(), drainCommand(), replayCommand(), demoCommand(), standinCommand(),
 			benchCommand(), loadCommand(),
 		},
--- a/src/command/flags.go
+++ b/src/command/flags.go
@@ -7,7 +7,7 @@
 
 	"github.com/urfave/cli/v3"
 
-	"github.com/yuccaport/yuccaport/src/platform"
+	"github.com/yuccaport/yuccaport/src/kv"
 )
 
 const (
@@ -45,10 +45,10 @@
 }
 
 // storeOf returns the store that the flags name.
-func storeOf(cmd *cli.Command) (platform.Store, error) {
+func storeOf(cmd *cli.Command) (kv.Store, error) {
 	a, err := addrFlag(cmd, "store")
 	if err != nil {
 		return nil, err
 	}
-	return &platform.Remote{Addr: a, Prefix: cmd.String("prefix"), Timeout: defaultTimeout}, nil
+	return &kv.Remote{Addr: a, Prefix: cmd.String("prefix"), Timeout: defaultTimeout}, nil
 }
--- a/src/command/run.go
+++ b/src/command/run.go
@@ -12,8 +12,8 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/yuccaport/yuccaport/src/daemon"
+	"github.com/yuccaport/yuccaport/src/kv"
 	"github.com/yuccaport/yuccaport/src/logs"
-	"github.com/yuccaport/yuccaport/src/platform"
 	"github.com/yuccaport/yuccaport/src/problem"
 	"github.com/yuccaport/yuccaport/src/settings"
 )
@@ -59,7 +59,7 @@
 
 // openDaemon opens the listeners that settings name.
 func openDaemon(s settings.Settings, log logr.Logger) (*daemon.Daemon, error) {
-	d := &daemon.Daemon{Settings: s, Log: log, Store: &platform.Remote{Addr: s.Store.Addr, Prefix: s.Store.Prefix, Timeout: s.Store.Timeout.Std()}}
+	d := &daemon.Daemon{Settings: s, Log: log, Store: &kv.Remote{Addr: s.Store.Addr, Prefix: s.Store.Prefix, Timeout: s.Store.Timeout.Std()}}
 	var err error
 	if d.Proxy, err = listen("listen.proxy", s.Listen.Proxy.String()); err != nil {
 		return nil, err
--- a/src/daemon/daemon.go
+++ b/src/daemon/daemon.go
@@ -15,9 +15,9 @@
 	"github.com/yuccaport/yuccaport/src/booking"
 	"github.com/yuccaport/yuccaport/src/deposit"
 	"github.com/yuccaport/yuccaport/src/dispatch"
+	"github.com/yuccaport/yuccaport/src/kv"
 	"github.com/yuccaport/yuccaport/src/ledger"
 	"github.com/yuccaport/yuccaport/src/link"
-	"github.com/yuccaport/yuccaport/src/platform"
 	"github.com/yuccaport/yuccaport/src/relay"
 	"github.com/yuccaport/yuccaport/src/roster"
 	"github.com/yuccaport/yuccaport/src/settings"
@@ -45,7 +45,7 @@
 // view. It is built aside, checked, and swapped whole or dropped.
 type Daemon struct {
 	Settings  settings.Settings
-	Store     platform.Store
+	Store     kv.Store
 	Proxy     net.Listener                                                   // callers' HTTP
 	Control   net.Listener                                                   // links
 	Probes    net.PacketConn                                                 // UDP on the address of Control
@@ -59,7 +59,7 @@
 	OnInForce func(*InForce)                    // called with each state that comes into force, nil for none
 
 	id       uint64
-	store    *platform.Counted
+	store    *kv.Counted
 	pool     *link.Pool
 	booking  *booking.Server
 	proxy    *dispatch.Proxy
@@ -88,7 +88,7 @@
 		d.id = rand.Uint64()
 	}
 	d.Log = d.Log.WithValues("daemon", d.id)
-	d.store = &platform.Counted{Store: d.Store, Metrics: d.Metrics}
+	d.store = &kv.Counted{Store: d.Store, Metrics: d.Metrics}
 	d.buildCalls()
 	d.buildControl()
 }
--- a/src/deposit/bench_test.go
+++ b/src/deposit/bench_test.go
@@ -9,7 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/yuccaport/yuccaport/src/deposit"
-	"github.com/yuccaport/yuccaport/src/platform"
+	"github.com/yuccaport/yuccaport/src/kv"
 	"github.com/yuccaport/yuccaport/src/standin"
 	"github.com/yuccaport/yuccaport/src/wire"
 )
@@ -20,7 +20,7 @@
 		b.Run(fmt.Sprintf("records=%d", perSlot), func(b *testing.B) {
 			c := qt.New(b)
 			k := &standin.Keyspace{}
-			store := &platform.Counted{Store: remote(c, k)}
+			store := &kv.Counted{Store: remote(c, k)}
 			g := &deposit.Guard{Store: store, Holder: 1, WritesPerSecond: -1}
 			slot := wire.ClaimSlot{}
 			for i := range perSlot {
--- a/src/deposit/drive.go
+++ b/src/deposit/drive.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/yuccaport/yuccaport/src/clock"
-	"github.com/yuccaport/yuccaport/src/platform"
+	"github.com/yuccaport/yuccaport/src/kv"
 	"github.com/yuccaport/yuccaport/src/problem"
 	"github.com/yuccaport/yuccaport/src/trace"
 )
@@ -80,7 +80,7 @@
 		return e
 	}
 	entry, err := g.Store.Get(ctx, a.Key)
-	if s, ok := g.Store.(platform.Clock); ok {
+	if s, ok := g.Store.(kv.Clock); ok {
 		e.Skew = s.Skew()
 	}
 	switch {
--- a/src/deposit/guard.go
+++ b/src/deposit/guard.go
@@ -10,7 +10,7 @@
 	"github.com/alitto/pond/v2"
 	"github.com/go-logr/logr"
 
-	"github.com/yuccaport/yuccaport/src/platform"
+	"github.com/yuccaport/yuccaport/src/kv"
 	"github.com/yuccaport/yuccaport/src/problem"
 	"github.com/yuccaport/yuccaport/src/trace"
 )
@@ -22,7 +22,7 @@
 
 // Guard runs a Core on a store.
 type Guard struct {
-	Store           platform.Store
+	Store           kv.Store
 	Holder          uint64           // drawn at random at each start, different from all others
 	Now             func() time.Time // nil for time.Now
 	Expiry          time.Duration    // 0 for DefaultExpiry
--- a/src/deposit/guard_test.go
+++ b/src/deposit/guard_test.go
@@ -9,7 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/yuccaport/yuccaport/src/deposit"
-	"github.com/yuccaport/yuccaport/src/platform"
+	"github.com/yuccaport/yuccaport/src/kv"
 	"github.com/yuccaport/yuccaport/src/problem"
 	"github.com/yuccaport/yuccaport/src/standin"
 	"github.com/yuccaport/yuccaport/src/wire"
@@ -18,7 +18,7 @@
 func TestGuardRunsAKeyOnce(t *testing.T) {
 	c := qt.New(t)
 	ctx := context.Background()
-	store := &platform.Counted{Store: &standin.Keyspace{}}
+	store := &kv.Counted{Store: &standin.Keyspace{}}
 	a := &deposit.Guard{Store: store, Holder: 1}
 	b := &deposit.Guard{Store: store, Holder: 2}
 	d, err := a.Begin(ctx, "bookings", "k1", 7)
--- a/src/deposit/killed_test.go
+++ b/src/deposit/killed_test.go
@@ -8,7 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/yuccaport/yuccaport/src/deposit"
-	"github.com/yuccaport/yuccaport/src/platform"
+	"github.com/yuccaport/yuccaport/src/kv"
 	"github.com/yuccaport/yuccaport/src/standin"
 	"github.com/yuccaport/yuccaport/src/trace"
 )
@@ -21,7 +21,7 @@
 	killed chan struct{}
 }
 
-func (m *mortal) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (m *mortal) Get(ctx context.Context, key string) (kv.Entry, error) {
 	m.call(func() {})
 	return m.Keyspace.Get(ctx, key)
 }
--- a/src/deposit/live_test.go
+++ b/src/deposit/live_test.go
@@ -13,19 +13,19 @@
 	"github.com/go-logr/logr"
 
 	"github.com/yuccaport/yuccaport/src/deposit"
-	"github.com/yuccaport/yuccaport/src/platform"
+	"github.com/yuccaport/yuccaport/src/kv"
 	"github.com/yuccaport/yuccaport/src/standin"
 )
 
 // remote returns a store behind its HTTP face that runs until the test ends.
-func remote(c *qt.C, k *standin.Keyspace) *platform.Remote {
+func remote(c *qt.C, k *standin.Keyspace) *kv.Remote {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	s := &standin.StoreServer{Listener: ln, Keyspace: k, Log: logr.Discard()}
 	go func() { done <- s.Run(ctx) }()
-	r := &platform.Remote{Addr: ln.Addr().(*net.TCPAddr).AddrPort(), Timeout: 20 * time.Second}
+	r := &kv.Remote{Addr: ln.Addr().(*net.TCPAddr).AddrPort(), Timeout: 20 * time.Second}
 	c.Cleanup(func() {
 		c.Check(r.Close(), qt.IsNil)
 		cancel()
--- a/src/deposit/scripted_test.go
+++ b/src/deposit/scripted_test.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/yuccaport/yuccaport/src/platform"
+	"github.com/yuccaport/yuccaport/src/kv"
 	"github.com/yuccaport/yuccaport/src/problem"
 	"github.com/yuccaport/yuccaport/src/standin"
 )
@@ -48,13 +48,13 @@
 	return w
 }
 
-func (s *scripted) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (s *scripted) Get(ctx context.Context, key string) (kv.Entry, error) {
 	switch s.next() {
 	case late:
 		s.rival()
 		fallthrough
 	case down:
-		return platform.Entry{}, problem.New(problem.Unavailable, key, "down", "wait")
+		return kv.Entry{}, problem.New(problem.Unavailable, key, "down", "wait")
 	}
 	return s.Keyspace.Get(ctx, key)
 }
--- a/src/deposit/slot.go
+++ b/src/deposit/slot.go
@@ -5,15 +5,15 @@
 	"encoding/binary"
 	"encoding/hex"
 
-	"github.com/yuccaport/yuccaport/src/platform"
+	"github.com/yuccaport/yuccaport/src/kv"
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
 const (
 	slotPrefix  = "deposit/"
-	slotBytes   = 2                         // of the digest that name the slot: 65536 slots
-	digestSize  = 16                        // bytes
-	maxSlotSize = platform.MaxValueSize / 2 // leaves room for the outcomes of the claims in it
+	slotBytes   = 2                   // of the digest that name the slot: 65536 slots
+	digestSize  = 16                  // bytes
+	maxSlotSize = kv.MaxValueSize / 2 // leaves room for the outcomes of the claims in it
 )
 
 // digest names an idempotency key of a service without showing it in the store.
--- a/src/dispatch/attempt.go
+++ b/src/dispatch/attempt.go
@@ -49,6 +49,9 @@
 	if !c.body.arrived() {
 		head.TimeoutMS = uploadTimeout.Milliseconds()
 	}
+	if !c.objective.IsZero() {
+		head.ObjectiveMS = c.objective.Sub(a.sent).Milliseconds()
+	}
 	body := c.body.open()
 	c.count(s)
 	c.log().Info("dispatch", "trace", head.TraceID, "service", s.Service, "to", s.Member, "attempt", s.Attempt, "reason", string(s.Reason))
--- a/src/dispatch/body.go
+++ b/src/dispatch/body.go
@@ -33,13 +33,13 @@
 }
 
 // readBody reads the first part of a request's body; nil means there is none.
-func readBody(ctx *fasthttp.RequestCtx, conn *callerConn) (*requestBody, error) {
+func readBody(ctx *fasthttp.RequestCtx, conn *callerConn, limit int64) (*requestBody, error) {
 	n := ctx.Request.Header.ContentLength()
 	src := ctx.RequestBodyStream()
 	if n == 0 || src == nil {
 		return nil, nil
 	}
-	if n > maxRequestBody {
+	if int64(n) > limit {
 		return nil, errBodyLarge
 	}
 	b := &requestBody{size: int64(max(n, -1)), source: src, conn: conn}
--- a/src/dispatch/call.go
+++ b/src/dispatch/call.go
@@ -18,20 +18,21 @@
 
 // call carries out the core's actions for one request.
 type call struct {
-	p        *Proxy
-	id       uint64
-	ctx      *fasthttp.RequestCtx
-	conn     *callerConn
-	match    *Match
-	policy   *Policy
-	body     *requestBody
-	parent   Parent
-	payment  *payment // nil for none
-	head     wire.CallHead
-	start    time.Time
-	deadline time.Time
-	base     context.Context
-	cancel   context.CancelFunc
+	p         *Proxy
+	id        uint64
+	ctx       *fasthttp.RequestCtx
+	conn      *callerConn
+	match     *Match
+	policy    *Policy
+	body      *requestBody
+	parent    Parent
+	payment   *payment // nil for none
+	head      wire.CallHead
+	start     time.Time
+	deadline  time.Time
+	objective time.Time // zero for none
+	base      context.Context
+	cancel    context.CancelFunc
 
 	attempts [maxAttempts + 1]*attempt // by number, from 1
 	results  chan int                  // numbers of attempts that have come to a result
@@ -131,7 +132,7 @@
 		c.payment.release()
 	}
 	c.log().Info("refused", "trace", c.head.TraceID, "reason", a.Reason.String(), "may_have_run", a.MayHaveRun)
-	writeRefusal(c.ctx, a)
+	c.p.writeRefusal(c.ctx, a)
 }
 
 // result gives the core an attempt's result.
--- a/src/dispatch/caller_conn.go
+++ b/src/dispatch/caller_conn.go
@@ -19,19 +19,21 @@
 type callerConn struct {
 	net.Conn
 	stall  time.Duration // longest time without progress in a read or write
+	limits func() Limits
 	closed func(*callerConn)
 	once   sync.Once
 	ended  atomic.Bool // a read has failed
 
-	mu       sync.Mutex
-	busy     bool      // a request has begun to arrive and its answer is not yet written
-	stopping bool      // no further request is wanted
-	idleEnd  time.Time // until then a stopping idle connection still takes a request already sent
-	early    []byte
-	earlyErr error
-	watching chan struct{} // closed when the watch has ended, nil for no watch
-	ending   bool
-	unread   bool // part of a request body has not been read
+	mu        sync.Mutex
+	busy      bool      // a request has begun to arrive and its answer is not yet written
+	headerEnd time.Time // until then the header that has begun must be whole, zero when none is awaited
+	stopping  bool      // no further request is wanted
+	idleEnd   time.Time // until then a stopping idle connection still takes a request already sent
+	early     []byte
+	earlyErr  error
+	watching  chan struct{} // closed when the watch has ended, nil for no watch
+	ending    bool
+	unread    bool // part of a request body has not been read
 }
 
 // Read returns bytes read early by a watch first.
@@ -44,7 +46,7 @@
 	}
 	n, err := c.Conn.Read(b)
 	if n > 0 {
-		c.setBusy(true)
+		c.begin()
 	} else if c.stoppedIdle() {
 		return 0, io.EOF
 	}
@@ -125,13 +127,29 @@
 	if c.stopping && !c.busy {
 		return c.SetReadDeadline(c.idleEnd)
 	}
+	switch {
+	case !c.busy:
+		return c.SetReadDeadline(time.Now().Add(c.limits().IdleTimeout))
+	case !c.headerEnd.IsZero():
+		return c.SetReadDeadline(c.headerEnd)
+	}
 	return c.SetReadDeadline(time.Now().Add(c.stall))
 }
 
+// begin takes in bytes of a request; the first ones start the time for its header.
+func (c *callerConn) begin() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.busy {
+		c.busy, c.headerEnd = true, time.Now().Add(c.limits().HeaderTimeout)
+	}
+}
+
+// setBusy takes in that a request's header is whole, or that its answer is written.
 func (c *callerConn) setBusy(busy bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy = busy
+	c.busy, c.headerEnd = busy, time.Time{}
 }
 
 // stop ends the connection once it is idle and the moment for a request already under way is over.
--- a/src/dispatch/caller_listener.go
+++ b/src/dispatch/caller_listener.go
@@ -19,14 +19,15 @@
 // callerListener keeps the connections it has accepted, so that a planned stop can end the idle ones.
 type callerListener struct {
 	net.Listener
-	stall time.Duration
+	stall  time.Duration
+	limits func() Limits
 
 	mu    sync.Mutex
 	conns map[*callerConn]struct{}
 }
 
-func newCallerListener(l net.Listener, stall time.Duration) *callerListener {
-	return &callerListener{Listener: l, stall: stall, conns: map[*callerConn]struct{}{}}
+func newCallerListener(l net.Listener, stall time.Duration, limits func() Limits) *callerListener {
+	return &callerListener{Listener: l, stall: stall, limits: limits, conns: map[*callerConn]struct{}{}}
 }
 
 // serve serves connections, each in a goroutine, until the listener is closed and they have ended.
@@ -58,7 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
-	cc := &callerConn{Conn: c, stall: l.stall, closed: l.forget}
+	cc := &callerConn{Conn: c, stall: l.stall, limits: l.limits, closed: l.forget}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns[cc] = struct{}{}
--- a/src/dispatch/fields.go
+++ b/src/dispatch/fields.go
@@ -24,12 +24,12 @@
 }
 
 // requestFields returns the caller's header fields that are passed on: none of ours, none of the connection's.
-func requestFields(h *fasthttp.RequestHeader) []wire.Field {
+func (p *Proxy) requestFields(h *fasthttp.RequestHeader) []wire.Field {
 	named := connectionNames(string(h.Peek("Connection")))
 	out := make([]wire.Field, 0, 8)
 	for k, v := range h.All() {
 		name := string(k)
-		if perConnection[name] || named[name] || isOwnField(name) {
+		if perConnection[name] || named[name] || isOwnField(name) || p.replaces(name) {
 			continue
 		}
 		out = append(out, wire.Field{Name: name, Value: string(v)})
@@ -37,6 +37,12 @@
 	return out
 }
 
+// replaces tells whether the daemons set a header field, whatever the caller sent.
+func (p *Proxy) replaces(name string) bool {
+	h := p.Headers
+	return strings.EqualFold(name, h.Deadline) || (h.Caller != "" && (strings.EqualFold(name, h.Caller) || strings.EqualFold(name, h.Expect)))
+}
+
 func isOwnField(name string) bool {
 	return len(name) >= len(ownPrefix) && strings.EqualFold(name[:len(ownPrefix)], ownPrefix)
 }
--- a/src/dispatch/payment.go
+++ b/src/dispatch/payment.go
@@ -132,7 +132,7 @@
 	c.p.counters.notRun.Inc()
 	after := max(deposit.RetryAfter(err), time.Millisecond)
 	c.log().Info("refused", "trace", c.head.TraceID, "reason", "no_claim", "cause", err.Error())
-	setRetryAfter(c.ctx, after)
+	c.p.setRetryAfter(c.ctx, after)
 	writeOwn(c.ctx, 503, outcomeNotRun, refusalBody{
 		Reason: "no_claim", Remedy: "repeat the request with the same key after retry-after; see the metrics of the store", RetryAfterMS: after.Milliseconds(),
 	})
@@ -147,7 +147,7 @@
 	case deposit.Replay:
 		c.replay(d.Record)
 	case deposit.InProgress:
-		setRetryAfter(c.ctx, d.RetryAfter)
+		c.p.setRetryAfter(c.ctx, d.RetryAfter)
 		writeOwn(c.ctx, 409, outcomeBusy, refusalBody{Reason: "key_in_progress", Remedy: "repeat the request with the same key after retry-after", RetryAfterMS: d.RetryAfter.Milliseconds()})
 	case deposit.Unknown:
 		writeOwn(c.ctx, 502, outcomeMay, refusalBody{Reason: "earlier_request_may_have_run", Remedy: "look up whether the payment was taken before making a new one with another key"})
--- a/src/dispatch/proxy.go
+++ b/src/dispatch/proxy.go
@@ -16,6 +16,7 @@
 	"github.com/go-logr/logr"
 	"github.com/valyala/fasthttp"
 
+	"github.com/yuccaport/yuccaport/src/header"
 	"github.com/yuccaport/yuccaport/src/link"
 	"github.com/yuccaport/yuccaport/src/problem"
 	"github.com/yuccaport/yuccaport/src/trace"
@@ -42,6 +43,8 @@
 	Caller   link.Caller
 	Parent   func(token string) (Parent, bool) // looks up the call that a backend server is running
 	Deposits Deposits                          // nil refuses payments with an idempotency key
+	Headers  header.Names                      // zero for the default ones
+	Limits   func() Limits                     // bounds on what callers send, nil for the proxy's own
 	Core     Settings
 	Grace    time.Duration // for requests in flight at a planned stop
 	Start    time.Duration // longest time for which a new proxy takes no connection because it knows no server of some service
@@ -130,17 +133,26 @@
 		if p.Metrics == nil {
 			p.Metrics = metrics.NewSet()
 		}
+		if p.Headers == (header.Names{}) {
+			p.Headers = header.Default()
+		}
+		if p.Limits == nil {
+			p.Limits = func() Limits { return Limits{} }
+		}
 		p.Core = p.Core.WithDefaults()
 		p.initRandom()
 		p.core = &Core{Settings: p.Core, Rand: p.Rand}
 		p.tracePrefix = strconv.FormatUint(rand.Uint64(), 36) + "-"
 		p.counters = newCounters(p.Metrics)
-		p.conns = newCallerListener(p.Listener, p.Stall)
+		p.conns = newCallerListener(p.Listener, p.Stall, p.limits)
 		p.pool = pond.NewPool(p.Core.MaxCalls, pond.WithQueueSize(0), pond.WithNonBlocking(true))
 		p.base, p.kill = context.WithCancel(context.Background())
 	})
 }
 
+// limits returns the bounds on what callers send.
+func (p *Proxy) limits() Limits { return p.Limits().withDefaults(p.Stall) }
+
 // initRandom seeds the core as its recording says, so that a replay draws the same numbers.
 func (p *Proxy) initRandom() {
 	seed := rand.Int64()
--- a/src/dispatch/refusal.go
+++ b/src/dispatch/refusal.go
@@ -19,7 +19,7 @@
 }
 
 // writeRefusal answers a request that no backend server has answered.
-func writeRefusal(ctx *fasthttp.RequestCtx, r RefuseCall) {
+func (p *Proxy) writeRefusal(ctx *fasthttp.RequestCtx, r RefuseCall) {
 	if r.MayHaveRun {
 		status := fasthttp.StatusBadGateway
 		if r.Reason == wire.ReasonTimeout || r.Reason == wire.ReasonDeadline {
@@ -29,13 +29,17 @@
 		return
 	}
 	after := max(r.RetryAfter, time.Millisecond)
-	setRetryAfter(ctx, after)
+	p.setRetryAfter(ctx, after)
 	writeOwn(ctx, fasthttp.StatusServiceUnavailable, outcomeNotRun,
 		refusalBody{Reason: r.Reason.String(), Remedy: remedy(r.Reason), RetryAfterMS: after.Milliseconds()})
 }
 
-// setRetryAfter tells the caller in whole seconds when to come back.
-func setRetryAfter(ctx *fasthttp.RequestCtx, after time.Duration) {
+// setRetryAfter tells the caller when to come back, in whole seconds unless fractions are agreed.
+func (p *Proxy) setRetryAfter(ctx *fasthttp.RequestCtx, after time.Duration) {
+	if p.Headers.Fractions {
+		ctx.Response.Header.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+		return
+	}
 	s := max(1, int64((after+time.Second-1)/time.Second))
 	ctx.Response.Header.Set("Retry-After", strconv.FormatInt(s, 10))
 }
--- a/src/dispatch/serve.go
+++ b/src/dispatch/serve.go
@@ -10,6 +10,8 @@
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
+const maxDeadlineMS = 24 * 60 * 60 * 1000 // a caller that states more states none
+
 // serve handles one request of a caller.
 func (p *Proxy) serve(ctx *fasthttp.RequestCtx) {
 	conn, _ := ctx.Conn().(*callerConn)
@@ -17,22 +19,70 @@
 		conn.setBusy(true)
 	}
 	p.counters.calls.Inc()
-	p.route(ctx, conn)
+	if p.acceptable(ctx) {
+		p.route(ctx, conn)
+	}
+	p.echoID(ctx)
 	if p.stopping.Load() {
 		ctx.SetConnectionClose()
 	}
 }
 
+// acceptable refuses a request that is malformed or larger than the limits, and closes its connection.
+func (p *Proxy) acceptable(ctx *fasthttp.RequestCtx) bool {
+	l := p.limits()
+	_, isPath := sentPath(ctx)
+	switch {
+	case !wellFormed(&ctx.Request.Header) || !isPath:
+		p.reject(ctx, fasthttp.StatusBadRequest, "malformed", "send one Host, one length or chunks, and a path")
+	case len(ctx.Request.Header.RawHeaders()) > l.Header:
+		p.reject(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, "header_too_large", "send a header of at most "+strconv.Itoa(l.Header)+" bytes")
+	case int64(ctx.Request.Header.ContentLength()) > l.Body:
+		p.reject(ctx, fasthttp.StatusRequestEntityTooLarge, "body_too_large", "send a body of at most "+strconv.FormatInt(l.Body, 10)+" bytes")
+	default:
+		return true
+	}
+	return false
+}
+
+// reject ends a request that is not to be repeated as it is.
+func (p *Proxy) reject(ctx *fasthttp.RequestCtx, status int, reason, remedy string) {
+	p.counters.notRun.Inc()
+	p.Log.Info("rejected", "request_id", p.requestID(ctx), "reason", reason, "status", status)
+	ctx.SetConnectionClose()
+	if conn, ok := ctx.Conn().(*callerConn); ok {
+		conn.leaveUnread()
+	}
+	writeOwn(ctx, status, outcomeNotRun, refusalBody{Reason: reason, Remedy: remedy})
+}
+
+// requestID returns the caller's ID of a request, empty for none.
+func (p *Proxy) requestID(ctx *fasthttp.RequestCtx) string {
+	if p.Headers.RequestID == "" {
+		return ""
+	}
+	return string(ctx.Request.Header.Peek(p.Headers.RequestID))
+}
+
+// echoID puts the request's ID on an answer that lacks it.
+func (p *Proxy) echoID(ctx *fasthttp.RequestCtx) {
+	id := p.requestID(ctx)
+	if id != "" && len(ctx.Response.Header.Peek(p.Headers.RequestID)) == 0 {
+		ctx.Response.Header.Set(p.Headers.RequestID, id)
+	}
+}
+
 func (p *Proxy) route(ctx *fasthttp.RequestCtx, conn *callerConn) {
+	path, _ := sentPath(ctx)
 	t := p.table()
 	if t == nil {
 		p.refuse(ctx, RefuseCall{Reason: wire.ReasonNotReady, RetryAfter: time.Second})
 		return
 	}
-	m, ok := t.Match(string(ctx.Host()), string(ctx.Path()), string(ctx.Method()))
+	m, ok := t.Match(string(ctx.Host()), path, string(ctx.Method()))
 	if !ok {
 		p.counters.noRoute.Inc()
-		p.Log.Info("refused", "host", string(ctx.Host()), "path", string(ctx.Path()), "reason", "no_route", "version", t.Version)
+		p.Log.Info("refused", "trace", p.requestID(ctx), "host", string(ctx.Host()), "path", path, "reason", "no_route", "version", t.Version)
 		closeUnread(ctx)
 		writeOwn(ctx, fasthttp.StatusNotFound, outcomeNotRun, refusalBody{
 			Reason: "no_route",
@@ -40,7 +90,7 @@
 		})
 		return
 	}
-	body, err := readBody(ctx, conn)
+	body, err := readBody(ctx, conn, p.limits().Body)
 	if err != nil {
 		ctx.SetConnectionClose()
 		writeOwn(ctx, fasthttp.StatusBadRequest, outcomeNotRun, refusalBody{Reason: "request_body", Remedy: "send the whole body, of at most " + strconv.Itoa(maxRequestBody) + " bytes"})
@@ -52,9 +102,9 @@
 // refuse answers a request that was not sent anywhere.
 func (p *Proxy) refuse(ctx *fasthttp.RequestCtx, r RefuseCall) {
 	p.counters.notRun.Inc()
-	p.Log.Info("refused", "host", string(ctx.Host()), "path", string(ctx.Path()), "reason", r.Reason.String(), "may_have_run", false)
+	p.Log.Info("refused", "trace", p.requestID(ctx), "host", string(ctx.Host()), "path", string(ctx.Path()), "reason", r.Reason.String(), "may_have_run", false)
 	closeUnread(ctx)
-	writeRefusal(ctx, r)
+	p.writeRefusal(ctx, r)
 }
 
 // closeUnread ends the connection after the answer when a request body is still on its way; its rest must not be read as a next request.
@@ -77,13 +127,20 @@
 	}
 	c.parent = p.parentOf(ctx)
 	c.deadline = c.start.Add(c.timeLimit())
+	if d, ok := p.callerDeadline(ctx); ok && c.start.Add(d).Before(c.deadline) {
+		c.deadline = c.start.Add(d)
+	}
 	if d := c.parent.Deadline; !d.IsZero() && d.Before(c.deadline) {
 		c.deadline = d
 	}
 	c.base, c.cancel = context.WithCancel(p.base)
+	if o := m.Route.Objective.Std(); o > 0 {
+		c.objective = c.start.Add(o)
+	}
 	c.head = wire.CallHead{
+		Caller:  p.callerService(),
 		TraceID: c.traceID(), Route: m.Route.Name, Method: method,
-		Host: string(ctx.Host()), URI: string(ctx.RequestURI()), Fields: requestFields(&ctx.Request.Header),
+		Host: string(ctx.Host()), URI: string(ctx.RequestURI()), Fields: p.requestFields(&ctx.Request.Header),
 		BodyLength: body.length(), Priority: m.Route.Priority.Rank(), Idempotent: c.policy.Idempotent,
 		Depth: c.parent.Depth, RetryLayer: c.retriesBelow(), Version: m.Table.Version,
 	}
@@ -116,7 +173,24 @@
 	return c.parent.RetryLayer || (c.policy.Idempotent && c.policy.Attempts > 1)
 }
 
+// callerDeadline returns how long the caller waits, if it says so.
+func (p *Proxy) callerDeadline(ctx *fasthttp.RequestCtx) (time.Duration, bool) {
+	n, err := strconv.ParseInt(string(ctx.Request.Header.Peek(p.Headers.Deadline)), 10, 64)
+	return time.Duration(n) * time.Millisecond, err == nil && n > 0 && n < maxDeadlineMS
+}
+
+// callerService returns the service on whose VM callers speak to this proxy.
+func (p *Proxy) callerService() string {
+	if p.Headers.Caller == "" {
+		return ""
+	}
+	return p.Self().Service
+}
+
 func (c *call) traceID() string {
+	if id := c.p.requestID(c.ctx); id != "" {
+		return id
+	}
 	if c.parent.TraceID != "" {
 		return c.parent.TraceID
 	}
--- /dev/null
+++ b/src/dispatch/wellformed.go
@@ -0,0 +1,55 @@
+package dispatch
+
+import (
+	"bytes"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+)
+
+// wellFormed tells whether a request's framing can be read in one way only; what cannot might hide a second request.
+func wellFormed(h *fasthttp.RequestHeader) bool {
+	lengths, encodings, hosts := 0, 0, 0
+	for line := range bytes.SplitSeq(h.RawHeaders(), []byte("\n")) {
+		name, value, ok := bytes.Cut(line, []byte(":"))
+		if !ok {
+			if len(bytes.TrimSpace(line)) > 0 {
+				return false // a continued line
+			}
+			continue
+		}
+		if len(name) == 0 || bytes.ContainsAny(name, " \t\r") {
+			return false
+		}
+		switch {
+		case bytes.EqualFold(name, []byte(fasthttp.HeaderContentLength)):
+			lengths++
+			if !isNumber(bytes.TrimSpace(value)) {
+				return false
+			}
+		case bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding)):
+			encodings++
+			if !bytes.EqualFold(bytes.TrimSpace(value), []byte("chunked")) {
+				return false
+			}
+		case bytes.EqualFold(name, []byte(fasthttp.HeaderHost)):
+			hosts++
+		}
+	}
+	return lengths+encodings <= 1 && hosts == 1
+}
+
+func isNumber(b []byte) bool {
+	for _, c := range b {
+		if c < '0' || c > '9' {
+			return false
+		}
+	}
+	return len(b) > 0
+}
+
+// sentPath returns the path as the caller sent it, by which the backend server understands the request; ok is false for a target that is no path.
+func sentPath(ctx *fasthttp.RequestCtx) (string, bool) {
+	path, _, _ := strings.Cut(string(ctx.RequestURI()), "?")
+	return path, strings.HasPrefix(path, "/") && !strings.ContainsAny(path, " #")
+}
--- a/src/document/priority.go
+++ b/src/document/priority.go
@@ -1,5 +1,7 @@
 package document
 
+import "strconv"
+
 // Priority is the order in which calls leave an admission queue.
 type Priority string
 
@@ -18,5 +20,11 @@
 	case PriorityLow:
 		return 2
 	}
+	if n, err := strconv.ParseUint(string(p), 10, 8); err == nil {
+		return uint8(n)
+	}
 	return 1
 }
+
+// PriorityOf returns the priority of a rank, 0 for the one that is served first.
+func PriorityOf(rank uint8) Priority { return Priority(strconv.Itoa(int(rank))) }
--- a/src/document/route.go
+++ b/src/document/route.go
@@ -9,6 +9,7 @@
 	Fallback    string   `toml:"fallback"`   // service used when no target has a usable backend server
 	Timeout     Duration `toml:"timeout"`    // of one attempt
 	Deadline    Duration `toml:"deadline"`   // of the whole call
+	Objective   Duration `toml:"objective"`  // latency objective, 0 for none
 	Idempotent  *bool    `toml:"idempotent"` // nil: by method
 	Deposit     bool     `toml:"deposit"`    // a payment: runs at most once
 	Priority    Priority `toml:"priority"`
--- /dev/null
+++ b/src/header/doc.go
@@ -0,0 +1,2 @@
+// Package header names the header fields that callers, daemons and backend servers exchange.
+package header
--- /dev/null
+++ b/src/header/names.go
@@ -0,0 +1,17 @@
+package header
+
+// Names holds the names of header fields; an empty name stands for a field that is not used.
+type Names struct {
+	RequestID string // caller's ID of a request, which the backend server echoes
+	Deadline  string // milliseconds that the caller, and then the backend server, has left
+	Caller    string // service of the VM on which a request began
+	Expect    string // incarnation that alone may run a request
+	Instance  string // incarnation that answers
+	NotRun    string // marks an answer to a request that the backend server has not run
+	Load      string // requests running, requests waiting and slots, with commas
+	Proof     string // marks an answer that a backend server has made
+	Fractions bool   // Retry-After may carry fractions of a second
+}
+
+// Default returns the names of yuccaport's own interface.
+func Default() Names { return Names{Deadline: "X-Deadline-Ms", NotRun: "X-Not-Run"} }
--- a/src/platform/answer.go
+++ b/src/kv/answer.go
@@ -1,4 +1,4 @@
-package platform
+package kv
 
 import (
 	"bufio"
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/yuccaport/yuccaport/src/lane"
 	"github.com/yuccaport/yuccaport/src/problem"
 )
 
@@ -21,14 +22,11 @@
 	valid    bool // it carries a revision
 }
 
+const maxAnswerSize = MaxValueSize + 64<<10 // bytes
+
 // identityLength is fasthttp's length of a body that only the end of the connection bounds, so that a cut is not seen.
 const identityLength = -2
 
-// notSent marks the error of a call that the store has surely not carried out.
-type notSent struct{ error }
-
-func (e notSent) Unwrap() error { return e.error }
-
 // readAnswer reads one whole answer.
 func readAnswer(r *bufio.Reader) (answer, error) {
 	resp := fasthttp.AcquireResponse()
@@ -69,7 +67,7 @@
 	case fasthttp.StatusRequestEntityTooLarge:
 		return problem.New(problem.Usage, "", text, fmt.Sprintf("keep values within %d bytes", MaxValueSize))
 	case fasthttp.StatusServiceUnavailable, fasthttp.StatusTooManyRequests:
-		return notSent{problem.New(problem.Unavailable, "", text, "try again later")}
+		return lane.NotSent{Err: problem.New(problem.Unavailable, "", text, "try again later")}
 	}
 	return problem.New(problem.Protocol, "", text, "check that [store] addr is the platform's store")
 }
--- a/src/platform/faults_test.go
+++ b/src/kv/faults_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package kv_test
 
 import (
 	"bufio"
@@ -12,7 +12,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/goleak"
 
-	"github.com/yuccaport/yuccaport/src/platform"
+	"github.com/yuccaport/yuccaport/src/kv"
 	"github.com/yuccaport/yuccaport/src/problem"
 	"github.com/yuccaport/yuccaport/src/standin"
 )
@@ -95,7 +95,7 @@
 func TestRemoteRefusedConnection(t *testing.T) {
 	c := qt.New(t)
 	ln := listen(c)
-	r := &platform.Remote{Addr: addrOf(ln)}
+	r := &kv.Remote{Addr: addrOf(ln)}
 	c.Assert(ln.Close(), qt.IsNil)
 	_, err := r.Swap(context.Background(), "k", 0, nil)
 	c.Check(err, qt.ErrorIs, problem.Unavailable)
@@ -116,7 +116,7 @@
 			closed <- err
 		}
 	}()
-	r := &platform.Remote{Addr: addrOf(ln), Timeout: guard}
+	r := &kv.Remote{Addr: addrOf(ln), Timeout: guard}
 	for range 2 {
 		revision, err := r.Swap(context.Background(), "k", 0, nil)
 		c.Assert(err, qt.IsNil)
--- a/src/platform/protocol.go
+++ b/src/kv/protocol.go
@@ -1,4 +1,4 @@
-package platform
+package kv
 
 // Paths and header fields of the store's HTTP face.
 const (
--- a/src/platform/remote.go
+++ b/src/kv/remote.go
@@ -1,16 +1,17 @@
-package platform
+package kv
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"net/netip"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/yuccaport/yuccaport/src/lane"
 	"github.com/yuccaport/yuccaport/src/problem"
 )
 
@@ -23,10 +24,9 @@
 	Prefix  string        // put before every key
 	Timeout time.Duration // of a call, beyond the wait of a watch
 
-	mu    sync.Mutex
-	idle  []*lane
-	calls atomic.Int64 // under way
-	skew  skew
+	once   sync.Once
+	client lane.Client
+	skew   skew
 }
 
 var _ Store = (*Remote)(nil)
@@ -117,26 +117,19 @@
 
 // do carries out one call on one connection.
 func (r *Remote) do(ctx context.Context, req *fasthttp.Request, wait time.Duration) (answer, error) {
-	defer r.calls.Add(-1)
-	if r.calls.Add(1) > maxCalls {
-		return answer{}, notSent{problem.New(problem.Unavailable, "", "too many store calls at once", "try again later")}
-	}
+	r.once.Do(func() { r.client.Addr = r.Addr })
 	timeout := r.Timeout
 	if timeout <= 0 {
 		timeout = DefaultTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout+wait)
 	defer cancel()
-	l, err := r.take(ctx)
-	if err != nil {
-		return answer{}, notSent{err}
-	}
-	a, err := l.exchange(ctx, req)
-	if err != nil || a.close {
-		_ = l.conn.Close()
-	} else {
-		r.give(l)
-	}
+	var a answer
+	err := r.client.Do(ctx, req, func(br *bufio.Reader) (bool, error) {
+		var err error
+		a, err = readAnswer(br)
+		return !a.close, err
+	})
 	if err != nil {
 		return answer{}, err
 	}
@@ -144,13 +137,16 @@
 	return a, a.check()
 }
 
+// Close closes the idle connections; later calls open new ones.
+func (r *Remote) Close() error { return r.client.Close() }
+
 // classify gives a call's error the kind that Store promises.
 func (r *Remote) classify(err error, key string, write bool) error {
 	if err == nil || errors.Is(err, problem.NotFound) || errors.Is(err, problem.Conflict) || errors.Is(err, problem.Usage) {
 		return err
 	}
 	place := r.Addr.String() + " " + key
-	if write && !errors.As(err, new(notSent)) {
+	if write && !errors.As(err, new(lane.NotSent)) {
 		return problem.Wrap(problem.Unsure, err, place, "no answer to a write", "read the key again before the next write")
 	}
 	return problem.Wrap(problem.Unavailable, err, place, "call not carried out", "see that the store at [store] addr runs and is within its rate")
--- a/src/platform/remote_test.go
+++ b/src/kv/remote_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package kv_test
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 	"github.com/go-logr/logr"
 	"go.uber.org/goleak"
 
-	"github.com/yuccaport/yuccaport/src/platform"
+	"github.com/yuccaport/yuccaport/src/kv"
 	"github.com/yuccaport/yuccaport/src/problem"
 	"github.com/yuccaport/yuccaport/src/standin"
 )
@@ -34,14 +34,14 @@
 func addrOf(ln net.Listener) netip.AddrPort { return ln.Addr().(*net.TCPAddr).AddrPort() }
 
 // remote returns a Remote whose store runs until the test ends.
-func remote(c *qt.C, k *standin.Keyspace) *platform.Remote {
+func remote(c *qt.C, k *standin.Keyspace) *kv.Remote {
 	c.Cleanup(func() { goleak.VerifyNone(c, fasthttpSleepers...) })
 	ln := listen(c)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	s := &standin.StoreServer{Listener: ln, Keyspace: k, Log: logr.Discard()}
 	go func() { done <- s.Run(ctx) }()
-	r := &platform.Remote{Addr: addrOf(ln), Prefix: "p/", Timeout: guard}
+	r := &kv.Remote{Addr: addrOf(ln), Prefix: "p/", Timeout: guard}
 	c.Cleanup(func() {
 		c.Check(r.Close(), qt.IsNil)
 		cancel()
@@ -60,7 +60,7 @@
 	c.Assert(err, qt.IsNil)
 	_, err = r.Swap(ctx, "a b/ü&=", 0, []byte("two"))
 	c.Assert(err, qt.ErrorIs, problem.Conflict)
-	big := make([]byte, platform.MaxValueSize)
+	big := make([]byte, kv.MaxValueSize)
 	second, err := r.Swap(ctx, "a b/ü&=", first, big)
 	c.Assert(err, qt.IsNil)
 	c.Assert(second > first, qt.IsTrue)
@@ -103,7 +103,7 @@
 	e, err := r.Watch(ctx, "k", 0, time.Millisecond)
 	c.Assert(err, qt.IsNil)
 	c.Assert(e.Revision, qt.Equals, uint64(0))
-	got := make(chan platform.Entry, 1)
+	got := make(chan kv.Entry, 1)
 	go func() {
 		e, _ := r.Watch(ctx, "k", 0, guard)
 		got <- e
--- a/src/platform/skew_test.go
+++ b/src/kv/skew_test.go
@@ -1,4 +1,4 @@
-package platform
+package kv
 
 import (
 	"testing"
--- a/src/ledger/editor.go
+++ b/src/ledger/editor.go
@@ -11,7 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 
-	"github.com/yuccaport/yuccaport/src/platform"
+	"github.com/yuccaport/yuccaport/src/kv"
 	"github.com/yuccaport/yuccaport/src/problem"
 	"github.com/yuccaport/yuccaport/src/wire"
 )
@@ -24,7 +24,7 @@
 
 // Editor accepts edits into the configuration that the store keeps.
 type Editor struct {
-	Store   platform.Store
+	Store   kv.Store
 	Now     func() time.Time                                 // time.Now when nil
 	Wait    func(ctx context.Context, d time.Duration) error // pauses between attempts; a timer when nil
 	Rand    *rand.Rand                                       // seeded from the system when nil
--- a/src/ledger/editor_test.go
+++ b/src/ledger/editor_test.go
@@ -11,7 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/yuccaport/yuccaport/src/platform"
+	"github.com/yuccaport/yuccaport/src/kv"
 	"github.com/yuccaport/yuccaport/src/problem"
 	"github.com/yuccaport/yuccaport/src/wire"
 )
@@ -19,7 +19,7 @@
 var start = time.Unix(1_700_000_000, 0)
 
 // testEditor returns an editor whose clock stands at start and whose pauses take no time.
-func testEditor(store platform.Store, seed uint64) *Editor {
+func testEditor(store kv.Store, seed uint64) *Editor {
 	return &Editor{
 		Store: store,
 		Now:   func() time.Time { return start },
@@ -153,7 +153,7 @@
 	backup := store.entries[HeadKey]
 	apply(c, e, testEdit("bookings", 1))
 	store.revision++
-	store.entries[HeadKey] = platform.Entry{Key: HeadKey, Value: backup.Value, Revision: store.revision}
+	store.entries[HeadKey] = kv.Entry{Key: HeadKey, Value: backup.Value, Revision: store.revision}
 
 	fresh := testEditor(store, 2)
 	fresh.Floor = 2
@@ -201,7 +201,7 @@
 	value, err := encodeHead(&h)
 	c.Assert(err, qt.IsNil)
 	c.Logf("head of 110 services with %d changes each and %d retired bodies: %d bytes", ChangesKept, len(h.Retired), len(value))
-	c.Assert(len(value) < platform.MaxValueSize/4, qt.IsTrue)
+	c.Assert(len(value) < kv.MaxValueSize/4, qt.IsTrue)
 
 	r := wire.HeadRef{Schema: wire.SchemaNumber, Version: h.Version, Digest: 1 << 63, Head: "0123456789abcdef", HeadDigest: Digest(value)}
 	for _, x := range h.Changes[:MaxLatest] {
--- a/src/ledger/faults_test.go
+++ b/src/ledger/faults_test.go
@@ -6,66 +6,66 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/yuccaport/yuccaport/src/platform"
+	"github.com/yuccaport/yuccaport/src/kv"
 	"github.com/yuccaport/yuccaport/src/problem"
 )
 
 func TestApplyFaults(t *testing.T) {
-	rival := func(c *qt.C, store platform.Store, service string) {
+	rival := func(c *qt.C, store kv.Store, service string) {
 		apply(c, testEditor(store, 99), testEdit(service, 50))
 	}
 	tests := map[string]struct {
-		before func(c *qt.C, s platform.Store) func(op, key string) error
-		after  func(c *qt.C, s platform.Store) func(op, key string) error
+		before func(c *qt.C, s kv.Store) func(op, key string) error
+		after  func(c *qt.C, s kv.Store) func(op, key string) error
 		want   uint64 // version that holds the edit
 		head   uint64 // version of the head at the end
 		err    error
 	}{
 		"no fault": {want: 2, head: 2},
 		"answer lost after the write": {
-			after: func(*qt.C, platform.Store) func(op, key string) error { return nthHeadSwap(2, lost) },
+			after: func(*qt.C, kv.Store) func(op, key string) error { return nthHeadSwap(2, lost) },
 			want:  2, head: 2,
 		},
 		"answer lost, then a rival edits the same document": {
-			after: func(c *qt.C, s platform.Store) func(op, key string) error {
+			after: func(c *qt.C, s kv.Store) func(op, key string) error {
 				return nthHeadSwap(2, func() error { rival(c, s, "bookings"); return lost() })
 			},
 			want: 2, head: 3,
 		},
 		"answer lost, then a rival edits another document": {
-			after: func(c *qt.C, s platform.Store) func(op, key string) error {
+			after: func(c *qt.C, s kv.Store) func(op, key string) error {
 				return nthHeadSwap(2, func() error { rival(c, s, "jobrecords"); return lost() })
 			},
 			want: 2, head: 3,
 		},
 		"call lost before the write": {
-			before: func(*qt.C, platform.Store) func(op, key string) error { return nthHeadSwap(2, lost) },
+			before: func(*qt.C, kv.Store) func(op, key string) error { return nthHeadSwap(2, lost) },
 			want:   2, head: 2,
 		},
 		"answer lost to the listing of the body": {
-			after: func(*qt.C, platform.Store) func(op, key string) error { return nthHeadSwap(1, lost) },
+			after: func(*qt.C, kv.Store) func(op, key string) error { return nthHeadSwap(1, lost) },
 			want:  2, head: 2,
 		},
 		"a rival edits another document first": {
-			before: func(c *qt.C, s platform.Store) func(op, key string) error {
+			before: func(c *qt.C, s kv.Store) func(op, key string) error {
 				return nthHeadSwap(2, func() error { rival(c, s, "jobrecords"); return nil })
 			},
 			want: 3, head: 3,
 		},
 		"a rival edits the same document first": {
-			before: func(c *qt.C, s platform.Store) func(op, key string) error {
+			before: func(c *qt.C, s kv.Store) func(op, key string) error {
 				return nthHeadSwap(2, func() error { rival(c, s, "bookings"); return nil })
 			},
 			head: 2, err: problem.Conflict,
 		},
 		"a rival edits the same document and the call is lost": {
-			before: func(c *qt.C, s platform.Store) func(op, key string) error {
+			before: func(c *qt.C, s kv.Store) func(op, key string) error {
 				return nthHeadSwap(2, func() error { rival(c, s, "bookings"); return lost() })
 			},
 			head: 2, err: problem.Conflict,
 		},
 		"answer lost, then rivals edit the same document past the history": {
-			after: func(c *qt.C, s platform.Store) func(op, key string) error {
+			after: func(c *qt.C, s kv.Store) func(op, key string) error {
 				return nthHeadSwap(2, func() error {
 					for n := range ChangesKept {
 						apply(c, testEditor(s, 99+uint64(n)), testEdit("bookings", 50+n))
@@ -76,7 +76,7 @@
 			head: 2 + ChangesKept, err: problem.Unsure,
 		},
 		"the store stays down": {
-			before: func(*qt.C, platform.Store) func(op, key string) error {
+			before: func(*qt.C, kv.Store) func(op, key string) error {
 				return func(string, string) error { return problem.New(problem.Unavailable, "store", "down", "") }
 			},
 			head: 1, err: problem.Unavailable,
--- a/src/ledger/fetch.go
+++ b/src/ledger/fetch.go
@@ -5,14 +5,14 @@
 	"maps"
 	"slices"
 
-	"github.com/yuccaport/yuccaport/src/platform"
+	"github.com/yuccaport/yuccaport/src/kv"
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
 // Fetch returns the update that leads from a snapshot to the version of a notice, and reads only the documents that have changed.
 //
 // The head itself is read only when the notice's latest changes do not reach back to the snapshot.
-func Fetch(ctx context.Context, store platform.Store, have *Snapshot, n Notice) (wire.Update, error) {
+func Fetch(ctx context.Context, store kv.Store, have *Snapshot, n Notice) (wire.Update, error) {
 	if have == nil || have.Version > n.ref.Version {
 		have = &Snapshot{}
 	}
@@ -49,7 +49,7 @@
 }
 
 // fetchServices reads the documents that a snapshot does not hold.
-func fetchServices(ctx context.Context, store platform.Store, have *Snapshot, r wire.HeadRef, services map[string]wire.HeadService) (wire.Update, error) {
+func fetchServices(ctx context.Context, store kv.Store, have *Snapshot, r wire.HeadRef, services map[string]wire.HeadService) (wire.Update, error) {
 	u := wire.Update{Schema: r.Schema, From: have.Version, Version: r.Version, Digest: digestServices(services)}
 	var missing []wire.HeadService
 	for _, name := range slices.Sorted(maps.Keys(services)) {
--- a/src/ledger/fetch_test.go
+++ b/src/ledger/fetch_test.go
@@ -9,17 +9,17 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/yuccaport/yuccaport/src/platform"
+	"github.com/yuccaport/yuccaport/src/kv"
 	"github.com/yuccaport/yuccaport/src/problem"
 )
 
 // countingStore counts the reads of accepted heads.
 type countingStore struct {
-	platform.Store
+	kv.Store
 	heads, reads atomic.Int32
 }
 
-func (s *countingStore) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (s *countingStore) Get(ctx context.Context, key string) (kv.Entry, error) {
 	s.reads.Add(1)
 	if strings.HasPrefix(key, headPrefix) {
 		s.heads.Add(1)
@@ -96,18 +96,18 @@
 
 // laggingStore shows a key as absent at its first reads.
 type laggingStore struct {
-	platform.Store
+	kv.Store
 	mu   sync.Mutex
 	seen map[string]int
 }
 
-func (s *laggingStore) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (s *laggingStore) Get(ctx context.Context, key string) (kv.Entry, error) {
 	s.mu.Lock()
 	s.seen[key]++
 	n := s.seen[key]
 	s.mu.Unlock()
 	if n < keptReads && key != HeadKey {
-		return platform.Entry{}, problem.New(problem.NotFound, key, "absent", "")
+		return kv.Entry{}, problem.New(problem.NotFound, key, "absent", "")
 	}
 	return s.Store.Get(ctx, key)
 }
--- a/src/ledger/headedit.go
+++ b/src/ledger/headedit.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/yuccaport/yuccaport/src/platform"
+	"github.com/yuccaport/yuccaport/src/kv"
 	"github.com/yuccaport/yuccaport/src/problem"
 	"github.com/yuccaport/yuccaport/src/wire"
 )
@@ -23,7 +23,7 @@
 	HeadAge       = time.Minute      // a replaced head stays this long
 	RetireAge     = 10 * time.Minute // a document stays this long after the head has stopped referring to it
 	doomedAtOnce  = 8
-	maxHeadSize   = platform.MaxValueSize
+	maxHeadSize   = kv.MaxValueSize
 	maxEditIDSize = 32 // bytes
 )
 
--- a/src/ledger/notice.go
+++ b/src/ledger/notice.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"github.com/yuccaport/yuccaport/src/platform"
+	"github.com/yuccaport/yuccaport/src/kv"
 	"github.com/yuccaport/yuccaport/src/problem"
 	"github.com/yuccaport/yuccaport/src/wire"
 )
@@ -20,13 +20,13 @@
 func (n Notice) Version() uint64 { return n.ref.Version }
 
 // ReadNotice reads the accepted version.
-func ReadNotice(ctx context.Context, store platform.Store) (Notice, error) {
+func ReadNotice(ctx context.Context, store kv.Store) (Notice, error) {
 	r, revision, err := readRef(ctx, store)
 	return Notice{Revision: revision, ref: r}, err
 }
 
 // WatchNotice waits until the record is past a revision, or returns it unchanged when wait is over.
-func WatchNotice(ctx context.Context, store platform.Store, after uint64, wait time.Duration) (Notice, error) {
+func WatchNotice(ctx context.Context, store kv.Store, after uint64, wait time.Duration) (Notice, error) {
 	e, err := store.Watch(ctx, HeadKey, after, wait)
 	if errors.Is(err, problem.NotFound) || (err == nil && e.Revision == 0) {
 		return Notice{ref: emptyState().ref}, nil
--- a/src/ledger/read.go
+++ b/src/ledger/read.go
@@ -8,7 +8,7 @@
 
 	"github.com/alitto/pond/v2"
 
-	"github.com/yuccaport/yuccaport/src/platform"
+	"github.com/yuccaport/yuccaport/src/kv"
 	"github.com/yuccaport/yuccaport/src/problem"
 	"github.com/yuccaport/yuccaport/src/wire"
 )
@@ -58,7 +58,7 @@
 }
 
 // readRef returns the reference and its revision; an absent one is empty, at revision 0.
-func readRef(ctx context.Context, store platform.Store) (wire.HeadRef, uint64, error) {
+func readRef(ctx context.Context, store kv.Store) (wire.HeadRef, uint64, error) {
 	e, err := store.Get(ctx, HeadKey)
 	if errors.Is(err, problem.NotFound) {
 		return emptyState().ref, 0, nil
@@ -71,7 +71,7 @@
 }
 
 // readHead reads the head that a reference names.
-func readHead(ctx context.Context, store platform.Store, r wire.HeadRef) (wire.Head, error) {
+func readHead(ctx context.Context, store kv.Store, r wire.HeadRef) (wire.Head, error) {
 	if r.Head == "" {
 		return emptyState().head, nil
 	}
@@ -86,7 +86,7 @@
 }
 
 // readState reads the reference and the head that it names.
-func readState(ctx context.Context, store platform.Store) (state, error) {
+func readState(ctx context.Context, store kv.Store) (state, error) {
 	r, revision, err := readRef(ctx, store)
 	if err != nil {
 		return state{}, err
@@ -96,7 +96,7 @@
 }
 
 // getKept reads a key that the reference names; it is written before it is named, so an answer that it is absent is asked for again.
-func getKept(ctx context.Context, store platform.Store, key string) (e platform.Entry, err error) {
+func getKept(ctx context.Context, store kv.Store, key string) (e kv.Entry, err error) {
 	for n := range keptReads {
 		if e, err = store.Get(ctx, key); !errors.Is(err, problem.NotFound) || n == keptReads-1 {
 			return e, err
@@ -111,7 +111,7 @@
 }
 
 // FetchBody reads one document and checks its digest; errors are those of the store and problem.Protocol.
-func FetchBody(ctx context.Context, store platform.Store, s wire.HeadService) (wire.Body, error) {
+func FetchBody(ctx context.Context, store kv.Store, s wire.HeadService) (wire.Body, error) {
 	e, err := getKept(ctx, store, BodyKey(s.Digest))
 	if err != nil {
 		return wire.Body{}, err
@@ -123,7 +123,7 @@
 }
 
 // FetchBodies reads the documents of services, a few at a time.
-func FetchBodies(ctx context.Context, store platform.Store, services []wire.HeadService) (map[string]wire.Body, error) {
+func FetchBodies(ctx context.Context, store kv.Store, services []wire.HeadService) (map[string]wire.Body, error) {
 	pool := pond.NewResultPool[wire.Body](fetchers)
 	defer pool.StopAndWait()
 	group := pool.NewGroupContext(ctx)
@@ -142,7 +142,7 @@
 }
 
 // Load reads the accepted configuration from the store; an error is of kind problem.NotFound when none was ever accepted.
-func Load(ctx context.Context, store platform.Store) (*Snapshot, error) {
+func Load(ctx context.Context, store kv.Store) (*Snapshot, error) {
 	n, err := ReadNotice(ctx, store)
 	if err != nil {
 		return nil, err
--- a/src/ledger/store_test.go
+++ b/src/ledger/store_test.go
@@ -6,21 +6,21 @@
 	"sync"
 	"time"
 
-	"github.com/yuccaport/yuccaport/src/platform"
+	"github.com/yuccaport/yuccaport/src/kv"
 	"github.com/yuccaport/yuccaport/src/problem"
 )
 
 // memoryStore is a store without faults of its own.
 type memoryStore struct {
 	mu       sync.Mutex
-	entries  map[string]platform.Entry
+	entries  map[string]kv.Entry
 	revision uint64
 	calls    int
 }
 
-func newMemoryStore() *memoryStore { return &memoryStore{entries: map[string]platform.Entry{}} }
+func newMemoryStore() *memoryStore { return &memoryStore{entries: map[string]kv.Entry{}} }
 
-func (s *memoryStore) Get(_ context.Context, key string) (platform.Entry, error) {
+func (s *memoryStore) Get(_ context.Context, key string) (kv.Entry, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
@@ -39,7 +39,7 @@
 		return 0, problem.New(problem.Conflict, key, fmt.Sprintf("at revision %d", s.entries[key].Revision), "")
 	}
 	s.revision++
-	s.entries[key] = platform.Entry{Key: key, Value: value, Revision: s.revision}
+	s.entries[key] = kv.Entry{Key: key, Value: value, Revision: s.revision}
 	return s.revision, nil
 }
 
@@ -54,18 +54,18 @@
 	return nil
 }
 
-func (s *memoryStore) Grant(context.Context, string, string, time.Duration) (platform.Lease, error) {
-	return platform.Lease{}, nil
+func (s *memoryStore) Grant(context.Context, string, string, time.Duration) (kv.Lease, error) {
+	return kv.Lease{}, nil
 }
-func (s *memoryStore) Renew(context.Context, platform.Lease) error   { return nil }
-func (s *memoryStore) Release(context.Context, platform.Lease) error { return nil }
-func (s *memoryStore) Watch(ctx context.Context, key string, _ uint64, _ time.Duration) (platform.Entry, error) {
+func (s *memoryStore) Renew(context.Context, kv.Lease) error   { return nil }
+func (s *memoryStore) Release(context.Context, kv.Lease) error { return nil }
+func (s *memoryStore) Watch(ctx context.Context, key string, _ uint64, _ time.Duration) (kv.Entry, error) {
 	return s.Get(ctx, key)
 }
 
 // hookStore lets a test step in before or after a write.
 type hookStore struct {
-	platform.Store
+	kv.Store
 	before func(op, key string) error // an error stands for a call that was not carried out
 	after  func(op, key string) error // an error stands for an answer that was lost
 }
@@ -102,7 +102,7 @@
 	then    func()
 }
 
-func (s *pausingStore) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (s *pausingStore) Get(ctx context.Context, key string) (kv.Entry, error) {
 	s.pause("before get", key)
 	e, err := s.Store.Get(ctx, key)
 	s.pause("get", key)
--- a/src/link/call.go
+++ b/src/link/call.go
@@ -53,6 +53,7 @@
 	KindRosterDigest MessageKind = 3 // bucket digests, answered by the members that differ
 	KindStatus       MessageKind = 4 // empty, answered by the daemon's status
 	KindDeposit      MessageKind = 5 // kept for claims
+	KindRegistry     MessageKind = 6 // wire.RegistryRequest, answered by wire.RegistryReply
 )
 
 // Inbound is a call that has arrived from another daemon.
--- a/src/link/limits.go
+++ b/src/link/limits.go
@@ -15,7 +15,6 @@
 	maxMessage    = 8 << 20   // bytes of one control message
 	maxMessages   = 64        // control messages served at once
 
-	helloTimeout = 5 * time.Second
 	writeTimeout = 10 * time.Second
 	silentLimit  = 3 // ping periods without a byte before a link in use is taken for dead
 	backoffMin   = 50 * time.Millisecond
@@ -30,6 +29,7 @@
 	CallsPerLink int           // inbound calls on one link
 	Memory       int           // bytes that windows may grow by over all calls, and that partial messages hold
 	Idle         time.Duration // time without calls after which a dialled link is closed
+	Hello        time.Duration // longest wait for a link to be made
 	Ping         time.Duration // time without a byte after which a link in use is pinged
 }
 
@@ -40,6 +40,7 @@
 	setDefault(&l.CallsPerLink, 256)
 	setDefault(&l.Memory, 32<<20)
 	setDefault(&l.Idle, time.Minute)
+	setDefault(&l.Hello, 5*time.Second)
 	setDefault(&l.Ping, 2*time.Second)
 	return l
 }
--- a/src/platform/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package platform is the interface to the key-value service that keeps what must last.
-package platform
--- /dev/null
+++ b/src/registry/announcer.go
@@ -0,0 +1,258 @@
+package registry
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/yuccaport/yuccaport/src/problem"
+	"github.com/yuccaport/yuccaport/src/wire"
+)
+
+const (
+	entryTTL     = 4 * time.Second // an agent that is killed stays listed for it at most; links tell its death sooner
+	renewEvery   = entryTTL / 3
+	retryEvery   = 400 * time.Millisecond // after a failed call: two attempts in a second of a store that has come back
+	markerTTL    = 30 * time.Second       // longer than a backend server goes on after it has said that it leaves
+	announceCall = time.Second            // longest wait for the store
+)
+
+// Announcer keeps the agent's entry in the store.
+type Announcer struct {
+	Store Store
+	Keys  Keys
+	Key   string // of the entry
+	Log   logr.Logger
+
+	once sync.Once
+	wake chan struct{}
+
+	state   sync.Mutex
+	wanted  wire.Member
+	marker  string // instance whose leaving is to be marked
+	missing bool   // the store lacks the entry
+
+	mu       sync.Mutex // held during calls to the store
+	lease    uint64
+	revision uint64
+	written  wire.Member
+	marked   string
+	down     bool // the last call failed
+}
+
+func (a *Announcer) init() { a.once.Do(func() { a.wake = make(chan struct{}, 1) }) }
+
+// Set changes the entry, which Run then writes.
+func (a *Announcer) Set(m wire.Member) {
+	a.init()
+	a.state.Lock()
+	changed := a.wanted != m
+	a.wanted = m
+	a.state.Unlock()
+	if changed {
+		a.poke()
+	}
+}
+
+// Missing has the entry written again.
+func (a *Announcer) Missing() {
+	a.init()
+	a.state.Lock()
+	a.missing = true
+	a.state.Unlock()
+	a.poke()
+}
+
+func (a *Announcer) poke() {
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Leave marks an instance as leaving and writes the entry as last set; nil tells that both outlive the agent.
+func (a *Announcer) Leave(ctx context.Context, instance string) error {
+	a.init()
+	a.state.Lock()
+	a.marker = instance
+	a.state.Unlock()
+	for {
+		err := a.sync(ctx)
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+	}
+}
+
+// HasLeft tells whether an instance has been marked as leaving.
+func (a *Announcer) HasLeft(ctx context.Context, instance string) (bool, error) {
+	items, _, err := a.Store.List(ctx, a.Keys.Left+instance)
+	return len(items) > 0, err
+}
+
+// Run keeps the entry until ctx is over, then ends its lease.
+func (a *Announcer) Run(ctx context.Context) error {
+	a.init()
+	next := time.Duration(0)
+	t := time.NewTimer(next)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			a.end(context.WithoutCancel(ctx))
+			return nil
+		case <-a.wake:
+		case <-t.C:
+		}
+		next = renewEvery
+		if err := a.renew(ctx); err != nil {
+			next = retryEvery
+		}
+		t.Reset(next)
+	}
+}
+
+// renew writes what has changed and renews the lease.
+func (a *Announcer) renew(ctx context.Context) error {
+	a.mu.Lock()
+	lease := a.lease
+	a.mu.Unlock()
+	if lease != 0 && a.upToDate() {
+		err := a.call(ctx, func(ctx context.Context) error { return a.Store.Keep(ctx, lease) })
+		if errors.Is(err, problem.NotFound) {
+			a.forget()
+		} else if err != nil {
+			return err
+		}
+	}
+	return a.sync(ctx)
+}
+
+func (a *Announcer) upToDate() bool {
+	a.state.Lock()
+	defer a.state.Unlock()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.lease != 0 && !a.missing && a.wanted == a.written && a.marker == a.marked
+}
+
+func (a *Announcer) forget() {
+	a.mu.Lock()
+	a.lease, a.revision, a.written = 0, 0, wire.Member{}
+	a.mu.Unlock()
+}
+
+// sync brings the store to what is wanted.
+func (a *Announcer) sync(ctx context.Context) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.state.Lock()
+	wanted, marker := a.wanted, a.marker
+	if a.missing {
+		a.missing = false
+		a.lease, a.revision, a.written = 0, 0, wire.Member{}
+	}
+	a.state.Unlock()
+	if wanted.ID == 0 || (a.lease != 0 && wanted == a.written && marker == a.marked) {
+		return nil
+	}
+	err := a.write(ctx, wanted, marker)
+	switch {
+	case errors.Is(err, problem.NotFound):
+		a.lease = 0
+		err = a.write(ctx, wanted, marker)
+	case errors.Is(err, problem.Conflict):
+		if err = a.reread(ctx); err == nil {
+			err = a.write(ctx, wanted, marker)
+		}
+	}
+	if err != nil {
+		return err
+	}
+	a.written, a.marked = wanted, marker
+	return nil
+}
+
+// write makes one attempt; a.mu is held.
+func (a *Announcer) write(ctx context.Context, m wire.Member, marker string) error {
+	if a.lease == 0 {
+		err := a.call(ctx, func(ctx context.Context) (err error) {
+			a.lease, err = a.Store.Grant(ctx, entryTTL)
+			return err
+		})
+		if err != nil {
+			a.lease = 0
+			return err
+		}
+	}
+	value, err := m.MarshalMsg(nil)
+	if err != nil {
+		return err
+	}
+	c := Change{Guards: []Guard{{a.Key, a.revision}}, Writes: []Write{{a.Key, value, a.lease}}}
+	if marker != a.marked {
+		var lease uint64
+		if err := a.call(ctx, func(ctx context.Context) (err error) {
+			lease, err = a.Store.Grant(ctx, markerTTL)
+			return err
+		}); err != nil {
+			return err
+		}
+		c.Writes = append(c.Writes, Write{a.Keys.Left + marker, []byte(m.Addr.String()), lease})
+	}
+	return a.call(ctx, func(ctx context.Context) error {
+		revision, err := a.Store.Commit(ctx, c)
+		if err == nil {
+			a.revision = revision
+			a.Log.Info("entry written", "reason", "changed or missing", "state", m.State, "ready", m.Ready, "revision", revision, "marker", marker)
+		}
+		return err
+	})
+}
+
+// reread learns the entry's revision after a write of which the answer was lost, or of an earlier agent on this VM.
+func (a *Announcer) reread(ctx context.Context) error {
+	return a.call(ctx, func(ctx context.Context) error {
+		items, _, err := a.Store.List(ctx, a.Key)
+		a.revision = 0
+		for _, i := range items {
+			if i.Key == a.Key {
+				a.revision = i.Revision
+			}
+		}
+		return err
+	})
+}
+
+// call bounds one call and logs when the store is lost or back.
+func (a *Announcer) call(ctx context.Context, f func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, announceCall)
+	defer cancel()
+	err := f(ctx)
+	failed := errors.Is(err, problem.Unavailable) || errors.Is(err, problem.Unsure)
+	if failed != a.down {
+		a.down = failed
+		if failed {
+			a.Log.Info("store lost", "duty", "own entry", "reason", err.Error())
+		} else {
+			a.Log.Info("store back", "duty", "own entry")
+		}
+	}
+	return err
+}
+
+// end removes the entry, so that the others need not wait until it lapses.
+func (a *Announcer) end(ctx context.Context) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.lease == 0 {
+		return
+	}
+	lease := a.lease
+	if err := a.call(ctx, func(ctx context.Context) error { return a.Store.End(ctx, lease) }); err != nil {
+		a.Log.Info("entry left to lapse", "reason", err.Error())
+	}
+}
--- /dev/null
+++ b/src/registry/core.go
@@ -0,0 +1,224 @@
+package registry
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/yuccaport/yuccaport/src/wire"
+)
+
+const (
+	confirmEvery = time.Second            // between two questions to a member whose entry has lapsed
+	askPeerAfter = 500 * time.Millisecond // without the store until a peer is asked
+	askPeerEvery = 500 * time.Millisecond // well inside the two seconds in which a configuration is in force
+)
+
+// Core decides which members there are and which configuration is the newest.
+type Core struct {
+	Keys Keys
+	Self string // key of the own entry
+	ID   uint64 // own member ID
+	Rand *rand.Rand
+
+	entries map[string]*entry
+	config  Item
+	lost    time.Time // when the store stopped answering, zero while it answers
+	peerAt  time.Time // when a peer was last asked
+}
+
+// Step decides on one event.
+func (c *Core) Step(now time.Time, e Event) []Action {
+	if c.entries == nil {
+		c.entries = map[string]*entry{}
+	}
+	switch e := e.(type) {
+	case Listed:
+		return c.listed(now, e.Items)
+	case Changed:
+		return c.changed(now, e.Items)
+	case StoreLost:
+		if c.lost.IsZero() {
+			c.lost = now
+		}
+		return c.askPeer(now)
+	case StoreBack:
+		c.lost = time.Time{}
+	case PeerTold:
+		return c.peerTold(e.Reply)
+	case Confirmed:
+		return c.confirmed(e)
+	case Tick:
+		return append(c.confirm(now), c.askPeer(now)...)
+	}
+	return nil
+}
+
+// Members returns the members by ascending key.
+func (c *Core) Members() []wire.Member {
+	out := make([]wire.Member, 0, len(c.entries))
+	for _, k := range slices.Sorted(maps.Keys(c.entries)) {
+		out = append(out, c.entries[k].member)
+	}
+	return out
+}
+
+// Reply answers a peer that asks what is known.
+func (c *Core) Reply(r wire.RegistryRequest) wire.RegistryReply {
+	out := wire.RegistryReply{Config: c.config.Revision}
+	if r.Config < c.config.Revision {
+		out.Value = c.config.Value
+	}
+	for _, k := range slices.Sorted(maps.Keys(c.entries)) {
+		if e := c.entries[k]; e.lapsed.IsZero() {
+			out.Members = append(out.Members, wire.RegistryEntry{Key: k, Revision: e.revision, Member: e.member})
+		}
+	}
+	return out
+}
+
+// ConfigRevision returns the revision that wrote the newest configuration known, 0 for none.
+func (c *Core) ConfigRevision() uint64 { return c.config.Revision }
+
+// listed takes over a whole picture: an entry that it lacks has lapsed.
+func (c *Core) listed(now time.Time, items []Item) []Action {
+	present := map[string]bool{}
+	for _, i := range items {
+		present[i.Key] = true
+	}
+	out := c.changed(now, items)
+	removed := false
+	for k, e := range c.entries {
+		if !present[k] {
+			removed = c.lapse(now, k, e) || removed
+		}
+	}
+	if removed {
+		out = append(out, Publish{})
+	}
+	if !present[c.Self] {
+		out = append(out, Announce{})
+	}
+	return append(out, c.confirm(now)...)
+}
+
+func (c *Core) changed(now time.Time, items []Item) []Action {
+	var out []Action
+	published := false
+	for _, i := range items {
+		switch {
+		case i.Key == c.Keys.Config:
+			out = append(out, c.takeConfig(i)...)
+		case strings.HasPrefix(i.Key, c.Keys.Members):
+			published = c.takeEntry(now, i) || published
+			if i.Key == c.Self && i.Deleted {
+				out = append(out, Announce{})
+			}
+		}
+	}
+	if published {
+		out = append(out, Publish{})
+	}
+	return append(out, c.confirm(now)...)
+}
+
+func (c *Core) takeConfig(i Item) []Action {
+	if i.Deleted || i.Revision <= c.config.Revision {
+		return nil
+	}
+	c.config = i
+	return []Action{TakeConfig{Value: i.Value}}
+}
+
+// takeEntry tells whether the members have changed.
+func (c *Core) takeEntry(now time.Time, i Item) bool {
+	old := c.entries[i.Key]
+	if i.Deleted {
+		return old != nil && i.Revision > old.revision && c.lapse(now, i.Key, old)
+	}
+	if old != nil && i.Revision <= old.revision {
+		old.lapsed = time.Time{}
+		return false
+	}
+	var m wire.Member
+	if _, err := m.UnmarshalMsg(i.Value); err != nil || m.ID == 0 || !m.Addr.IsValid() || c.Keys.member(m.Addr) != i.Key {
+		return false // not written by an agent; names no member
+	}
+	c.entries[i.Key] = &entry{member: m, revision: i.Revision}
+	return old == nil || old.member != m
+}
+
+// lapse takes in that the store no longer has an entry; only a member that has said that it leaves is gone for it.
+func (c *Core) lapse(now time.Time, key string, e *entry) bool {
+	if e.member.State == wire.StateLeaving {
+		delete(c.entries, key)
+		return true
+	}
+	if e.lapsed.IsZero() {
+		e.lapsed = now
+	}
+	return false
+}
+
+// confirm asks the members whose entries have lapsed whether they live.
+func (c *Core) confirm(now time.Time) []Action {
+	var out []Action
+	for _, k := range slices.Sorted(maps.Keys(c.entries)) {
+		e := c.entries[k]
+		if e.lapsed.IsZero() || e.waiting || e.member.ID == c.ID || now.Sub(e.asked) < confirmEvery {
+			continue
+		}
+		e.asked, e.waiting = now, true
+		out = append(out, Confirm{Member: e.member})
+	}
+	return out
+}
+
+func (c *Core) confirmed(e Confirmed) []Action {
+	for k, x := range c.entries {
+		if x.member.ID != e.Member || !x.waiting {
+			continue
+		}
+		x.waiting = false
+		if !e.Alive && !x.lapsed.IsZero() {
+			delete(c.entries, k)
+			return []Action{Publish{}}
+		}
+	}
+	return nil
+}
+
+// askPeer asks a random member while the store does not answer.
+func (c *Core) askPeer(now time.Time) []Action {
+	if c.lost.IsZero() || now.Sub(c.lost) < askPeerAfter || now.Sub(c.peerAt) < askPeerEvery {
+		return nil
+	}
+	peers := slices.DeleteFunc(c.Members(), func(m wire.Member) bool { return m.ID == c.ID || m.State != wire.StateAlive })
+	if len(peers) == 0 {
+		return nil
+	}
+	c.peerAt = now
+	return []Action{AskPeer{Member: peers[c.Rand.IntN(len(peers))]}}
+}
+
+// peerTold takes over what is newer at a peer; what a peer lacks proves nothing.
+func (c *Core) peerTold(r wire.RegistryReply) []Action {
+	var out []Action
+	if len(r.Value) > 0 {
+		out = c.takeConfig(Item{Key: c.Keys.Config, Value: r.Value, Revision: r.Config})
+	}
+	published := false
+	for _, m := range r.Members {
+		if old := c.entries[m.Key]; m.Key == c.Self || (old != nil && m.Revision <= old.revision) || c.Keys.member(m.Member.Addr) != m.Key {
+			continue
+		}
+		c.entries[m.Key] = &entry{member: m.Member, revision: m.Revision}
+		published = true
+	}
+	if published {
+		out = append(out, Publish{})
+	}
+	return out
+}
--- /dev/null
+++ b/src/registry/event.go
@@ -0,0 +1,38 @@
+package registry
+
+import "github.com/yuccaport/yuccaport/src/wire"
+
+// Event is something that the Core decides on.
+type Event interface{ isEvent() }
+
+// Listed is everything that the store holds.
+type Listed struct{ Items []Item }
+
+// Changed is what a watch has told.
+type Changed struct{ Items []Item }
+
+// StoreLost tells that a call to the store has failed.
+type StoreLost struct{}
+
+// StoreBack tells that the store has answered.
+type StoreBack struct{}
+
+// PeerTold is what a peer knows.
+type PeerTold struct{ Reply wire.RegistryReply }
+
+// Confirmed tells whether a member whose entry has lapsed answers over its link.
+type Confirmed struct {
+	Member uint64
+	Alive  bool
+}
+
+// Tick is the passing of time.
+type Tick struct{}
+
+func (Listed) isEvent()    {}
+func (Changed) isEvent()   {}
+func (StoreLost) isEvent() {}
+func (StoreBack) isEvent() {}
+func (PeerTold) isEvent()  {}
+func (Confirmed) isEvent() {}
+func (Tick) isEvent()      {}
--- a/src/relay/carrier.go
+++ b/src/relay/carrier.go
@@ -11,9 +11,9 @@
 	"github.com/alitto/pond/v2"
 	"github.com/go-logr/logr"
 
+	"github.com/yuccaport/yuccaport/src/kv"
 	"github.com/yuccaport/yuccaport/src/ledger"
 	"github.com/yuccaport/yuccaport/src/link"
-	"github.com/yuccaport/yuccaport/src/platform"
 	"github.com/yuccaport/yuccaport/src/problem"
 	"github.com/yuccaport/yuccaport/src/roster"
 	"github.com/yuccaport/yuccaport/src/settings"
@@ -33,7 +33,7 @@
 // Carrier keeps a daemon's configuration at the highest accepted version that it can learn of.
 type Carrier struct {
 	Self       func() wire.Member
-	Store      platform.Store
+	Store      kv.Store
 	Exchanger  link.Exchanger
 	View       func() *roster.View
 	Profile    settings.Profile
@@ -68,7 +68,7 @@
 	update *wire.Update      // of a push or pull
 	notice *ledger.Notice    // of a watch or read
 	peer   link.Peer         // of a probe
-	lease  *platform.Lease   // of a grant
+	lease  *kv.Lease         // of a grant
 	fetch  *wire.Update      // read from the store; has no event of its own
 	reply  chan<- pullAnswer // of a pull request
 }
--- a/src/relay/loop.go
+++ b/src/relay/loop.go
@@ -7,9 +7,9 @@
 
 	"github.com/alitto/pond/v2"
 
+	"github.com/yuccaport/yuccaport/src/kv"
 	"github.com/yuccaport/yuccaport/src/ledger"
 	"github.com/yuccaport/yuccaport/src/link"
-	"github.com/yuccaport/yuccaport/src/platform"
 	"github.com/yuccaport/yuccaport/src/roster"
 	"github.com/yuccaport/yuccaport/src/trace"
 )
@@ -29,7 +29,7 @@
 	members []Member
 	seen    map[uint64]link.Peer // peers that a probe or message came from
 	head    ledger.Notice
-	lease   *platform.Lease
+	lease   *kv.Lease
 	queue   []input // results of the actions just carried out
 }
 
--- a/src/relay/node_test.go
+++ b/src/relay/node_test.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/yuccaport/yuccaport/src/document"
+	"github.com/yuccaport/yuccaport/src/kv"
 	"github.com/yuccaport/yuccaport/src/ledger"
-	"github.com/yuccaport/yuccaport/src/platform"
 	"github.com/yuccaport/yuccaport/src/problem"
 	"github.com/yuccaport/yuccaport/src/wire"
 )
@@ -19,7 +19,7 @@
 	domain  string
 	core    *Core
 	holder  holder
-	lease   platform.Lease
+	lease   kv.Lease
 	head    ledger.Notice
 	alive   bool
 	diedAt  time.Time
--- a/src/roster/node.go
+++ b/src/roster/node.go
@@ -12,8 +12,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 
+	"github.com/yuccaport/yuccaport/src/kv"
 	"github.com/yuccaport/yuccaport/src/link"
-	"github.com/yuccaport/yuccaport/src/platform"
 	"github.com/yuccaport/yuccaport/src/settings"
 	"github.com/yuccaport/yuccaport/src/trace"
 	"github.com/yuccaport/yuccaport/src/wire"
@@ -24,7 +24,7 @@
 	Self      wire.Member                          // ID drawn at random by the daemon at each start
 	Conn      net.PacketConn                       // UDP, at the address of the TCP control listener; closed by Run
 	Exchanger link.Exchanger                       // carries roster exchanges; nil for none
-	Store     platform.Store                       // holds the seed records; nil for none
+	Store     kv.Store                             // holds the seed records; nil for none
 	Peers     []netip.AddrPort                     // control addresses to join when the store gives none
 	Version   func() uint64                        // configuration version in force here; nil for 0
 	OnAhead   func(from link.Peer, version uint64) // a member showed a higher version; must not block
--- a/src/roster/node_test.go
+++ b/src/roster/node_test.go
@@ -12,8 +12,8 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/goleak"
 
+	"github.com/yuccaport/yuccaport/src/kv"
 	"github.com/yuccaport/yuccaport/src/link"
-	"github.com/yuccaport/yuccaport/src/platform"
 	"github.com/yuccaport/yuccaport/src/problem"
 	"github.com/yuccaport/yuccaport/src/wire"
 )
@@ -22,12 +22,12 @@
 
 // memory is a store of records in memory.
 type memory struct {
-	platform.Store
+	kv.Store
 	mu      sync.Mutex
-	entries map[string]platform.Entry
+	entries map[string]kv.Entry
 }
 
-func (s *memory) Get(_ context.Context, key string) (platform.Entry, error) {
+func (s *memory) Get(_ context.Context, key string) (kv.Entry, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e, ok := s.entries[key]
@@ -43,7 +43,7 @@
 	if s.entries[key].Revision != expect {
 		return 0, problem.New(problem.Conflict, key, "other revision", "read it again")
 	}
-	s.entries[key] = platform.Entry{Key: key, Value: value, Revision: expect + 1}
+	s.entries[key] = kv.Entry{Key: key, Value: value, Revision: expect + 1}
 	return expect + 1, nil
 }
 
@@ -74,7 +74,7 @@
 func newFleet(c *qt.C) *fleet {
 	f := &fleet{
 		c:     c,
-		store: &memory{entries: map[string]platform.Entry{}},
+		store: &memory{entries: map[string]kv.Entry{}},
 		link:  &direct{nodes: map[uint64]*Node{}},
 		stops: map[*Node]func(){},
 	}
--- a/src/settings/load.go
+++ b/src/settings/load.go
@@ -24,12 +24,20 @@
 // Parse reads and checks settings; file is the name that errors show.
 func Parse(file string, b []byte) (Settings, error) {
 	s := Default()
+	if err := Decode(file, b, &s); err != nil {
+		return Settings{}, err
+	}
+	return s, Check(file, &s)
+}
+
+// Decode reads a settings file into v; an error of kind problem.Settings names the line and key that cannot be used.
+func Decode(file string, b []byte, v any) error {
 	d := toml.NewDecoder(bytes.NewReader(b))
 	d.DisallowUnknownFields()
-	if err := d.Decode(&s); err != nil {
-		return Settings{}, decodeProblem(file, err)
+	if err := d.Decode(v); err != nil {
+		return decodeProblem(file, err)
 	}
-	return s, Check(file, &s)
+	return nil
 }
 
 func decodeProblem(file string, err error) error {
--- a/src/standin/keyspace.go
+++ b/src/standin/keyspace.go
@@ -9,11 +9,11 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/yuccaport/yuccaport/src/platform"
+	"github.com/yuccaport/yuccaport/src/kv"
 	"github.com/yuccaport/yuccaport/src/problem"
 )
 
-// Keyspace is a platform.Store in memory, with faults.
+// Keyspace is a kv.Store in memory, with faults.
 type Keyspace struct {
 	Now             func() time.Time // clock of leases and rates, nil for time.Now
 	ReadsPerSecond  int              // 0 for no limit
@@ -32,9 +32,9 @@
 }
 
 // versions holds the newest entry of a key and the one before it.
-type versions struct{ now, before platform.Entry }
+type versions struct{ now, before kv.Entry }
 
-var _ platform.Store = (*Keyspace)(nil)
+var _ kv.Store = (*Keyspace)(nil)
 
 // SetFaults replaces the faults and wakes the waiting watches.
 func (k *Keyspace) SetFaults(f Faults) {
@@ -73,9 +73,9 @@
 	return n
 }
 
-// Get implements platform.Store.
-func (k *Keyspace) Get(ctx context.Context, key string) (platform.Entry, error) {
-	var e platform.Entry
+// Get implements kv.Store.
+func (k *Keyspace) Get(ctx context.Context, key string) (kv.Entry, error) {
+	var e kv.Entry
 	err := k.call(ctx, false, func(time.Time) error {
 		e = k.entries[key].now
 		if k.draw(k.faults.StaleReads) {
@@ -89,11 +89,11 @@
 	return e, err
 }
 
-// Swap implements platform.Store.
+// Swap implements kv.Store.
 func (k *Keyspace) Swap(ctx context.Context, key string, expect uint64, value []byte) (uint64, error) {
-	if len(value) > platform.MaxValueSize {
+	if len(value) > kv.MaxValueSize {
 		return 0, problem.New(problem.Usage, key, fmt.Sprintf("the value is %d bytes", len(value)),
-			fmt.Sprintf("keep values within %d bytes", platform.MaxValueSize))
+			fmt.Sprintf("keep values within %d bytes", kv.MaxValueSize))
 	}
 	value = append([]byte(nil), value...)
 	var revision uint64
@@ -103,28 +103,28 @@
 		}
 		k.revision++
 		revision = k.revision
-		k.put(key, platform.Entry{Key: key, Value: value, Revision: revision})
+		k.put(key, kv.Entry{Key: key, Value: value, Revision: revision})
 		return nil
 	})
 	return revision, err
 }
 
-// Delete implements platform.Store.
+// Delete implements kv.Store.
 func (k *Keyspace) Delete(ctx context.Context, key string, expect uint64) error {
 	return k.write(ctx, func(time.Time) error {
 		if err := k.expect(key, expect); err != nil {
 			return err
 		}
-		k.put(key, platform.Entry{})
+		k.put(key, kv.Entry{})
 		return nil
 	})
 }
 
-// Watch implements platform.Store; an entry of a key that does not exist has revision 0.
-func (k *Keyspace) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (platform.Entry, error) {
+// Watch implements kv.Store; an entry of a key that does not exist has revision 0.
+func (k *Keyspace) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (kv.Entry, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	var e platform.Entry
+	var e kv.Entry
 	err := k.call(ctx, false, func(time.Time) error {
 		k.calls.Watches++
 		for over := false; ; {
@@ -163,7 +163,7 @@
 }
 
 // put makes e the newest entry of a key; mu is held.
-func (k *Keyspace) put(key string, e platform.Entry) {
+func (k *Keyspace) put(key string, e kv.Entry) {
 	k.entries[key] = versions{now: e, before: k.entries[key].now}
 	k.wake()
 }
--- a/src/standin/lease.go
+++ b/src/standin/lease.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/yuccaport/yuccaport/src/platform"
+	"github.com/yuccaport/yuccaport/src/kv"
 	"github.com/yuccaport/yuccaport/src/problem"
 )
 
@@ -15,9 +15,9 @@
 	until  time.Time
 }
 
-// Grant implements platform.Store.
-func (k *Keyspace) Grant(ctx context.Context, key, holder string, ttl time.Duration) (platform.Lease, error) {
-	l := platform.Lease{Key: key, Holder: holder, TTL: ttl}
+// Grant implements kv.Store.
+func (k *Keyspace) Grant(ctx context.Context, key, holder string, ttl time.Duration) (kv.Lease, error) {
+	l := kv.Lease{Key: key, Holder: holder, TTL: ttl}
 	err := k.write(ctx, func(now time.Time) error {
 		g, held := k.lease(key, now)
 		if held && g.holder != holder {
@@ -31,8 +31,8 @@
 	return l, err
 }
 
-// Renew implements platform.Store.
-func (k *Keyspace) Renew(ctx context.Context, l platform.Lease) error {
+// Renew implements kv.Store.
+func (k *Keyspace) Renew(ctx context.Context, l kv.Lease) error {
 	return k.write(ctx, func(now time.Time) error {
 		g, held := k.lease(l.Key, now)
 		if !held || g.token != l.Token {
@@ -44,8 +44,8 @@
 	})
 }
 
-// Release implements platform.Store.
-func (k *Keyspace) Release(ctx context.Context, l platform.Lease) error {
+// Release implements kv.Store.
+func (k *Keyspace) Release(ctx context.Context, l kv.Lease) error {
 	return k.write(ctx, func(time.Time) error {
 		if k.leases[l.Key].token == l.Token {
 			delete(k.leases, l.Key)
--- a/src/standin/store_server.go
+++ b/src/standin/store_server.go
@@ -11,7 +11,7 @@
 	"github.com/go-logr/logr"
 	"github.com/valyala/fasthttp"
 
-	"github.com/yuccaport/yuccaport/src/platform"
+	"github.com/yuccaport/yuccaport/src/kv"
 	"github.com/yuccaport/yuccaport/src/problem"
 )
 
@@ -23,7 +23,7 @@
 
 const maxWatchWait = time.Minute
 
-// StoreServer is the HTTP face of a Keyspace, as platform.Remote calls it.
+// StoreServer is the HTTP face of a Keyspace, as kv.Remote calls it.
 type StoreServer struct {
 	Listener net.Listener
 	Keyspace *Keyspace
@@ -38,7 +38,7 @@
 	server := &fasthttp.Server{
 		Handler:               s.handle,
 		Name:                  "store",
-		MaxRequestBodySize:    2 * platform.MaxValueSize,
+		MaxRequestBodySize:    2 * kv.MaxValueSize,
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
 	}
@@ -47,9 +47,9 @@
 
 func (s *StoreServer) handle(c *fasthttp.RequestCtx) {
 	switch string(c.Path()) {
-	case platform.PathKey:
+	case kv.PathKey:
 		s.key(c)
-	case platform.PathLease:
+	case kv.PathLease:
 		s.lease(c)
 	case "/faults":
 		s.faults(c)
@@ -73,9 +73,9 @@
 		s.entry(c, e, err)
 	case c.IsPut():
 		revision, err := s.Keyspace.Swap(s.ctx, key, number(q, "expect"), c.PostBody())
-		s.entry(c, platform.Entry{Revision: revision}, err)
+		s.entry(c, kv.Entry{Revision: revision}, err)
 	case c.IsDelete():
-		s.entry(c, platform.Entry{}, s.Keyspace.Delete(s.ctx, key, number(q, "expect")))
+		s.entry(c, kv.Entry{}, s.Keyspace.Delete(s.ctx, key, number(q, "expect")))
 	default:
 		c.Error("no such method", fasthttp.StatusMethodNotAllowed)
 	}
@@ -83,7 +83,7 @@
 
 func (s *StoreServer) lease(c *fasthttp.RequestCtx) {
 	q := c.QueryArgs()
-	l := platform.Lease{
+	l := kv.Lease{
 		Key:    string(q.Peek("key")),
 		Holder: string(q.Peek("holder")),
 		Token:  number(q, "token"),
@@ -101,11 +101,11 @@
 		c.Error("no such method", fasthttp.StatusMethodNotAllowed)
 		return
 	}
-	s.entry(c, platform.Entry{Revision: l.Token}, err)
+	s.entry(c, kv.Entry{Revision: l.Token}, err)
 }
 
 // entry answers a call; a lost answer closes the connection.
-func (s *StoreServer) entry(c *fasthttp.RequestCtx, e platform.Entry, err error) {
+func (s *StoreServer) entry(c *fasthttp.RequestCtx, e kv.Entry, err error) {
 	if errors.Is(err, problem.Unsure) {
 		hangUp(c)
 		return
@@ -114,7 +114,7 @@
 		c.Error(err.Error(), statusOf(err))
 		return
 	}
-	c.Response.Header.Set(platform.HeaderRevision, strconv.FormatUint(e.Revision, 10))
+	c.Response.Header.Set(kv.HeaderRevision, strconv.FormatUint(e.Revision, 10))
 	c.SetBody(e.Value)
 }
 
--- a/src/wire/call.go
+++ b/src/wire/call.go
@@ -13,22 +13,24 @@
 
 // CallHead opens a call on a link.
 type CallHead struct {
-	Target     uint64  `msg:"target"`   // id of the member meant; any other refuses the call as not run
-	TraceID    string  `msg:"trace_id"` // joins the decision lines of a call across daemons
-	Service    string  `msg:"service"`
-	Route      string  `msg:"route"`
-	Method     string  `msg:"method"`
-	Host       string  `msg:"host"`
-	URI        string  `msg:"uri"` // path and query as the caller sent them
-	Fields     []Field `msg:"fields"`
-	BodyLength int64   `msg:"body_length"` // bytes, -1 when unknown
-	TimeoutMS  int64   `msg:"timeout_ms"`  // time left for this attempt when it was sent
-	Priority   uint8   `msg:"priority"`    // 0 is served first
-	Idempotent bool    `msg:"idempotent"`
-	Depth      uint8   `msg:"depth"`       // calls above this one in a chain
-	RetryLayer bool    `msg:"retry_layer"` // an earlier daemon in the chain already retries
-	Attempt    uint8   `msg:"attempt"`
-	Version    uint64  `msg:"version"` // configuration version the choice was made with
+	Target      uint64  `msg:"target"`   // id of the member meant; any other refuses the call as not run
+	TraceID     string  `msg:"trace_id"` // joins the decision lines of a call across daemons
+	Service     string  `msg:"service"`
+	Route       string  `msg:"route"`
+	Method      string  `msg:"method"`
+	Host        string  `msg:"host"`
+	URI         string  `msg:"uri"` // path and query as the caller sent them
+	Fields      []Field `msg:"fields"`
+	BodyLength  int64   `msg:"body_length"`  // bytes, -1 when unknown
+	TimeoutMS   int64   `msg:"timeout_ms"`   // time left for this attempt when it was sent
+	ObjectiveMS int64   `msg:"objective_ms"` // time left of the latency objective when it was sent, negative when it has passed, 0 for none
+	Caller      string  `msg:"caller"`       // service of the VM on which the call began
+	Priority    uint8   `msg:"priority"`     // 0 is served first
+	Idempotent  bool    `msg:"idempotent"`
+	Depth       uint8   `msg:"depth"`       // calls above this one in a chain
+	RetryLayer  bool    `msg:"retry_layer"` // an earlier daemon in the chain already retries
+	Attempt     uint8   `msg:"attempt"`
+	Version     uint64  `msg:"version"` // configuration version the choice was made with
 }
 
 // ReplyHead opens the answer to a call.
--- a/src/wire/call_gen.go
+++ b/src/wire/call_gen.go
@@ -15,9 +15,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *CallHead) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 16
+	// map header, size 18
 	// string "target"
-	o = append(o, 0xde, 0x0, 0x10, 0xa6, 0x74, 0x61, 0x72, 0x67, 0x65, 0x74)
+	o = append(o, 0xde, 0x0, 0x12, 0xa6, 0x74, 0x61, 0x72, 0x67, 0x65, 0x74)
 	o = msgp.AppendUint64(o, z.Target)
 	// string "trace_id"
 	o = append(o, 0xa8, 0x74, 0x72, 0x61, 0x63, 0x65, 0x5f, 0x69, 0x64)
@@ -52,6 +52,12 @@
 	// string "timeout_ms"
 	o = append(o, 0xaa, 0x74, 0x69, 0x6d, 0x65, 0x6f, 0x75, 0x74, 0x5f, 0x6d, 0x73)
 	o = msgp.AppendInt64(o, z.TimeoutMS)
+	// string "objective_ms"
+	o = append(o, 0xac, 0x6f, 0x62, 0x6a, 0x65, 0x63, 0x74, 0x69, 0x76, 0x65, 0x5f, 0x6d, 0x73)
+	o = msgp.AppendInt64(o, z.ObjectiveMS)
+	// string "caller"
+	o = append(o, 0xa6, 0x63, 0x61, 0x6c, 0x6c, 0x65, 0x72)
+	o = msgp.AppendString(o, z.Caller)
 	// string "priority"
 	o = append(o, 0xa8, 0x70, 0x72, 0x69, 0x6f, 0x72, 0x69, 0x74, 0x79)
 	o = msgp.AppendUint8(o, z.Priority)
@@ -187,6 +193,18 @@
 				err = msgp.WrapError(err, "TimeoutMS")
 				return
 			}
+		case "objective_ms":
+			z.ObjectiveMS, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ObjectiveMS")
+				return
+			}
+		case "caller":
+			z.Caller, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Caller")
+				return
+			}
 		case "priority":
 			z.Priority, bts, err = msgp.ReadUint8Bytes(bts)
 			if err != nil {
@@ -241,7 +259,7 @@
 	for za0001 := range z.Fields {
 		s += 1 + msgp.StringPrefixSize + len(z.Fields[za0001].Name) + msgp.StringPrefixSize + len(z.Fields[za0001].Value)
 	}
-	s += 12 + msgp.Int64Size + 11 + msgp.Int64Size + 9 + msgp.Uint8Size + 11 + msgp.BoolSize + 6 + msgp.Uint8Size + 12 + msgp.BoolSize + 8 + msgp.Uint8Size + 8 + msgp.Uint64Size
+	s += 12 + msgp.Int64Size + 11 + msgp.Int64Size + 13 + msgp.Int64Size + 7 + msgp.StringPrefixSize + len(z.Caller) + 9 + msgp.Uint8Size + 11 + msgp.BoolSize + 6 + msgp.Uint8Size + 12 + msgp.BoolSize + 8 + msgp.Uint8Size + 8 + msgp.Uint64Size
 	return
 }
 
