--- a/src/agent/agent.go
+++ b/src/agent/agent.go
@@ -91,7 +91,7 @@
 		Grace: s.StopGrace.Std(), Limits: link.Limits{Ping: linkPing, Hello: linkHello}, Log: a.Log.WithName("link"), Metrics: a.Set,
 	}
 	a.proxy = &dispatch.Proxy{
-		Listener: a.Callers, Self: a.member, Table: a.table, Caller: a.pool, Headers: a.Headers, Limits: a.limits,
+		Listener: a.Callers, Self: a.member, Table: a.table, Caller: a.pool, Inner: a.fromBackend, Headers: a.Headers, Limits: a.limits,
 		Core: a.dispatchSettings(), Grace: s.StopGrace.Std(), Start: startWait, Log: a.Log.WithName("dispatch"), Metrics: a.Set,
 	}
 	a.buildRegistry()
@@ -132,6 +132,9 @@
 	return m
 }
 
+// fromBackend tells whether a call comes from the backend server beside the agent.
+func (a *Agent) fromBackend(from netip.Addr) bool { return from == a.Settings.Backend.Addr.Addr() }
+
 // IsReady tells whether clients are to be sent here.
 func (a *Agent) IsReady() bool { return a.inForce.Load() != nil && !a.leaving.Load() }
 
--- a/src/booking/admit.go
+++ b/src/booking/admit.go
@@ -37,7 +37,10 @@
 	defer s.mu.Unlock()
 	s.configure()
 	s.waiters[call] = verdict
-	e := Arrive{Call: call, Route: h.Route, Priority: h.Priority}
+	e := Arrive{Call: call, Route: h.Route, Priority: h.Priority, Final: h.Final}
+	if h.ObjectiveMS != 0 {
+		e.Objective = time.Duration(h.ObjectiveMS)*time.Millisecond - spent
+	}
 	if h.TimeoutMS > 0 {
 		e.Timeout = max(1, time.Duration(h.TimeoutMS)*time.Millisecond-spent)
 	}
--- a/src/booking/core.go
+++ b/src/booking/core.go
@@ -17,13 +17,15 @@
 	Slots     int           // requests that the backend server runs at once
 	QueueSize int           // calls that wait for a slot
 	QueueWait time.Duration // longest wait for a slot
+	Exact     bool          // Slots is what the backend server tells, and nobody else calls it: a refusal says nothing of its slots
 
 	limit     int // slots in use at most, between 1 and Slots
 	successes int // calls answered since limit last changed
 	lowered   time.Time
-	running   map[uint64]string
+	running   map[uint64]*running
 	queue     waiting
 	times     estimates
+	urgent    urgency
 	health    HealthState
 	draining  bool
 	drainFrom time.Time
@@ -32,8 +34,8 @@
 // Step decides on one event.
 func (c *Core) Step(now time.Time, e Event) []Action {
 	if c.running == nil {
-		c.running = map[uint64]string{}
-		c.limit = max(1, c.Slots/coldShare)
+		c.running = map[uint64]*running{}
+		c.limit = c.startLimit()
 	}
 	switch e := e.(type) {
 	case Arrive:
@@ -43,11 +45,14 @@
 	case Release:
 		return c.release(now, e)
 	case Tick:
-		return c.fill(c.expire(now, nil))
+		return c.fill(now, c.expire(now, nil))
 	case Configure:
 		c.QueueSize, c.QueueWait = e.Queue, e.QueueWait
 		if e.Slots > 0 {
 			c.Slots, c.limit = e.Slots, min(c.limit, e.Slots)
+			if c.Exact {
+				c.limit = c.Slots
+			}
 		}
 	case Drain:
 		c.drain(now.Add(e.Grace))
@@ -59,6 +64,14 @@
 	return nil
 }
 
+// startLimit returns the slots in use at most at first.
+func (c *Core) startLimit() int {
+	if c.Exact {
+		return max(1, c.Slots)
+	}
+	return max(1, c.Slots/coldShare)
+}
+
 // Running returns the number of slots in use.
 func (c *Core) Running() int { return len(c.running) }
 
@@ -66,12 +79,12 @@
 func (c *Core) Load(now time.Time) wire.Load {
 	free := c.limit - len(c.running) - c.queue.size
 	if c.limit == 0 {
-		free = max(1, c.Slots/coldShare)
+		free = c.startLimit()
 	}
 	if c.closed(now) || c.health != HealthUp {
 		free = min(free, 0)
 	}
-	return wire.Load{Free: int16(free), Slots: int16(c.Slots), Backlog: int32(c.backlog(c.queue.size).Milliseconds())}
+	return wire.Load{Free: int16(free), Slots: int16(c.Slots), Backlog: int32(c.backlog(c.queue.size).Milliseconds()), Service: int32(c.times.mean.Milliseconds())}
 }
 
 // closed tells whether new calls are refused because the backend server leaves.
@@ -97,7 +110,9 @@
 	case e.Timeout > 0 && least > e.Timeout:
 		return append(out, c.refuse(e.Call, wire.ReasonDeadline))
 	case c.queue.size == 0 && len(c.running) < c.limit:
-		return append(out, c.admit(e.Call, e.Route))
+		return append(out, c.admit(now, e.Call, e.Route, e.Priority))
+	case e.Objective != 0:
+		return append(out, c.enqueueInTime(now, e)...)
 	}
 	return c.enqueue(now, e, least, out)
 }
@@ -118,10 +133,34 @@
 		}
 		out = append(out, c.refuse(w.call, wire.ReasonQueueFull))
 	}
-	c.queue.push(e.Priority, waiter{call: e.Call, route: e.Route, until: now.Add(allowed), reason: reason})
+	c.queue.push(waiter{call: e.Call, route: e.Route, priority: e.Priority, service: c.expect(now, e.Route), until: now.Add(allowed), reason: reason})
 	return append(out, Queue{Call: e.Call, Wait: allowed})
 }
 
+// enqueueInTime queues a call that can expect an answer within its objective, or at least within its time; any other is refused at once.
+func (c *Core) enqueueInTime(now time.Time, e Arrive) []Action {
+	service := c.expect(now, e.Route)
+	left := e.Timeout
+	if left == 0 {
+		left = c.QueueWait + service
+	}
+	w := waiter{
+		call: e.Call, route: e.Route, priority: e.Priority, service: service,
+		until: now.Add(min(c.QueueWait, left-service)), objective: now.Add(e.Objective), reason: wire.ReasonDeadline,
+	}
+	inTime := c.wait(now, e.Priority, false)
+	all := c.wait(now, e.Priority, true)
+	switch {
+	case c.queue.size >= c.QueueSize:
+		return []Action{Refuse{Call: e.Call, Reason: wire.ReasonQueueFull, RetryAfter: max(minRetry, inTime)}}
+	case inTime+service <= e.Objective:
+	case !e.Final, all+service > time.Duration(lateShare*float64(left)):
+		return []Action{Refuse{Call: e.Call, Reason: wire.ReasonQueueFull, RetryAfter: max(minRetry, all)}}
+	}
+	c.queue.push(w)
+	return []Action{Queue{Call: e.Call, Wait: w.until.Sub(now)}}
+}
+
 // shut refuses a call while the backend server leaves or is down.
 func (c *Core) shut(now time.Time, call uint64) (Action, bool) {
 	switch {
@@ -133,8 +172,10 @@
 	return nil, false
 }
 
-func (c *Core) admit(call uint64, route string) Action {
-	c.running[call] = route
+func (c *Core) admit(now time.Time, call uint64, route string, priority uint8) Action {
+	r := &running{route: route, since: now, expected: c.expect(now, route)}
+	c.running[call] = r
+	c.urgent.add(now, priority, r.expected)
 	return Admit{Call: call}
 }
 
@@ -144,13 +185,13 @@
 }
 
 func (c *Core) release(now time.Time, e Release) []Action {
-	route, ok := c.running[e.Call]
+	r, ok := c.running[e.Call]
 	if !ok {
 		return nil
 	}
 	delete(c.running, e.Call)
-	c.learn(now, route, e)
-	return c.fill(c.expire(now, nil))
+	c.learn(now, r.route, e)
+	return c.fill(now, c.expire(now, nil))
 }
 
 // drain refuses calls from a time on; a later one does not put it off.
@@ -172,7 +213,9 @@
 			c.successes = 0
 		}
 	case ResultShed:
-		c.lower(now)
+		if !c.Exact {
+			c.lower(now)
+		}
 	}
 }
 
@@ -195,13 +238,13 @@
 }
 
 // fill gives free slots to queued calls.
-func (c *Core) fill(out []Action) []Action {
+func (c *Core) fill(now time.Time, out []Action) []Action {
 	for len(c.running) < c.limit {
-		w, ok := c.queue.pop()
+		w, ok := c.queue.pop(now)
 		if !ok {
 			break
 		}
-		out = append(out, c.admit(w.call, w.route))
+		out = append(out, c.admit(now, w.call, w.route, w.priority))
 	}
 	return out
 }
@@ -209,7 +252,7 @@
 // setHealth takes a new state; a backend server that comes up is cold.
 func (c *Core) setHealth(now time.Time, s HealthState) []Action {
 	if s == HealthUp && c.health == HealthDown {
-		c.limit = max(1, c.Slots/coldShare)
+		c.limit = c.startLimit()
 		c.successes = 0
 	}
 	c.health = s
@@ -218,7 +261,7 @@
 	}
 	var out []Action
 	for {
-		w, ok := c.queue.pop()
+		w, ok := c.queue.pop(now)
 		if !ok {
 			return out
 		}
--- a/src/booking/estimate.go
+++ b/src/booking/estimate.go
@@ -12,11 +12,17 @@
 
 // estimate follows the service time of one route.
 type estimate struct {
+	mean time.Duration
 	low  time.Duration // near the short service times, so that few calls are refused that would have been in time
 	last time.Time
 }
 
 func (e *estimate) add(now time.Time, took time.Duration) {
+	if e.last.IsZero() {
+		e.mean = took
+	} else {
+		e.mean += (took - e.mean) / meanShare
+	}
 	switch {
 	case e.last.IsZero() || now.Sub(e.last) > estimateAge:
 		e.low = took
@@ -58,5 +64,13 @@
 	e.add(now, took)
 }
 
+// expected returns the mean service time of a route, 0 when it is unknown.
+func (s *estimates) expected(_ time.Time, route string) time.Duration {
+	if e := s.routes[route]; e != nil {
+		return e.mean
+	}
+	return 0
+}
+
 // least returns the time that a call of a route takes at least.
 func (s *estimates) least(now time.Time, route string) time.Duration { return s.routes[route].at(now) }
--- a/src/booking/event.go
+++ b/src/booking/event.go
@@ -7,10 +7,12 @@
 
 // Arrive is a call that asks for a slot.
 type Arrive struct {
-	Call     uint64        `json:"call"`
-	Route    string        `json:"route"`
-	Priority uint8         `json:"priority"`   // 0 is served first
-	Timeout  time.Duration `json:"timeout_ns"` // time left, 0 for no deadline
+	Call      uint64        `json:"call"`
+	Route     string        `json:"route"`
+	Priority  uint8         `json:"priority"`               // 0 is served first
+	Timeout   time.Duration `json:"timeout_ns"`             // time left, 0 for no deadline
+	Objective time.Duration `json:"objective_ns,omitempty"` // time left in which the answer is in time, negative when it is over, 0 for no objective
+	Final     bool          `json:"final,omitempty"`        // no other server is expected to be sooner: the call is taken though its answer will be late
 }
 
 // Abandon is a queued call that its caller has given up.
--- a/src/booking/fixture_test.go
+++ b/src/booking/fixture_test.go
@@ -80,7 +80,7 @@
 		Service: "bookings", Self: 7,
 	}
 	s.init()
-	s.core.limit, s.core.running = slots, map[uint64]string{}
+	s.core.limit, s.core.running = slots, map[uint64]*running{}
 	runUntilCleanup(tb, s.Run)
 	eventually(tb, "healthy", s.Healthy)
 	return s
--- a/src/booking/server.go
+++ b/src/booking/server.go
@@ -79,7 +79,7 @@
 		}
 		s.counters = newCounters(s.Metrics)
 		s.conns.Addr, s.conns.Max, s.conns.Now = s.Backend.Addr, max(1, s.Backend.Connections), s.Now
-		s.core.Slots = max(1, s.Backend.Slots)
+		s.core.Slots, s.core.Exact = max(1, s.Backend.Slots), s.Told
 		s.limits = document.Limits{Queue: document.DefaultQueue, QueueWait: document.Duration(document.DefaultQueueWait)}
 		s.core.QueueSize, s.core.QueueWait = s.limits.Queue, s.limits.QueueWait.Std()
 		s.waiters = map[uint64]chan Action{}
@@ -93,7 +93,7 @@
 	if s.Record == nil || len(s.Record.Header.Settings) > 0 {
 		return
 	}
-	settings := traceSettings{Slots: s.core.Slots, Queue: s.core.QueueSize, QueueWait: s.core.QueueWait}
+	settings := traceSettings{Slots: s.core.Slots, Exact: s.core.Exact, Queue: s.core.QueueSize, QueueWait: s.core.QueueWait}
 	s.Record.Header.Core = CoreName
 	s.Record.Header.Settings, _ = json.Marshal(settings) // plain numbers cannot fail
 }
--- a/src/booking/waiting.go
+++ b/src/booking/waiting.go
@@ -7,26 +7,42 @@
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
-const priorities = 3
+const priorities = 8
 
 // waiter is a call in the queue.
 type waiter struct {
-	call   uint64
-	route  string
-	until  time.Time // when it is refused
-	reason wire.RefusalReason
+	call      uint64
+	route     string
+	priority  uint8
+	service   time.Duration // expected service time
+	until     time.Time     // when it is refused
+	objective time.Time     // its answer is in time until then, zero for no objective
+	reason    wire.RefusalReason
 }
 
-// waiting is the queue: one line for each priority, first come first served within it.
+// start returns when the call has to start for its answer to be in time.
+func (w *waiter) start() time.Time {
+	if w.objective.IsZero() {
+		return w.until
+	}
+	return w.objective.Add(-w.service)
+}
+
+// late tells whether its answer can no longer be in time.
+func (w *waiter) late(now time.Time) bool { return !w.objective.IsZero() && now.After(w.start()) }
+
+// waiting is the queue. Calls that can be in time go before late ones, then the more urgent before the others.
+//
+// Among calls in time the one that has to start first goes first; among late ones the one that came last, which has the best chance to be answered at all.
 type waiting struct {
-	lines [priorities][]waiter
+	lines [priorities][]waiter // in the order of arrival
 	size  int
 }
 
 func rank(priority uint8) int { return min(int(priority), priorities-1) }
 
-func (q *waiting) push(priority uint8, w waiter) {
-	r := rank(priority)
+func (q *waiting) push(w waiter) {
+	r := rank(w.priority)
 	q.lines[r] = append(q.lines[r], w)
 	q.size++
 }
@@ -40,27 +56,63 @@
 	return n
 }
 
+// work returns the service time of the calls that a call of a priority waits for, late ones only where it is late itself.
+func (q *waiting) work(now time.Time, priority uint8, late bool) time.Duration {
+	var d time.Duration
+	for r := range priorities {
+		for i := range q.lines[r] {
+			w := &q.lines[r][i]
+			isLate := w.late(now)
+			if (!isLate && (late || r <= rank(priority))) || (isLate && late && r <= rank(priority)) {
+				d += w.service
+			}
+		}
+	}
+	return d
+}
+
 // pop takes the next call.
-func (q *waiting) pop() (waiter, bool) {
-	for r, line := range q.lines {
-		if len(line) > 0 {
-			w := line[0]
-			q.lines[r] = slices.Delete(line, 0, 1)
-			q.size--
-			return w, true
+func (q *waiting) pop(now time.Time) (waiter, bool) {
+	if q.size == 0 {
+		return waiter{}, false
+	}
+	for r := range q.lines {
+		if i := q.earliest(now, r); i >= 0 {
+			return q.take(r, i), true
+		}
+	}
+	for r := range q.lines {
+		if n := len(q.lines[r]); n > 0 {
+			return q.take(r, n-1), true
 		}
 	}
 	return waiter{}, false
 }
 
+// earliest returns the index of the call in time that has to start first, -1 for none.
+func (q *waiting) earliest(now time.Time, r int) int {
+	best := -1
+	for i := range q.lines[r] {
+		w := &q.lines[r][i]
+		if !w.late(now) && (best < 0 || w.start().Before(q.lines[r][best].start())) {
+			best = i
+		}
+	}
+	return best
+}
+
+func (q *waiting) take(r, i int) waiter {
+	w := q.lines[r][i]
+	q.lines[r] = slices.Delete(q.lines[r], i, i+1)
+	q.size--
+	return w
+}
+
 // displace takes the newest call of a lower priority.
 func (q *waiting) displace(priority uint8) (waiter, bool) {
 	for r := priorities - 1; r > rank(priority); r-- {
 		if n := len(q.lines[r]); n > 0 {
-			w := q.lines[r][n-1]
-			q.lines[r] = q.lines[r][:n-1]
-			q.size--
-			return w, true
+			return q.take(r, n-1), true
 		}
 	}
 	return waiter{}, false
@@ -70,8 +122,7 @@
 	for r, line := range q.lines {
 		i := slices.IndexFunc(line, func(w waiter) bool { return w.call == call })
 		if i >= 0 {
-			q.lines[r] = slices.Delete(line, i, i+1)
-			q.size--
+			q.take(r, i)
 			return true
 		}
 	}
--- a/src/dispatch/action.go
+++ b/src/dispatch/action.go
@@ -17,6 +17,7 @@
 	Service string        `json:"service"`
 	Timeout time.Duration `json:"timeout_ns"` // of this attempt
 	Reason  ChoiceReason  `json:"reason"`
+	Final   bool          `json:"final,omitempty"` // no other server is expected to be sooner
 }
 
 // CancelAttempt gives up an attempt; its answer is dropped.
--- a/src/dispatch/arrival.go
+++ b/src/dispatch/arrival.go
@@ -9,6 +9,9 @@
 // arrive sends a call's first attempt or refuses the call.
 func (c *Core) arrive(now time.Time, e CallArrived) []Action {
 	s := &callState{id: e.Call, policy: e.Policy, deadline: now.Add(e.Left), retryLayer: e.RetryLayer, hasBody: e.HasBody}
+	if e.Objective != 0 {
+		s.objective = now.Add(e.Objective)
+	}
 	k := routeKey{e.Policy.Service, e.Policy.Route}
 	full := e.Policy.MaxInFlight > 0 && c.perRoute[k] >= e.Policy.MaxInFlight
 	c.calls[s.id] = s
@@ -86,8 +89,9 @@
 	s.attempts = append(s.attempts, a)
 	ch.server.began(a)
 	n := len(s.attempts)
+	s.final = s.final || len(c.candidates(s.policy, c.services[ch.server.Service], s)) == 0
 	return []Action{
 		SetTimer{Call: s.id, Attempt: n, Timer: TimerAttempt, After: timeout + timerSlack},
-		SendAttempt{Call: s.id, Attempt: n, Member: ch.server.ID, Service: ch.server.Service, Timeout: timeout, Reason: ch.reason},
+		SendAttempt{Call: s.id, Attempt: n, Member: ch.server.ID, Service: ch.server.Service, Timeout: timeout, Reason: ch.reason, Final: s.final},
 	}
 }
--- a/src/dispatch/attempt.go
+++ b/src/dispatch/attempt.go
@@ -44,7 +44,7 @@
 	a.ctx, a.cancel = context.WithCancel(c.base)
 	c.attempts[s.Attempt] = a
 	head := c.head
-	head.Target, head.Service, head.Attempt = s.Member, s.Service, uint8(s.Attempt)
+	head.Target, head.Service, head.Attempt, head.Final = s.Member, s.Service, uint8(s.Attempt), s.Final
 	head.TimeoutMS = max(1, s.Timeout.Milliseconds())
 	if !c.body.arrived() {
 		head.TimeoutMS = uploadTimeout.Milliseconds()
--- a/src/dispatch/call.go
+++ b/src/dispatch/call.go
@@ -58,7 +58,7 @@
 	}
 	c.do(c.p.step(CallArrived{
 		Call: c.id, Policy: c.policy, Left: c.deadline.Sub(c.p.Now()),
-		RetryLayer: c.parent.RetryLayer, HasBody: c.body != nil,
+		RetryLayer: c.parent.RetryLayer, HasBody: c.body != nil, Objective: c.objectiveLeft(),
 	}))
 	c.timers = append(c.timers, callTimer{at: c.start.Add(watchAfter)})
 	timer := time.NewTimer(watchAfter)
@@ -81,6 +81,14 @@
 	}
 }
 
+// objectiveLeft returns the time in which an answer is in time, 0 when there is no objective.
+func (c *call) objectiveLeft() time.Duration {
+	if c.objective.IsZero() {
+		return 0
+	}
+	return c.objective.Sub(c.p.Now())
+}
+
 // finish frees what the call holds.
 func (c *call) finish() {
 	if c.watched {
--- a/src/dispatch/call_state.go
+++ b/src/dispatch/call_state.go
@@ -22,6 +22,9 @@
 	policy     *Policy
 	service    string // chosen target
 	deadline   time.Time
+	objective  time.Time // its answer is in time until then, zero for no objective
+	final      bool      // the last attempt went where a late answer is expected
+	reached    bool      // an attempt may have reached a backend server, so that a further one counts as repeated
 	retryLayer bool
 	hasBody    bool
 	attempts   []*attemptState // by number, from 1
--- a/src/dispatch/proxy.go
+++ b/src/dispatch/proxy.go
@@ -6,6 +6,7 @@
 	"errors"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -43,6 +44,7 @@
 	Caller   link.Caller
 	Parent   func(token string) (Parent, bool) // looks up the call that a backend server is running
 	Deposits Deposits                          // nil refuses payments with an idempotency key
+	Inner    func(netip.Addr) bool             // tells a call that a backend server makes while it runs another; nil for none
 	Headers  header.Names                      // zero for the default ones
 	Limits   func() Limits                     // bounds on what callers send, nil for the proxy's own
 	Core     Settings
--- a/src/dispatch/result.go
+++ b/src/dispatch/result.go
@@ -61,6 +61,7 @@
 	a.drop()
 	a.server.told(now, e.Load)
 	c.observeFailure(now, a.server, e.Reason, e.Load)
+	s.reached = s.reached || e.MayHaveRun || e.Reason == wire.ReasonShed
 	if e.MayHaveRun {
 		s.mayHaveRun = true
 	} else {
@@ -90,15 +91,32 @@
 	if !ok && s.policy.Fallback != "" {
 		ch, ok = c.choose(now, s.policy, s.policy.Fallback, s)
 	}
-	if !ok || (needFree && (ch.reason == ChoiceSaturated || ch.reason == ChoiceLastResort)) {
+	if !ok {
 		return nil, false
 	}
-	if !c.services[ch.server.Service].budget.take() {
+	if needFree && !c.inTime(now, s, ch) {
+		if s.objective.IsZero() || s.final || s.reached {
+			return nil, false
+		}
+		s.final = true
+	}
+	if (s.reached || s.objective.IsZero()) && !c.services[ch.server.Service].budget.take() {
 		return nil, false
 	}
 	return c.send(now, s, ch), true
 }
 
+// inTime tells whether a server is expected to answer a call within its objective, or to have a free slot when it has none.
+func (c *Core) inTime(now time.Time, s *callState, ch choice) bool {
+	if ch.reason == ChoiceLastResort {
+		return false
+	}
+	if s.objective.IsZero() {
+		return ch.reason != ChoiceSaturated
+	}
+	return !now.Add(ch.server.backlog(now) + ch.server.load.Service).After(s.objective)
+}
+
 // timer acts on an attempt that takes too long.
 func (c *Core) timer(now time.Time, e TimerFired) []Action {
 	s := c.calls[e.Call]
--- a/src/wire/call.go
+++ b/src/wire/call.go
@@ -29,6 +29,7 @@
 	Idempotent  bool    `msg:"idempotent"`
 	Depth       uint8   `msg:"depth"`       // calls above this one in a chain
 	RetryLayer  bool    `msg:"retry_layer"` // an earlier daemon in the chain already retries
+	Final       bool    `msg:"final"`       // no other server is expected to be sooner
 	Attempt     uint8   `msg:"attempt"`
 	Version     uint64  `msg:"version"` // configuration version the choice was made with
 }
@@ -46,6 +47,7 @@
 	Free    int16 `msg:"free"`    // slots free now, negative when calls are queued
 	Slots   int16 `msg:"slots"`   // slots in all
 	Backlog int32 `msg:"backlog"` // milliseconds a call that came now would wait
+	Service int32 `msg:"service"` // milliseconds a call runs on average, 0 while that is unknown
 }
 
 // RefusalReason tells why a call was refused.
--- a/src/wire/call_gen.go
+++ b/src/wire/call_gen.go
@@ -15,9 +15,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *CallHead) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 18
+	// map header, size 19
 	// string "target"
-	o = append(o, 0xde, 0x0, 0x12, 0xa6, 0x74, 0x61, 0x72, 0x67, 0x65, 0x74)
+	o = append(o, 0xde, 0x0, 0x13, 0xa6, 0x74, 0x61, 0x72, 0x67, 0x65, 0x74)
 	o = msgp.AppendUint64(o, z.Target)
 	// string "trace_id"
 	o = append(o, 0xa8, 0x74, 0x72, 0x61, 0x63, 0x65, 0x5f, 0x69, 0x64)
@@ -70,6 +70,9 @@
 	// string "retry_layer"
 	o = append(o, 0xab, 0x72, 0x65, 0x74, 0x72, 0x79, 0x5f, 0x6c, 0x61, 0x79, 0x65, 0x72)
 	o = msgp.AppendBool(o, z.RetryLayer)
+	// string "final"
+	o = append(o, 0xa5, 0x66, 0x69, 0x6e, 0x61, 0x6c)
+	o = msgp.AppendBool(o, z.Final)
 	// string "attempt"
 	o = append(o, 0xa7, 0x61, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74)
 	o = msgp.AppendUint8(o, z.Attempt)
@@ -229,6 +232,12 @@
 				err = msgp.WrapError(err, "RetryLayer")
 				return
 			}
+		case "final":
+			z.Final, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Final")
+				return
+			}
 		case "attempt":
 			z.Attempt, bts, err = msgp.ReadUint8Bytes(bts)
 			if err != nil {
@@ -259,7 +268,7 @@
 	for za0001 := range z.Fields {
 		s += 1 + msgp.StringPrefixSize + len(z.Fields[za0001].Name) + msgp.StringPrefixSize + len(z.Fields[za0001].Value)
 	}
-	s += 12 + msgp.Int64Size + 11 + msgp.Int64Size + 13 + msgp.Int64Size + 7 + msgp.StringPrefixSize + len(z.Caller) + 9 + msgp.Uint8Size + 11 + msgp.BoolSize + 6 + msgp.Uint8Size + 12 + msgp.BoolSize + 8 + msgp.Uint8Size + 8 + msgp.Uint64Size
+	s += 12 + msgp.Int64Size + 11 + msgp.Int64Size + 13 + msgp.Int64Size + 7 + msgp.StringPrefixSize + len(z.Caller) + 9 + msgp.Uint8Size + 11 + msgp.BoolSize + 6 + msgp.Uint8Size + 12 + msgp.BoolSize + 6 + msgp.BoolSize + 8 + msgp.Uint8Size + 8 + msgp.Uint64Size
 	return
 }
 
@@ -306,13 +315,14 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z Load) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Load) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendInt16(o, z.Free)
 	o = msgp.AppendInt16(o, z.Slots)
 	o = msgp.AppendInt32(o, z.Backlog)
+	o = msgp.AppendInt32(o, z.Service)
 	return
 }
 
@@ -324,8 +334,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Free, bts, err = msgp.ReadInt16Bytes(bts)
@@ -343,13 +353,18 @@
 		err = msgp.WrapError(err, "Backlog")
 		return
 	}
+	z.Service, bts, err = msgp.ReadInt32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Load) Msgsize() (s int) {
-	s = 1 + msgp.Int16Size + msgp.Int16Size + msgp.Int32Size
+func (z *Load) Msgsize() (s int) {
+	s = 1 + msgp.Int16Size + msgp.Int16Size + msgp.Int32Size + msgp.Int32Size
 	return
 }
 
@@ -368,11 +383,11 @@
 	o = msgp.AppendInt64(o, z.RetryAfterMS)
 	// string "load"
 	o = append(o, 0xa4, 0x6c, 0x6f, 0x61, 0x64)
-	// array header, size 3
-	o = append(o, 0x93)
-	o = msgp.AppendInt16(o, z.Load.Free)
-	o = msgp.AppendInt16(o, z.Load.Slots)
-	o = msgp.AppendInt32(o, z.Load.Backlog)
+	o, err = z.Load.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Load")
+		return
+	}
 	return
 }
 
@@ -421,31 +436,11 @@
 				return
 			}
 		case "load":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			bts, err = z.Load.UnmarshalMsg(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Load")
 				return
 			}
-			if zb0003 != 3 {
-				err = msgp.ArrayError{Wanted: 3, Got: zb0003}
-				return
-			}
-			z.Load.Free, bts, err = msgp.ReadInt16Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Load", "Free")
-				return
-			}
-			z.Load.Slots, bts, err = msgp.ReadInt16Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Load", "Slots")
-				return
-			}
-			z.Load.Backlog, bts, err = msgp.ReadInt32Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Load", "Backlog")
-				return
-			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -460,7 +455,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Refusal) Msgsize() (s int) {
-	s = 1 + 7 + msgp.Uint8Size + 13 + msgp.BoolSize + 15 + msgp.Int64Size + 5 + 1 + msgp.Int16Size + msgp.Int16Size + msgp.Int32Size
+	s = 1 + 7 + msgp.Uint8Size + 13 + msgp.BoolSize + 15 + msgp.Int64Size + 5 + z.Load.Msgsize()
 	return
 }
 
@@ -513,11 +508,11 @@
 	o = msgp.AppendInt64(o, z.BodyLength)
 	// string "load"
 	o = append(o, 0xa4, 0x6c, 0x6f, 0x61, 0x64)
-	// array header, size 3
-	o = append(o, 0x93)
-	o = msgp.AppendInt16(o, z.Load.Free)
-	o = msgp.AppendInt16(o, z.Load.Slots)
-	o = msgp.AppendInt32(o, z.Load.Backlog)
+	o, err = z.Load.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Load")
+		return
+	}
 	return
 }
 
@@ -594,31 +589,11 @@
 				return
 			}
 		case "load":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			bts, err = z.Load.UnmarshalMsg(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Load")
 				return
 			}
-			if zb0004 != 3 {
-				err = msgp.ArrayError{Wanted: 3, Got: zb0004}
-				return
-			}
-			z.Load.Free, bts, err = msgp.ReadInt16Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Load", "Free")
-				return
-			}
-			z.Load.Slots, bts, err = msgp.ReadInt16Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Load", "Slots")
-				return
-			}
-			z.Load.Backlog, bts, err = msgp.ReadInt32Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Load", "Backlog")
-				return
-			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -637,6 +612,6 @@
 	for za0001 := range z.Fields {
 		s += 1 + msgp.StringPrefixSize + len(z.Fields[za0001].Name) + msgp.StringPrefixSize + len(z.Fields[za0001].Value)
 	}
-	s += 12 + msgp.Int64Size + 5 + 1 + msgp.Int16Size + msgp.Int16Size + msgp.Int32Size
+	s += 12 + msgp.Int64Size + 5 + z.Load.Msgsize()
 	return
 }
