Calls ordered by urgency as the configuration tells it; requests that outlast a stop are answered

Cause: all callers of a VM share its address, so calls could not be told from those of the backend server by address, and all had the first rank (payments waited 200 ms, reads 110).

--- a/src/agent/agent.go
+++ b/src/agent/agent.go
@@ -91,7 +91,7 @@
 		Grace: s.StopGrace.Std(), Limits: link.Limits{Ping: linkPing, Hello: linkHello}, Log: a.Log.WithName("link"), Metrics: a.Set,
 	}
 	a.proxy = &dispatch.Proxy{
-		Listener: a.Callers, Self: a.member, Table: a.table, Caller: a.pool, Inner: a.fromBackend, Headers: a.Headers, Limits: a.limits,
+		Listener: a.Callers, Self: a.member, Table: a.table, Caller: a.pool, Headers: a.Headers, Limits: a.limits,
 		Core: a.dispatchSettings(), Grace: s.StopGrace.Std(), Start: startWait, Log: a.Log.WithName("dispatch"), Metrics: a.Set,
 	}
 	a.buildRegistry()
--- a/src/agent/run.go
+++ b/src/agent/run.go
@@ -13,7 +13,7 @@
 
 const (
 	handover   = 2200 * time.Millisecond // two questions for readiness, after which no client is sent here
-	lastMoment = 300 * time.Millisecond  // before the kill, in which answers still travel
+	lastMoment = 600 * time.Millisecond  // before the kill, in which the last answers are written and travel
 	drainPoll  = 20 * time.Millisecond
 )
 
@@ -61,9 +61,10 @@
 // stop hands the clients over, then ends the requests in flight.
 func (a *Agent) stop(ctx context.Context, stopCallers func(), callers *sync.WaitGroup) {
 	end := time.Now().Add(a.Settings.StopGrace.Std() - lastMoment)
-	cut := time.AfterFunc(time.Until(end), a.cut)
+	cut := time.AfterFunc(time.Until(end)+lastMoment/2, a.cut)
 	defer cut.Stop()
 	a.leaving.Store(true)
+	a.proxy.Grace = a.Settings.StopGrace.Std() - handover - lastMoment
 	a.announce()
 	a.booking.DrainWithin(0)
 	a.Log.Info("stopping", "reason", context.Cause(ctx).Error(), "in_flight", a.booking.InFlight())
--- a/src/booking/answer.go
+++ b/src/booking/answer.go
@@ -117,8 +117,8 @@
 
 func (x *exchange) logAnswer() {
 	x.s.counters.answered.Inc()
-	if log := x.s.Log.V(1); log.Enabled() {
-		log.Info("call admitted", "reason", "slot free", "trace", x.head.TraceID, "route", x.head.Route,
-			"status", x.resp.StatusCode(), "took", x.s.Now().Sub(x.admitted).String())
+	if log := x.s.decisions(); log.Enabled() {
+		log.Info("answered", "trace", x.head.TraceID, "route", x.head.Route, "attempt", x.head.Attempt, "instance", x.instance, "status", x.resp.StatusCode(),
+			"waited_ms", x.admitted.Sub(x.arrived).Milliseconds(), "took_ms", x.s.Now().Sub(x.admitted).Milliseconds())
 	}
 }
--- a/src/booking/server.go
+++ b/src/booking/server.go
@@ -177,12 +177,21 @@
 	r.Load = s.Load()
 	in.Refuse(r)
 	s.counters.refused(r.Reason)
-	if log := s.Log.V(1); log.Enabled() {
-		log.Info("call refused", "reason", r.Reason.String(), "may_have_run", r.MayHaveRun,
-			"trace", h.TraceID, "route", h.Route, "retry_after_ms", r.RetryAfterMS)
+	if log := s.decisions(); log.Enabled() {
+		log.Info("refused", "trace", h.TraceID, "route", h.Route, "attempt", h.Attempt, "reason", r.Reason.String(), "may_have_run", r.MayHaveRun,
+			"priority", h.Priority, "objective_ms", h.ObjectiveMS, "timeout_ms", h.TimeoutMS, "final", h.Final,
+			"free", r.Load.Free, "backlog_ms", r.Load.Backlog, "retry_after_ms", r.RetryAfterMS)
 	}
 }
 
+// decisions returns the logger of the lines that each call writes: all of them where each VM's own server is told by heartbeats, and on request elsewhere.
+func (s *Server) decisions() logr.Logger {
+	if s.Told {
+		return s.Log
+	}
+	return s.Log.V(1)
+}
+
 // Drain refuses new calls as not run, once the grace of the document in force is over.
 func (s *Server) Drain() {
 	s.init()
--- a/src/dispatch/call.go
+++ b/src/dispatch/call.go
@@ -77,6 +77,8 @@
 			c.parent.Done = nil
 		case <-c.base.Done():
 			c.callerGone()
+		case <-c.p.ending:
+			c.giveUp()
 		}
 	}
 }
@@ -174,6 +176,17 @@
 	c.conn.abort()
 }
 
+// giveUp answers a call that has outlasted the grace of a planned stop; a payment with a key is cut, and its repeat is answered with the outcome.
+func (c *call) giveUp() {
+	if c.payment != nil {
+		c.callerGone()
+		return
+	}
+	sent := c.attempts[1] != nil
+	c.do(c.p.step(CallerGone{Call: c.id}))
+	c.refuse(RefuseCall{Call: c.id, Reason: wire.ReasonLeaving, MayHaveRun: sent, RetryAfter: limitRetryAfter})
+}
+
 // nextTimer returns the time until the next timer.
 func (c *call) nextTimer() time.Duration {
 	next := c.start.Add(time.Hour)
--- a/src/dispatch/proxy.go
+++ b/src/dispatch/proxy.go
@@ -6,7 +6,6 @@
 	"errors"
 	"math/rand/v2"
 	"net"
-	"net/netip"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -33,6 +32,7 @@
 	defaultStart   = 2 * time.Second
 	startPoll      = 5 * time.Millisecond
 	killWait       = 5 * time.Second
+	endWait        = 150 * time.Millisecond // for the answers that a planned stop gives in place of the backend servers'
 	maxRequestBody = 256 << 20 // bytes
 )
 
@@ -44,7 +44,6 @@
 	Caller   link.Caller
 	Parent   func(token string) (Parent, bool) // looks up the call that a backend server is running
 	Deposits Deposits                          // nil refuses payments with an idempotency key
-	Inner    func(netip.Addr) bool             // tells a call that a backend server makes while it runs another; nil for none
 	Headers  header.Names                      // zero for the default ones
 	Limits   func() Limits                     // bounds on what callers send, nil for the proxy's own
 	Core     Settings
@@ -62,6 +61,8 @@
 	base     context.Context
 	kill     context.CancelFunc
 	stopping atomic.Bool
+	ending   chan struct{} // closed when the grace of a planned stop is over
+	endOnce  sync.Once
 	lastCall atomic.Uint64
 
 	tracePrefix string
@@ -149,6 +150,7 @@
 		p.conns = newCallerListener(p.Listener, p.Stall, p.limits)
 		p.pool = pond.NewPool(p.Core.MaxCalls, pond.WithQueueSize(0), pond.WithNonBlocking(true))
 		p.base, p.kill = context.WithCancel(context.Background())
+		p.ending = make(chan struct{})
 	})
 }
 
@@ -177,7 +179,11 @@
 		return
 	}
 	cut := p.conns.open()
-	p.Log.Info("requests cut", "count", len(cut), "reason", "grace is over", "grace", p.Grace.String())
+	p.Log.Info("requests ended", "count", len(cut), "reason", "grace is over", "grace", p.Grace.String())
+	p.endOnce.Do(func() { close(p.ending) })
+	answered, cancelAnswered := context.WithTimeout(p.base, endWait)
+	defer cancelAnswered()
+	p.conns.stop(answered)
 	p.kill()
 	p.conns.abort()
 	last, cancelLast := context.WithTimeout(context.Background(), killWait)
--- a/src/dispatch/serve.go
+++ b/src/dispatch/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"strconv"
 	"time"
 
@@ -142,7 +141,7 @@
 		Caller:  p.callerService(),
 		TraceID: c.traceID(), Route: m.Route.Name, Method: method,
 		Host: string(ctx.Host()), URI: string(ctx.RequestURI()), Fields: p.requestFields(&ctx.Request.Header),
-		BodyLength: body.length(), Priority: p.rank(ctx, m), Idempotent: c.policy.Idempotent,
+		BodyLength: body.length(), Priority: m.Route.Priority.Rank(), Idempotent: c.policy.Idempotent,
 		Depth: c.parent.Depth, RetryLayer: c.retriesBelow(), Version: m.Table.Version,
 	}
 	return c
@@ -174,18 +173,6 @@
 	return c.parent.RetryLayer || (c.policy.Idempotent && c.policy.Attempts > 1)
 }
 
-// rank returns a call's place in an admission queue. A call that a backend server makes goes first: the call that it runs holds a slot meanwhile and fails with it.
-func (p *Proxy) rank(ctx *fasthttp.RequestCtx, m *Match) uint8 {
-	r := m.Route.Priority.Rank()
-	if p.Inner == nil {
-		return r
-	}
-	if a, ok := ctx.RemoteAddr().(*net.TCPAddr); ok && p.Inner(a.AddrPort().Addr().Unmap()) {
-		return 0
-	}
-	return r + 1
-}
-
 // callerDeadline returns how long the caller waits, if it says so.
 func (p *Proxy) callerDeadline(ctx *fasthttp.RequestCtx) (time.Duration, bool) {
 	n, err := strconv.ParseInt(string(ctx.Request.Header.Peek(p.Headers.Deadline)), 10, 64)
--- a/src/registry/announcer.go
+++ b/src/registry/announcer.go
@@ -18,6 +18,7 @@
 	retryEvery   = 400 * time.Millisecond // after a failed call: two attempts in a second of a store that has come back
 	markerTTL    = 30 * time.Second       // longer than a backend server goes on after it has said that it leaves
 	announceCall = time.Second            // longest wait for the store
+	endCall      = 100 * time.Millisecond // for the end of the lease at a stop, which lapses by itself
 )
 
 // Announcer keeps the agent's entry in the store.
@@ -252,6 +253,8 @@
 		return
 	}
 	lease := a.lease
+	ctx, cancel := context.WithTimeout(ctx, endCall)
+	defer cancel()
 	if err := a.call(ctx, func(ctx context.Context) error { return a.Store.End(ctx, lease) }); err != nil {
 		a.Log.Info("entry left to lapse", "reason", err.Error())
 	}
