A stop ends inside its grace; patterns of overload and of the registry tested

Now a request that outlasts the grace is answered, links get 200 ms once no call is left, and calls are admitted for one second after the signal.

--- a/src/agent/agent.go
+++ b/src/agent/agent.go
@@ -50,7 +50,9 @@
 	follower  *registry.Follower
 	announcer *registry.Announcer
 	inForce   atomic.Pointer[inForce]
-	leaving   atomic.Bool
+	leaving   atomic.Bool // no client is to be sent here
+	closed    atomic.Bool // no call is admitted to the backend server
+	stopCut   func() bool
 
 	mu      sync.Mutex // held while a table is built
 	members *roster.View
@@ -126,7 +128,7 @@
 	if b := a.local.Born(); !b.IsZero() {
 		m.StartedAt = b.UnixMilli()
 	}
-	if a.leaving.Load() || a.local.Leaving() {
+	if a.closed.Load() || a.local.Leaving() {
 		m.State, m.Ready = wire.StateLeaving, false
 	}
 	return m
--- a/src/agent/run.go
+++ b/src/agent/run.go
@@ -14,6 +14,8 @@
 const (
 	handover   = 2200 * time.Millisecond // two questions for readiness, after which no client is sent here
 	lastMoment = 600 * time.Millisecond  // before the kill, in which the last answers are written and travel
+	serveOn    = time.Second             // for which a stopping agent still admits calls to its backend server
+	linkGrace  = 200 * time.Millisecond  // for peers to close their links once no call is left; dead ones never do
 	drainPoll  = 20 * time.Millisecond
 )
 
@@ -50,8 +52,10 @@
 
 	<-ctx.Done()
 	a.stop(ctx, stopCallers, &callers)
+	a.Log.Info("stopping", "step", "links end")
 	stopLinks()
 	links.Wait()
+	a.stopCut()
 	if err := context.Cause(ctx); !errors.Is(err, context.Canceled) {
 		return err
 	}
@@ -62,15 +66,20 @@
 func (a *Agent) stop(ctx context.Context, stopCallers func(), callers *sync.WaitGroup) {
 	end := time.Now().Add(a.Settings.StopGrace.Std() - lastMoment)
 	cut := time.AfterFunc(time.Until(end)+lastMoment/2, a.cut)
-	defer cut.Stop()
+	a.stopCut = cut.Stop
 	a.leaving.Store(true)
+	a.pool.Grace = linkGrace
 	a.proxy.Grace = a.Settings.StopGrace.Std() - handover - lastMoment
+	a.Log.Info("stopping", "reason", context.Cause(ctx).Error(), "in_flight", a.booking.InFlight())
+	time.Sleep(serveOn)
+	a.closed.Store(true)
 	a.announce()
 	a.booking.DrainWithin(0)
-	a.Log.Info("stopping", "reason", context.Cause(ctx).Error(), "in_flight", a.booking.InFlight())
-	time.Sleep(handover)
+	time.Sleep(handover - serveOn)
+	a.Log.Info("stopping", "step", "callers end")
 	stopCallers()
 	callers.Wait()
+	a.Log.Info("stopping", "step", "calls end", "in_flight", a.booking.InFlight())
 	for a.booking.InFlight() > 0 && time.Now().Before(end) {
 		time.Sleep(drainPoll)
 	}
--- /dev/null
+++ b/src/booking/overload_test.go
@@ -0,0 +1,127 @@
+package booking
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/yuccaport/yuccaport/src/wire"
+)
+
+// exactCore returns a core for a backend server that tells its slots, with known service times.
+func exactCore(slots int, services map[string]time.Duration) *Core {
+	c := &Core{Slots: slots, QueueSize: 256, QueueWait: 5 * time.Second, Exact: true}
+	c.Step(epoch, Health{State: HealthUp})
+	for route, d := range services {
+		c.times.add(epoch, route, d)
+	}
+	return c
+}
+
+func admitted(actions []Action) []uint64 {
+	var out []uint64
+	for _, a := range actions {
+		if a, ok := a.(Admit); ok {
+			out = append(out, a.Call)
+		}
+	}
+	return out
+}
+
+// Pattern: a burst beyond the capacity. The order of service is by what can still be in time, then by urgency.
+func TestBurstOrder(t *testing.T) {
+	const ms = time.Millisecond
+	read := Arrive{Route: "read", Priority: 2, Timeout: 800 * ms, Objective: 300 * ms, Final: true}
+	pay := Arrive{Route: "pay", Priority: 1, Timeout: 1000 * ms, Objective: 400 * ms, Final: true}
+	overdue := Arrive{Route: "pay", Priority: 1, Timeout: 1000 * ms, Objective: 50 * ms, Final: true}
+	short := Arrive{Route: "read", Priority: 2, Timeout: 800 * ms, Objective: 250 * ms, Final: true}
+	tests := map[string]struct {
+		arrivals []Arrive // calls 1, 2, ...
+		want     []uint64 // in the order of admission
+	}{
+		"urgent before earlier":         {[]Arrive{read, pay}, []uint64{2, 1}},
+		"in time before late urgent":    {[]Arrive{overdue, read}, []uint64{2, 1}},
+		"closest objective first":       {[]Arrive{read, short}, []uint64{2, 1}},
+		"late ones last, newest first":  {[]Arrive{overdue, overdue, read}, []uint64{3, 2, 1}},
+		"arrival order for equal calls": {[]Arrive{read, read}, []uint64{1, 2}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := exactCore(1, map[string]time.Duration{"read": 90 * ms, "pay": 100 * ms})
+			c.Step(epoch, Arrive{Call: 100, Route: "read", Objective: 300 * ms})
+			for i, a := range tc.arrivals {
+				a.Call = uint64(i + 1)
+				c.Step(epoch, a)
+			}
+			running, got := uint64(100), []uint64{}
+			for range tc.arrivals {
+				next := admitted(c.Step(epoch.Add(ms), Release{Call: running, Result: ResultFailed}))
+				qt.Assert(t, next, qt.HasLen, 1)
+				running = next[0]
+				got = append(got, running)
+			}
+			qt.Assert(t, got, qt.DeepEquals, tc.want)
+		})
+	}
+}
+
+// Pattern: one server is full while another may be free. A call that would be late here is refused at once, and taken as late only when it has nowhere else to go.
+func TestFullServerSendsElsewhere(t *testing.T) {
+	const ms = time.Millisecond
+	c := exactCore(1, map[string]time.Duration{"read": 200 * ms})
+	c.Step(epoch, Arrive{Call: 1, Route: "read", Objective: 300 * ms})
+	got := c.Step(epoch, Arrive{Call: 2, Route: "read", Timeout: 800 * ms, Objective: 300 * ms})
+	qt.Assert(t, got, qt.DeepEquals, []Action{Refuse{Call: 2, Reason: wire.ReasonQueueFull, RetryAfter: 200 * ms}})
+	got = c.Step(epoch, Arrive{Call: 3, Route: "read", Timeout: 800 * ms, Objective: 300 * ms, Final: true})
+	qt.Assert(t, got, qt.HasLen, 1)
+	qt.Assert(t, got[0], qt.Satisfies, func(a Action) bool { _, ok := a.(Queue); return ok })
+}
+
+// Pattern: sustained overload. A call that cannot be served in its time never waits for it.
+func TestOverloadRefusesAtOnce(t *testing.T) {
+	const ms = time.Millisecond
+	c := exactCore(1, map[string]time.Duration{"read": 200 * ms})
+	refused := 0
+	for i := range 50 {
+		for _, a := range c.Step(epoch, Arrive{Call: uint64(i + 1), Route: "read", Timeout: 800 * ms, Objective: 300 * ms, Final: true}) {
+			if r, ok := a.(Refuse); ok {
+				refused++
+				qt.Assert(t, r.RetryAfter >= 200*ms, qt.IsTrue)
+			}
+		}
+	}
+	qt.Assert(t, refused >= 46, qt.IsTrue, qt.Commentf("%d of 50 refused; three can be answered in 800 ms", refused))
+}
+
+// Pattern: a backend server sheds a part of its calls although it has free slots. Its slots stay in use.
+func TestGreyServerKeepsItsSlots(t *testing.T) {
+	c := exactCore(9, map[string]time.Duration{"read": time.Millisecond})
+	for i := range 40 {
+		call := uint64(i + 1)
+		now := epoch.Add(time.Duration(i) * time.Second)
+		c.Step(now, Arrive{Call: call, Route: "read", Objective: time.Second})
+		c.Step(now, Release{Call: call, Result: ResultShed})
+	}
+	qt.Assert(t, c.Load(epoch.Add(time.Minute)).Free, qt.Equals, int16(9))
+}
+
+// Pattern: urgent calls take most of the slots. A less urgent one is told the wait that they leave it.
+func TestUrgentShareLengthensTheWait(t *testing.T) {
+	const ms = time.Millisecond
+	wait := func(urgent int) time.Duration {
+		c := exactCore(4, map[string]time.Duration{"read": 100 * ms, "pay": 100 * ms})
+		now := epoch
+		for i := range urgent {
+			call := uint64(1000 + i)
+			now = now.Add(25 * ms)
+			c.Step(now, Arrive{Call: call, Route: "pay", Priority: 1, Objective: time.Second})
+			c.Step(now, Release{Call: call, Result: ResultFailed})
+		}
+		for i := range 6 {
+			c.Step(now, Arrive{Call: uint64(i + 1), Route: "read", Priority: 2, Objective: time.Second, Timeout: 2 * time.Second})
+		}
+		return c.wait(now, 2, false)
+	}
+	qt.Assert(t, wait(60) > wait(0)*3/2, qt.IsTrue, qt.Commentf("%s beside urgent calls, %s without", wait(60), wait(0)))
+}
--- a/src/dispatch/proxy.go
+++ b/src/dispatch/proxy.go
@@ -33,7 +33,7 @@
 	startPoll      = 5 * time.Millisecond
 	killWait       = 5 * time.Second
 	endWait        = 150 * time.Millisecond // for the answers that a planned stop gives in place of the backend servers'
-	maxRequestBody = 256 << 20 // bytes
+	maxRequestBody = 256 << 20              // bytes
 )
 
 // Proxy is the HTTP server that callers speak to.
--- /dev/null
+++ b/src/registry/core_test.go
@@ -0,0 +1,117 @@
+package registry
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/yuccaport/yuccaport/src/wire"
+)
+
+var (
+	epoch    = time.Unix(1000, 0)
+	testKeys = Keys{Watched: "op", Config: "op/config", Members: "op-mesh/member/", Left: "op-mesh/left/"}
+)
+
+func addr(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 80)
+}
+
+func member(n int) wire.Member {
+	return wire.Member{ID: uint64(n), Addr: addr(n), Service: "bookings", Ready: true}
+}
+
+func itemOf(m wire.Member, revision uint64) Item {
+	b, _ := m.MarshalMsg(nil) // to memory, cannot fail
+	return Item{Key: testKeys.member(m.Addr), Value: b, Revision: revision}
+}
+
+func newCore() *Core {
+	return &Core{Keys: testKeys, Self: testKeys.member(addr(1)), ID: 1, Rand: rand.New(rand.NewPCG(1, 1))}
+}
+
+func kinds(actions []Action) []string {
+	out := []string{}
+	for _, a := range actions {
+		out = append(out, fmt.Sprintf("%T", a)[len("registry."):])
+	}
+	return out
+}
+
+func ids(c *Core) []uint64 {
+	out := []uint64{}
+	for _, m := range c.Members() {
+		out = append(out, m.ID)
+	}
+	return out
+}
+
+func TestCore(t *testing.T) {
+	leaving := member(2)
+	leaving.State = wire.StateLeaving
+	successor := member(2)
+	successor.ID = 22
+	foreign := itemOf(member(2), 9)
+	foreign.Key = testKeys.member(addr(9))
+	config := func(revision uint64) Item { return Item{Key: "op/config", Value: []byte("c"), Revision: revision} }
+	all := Listed{Items: []Item{itemOf(member(1), 1), itemOf(member(2), 2), itemOf(member(3), 3)}}
+	tests := map[string]struct {
+		events  []Event
+		want    []string // actions of the last event
+		members []uint64
+	}{
+		"list":                             {[]Event{all}, []string{"Publish"}, []uint64{1, 2, 3}},
+		"own entry missing":                {[]Event{Listed{}}, []string{"Announce"}, []uint64{}},
+		"own entry revoked":                {[]Event{all, Changed{[]Item{{Key: testKeys.member(addr(1)), Revision: 7, Deleted: true}}}}, []string{"Announce"}, []uint64{1, 2, 3}},
+		"entry lapsed":                     {[]Event{all, Changed{[]Item{{Key: testKeys.member(addr(2)), Revision: 7, Deleted: true}}}}, []string{"Confirm"}, []uint64{1, 2, 3}},
+		"lapsed and dead":                  {[]Event{all, Changed{[]Item{{Key: testKeys.member(addr(2)), Revision: 7, Deleted: true}}}, Confirmed{2, false}}, []string{"Publish"}, []uint64{1, 3}},
+		"lapsed and alive":                 {[]Event{all, Changed{[]Item{{Key: testKeys.member(addr(2)), Revision: 7, Deleted: true}}}, Confirmed{2, true}}, []string{}, []uint64{1, 2, 3}},
+		"lapsed, back before the answer":   {[]Event{all, Changed{[]Item{{Key: testKeys.member(addr(2)), Revision: 7, Deleted: true}}}, Changed{[]Item{itemOf(member(2), 8)}}, Confirmed{2, false}}, []string{}, []uint64{1, 2, 3}},
+		"left":                             {[]Event{all, Changed{[]Item{itemOf(leaving, 7)}}, Changed{[]Item{{Key: testKeys.member(addr(2)), Revision: 8, Deleted: true}}}}, []string{"Publish"}, []uint64{1, 3}},
+		"missing from a later list":        {[]Event{all, Listed{Items: []Item{itemOf(member(1), 1), itemOf(member(3), 3)}}}, []string{"Confirm"}, []uint64{1, 2, 3}},
+		"restarted":                        {[]Event{all, Changed{[]Item{itemOf(successor, 7)}}}, []string{"Publish"}, []uint64{1, 22, 3}},
+		"old event after a new one":        {[]Event{all, Changed{[]Item{itemOf(successor, 7)}}, Changed{[]Item{itemOf(member(2), 5)}}}, []string{}, []uint64{1, 22, 3}},
+		"bytes that cannot be read":        {[]Event{all, Changed{[]Item{{Key: testKeys.member(addr(4)), Value: []byte("no"), Revision: 7}}}}, []string{}, []uint64{1, 2, 3}},
+		"entry of another address":         {[]Event{all, Changed{[]Item{foreign}}}, []string{}, []uint64{1, 2, 3}},
+		"configuration":                    {[]Event{Changed{[]Item{config(5)}}}, []string{"TakeConfig"}, []uint64{}},
+		"configuration back":               {[]Event{Changed{[]Item{config(5)}}, Changed{[]Item{config(4)}}}, []string{}, []uint64{}},
+		"configuration deleted":            {[]Event{Changed{[]Item{config(5)}}, Changed{[]Item{{Key: "op/config", Revision: 6, Deleted: true}}}}, []string{}, []uint64{}},
+		"newer configuration from a peer":  {[]Event{Changed{[]Item{config(5)}}, PeerTold{wire.RegistryReply{Config: 6, Value: []byte("d")}}}, []string{"TakeConfig"}, []uint64{}},
+		"older configuration from a peer":  {[]Event{Changed{[]Item{config(5)}}, PeerTold{wire.RegistryReply{Config: 4, Value: []byte("d")}}}, []string{}, []uint64{}},
+		"unknown member from a peer":       {[]Event{all, PeerTold{wire.RegistryReply{Members: []wire.RegistryEntry{{Key: testKeys.member(addr(4)), Revision: 9, Member: member(4)}}}}}, []string{"Publish"}, []uint64{1, 2, 3, 4}},
+		"what a peer lacks proves nothing": {[]Event{all, PeerTold{wire.RegistryReply{}}}, []string{}, []uint64{1, 2, 3}},
+		"own entry as a peer has it":       {[]Event{all, PeerTold{wire.RegistryReply{Members: []wire.RegistryEntry{{Key: testKeys.member(addr(1)), Revision: 9, Member: member(7)}}}}}, []string{}, []uint64{1, 2, 3}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := newCore()
+			var last []Action
+			for _, e := range tc.events {
+				last = c.Step(epoch, e)
+			}
+			qt.Assert(t, kinds(last), qt.DeepEquals, tc.want)
+			qt.Assert(t, ids(c), qt.DeepEquals, tc.members)
+		})
+	}
+}
+
+// A daemon that the store refuses asks its peers well inside the time in which a configuration is to be in force.
+func TestCoreAsksPeersWithoutTheStore(t *testing.T) {
+	c := newCore()
+	c.Step(epoch, Listed{Items: []Item{itemOf(member(1), 1), itemOf(member(2), 2)}})
+	qt.Assert(t, c.Step(epoch, StoreLost{}), qt.HasLen, 0)
+	asked := 0
+	for ms := 0; ms < 2000; ms += 100 {
+		for _, a := range c.Step(epoch.Add(time.Duration(ms)*time.Millisecond), Tick{}) {
+			qt.Assert(t, a, qt.Equals, Action(AskPeer{Member: member(2)}))
+			asked++
+		}
+	}
+	qt.Assert(t, asked, qt.Equals, 3)
+	c.Step(epoch.Add(2*time.Second), StoreBack{})
+	qt.Assert(t, c.Step(epoch.Add(3*time.Second), Tick{}), qt.HasLen, 0)
+}
