--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	go test -count=1 -timeout 20m $(SKIP) ./...
 
 lint:
-	test -z "$$(gofmt -l main.go src)"
+	test -z "$$(gofmt -l main.go src platform)"
 	$(LINT) run --allow-parallel-runners ./...
 
 generate:
--- a/main_test.go
+++ b/main_test.go
@@ -23,7 +23,7 @@
 	c.Assert(err, qt.IsNil)
 	dir := t.TempDir()
 	// The walk-through builds here, but leaves its logs and edited document elsewhere.
-	for _, name := range []string{"go.mod", "go.sum", "main.go", "src", "examples"} {
+	for _, name := range []string{"go.mod", "go.sum", "main.go", "platform", "src", "examples"} {
 		from, err := filepath.Abs(name)
 		c.Assert(err, qt.IsNil)
 		c.Assert(os.Symlink(from, filepath.Join(dir, name)), qt.IsNil)
--- a/src/agent/agent.go
+++ b/src/agent/agent.go
@@ -59,8 +59,7 @@
 
 	localMu sync.Mutex // held while the backend server's state changes
 	local   registry.Local
-	drained string    // instance whose drain has been written to the store
-	heard   time.Time // last heartbeat
+	drained string // instance whose drain has been written to the store
 }
 
 const (
@@ -134,9 +133,6 @@
 	return m
 }
 
-// fromBackend tells whether a call comes from the backend server beside the agent.
-func (a *Agent) fromBackend(from netip.Addr) bool { return from == a.Settings.Backend.Addr.Addr() }
-
 // IsReady tells whether clients are to be sent here.
 func (a *Agent) IsReady() bool { return a.inForce.Load() != nil && !a.leaving.Load() }
 
--- a/src/agent/backend.go
+++ b/src/agent/backend.go
@@ -9,11 +9,10 @@
 )
 
 const (
-	ackWithin   = 800 * time.Millisecond // the backend server waits a second for its acknowledgement
-	queueGrace  = time.Second            // for which calls that wait may still reach a leaving backend server
-	askEvery    = 300 * time.Millisecond // between questions to a backend server that has not been heard
-	askTimeout  = 500 * time.Millisecond
-	silentBeats = 3 // heartbeats missed in a row after which a backend server that fails calls is down
+	ackWithin  = 800 * time.Millisecond // the backend server waits a second for its acknowledgement
+	queueGrace = time.Second            // for which calls that wait may still reach a leaving backend server
+	askEvery   = 300 * time.Millisecond // between questions to a backend server that has not been heard
+	askTimeout = 500 * time.Millisecond
 )
 
 // Hear takes a heartbeat of the backend server.
@@ -26,7 +25,6 @@
 		a.Log.Info("heartbeat", "verdict", string(v), "instance", h.Instance, "service", h.Service, "sequence", h.Sequence, "born", h.Born.UnixMilli(), "leaving", h.Leaving)
 		return v, nil
 	}
-	a.heard = time.Now()
 	now, leaving, slots := a.local.Instance(), a.local.Leaving(), a.local.Slots()
 	a.localMu.Unlock()
 	if now != was || leaving != wasLeaving {
