--- a/src/booking/core.go
+++ b/src/booking/core.go
@@ -26,6 +26,7 @@
 	queue     waiting
 	times     estimates
 	urgent    urgency
+	slack     slack
 	health    HealthState
 	draining  bool
 	drainFrom time.Time
@@ -109,7 +110,7 @@
 	switch {
 	case e.Timeout > 0 && least > e.Timeout:
 		return append(out, c.refuse(e.Call, wire.ReasonDeadline))
-	case c.queue.size == 0 && len(c.running) < c.limit:
+	case c.queue.before(e.Priority) == 0 && len(c.running) < c.limit-c.reserve(now, e.Priority):
 		return append(out, c.admit(now, e.Call, e.Route, e.Priority))
 	case e.Objective != 0:
 		return append(out, c.enqueueInTime(now, e)...)
@@ -140,6 +141,7 @@
 // enqueueInTime queues a call that can expect an answer within its objective, or at least within its time; any other is refused at once.
 func (c *Core) enqueueInTime(now time.Time, e Arrive) []Action {
 	service := c.expect(now, e.Route)
+	c.slack.add(now, e.Priority, e.Objective-service)
 	left := e.Timeout
 	if left == 0 {
 		left = c.QueueWait + service
@@ -234,13 +236,16 @@
 	for _, w := range c.queue.overdue(now) {
 		out = append(out, c.refuse(w.call, w.reason))
 	}
+	for _, w := range c.queue.overtaken(now, func(w *waiter) bool { return c.worthWaiting(now, w) }) {
+		out = append(out, Refuse{Call: w.call, Reason: wire.ReasonQueueFull, RetryAfter: max(minRetry, c.wait(now, w.priority, true))})
+	}
 	return out
 }
 
 // fill gives free slots to queued calls.
 func (c *Core) fill(now time.Time, out []Action) []Action {
 	for len(c.running) < c.limit {
-		w, ok := c.queue.pop(now)
+		w, ok := c.queue.pop(now, c.leastUrgent(now))
 		if !ok {
 			break
 		}
@@ -261,7 +266,7 @@
 	}
 	var out []Action
 	for {
-		w, ok := c.queue.pop(now)
+		w, ok := c.queue.pop(now, priorities-1)
 		if !ok {
 			return out
 		}
--- a/src/booking/outlook.go
+++ b/src/booking/outlook.go
@@ -75,3 +75,9 @@
 	}
 	return c.times.mean
 }
+
+// worthWaiting tells whether a call that has become late can still expect its answer before its caller gives up.
+func (c *Core) worthWaiting(now time.Time, w *waiter) bool {
+	left := w.until.Add(w.service).Sub(now)
+	return c.wait(now, w.priority, true)+w.service <= time.Duration(lateShare*float64(left))
+}
--- a/src/booking/waiting.go
+++ b/src/booking/waiting.go
@@ -18,6 +18,7 @@
 	until     time.Time     // when it is refused
 	objective time.Time     // its answer is in time until then, zero for no objective
 	reason    wire.RefusalReason
+	judged    bool // it has been decided that it waits on although it is late
 }
 
 // start returns when the call has to start for its answer to be in time.
@@ -71,17 +72,18 @@
 	return d
 }
 
-// pop takes the next call.
-func (q *waiting) pop(now time.Time) (waiter, bool) {
+// pop takes the next call among those that are urgent enough.
+func (q *waiting) pop(now time.Time, least int) (waiter, bool) {
 	if q.size == 0 {
 		return waiter{}, false
 	}
-	for r := range q.lines {
+	lines := q.lines[:least+1]
+	for r := range lines {
 		if i := q.earliest(now, r); i >= 0 {
 			return q.take(r, i), true
 		}
 	}
-	for r := range q.lines {
+	for r := range lines {
 		if n := len(q.lines[r]); n > 0 {
 			return q.take(r, n-1), true
 		}
@@ -89,6 +91,25 @@
 	return waiter{}, false
 }
 
+// overtaken takes the calls that have become late and that keep does not keep.
+func (q *waiting) overtaken(now time.Time, keep func(*waiter) bool) []waiter {
+	var out []waiter
+	for r := range q.lines {
+		for i := 0; i < len(q.lines[r]); i++ {
+			w := &q.lines[r][i]
+			if w.judged || !w.late(now) {
+				continue
+			}
+			w.judged = true
+			if !keep(w) {
+				out = append(out, q.take(r, i))
+				i--
+			}
+		}
+	}
+	return out
+}
+
 // earliest returns the index of the call in time that has to start first, -1 for none.
 func (q *waiting) earliest(now time.Time, r int) int {
 	best := -1
--- a/src/registry/follower.go
+++ b/src/registry/follower.go
@@ -17,6 +17,7 @@
 const (
 	watchWait    = 10 * time.Second       // a waiting watch is one call; its connection is watched by keep-alive
 	listTimeout  = time.Second            // a slow store takes up to half of it
+	settleTime   = 200 * time.Millisecond // after a watch has told changes, so that a series of them costs one call
 	retryMin     = 150 * time.Millisecond // after a failed call
 	retryMax     = 700 * time.Millisecond
 	peerTimeout  = 500 * time.Millisecond
@@ -107,9 +108,24 @@
 	f.after = max(f.after, revision)
 	f.step(StoreBack{})
 	f.step(Changed{Items: items})
+	if len(items) > 0 {
+		return sleep(ctx, settleTime)
+	}
 	return nil
 }
 
+// sleep waits unless ctx ends first.
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
+
 func (f *Follower) noteLost(err error) {
 	if !f.lost {
 		f.lost = true
