--- a/src/agent/agent.go
+++ b/src/agent/agent.go
@@ -57,9 +57,10 @@
 	mu      sync.Mutex // held while a table is built
 	members *roster.View
 
-	localMu sync.Mutex // held while the backend server's state changes
-	local   registry.Local
-	drained string // instance whose drain has been written to the store
+	localMu   sync.Mutex // held while the backend server's state changes
+	local     registry.Local
+	announced wire.Member // as last given to the announcer
+	drained   string      // instance whose drain has been written to the store
 }
 
 const (
@@ -122,7 +123,7 @@
 	s := a.Settings
 	m := wire.Member{
 		ID: a.id, Addr: linkAddr(a.Links), Service: s.Service, Domain: s.Domain, Region: s.Region,
-		Slots: uint16(a.local.Slots()), Ready: a.local.Instance() != "" && a.booking.Healthy(),
+		Slots: uint16(a.slotsLocked()), Ready: a.local.Instance() != "" && a.booking.Healthy(),
 	}
 	if b := a.local.Born(); !b.IsZero() {
 		m.StartedAt = b.UnixMilli()
@@ -133,6 +134,14 @@
 	return m
 }
 
+// slotsLocked returns how many calls the backend server runs at once, a usual number while it has not said.
+func (a *Agent) slotsLocked() int {
+	if n := a.local.Slots(); n > 0 {
+		return n
+	}
+	return settings.DefaultSlots
+}
+
 // IsReady tells whether clients are to be sent here.
 func (a *Agent) IsReady() bool { return a.inForce.Load() != nil && !a.leaving.Load() }
 
--- a/src/agent/backend.go
+++ b/src/agent/backend.go
@@ -95,8 +95,20 @@
 	return left
 }
 
-// announce has the entry written when it has changed.
-func (a *Agent) announce() { a.announcer.Set(a.member()) }
+// announce has the entry written when it has changed; an agent that never was ready is of no use to others.
+func (a *Agent) announce() {
+	a.localMu.Lock()
+	defer a.localMu.Unlock()
+	m, old := a.memberLocked(), a.announced
+	if old.ID == 0 && !m.Ready {
+		return
+	}
+	if m.Ready && old.Ready && !time.Now().Before(a.local.ColdUntil()) {
+		m.Slots, m.StartedAt = old.Slots, old.StartedAt // answers tell the slots; not worth a call to each agent
+	}
+	a.announced = m
+	a.announcer.Set(m)
+}
 
 // watchBackend learns the instance before the first heartbeat, and announces when the backend server goes down or up.
 func (a *Agent) watchBackend(ctx context.Context) error {
--- a/src/booking/admit.go
+++ b/src/booking/admit.go
@@ -37,6 +37,25 @@
 	defer s.mu.Unlock()
 	s.configure()
 	s.waiters[call] = verdict
+	e := arrival(call, h, spent)
+	for _, a := range s.step(e) {
+		if q, ok := a.(Queue); ok && q.Call == call {
+			return q.Wait, true
+		}
+	}
+	return 0, false
+}
+
+// refuses tells whether a call would be refused if it came now, before its body has come.
+func (s *Server) refuses(h wire.CallHead) (wire.Refusal, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.configure()
+	r, ok := s.core.Refuses(s.Now(), arrival(0, h, 0))
+	return wire.Refusal{Reason: r.Reason, RetryAfterMS: r.RetryAfter.Milliseconds()}, ok
+}
+
+func arrival(call uint64, h wire.CallHead, spent time.Duration) Arrive {
 	e := Arrive{Call: call, Route: h.Route, Priority: h.Priority, Final: h.Final}
 	if h.ObjectiveMS != 0 {
 		e.Objective = time.Duration(h.ObjectiveMS)*time.Millisecond - spent
@@ -44,12 +63,7 @@
 	if h.TimeoutMS > 0 {
 		e.Timeout = max(1, time.Duration(h.TimeoutMS)*time.Millisecond-spent)
 	}
-	for _, a := range s.step(e) {
-		if q, ok := a.(Queue); ok && q.Call == call {
-			return q.Wait, true
-		}
-	}
-	return 0, false
+	return e
 }
 
 // configure takes the limits of the document in force; s.mu is held.
--- a/src/booking/core.go
+++ b/src/booking/core.go
@@ -101,11 +101,28 @@
 	return c.times.mean * time.Duration(n+1) / time.Duration(c.limit)
 }
 
+// Refuses tells whether a call that came now would be refused; nothing changes by it.
+func (c *Core) Refuses(now time.Time, e Arrive) (Refuse, bool) {
+	if r, ok := c.shut(now, e.Call); ok {
+		return r.(Refuse), true
+	}
+	if c.limit == 0 || e.Objective == 0 || c.queue.before(e.Priority) == 0 && len(c.running) < c.limit-c.reserve(now, e.Priority) {
+		return Refuse{}, false
+	}
+	if r, ok := c.enqueueInTime(now, e, false)[0].(Refuse); ok {
+		return r, true
+	}
+	return Refuse{}, false
+}
+
 func (c *Core) arrive(now time.Time, e Arrive) []Action {
 	if refusal, ok := c.shut(now, e.Call); ok {
 		return []Action{refusal}
 	}
 	out := c.expire(now, nil)
+	if e.Objective > 0 {
+		c.slack.add(now, e.Priority, e.Objective-c.expect(now, e.Route))
+	}
 	least := c.times.least(now, e.Route)
 	switch {
 	case e.Timeout > 0 && least > e.Timeout:
@@ -113,7 +130,7 @@
 	case c.queue.before(e.Priority) == 0 && len(c.running) < c.limit-c.reserve(now, e.Priority):
 		return append(out, c.admit(now, e.Call, e.Route, e.Priority))
 	case e.Objective != 0:
-		return append(out, c.enqueueInTime(now, e)...)
+		return append(out, c.enqueueInTime(now, e, true)...)
 	}
 	return c.enqueue(now, e, least, out)
 }
@@ -139,9 +156,8 @@
 }
 
 // enqueueInTime queues a call that can expect an answer within its objective, or at least within its time; any other is refused at once.
-func (c *Core) enqueueInTime(now time.Time, e Arrive) []Action {
+func (c *Core) enqueueInTime(now time.Time, e Arrive, push bool) []Action {
 	service := c.expect(now, e.Route)
-	c.slack.add(now, e.Priority, e.Objective-service)
 	left := e.Timeout
 	if left == 0 {
 		left = c.QueueWait + service
@@ -159,7 +175,9 @@
 	case !e.Final, all+service > time.Duration(lateShare*float64(left)):
 		return []Action{Refuse{Call: e.Call, Reason: wire.ReasonQueueFull, RetryAfter: max(minRetry, all)}}
 	}
-	c.queue.push(w)
+	if push {
+		c.queue.push(w)
+	}
 	return []Action{Queue{Call: e.Call, Wait: w.until.Sub(now)}}
 }
 
--- a/src/booking/server.go
+++ b/src/booking/server.go
@@ -164,6 +164,10 @@
 	if h.BodyLength >= 0 && h.BodyLength <= inlineBody || h.BodyLength > maxSpool {
 		return in.Body(), func() {}, true
 	}
+	if r, ok := s.refuses(*h); ok {
+		s.refuse(in, *h, r)
+		return nil, nil, false
+	}
 	b, err := s.spool.read(in.Body())
 	if err != nil {
 		s.refuse(in, *h, wire.Refusal{Reason: reasonOf(ctx)})
--- a/src/command/agent.go
+++ b/src/command/agent.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/go-logr/logr"
@@ -15,6 +16,9 @@
 	"github.com/yuccaport/yuccaport/src/logs"
 )
 
+// gcPercent keeps the heap close to what is live: memory is dearer than processor time beside a backend server.
+const gcPercent = 40
+
 func agentCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "agent",
@@ -43,6 +47,7 @@
 		return err
 	}
 	a.File = file
+	debug.SetGCPercent(gcPercent)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	log.Info("agent started", "callers", s.Listen.Callers.String(), "service", s.Service, "domain", s.Domain)
--- a/src/dispatch/call_state.go
+++ b/src/dispatch/call_state.go
@@ -27,6 +27,7 @@
 	reached    bool      // an attempt may have reached a backend server, so that a further one counts as repeated
 	retryLayer bool
 	hasBody    bool
+	bulky      bool            // its body is dear to carry to another failure domain
 	attempts   []*attemptState // by number, from 1
 	mayHaveRun bool            // of any attempt that is over
 	notRun     int             // attempts that are proven not to have run
--- a/src/dispatch/choice.go
+++ b/src/dispatch/choice.go
@@ -33,6 +33,9 @@
 		return choice{c.leastBad(now, svc, pool), ChoiceLastResort}, true
 	}
 	svc.updateMedians(now)
+	if x := c.nearEnough(now, svc, good, s); x != nil {
+		return choice{x, ChoiceLocal}, true
+	}
 	warmest := c.maxShare(now, good)
 	for _, ring := range c.rings(p, good, s) {
 		if c.skips(now, ring, warmest) {
@@ -45,6 +48,20 @@
 	return c.chooseCrowded(now, svc, good), true
 }
 
+// nearEnough returns the best server of this failure domain for a call with a bulky body, if that is expected to answer in time.
+func (c *Core) nearEnough(now time.Time, svc *service, servers []*server, s *callState) *server {
+	if !s.bulky {
+		return nil
+	}
+	var best *server
+	for _, x := range servers {
+		if x.Domain == c.domain && c.inTime(now, s, choice{x, ChoiceLocal}) {
+			best = c.better(now, svc, best, x)
+		}
+	}
+	return best
+}
+
 // skips tells whether a ring of cold servers only is passed over this time.
 func (c *Core) skips(now time.Time, r ring, warmest float64) bool {
 	share := c.maxShare(now, r.servers)
--- a/src/dispatch/event.go
+++ b/src/dispatch/event.go
@@ -24,6 +24,7 @@
 	Left       time.Duration `json:"left_ns"`               // until the call's deadline
 	RetryLayer bool          `json:"retry_layer,omitempty"` // a daemon earlier in the chain retries
 	HasBody    bool          `json:"has_body,omitempty"`
+	Bulky      bool          `json:"bulky,omitempty"`        // its body is dear to carry to another failure domain
 	Objective  time.Duration `json:"objective_ns,omitempty"` // until the answer is late, 0 for no objective
 }
 
--- a/src/registry/follower.go
+++ b/src/registry/follower.go
@@ -17,7 +17,7 @@
 const (
 	watchWait    = 10 * time.Second       // a waiting watch is one call; its connection is watched by keep-alive
 	listTimeout  = time.Second            // a slow store takes up to half of it
-	settleTime   = 200 * time.Millisecond // after a watch has told changes, so that a series of them costs one call
+	settleTime   = 400 * time.Millisecond // after a watch has told changes, so that a series of them costs one call
 	retryMin     = 150 * time.Millisecond // after a failed call
 	retryMax     = 700 * time.Millisecond
 	peerTimeout  = 500 * time.Millisecond
