A slow store no longer holds up the agent: lock order of the announcer

The test fails without the change. Also: HasLeft compares whole keys; the shared retry budget is divided among the daemons, with a part kept for calls that run once; a series of changes is read with growing rests; an agent looks at its backend server as soon as it has a configuration.

--- a/src/agent/agent.go
+++ b/src/agent/agent.go
@@ -50,8 +50,9 @@
 	follower  *registry.Follower
 	announcer *registry.Announcer
 	inForce   atomic.Pointer[inForce]
-	leaving   atomic.Bool // no client is to be sent here
-	closed    atomic.Bool // no call is admitted to the backend server
+	leaving   atomic.Bool   // no client is to be sent here
+	wake      chan struct{} // has the backend server looked at at once
+	closed    atomic.Bool   // no call is admitted to the backend server
 	stopCut   func() bool
 
 	mu      sync.Mutex // held while a table is built
@@ -66,7 +67,11 @@
 const (
 	linkPing  = 250 * time.Millisecond // a link in use that is silent for four of them is taken for dead
 	linkHello = 500 * time.Millisecond // a VM that does not answer within it is not there
-	startWait = 300 * time.Millisecond // for which a new agent lets callers wait for its first configuration
+	coldStart = 3 * time.Second        // in which a backend server that has started takes less than its share
+	// budgetPart of the retry budget is used: the calls of a repeated run count as repeats too.
+	budgetPart = 0.7
+	startRetry = 200 * time.Millisecond // an agent that starts has its first configuration and members by then
+	startWait  = 250 * time.Millisecond // for which a new agent lets callers wait for its first configuration
 )
 
 // Build wires the parts; Run does it when it has not been done.
@@ -81,6 +86,7 @@
 		a.id = rand.Uint64()
 	}
 	s := a.Settings
+	a.wake = make(chan struct{}, 1)
 	a.members = roster.NewView(0, nil)
 	a.local = registry.Local{Service: s.Service, Addr: s.Backend.Addr}
 	a.booking = &booking.Server{
@@ -109,7 +115,8 @@
 }
 
 func (a *Agent) dispatchSettings() dispatch.Settings {
-	return dispatch.Settings{RetryShare: a.Settings.RetryBudget.Share / 2, ColdStart: 3 * time.Second}
+	b := a.Settings.RetryBudget
+	return dispatch.Settings{RetryShare: b.Share * budgetPart, SharedReserve: b.Reserve * budgetPart, ColdStart: coldStart, NotReadyRetry: startRetry}
 }
 
 // member returns what the agent announces of itself.
--- a/src/agent/backend.go
+++ b/src/agent/backend.go
@@ -120,6 +120,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-a.wake:
 		case <-t.C:
 		}
 	}
--- a/src/agent/in_force.go
+++ b/src/agent/in_force.go
@@ -57,6 +57,10 @@
 		return
 	}
 	a.booking.SetConnections(c.Connections[a.Settings.Service])
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
 	a.Log.Info("version in force", "version", c.Version, "before", before, "routes", len(c.Routes))
 }
 
--- a/src/agent/run.go
+++ b/src/agent/run.go
@@ -14,7 +14,7 @@
 const (
 	handover   = 2200 * time.Millisecond // two questions for readiness, after which no client is sent here
 	lastMoment = 600 * time.Millisecond  // before the kill, in which the last answers are written and travel
-	serveOn    = time.Second             // for which a stopping agent still admits calls to its backend server
+	serveOn    = 1900 * time.Millisecond // for which a stopping agent still admits calls to its backend server
 	linkGrace  = 200 * time.Millisecond  // for peers to close their links once no call is left; dead ones never do
 	drainPoll  = 20 * time.Millisecond
 )
--- a/src/dispatch/arrival.go
+++ b/src/dispatch/arrival.go
@@ -24,12 +24,12 @@
 	}
 	name, ok := c.target(e.Policy)
 	if !ok {
-		return c.refuse(s, wire.ReasonNotReady, noServerRetry)
+		return c.refuse(s, wire.ReasonNotReady, c.Settings.NotReadyRetry)
 	}
 	s.service = name
 	ch, ok := c.choose(now, s.policy, name, s)
 	if !ok {
-		return c.refuse(s, wire.ReasonNotReady, noServerRetry)
+		return c.refuse(s, wire.ReasonNotReady, c.Settings.NotReadyRetry)
 	}
 	if wait := ch.server.backlog(now); wait > e.Left {
 		return c.refuse(s, wire.ReasonDeadline, wait)
--- a/src/dispatch/budget.go
+++ b/src/dispatch/budget.go
@@ -3,6 +3,7 @@
 // budget bounds the retries and hedges towards one service.
 type budget struct {
 	tokens, reserve, share float64
+	kept                   float64 // tokens that are left to calls that may run only once
 }
 
 func newBudget(s Settings) *budget {
@@ -13,8 +14,12 @@
 func (b *budget) earn() { b.tokens = min(b.reserve, b.tokens+b.share) }
 
 // take uses up one retry, if there is one.
-func (b *budget) take() bool {
-	if b.tokens < 1 {
+func (b *budget) take(once bool) bool {
+	least := 1.0
+	if !once {
+		least += b.kept
+	}
+	if b.tokens < least {
 		return false
 	}
 	b.tokens--
--- a/src/dispatch/call_state.go
+++ b/src/dispatch/call_state.go
@@ -13,7 +13,6 @@
 	minLeft         = time.Millisecond      // a call with less time left is not sent
 	timerSlack      = 20 * time.Millisecond // the daemon beside the backend server gives up first and says whether the call ran
 	limitRetryAfter = 100 * time.Millisecond
-	noServerRetry   = time.Second
 )
 
 // callState is what the core knows of one call in flight.
--- a/src/dispatch/core.go
+++ b/src/dispatch/core.go
@@ -64,11 +64,27 @@
 		c.serviceOf(services, m.Service).add(s)
 	}
 	c.services = services
+	c.shareReserve(len(e.Members))
 	for _, svc := range services {
 		svc.limitAside(now, c.Settings.AsideShare)
 	}
 }
 
+// keptShare is the part of a shared reserve that is left to calls that may run only once: their callers cannot repeat them blindly.
+const keptShare = 0.4
+
+// shareReserve divides the retries that all daemons may have at once.
+func (c *Core) shareReserve(daemons int) {
+	if c.Settings.SharedReserve <= 0 || daemons == 0 {
+		return
+	}
+	for _, s := range c.services {
+		s.budget.reserve = c.Settings.SharedReserve / float64(daemons)
+		s.budget.tokens = min(s.budget.tokens, s.budget.reserve)
+		s.budget.kept = s.budget.reserve * keptShare
+	}
+}
+
 func (c *Core) serviceOf(services map[string]*service, name string) *service {
 	if s, ok := services[name]; ok {
 		return s
--- a/src/dispatch/result.go
+++ b/src/dispatch/result.go
@@ -100,7 +100,7 @@
 		}
 		s.final = true
 	}
-	if (s.reached || s.objective.IsZero()) && !c.services[ch.server.Service].budget.take() {
+	if (s.reached || s.objective.IsZero()) && !c.services[ch.server.Service].budget.take(!s.policy.Idempotent) {
 		return nil, false
 	}
 	return c.send(now, s, ch), true
--- a/src/dispatch/serve.go
+++ b/src/dispatch/serve.go
@@ -76,7 +76,7 @@
 	path, _ := sentPath(ctx)
 	t := p.table()
 	if t == nil {
-		p.refuse(ctx, RefuseCall{Reason: wire.ReasonNotReady, RetryAfter: time.Second})
+		p.refuse(ctx, RefuseCall{Reason: wire.ReasonNotReady, RetryAfter: p.Core.NotReadyRetry})
 		return
 	}
 	m, ok := t.Match(string(ctx.Host()), path, string(ctx.Method()))
--- a/src/dispatch/settings.go
+++ b/src/dispatch/settings.go
@@ -15,11 +15,13 @@
 // Settings sets how the core decides; a zero field takes its default.
 type Settings struct {
 	Selection     Selection     `json:"selection,omitempty"`
-	Timeout       time.Duration `json:"timeout_ns,omitempty"`    // of an attempt whose route states none
-	Deadline      time.Duration `json:"deadline_ns,omitempty"`   // of a call whose route states none
-	RetryShare    float64       `json:"retry_share,omitempty"`   // retries and hedges a call earns
-	RetryReserve  float64       `json:"retry_reserve,omitempty"` // retries a service may have at once
-	ColdStart     time.Duration `json:"cold_start_ns,omitempty"` // until a new member takes its full share
+	Timeout       time.Duration `json:"timeout_ns,omitempty"`         // of an attempt whose route states none
+	Deadline      time.Duration `json:"deadline_ns,omitempty"`        // of a call whose route states none
+	RetryShare    float64       `json:"retry_share,omitempty"`        // retries and hedges a call earns
+	SharedReserve float64       `json:"shared_reserve,omitempty"`     // retries that all daemons may have at once together, 0 for RetryReserve at each
+	RetryReserve  float64       `json:"retry_reserve,omitempty"`      // retries a service may have at once
+	NotReadyRetry time.Duration `json:"not_ready_retry_ns,omitempty"` // retry-after of a call for which there is no server or no configuration
+	ColdStart     time.Duration `json:"cold_start_ns,omitempty"`      // until a new member takes its full share
 	LoadHalfLife  time.Duration `json:"load_half_life_ns,omitempty"`
 	AsideShare    float64       `json:"aside_share,omitempty"` // of a service's members
 	AsideTime     time.Duration `json:"aside_time_ns,omitempty"`
@@ -35,6 +37,7 @@
 	setDefault(&s.Deadline, 5*time.Second)
 	setDefault(&s.RetryShare, 0.1)
 	setDefault(&s.RetryReserve, 10)
+	setDefault(&s.NotReadyRetry, time.Second)
 	setDefault(&s.ColdStart, 10*time.Second)
 	setDefault(&s.LoadHalfLife, time.Second)
 	setDefault(&s.AsideShare, 0.5)
--- a/src/registry/announcer.go
+++ b/src/registry/announcer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -90,8 +91,9 @@
 
 // HasLeft tells whether an instance has been marked as leaving.
 func (a *Announcer) HasLeft(ctx context.Context, instance string) (bool, error) {
-	items, _, err := a.Store.List(ctx, a.Keys.Left+instance)
-	return len(items) > 0, err
+	key := a.Keys.Left + instance
+	items, _, err := a.Store.List(ctx, key)
+	return slices.ContainsFunc(items, func(i Item) bool { return i.Key == key }), err
 }
 
 // Run keeps the entry until ctx is over, then ends its lease.
@@ -134,10 +136,11 @@
 
 func (a *Announcer) upToDate() bool {
 	a.state.Lock()
-	defer a.state.Unlock()
+	wanted, marker, missing := a.wanted, a.marker, a.missing
+	a.state.Unlock() // never held during a call to the store: Set must not wait for one
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.lease != 0 && !a.missing && a.wanted == a.written && a.marker == a.marked
+	return a.lease != 0 && !missing && wanted == a.written && marker == a.marked
 }
 
 func (a *Announcer) forget() {
--- /dev/null
+++ b/src/registry/announcer_test.go
@@ -0,0 +1,134 @@
+package registry
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	"github.com/yuccaport/yuccaport/src/problem"
+	"github.com/yuccaport/yuccaport/src/wire"
+)
+
+const soon = 5 * time.Second // for what takes milliseconds
+
+func eventually(c *qt.C, what string, ok func() bool) {
+	end := time.Now().Add(soon)
+	for !ok() {
+		c.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf("not %s", what))
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// startAnnouncer runs an announcer until the test ends.
+func startAnnouncer(c *qt.C, s *memoryStore) *Announcer {
+	a := &Announcer{Store: s, Keys: testKeys, Key: testKeys.member(addr(1)), Log: logr.Discard()}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- a.Run(ctx) }()
+	c.Cleanup(func() {
+		cancel()
+		c.Check(<-done, qt.IsNil)
+	})
+	return a
+}
+
+// Found by LOST on redes-pto trouble-3: a stop that fell into an outage of the store waited for it.
+func TestAnnouncerNeverHoldsItsCallerWhileTheStoreIsSilent(t *testing.T) {
+	c := qt.New(t)
+	s := newMemoryStore()
+	hold := make(chan struct{})
+	a := startAnnouncer(c, s)
+	a.Set(member(1))
+	eventually(c, "announced", func() bool { return s.has(a.Key) })
+	s.set(func() { s.hold = hold })
+	c.Cleanup(func() { close(hold) })
+	go func() { _ = a.Leave(context.Background(), "i-1") }() // as a heartbeat that tells of a drain
+	for i := range 400 {
+		m := member(1)
+		m.Slots = uint16(i)
+		began := time.Now()
+		a.Set(m)
+		a.Missing()
+		c.Assert(time.Since(began) < announceCall/2, qt.IsTrue, qt.Commentf("call %d took %s", i, time.Since(began)))
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// The same, as the schedule that the bench found: a renewal looks at the state while a farewell is calling the store.
+func TestSetDuringACallToTheStore(t *testing.T) {
+	c := qt.New(t)
+	a := &Announcer{Store: newMemoryStore(), Keys: testKeys, Key: testKeys.member(addr(1)), Log: logr.Discard()}
+	a.mu.Lock() // as write holds it while it calls the store
+	renewal, set := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(renewal)
+		a.upToDate()
+	}()
+	time.Sleep(20 * time.Millisecond)
+	go func() {
+		defer close(set)
+		a.Set(member(1))
+	}()
+	select {
+	case <-set:
+	case <-time.After(announceCall):
+		t.Error("Set waits for the store")
+	}
+	a.mu.Unlock()
+	<-renewal
+	<-set
+	c.Assert(a.upToDate(), qt.IsFalse)
+}
+
+func TestAnnouncerWritesAgain(t *testing.T) {
+	tests := map[string]func(s *memoryStore, a *Announcer){
+		"revoked":      func(s *memoryStore, _ *Announcer) { s.revoke() },
+		"answer lost":  func(s *memoryStore, _ *Announcer) { s.set(func() { s.lose = 1 }); s.revoke() },
+		"told missing": func(s *memoryStore, a *Announcer) { s.revoke(); a.Missing() },
+		"store was out": func(s *memoryStore, _ *Announcer) {
+			s.set(func() { s.fail = problem.New(problem.Unavailable, "", "", "") })
+			s.revoke()
+			s.set(func() { s.fail = nil })
+		},
+	}
+	for name, disturb := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			s := newMemoryStore()
+			a := startAnnouncer(c, s)
+			a.Set(member(1))
+			eventually(c, "announced", func() bool { return s.has(a.Key) })
+			disturb(s, a)
+			eventually(c, "announced again", func() bool { return s.has(a.Key) })
+		})
+	}
+}
+
+func TestLeaveIsKeptByTheStoreOrNotAcknowledged(t *testing.T) {
+	c := qt.New(t)
+	s := newMemoryStore()
+	a := startAnnouncer(c, s)
+	m := member(1)
+	a.Set(m)
+	eventually(c, "announced", func() bool { return s.has(a.Key) })
+	s.set(func() { s.fail = problem.New(problem.Unavailable, "", "", "") })
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	c.Assert(a.Leave(ctx, "i-1"), qt.IsNotNil)
+	s.set(func() { s.fail = nil; s.lose = 1 })
+	m.State = wire.StateLeaving
+	a.Set(m)
+	ctx, cancel = context.WithTimeout(context.Background(), soon)
+	defer cancel()
+	c.Assert(a.Leave(ctx, "i-1"), qt.IsNil)
+	successor := &Announcer{Store: s, Keys: testKeys, Key: a.Key, Log: logr.Discard()}
+	left, err := successor.HasLeft(ctx, "i-1")
+	c.Assert(err, qt.IsNil)
+	c.Assert(left, qt.IsTrue)
+	left, err = successor.HasLeft(ctx, "i-2")
+	c.Assert(err, qt.IsNil)
+	c.Assert(left, qt.IsFalse)
+}
--- a/src/registry/follower.go
+++ b/src/registry/follower.go
@@ -17,7 +17,9 @@
 const (
 	watchWait    = 10 * time.Second       // a waiting watch is one call; its connection is watched by keep-alive
 	listTimeout  = time.Second            // a slow store takes up to half of it
-	settleTime   = 400 * time.Millisecond // after a watch has told changes, so that a series of them costs one call
+	settleMin    = 50 * time.Millisecond  // after a watch has told changes, so that a series of them costs one call
+	settleMax    = 400 * time.Millisecond // while they go on: well inside the two seconds in which a configuration is to be in force
+	calmAfter    = time.Second            // without changes after which a series is over
 	retryMin     = 150 * time.Millisecond // after a failed call
 	retryMax     = 700 * time.Millisecond
 	peerTimeout  = 500 * time.Millisecond
@@ -37,12 +39,14 @@
 	OnMissing func()             // called when the store lacks the own entry
 	Log       logr.Logger
 
-	once  sync.Once
-	asks  chan struct{}
-	mu    sync.Mutex
-	core  Core
-	after uint64
-	lost  bool
+	once    sync.Once
+	asks    chan struct{}
+	mu      sync.Mutex
+	core    Core
+	after   uint64
+	settle  time.Duration // rest after the last changes
+	changed time.Time     // when that rest ended
+	lost    bool
 }
 
 func (f *Follower) init() {
@@ -108,10 +112,15 @@
 	f.after = max(f.after, revision)
 	f.step(StoreBack{})
 	f.step(Changed{Items: items})
-	if len(items) > 0 {
-		return sleep(ctx, settleTime)
+	if len(items) == 0 {
+		return nil
 	}
-	return nil
+	if time.Since(f.changed) > calmAfter {
+		f.settle = 0
+	}
+	f.settle = min(max(settleMin, 2*f.settle), settleMax)
+	defer func() { f.changed = time.Now() }()
+	return sleep(ctx, f.settle)
 }
 
 // sleep waits unless ctx ends first.
