--- a/src/booking/answer.go
+++ b/src/booking/answer.go
@@ -118,7 +118,7 @@
 func (x *exchange) logAnswer() {
 	x.s.counters.answered.Inc()
 	if log := x.s.decisions(); log.Enabled() {
-		log.Info("answered", "trace", x.head.TraceID, "route", x.head.Route, "attempt", x.head.Attempt, "instance", x.instance, "status", x.resp.StatusCode(),
+		log.Info("answered", "request_id", x.head.TraceID, "route", x.head.Route, "attempt", x.head.Attempt, "instance", x.instance, "status", x.resp.StatusCode(),
 			"waited_ms", x.admitted.Sub(x.arrived).Milliseconds(), "took_ms", x.s.Now().Sub(x.admitted).Milliseconds())
 	}
 }
--- a/src/booking/exchange.go
+++ b/src/booking/exchange.go
@@ -134,7 +134,7 @@
 	if x.ctx.Err() != nil {
 		r.Reason = reasonOf(x.ctx)
 	}
-	x.s.Log.V(1).Info("call broke off", "reason", err.Error(), "trace", x.head.TraceID)
+	x.s.Log.V(1).Info("call broke off", "reason", err.Error(), "request_id", x.head.TraceID)
 	if r.Reason != wire.ReasonCancelled {
 		x.s.observe(false)
 	}
--- a/src/command/agent.go
+++ b/src/command/agent.go
@@ -41,7 +41,9 @@
 		printf(cmd, "%s: settings are usable\n", file)
 		return nil
 	}
-	log := logs.New(os.Stdout, logs.FormatJSON, 0).WithValues("agent", s.Name)
+	out := &logs.Bounded{W: os.Stdout}
+	defer func() { _ = out.Sync() }()
+	log := logs.New(out, logs.FormatJSON, 0).WithValues("agent", s.Name)
 	a, err := openAgent(s, log)
 	if err != nil {
 		return err
--- a/src/dispatch/attempt.go
+++ b/src/dispatch/attempt.go
@@ -54,7 +54,7 @@
 	}
 	body := c.body.open()
 	c.count(s)
-	c.log().Info("dispatch", "trace", head.TraceID, "service", s.Service, "to", s.Member, "attempt", s.Attempt, "reason", string(s.Reason))
+	c.log().Info("dispatch", "request_id", head.TraceID, "service", s.Service, "to", s.Member, "attempt", s.Attempt, "reason", string(s.Reason))
 	if err := c.p.pool.Go(func() { a.run(head, body) }); err != nil {
 		a.deliver(link.Refused{Refusal: wire.Refusal{Reason: wire.ReasonLimit, RetryAfterMS: 1000}})
 	}
--- a/src/dispatch/call.go
+++ b/src/dispatch/call.go
@@ -142,7 +142,7 @@
 		c.p.counters.notRun.Inc()
 		c.payment.release()
 	}
-	c.log().Info("refused", "trace", c.head.TraceID, "reason", a.Reason.String(), "may_have_run", a.MayHaveRun)
+	c.log().Info("refused", "request_id", c.head.TraceID, "reason", a.Reason.String(), "may_have_run", a.MayHaveRun)
 	c.p.writeRefusal(c.ctx, a)
 }
 
--- a/src/dispatch/payment.go
+++ b/src/dispatch/payment.go
@@ -131,7 +131,7 @@
 func (c *call) refusePayment(err error) {
 	c.p.counters.notRun.Inc()
 	after := max(deposit.RetryAfter(err), time.Millisecond)
-	c.log().Info("refused", "trace", c.head.TraceID, "reason", "no_claim", "cause", err.Error())
+	c.log().Info("refused", "request_id", c.head.TraceID, "reason", "no_claim", "cause", err.Error())
 	c.p.setRetryAfter(c.ctx, after)
 	writeOwn(c.ctx, 503, outcomeNotRun, refusalBody{
 		Reason: "no_claim", Remedy: "repeat the request with the same key after retry-after; see the metrics of the store", RetryAfterMS: after.Milliseconds(),
--- a/src/dispatch/serve.go
+++ b/src/dispatch/serve.go
@@ -82,7 +82,7 @@
 	m, ok := t.Match(string(ctx.Host()), path, string(ctx.Method()))
 	if !ok {
 		p.counters.noRoute.Inc()
-		p.Log.Info("refused", "trace", p.requestID(ctx), "host", string(ctx.Host()), "path", path, "reason", "no_route", "version", t.Version)
+		p.Log.Info("refused", "request_id", p.requestID(ctx), "host", string(ctx.Host()), "path", path, "reason", "no_route", "version", t.Version)
 		closeUnread(ctx)
 		writeOwn(ctx, fasthttp.StatusNotFound, outcomeNotRun, refusalBody{
 			Reason: "no_route",
@@ -102,7 +102,7 @@
 // refuse answers a request that was not sent anywhere.
 func (p *Proxy) refuse(ctx *fasthttp.RequestCtx, r RefuseCall) {
 	p.counters.notRun.Inc()
-	p.Log.Info("refused", "trace", p.requestID(ctx), "host", string(ctx.Host()), "path", string(ctx.Path()), "reason", r.Reason.String(), "may_have_run", false)
+	p.Log.Info("refused", "request_id", p.requestID(ctx), "host", string(ctx.Host()), "path", string(ctx.Path()), "reason", r.Reason.String(), "may_have_run", false)
 	closeUnread(ctx)
 	p.writeRefusal(ctx, r)
 }
