--- a/src/dispatch/action.go
+++ b/src/dispatch/action.go
@@ -17,6 +17,8 @@
 	Service string        `json:"service"`
 	Timeout time.Duration `json:"timeout_ns"` // of this attempt
 	Reason  ChoiceReason  `json:"reason"`
+	Wait    time.Duration `json:"-"`               // expected at the member, as it told last
+	Age     time.Duration `json:"-"`               // since it told, 0 when it never has
 	Final   bool          `json:"final,omitempty"` // no other server is expected to be sooner
 }
 
--- a/src/dispatch/answer.go
+++ b/src/dispatch/answer.go
@@ -18,6 +18,9 @@
 	a.accepted = true
 	c.p.counters.answered.Inc()
 	h := a.reply.Head
+	took := c.p.Now().Sub(c.start)
+	c.p.counters.took.Update(took.Seconds())
+	c.log().Info("answered", "request_id", c.head.TraceID, "status", h.Status, "attempt", a.number, "by", a.member.ID, "took_ms", took.Milliseconds())
 	c.ctx.SetStatusCode(int(h.Status))
 	setFields(&c.ctx.Response.Header, h.Fields)
 	switch {
--- a/src/dispatch/arrival.go
+++ b/src/dispatch/arrival.go
@@ -89,9 +89,13 @@
 	s.attempts = append(s.attempts, a)
 	ch.server.began(a)
 	n := len(s.attempts)
+	age := time.Duration(0)
+	if ch.server.load.Slots > 0 {
+		age = now.Sub(ch.server.loadAt)
+	}
 	s.final = s.final || len(c.candidates(s.policy, c.services[ch.server.Service], s)) == 0
 	return []Action{
 		SetTimer{Call: s.id, Attempt: n, Timer: TimerAttempt, After: timeout + timerSlack},
-		SendAttempt{Call: s.id, Attempt: n, Member: ch.server.ID, Service: ch.server.Service, Timeout: timeout, Reason: ch.reason, Final: s.final},
+		SendAttempt{Call: s.id, Attempt: n, Member: ch.server.ID, Service: ch.server.Service, Timeout: timeout, Reason: ch.reason, Wait: ch.server.backlog(now), Age: age, Final: s.final},
 	}
 }
--- a/src/dispatch/call.go
+++ b/src/dispatch/call.go
@@ -142,7 +142,7 @@
 		c.p.counters.notRun.Inc()
 		c.payment.release()
 	}
-	c.log().Info("refused", "request_id", c.head.TraceID, "reason", a.Reason.String(), "may_have_run", a.MayHaveRun)
+	c.log().Info("refused", "request_id", c.head.TraceID, "reason", a.Reason.String(), "may_have_run", a.MayHaveRun, "retry_after_ms", a.RetryAfter.Milliseconds(), "took_ms", c.p.Now().Sub(c.start).Milliseconds())
 	c.p.writeRefusal(c.ctx, a)
 }
 
@@ -155,6 +155,7 @@
 	}
 	if a.refused != nil {
 		r := a.refused
+		c.log().Info("attempt failed", "request_id", c.head.TraceID, "attempt", n, "by", a.member.ID, "reason", r.Reason.String(), "may_have_run", r.MayHaveRun, "backlog_ms", r.Load.Backlog)
 		c.do(c.p.step(AttemptRefused{
 			Call: c.id, Attempt: n, Reason: r.Reason, MayHaveRun: r.MayHaveRun,
 			RetryAfter: time.Duration(r.RetryAfterMS) * time.Millisecond, BodySpent: c.body.spent(), Load: newLoad(r.Load),
@@ -171,6 +172,7 @@
 	}
 	c.over = true
 	c.p.counters.callerGone.Inc()
+	c.log().Info("caller gone", "request_id", c.head.TraceID, "after_ms", c.p.Now().Sub(c.start).Milliseconds())
 	c.payment.abandon()
 	c.do(c.p.step(CallerGone{Call: c.id}))
 	c.ctx.SetConnectionClose()
--- a/src/dispatch/counters.go
+++ b/src/dispatch/counters.go
@@ -6,6 +6,7 @@
 type counters struct {
 	calls, answered, notRun, mayHaveRun, noRoute, callerGone, cut *metrics.Counter
 	attempts, retries, hedges                                     *metrics.Counter
+	took                                                          *metrics.Histogram // until the head of the answer, in seconds
 }
 
 func newCounters(s *metrics.Set) *counters {
@@ -20,5 +21,6 @@
 		attempts:   s.NewCounter("yuccaport_dispatch_attempts_total"),
 		retries:    s.NewCounter("yuccaport_dispatch_retries_total"),
 		hedges:     s.NewCounter("yuccaport_dispatch_hedges_total"),
+		took:       s.NewHistogram("yuccaport_dispatch_answer_seconds"),
 	}
 }
