--- a/src/booking/core.go
+++ b/src/booking/core.go
@@ -88,6 +88,18 @@
 	return wire.Load{Free: int16(free), Slots: int16(c.Slots), Backlog: int32(c.backlog(c.queue.size).Milliseconds()), Service: int32(c.times.mean.Milliseconds())}
 }
 
+// LoadFor returns the free capacity as a call of a route and priority would find it.
+func (c *Core) LoadFor(now time.Time, route string, priority uint8) wire.Load {
+	l := c.Load(now)
+	if d := c.times.expected(now, route); d > 0 {
+		l.Service = int32(d.Milliseconds())
+	}
+	if c.Exact {
+		l.Backlog = int32(c.wait(now, priority, false).Milliseconds())
+	}
+	return l
+}
+
 // closed tells whether new calls are refused because the backend server leaves.
 func (c *Core) closed(now time.Time) bool {
 	return c.health == HealthDraining || c.draining && !now.Before(c.drainFrom)
--- a/src/booking/request.go
+++ b/src/booking/request.go
@@ -157,7 +157,7 @@
 
 // replyHead returns the head of the answer for the caller's daemon.
 func (x *exchange) replyHead(length int64) wire.ReplyHead {
-	h := wire.ReplyHead{Status: uint16(x.resp.StatusCode()), BodyLength: length, Load: x.s.Load()}
+	h := wire.ReplyHead{Status: uint16(x.resp.StatusCode()), BodyLength: length, Load: x.s.loadFor(x.head)}
 	h.Fields = make([]wire.Field, 0, x.resp.Header.Len())
 	for k, v := range x.resp.Header.All() {
 		if name := string(k); !isOwn(name) && !isFraming(name) {
--- a/src/booking/server.go
+++ b/src/booking/server.go
@@ -178,7 +178,7 @@
 }
 
 func (s *Server) refuse(in link.Inbound, h wire.CallHead, r wire.Refusal) {
-	r.Load = s.Load()
+	r.Load = s.loadFor(h)
 	in.Refuse(r)
 	s.counters.refused(r.Reason)
 	if log := s.decisions(); log.Enabled() {
@@ -222,6 +222,12 @@
 	return s.core.Load(s.Now())
 }
 
+func (s *Server) loadFor(h wire.CallHead) wire.Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.LoadFor(s.Now(), h.Route, h.Priority)
+}
+
 // InFlight returns the number of calls that hold a slot.
 func (s *Server) InFlight() int {
 	s.init()
--- a/src/dispatch/choice.go
+++ b/src/dispatch/choice.go
@@ -36,6 +36,9 @@
 	if x := c.nearEnough(now, svc, good, s); x != nil {
 		return choice{x, ChoiceLocal}, true
 	}
+	if !s.objective.IsZero() {
+		return c.soonest(now, svc, good, s), true
+	}
 	warmest := c.maxShare(now, good)
 	for _, ring := range c.rings(p, good, s) {
 		if c.skips(now, ring, warmest) {
--- a/src/dispatch/core_test.go
+++ b/src/dispatch/core_test.go
@@ -90,7 +90,7 @@
 			now := time.Unix(0, 0)
 			if tc.full {
 				for _, s := range y.core.members {
-					s.told(now, Load{Free: -40, Slots: 12, Backlog: 3 * time.Second})
+					s.told(now, "", Load{Free: -40, Slots: 12, Backlog: 3 * time.Second})
 				}
 			}
 			if tc.policy.Targets == nil {
--- a/src/dispatch/result.go
+++ b/src/dispatch/result.go
@@ -17,7 +17,7 @@
 		return nil
 	}
 	a.server.settled(a)
-	a.server.told(now, e.Load)
+	a.server.told(now, s.policy.Route, e.Load)
 	c.observeAnswer(now, a.server, e.Status, now.Sub(a.sent))
 	if unavailable(e.Status) && s.policy.Idempotent {
 		if out, ok := c.replace(now, s, e.Attempt); ok {
@@ -59,7 +59,7 @@
 		return nil
 	}
 	a.drop()
-	a.server.told(now, e.Load)
+	a.server.told(now, s.policy.Route, e.Load)
 	c.observeFailure(now, a.server, e.Reason, e.Load)
 	s.reached = s.reached || e.MayHaveRun || e.Reason == wire.ReasonShed
 	if e.MayHaveRun {
@@ -114,7 +114,7 @@
 	if s.objective.IsZero() {
 		return ch.reason != ChoiceSaturated
 	}
-	return !now.Add(ch.server.backlog(now) + ch.server.load.Service).After(s.objective)
+	return !now.Add(ch.server.wait(now, s.policy.Route) + ch.server.services[s.policy.Route]).After(s.objective)
 }
 
 // timer acts on an attempt that takes too long.
--- a/src/dispatch/server.go
+++ b/src/dispatch/server.go
@@ -21,6 +21,7 @@
 	errorCost      = 4.0
 	maxWaitingCost = 4.0
 	usableCapacity = 0.9             // of the slots; beyond it other failure domains are used
+	maxRoutes      = 256             // whose service times are kept for a server
 	memoryHalfLife = 3 * time.Second // of what answers have shown, while no further ones come
 )
 
@@ -32,6 +33,7 @@
 	inFlight int             // our own attempts
 	waiting  []*attemptState // those without an answer yet, the oldest first
 
+	services  map[string]time.Duration // service time that it has told, by route
 	load      Load
 	loadAt    time.Time
 	ownAtLoad int // our own attempts when load was told
@@ -110,7 +112,7 @@
 
 // memory returns the cost of earlier errors and slow answers, which fades while no further ones come.
 func (s *server) memory(now time.Time, median time.Duration) float64 {
-	penalty := errorCost * s.errorRate
+	penalty := s.errorPenalty()
 	if s.samples >= fewSamples {
 		penalty += max(0, float64(s.recent())/float64(median+latencySlack)-1)
 	}
@@ -118,6 +120,13 @@
 	return penalty * fade
 }
 
+func (s *server) errorPenalty() float64 { return errorCost * s.errorRate }
+
+// errors returns the cost of earlier errors alone, which fades while no further ones come.
+func (s *server) errors(now time.Time) float64 {
+	return s.errorPenalty() * math.Exp2(-now.Sub(s.observedAt).Seconds()/memoryHalfLife.Seconds())
+}
+
 // lateness returns the cost of an attempt that has waited for longer than usual.
 func (s *server) lateness(now time.Time, median time.Duration) float64 {
 	if len(s.waiting) == 0 || median == 0 {
@@ -153,10 +162,16 @@
 }
 
 // told takes over the load that came with an answer.
-func (s *server) told(now time.Time, l Load) {
+func (s *server) told(now time.Time, route string, l Load) {
 	if l.Slots <= 0 {
 		return
 	}
+	if l.Service > 0 {
+		if s.services == nil || len(s.services) >= maxRoutes {
+			s.services = map[string]time.Duration{}
+		}
+		s.services[route] = l.Service
+	}
 	s.load, s.loadAt, s.ownAtLoad = l, now, s.inFlight
 }
 
--- /dev/null
+++ b/src/dispatch/soonest.go
@@ -0,0 +1,89 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	calmLoad    = 0.75 // of the slots; beyond it a call is likely to wait or to be slowed down
+	crowdedCost = 0.5  // of the service time, at all slots in use
+	domainCost  = 0.2  // of the service time, for a server in another failure domain
+	regionCost  = 0.5  // for one in another region
+	domainDelay = 3 * time.Millisecond
+	spreadCost  = 0.1 // of the cost, at random, so that daemons that know the same do not all choose the same
+)
+
+// soonest returns the server that is expected to answer a call first.
+func (c *Core) soonest(now time.Time, svc *service, servers []*server, s *callState) choice {
+	usual := usualService(servers, s.policy.Route)
+	var best *server
+	var least float64
+	for _, x := range servers {
+		cost := c.expected(now, svc, x, s, usual) * (1 + spreadCost*c.Rand.Float64())
+		if best == nil || cost < least {
+			best, least = x, cost
+		}
+	}
+	reason := ChoiceAny
+	switch {
+	case best.busy(now, c.Settings.LoadHalfLife)+1 > best.slots():
+		reason = ChoiceSaturated
+	case best.Domain == c.domain:
+		reason = ChoiceLocal
+	case c.region != "" && best.Region == c.region:
+		reason = ChoiceRegion
+	}
+	return choice{best, reason}
+}
+
+// expected returns the time until a server's answer in seconds, with what is to be expected of its errors and distance.
+func (c *Core) expected(now time.Time, svc *service, x *server, s *callState, usual time.Duration) float64 {
+	service := x.services[s.policy.Route]
+	if service == 0 {
+		service = usual
+	}
+	t := service.Seconds()
+	load := (x.busy(now, c.Settings.LoadHalfLife) + 1) / x.slots()
+	cost := t * (1 + crowdedCost*max(0, min(load, 1)-calmLoad)/(1-calmLoad))
+	cost += x.wait(now, s.policy.Route).Seconds()
+	if x.Domain != c.domain {
+		far := domainCost
+		if x.Region != c.region {
+			far = regionCost
+		}
+		cost += far*t + domainDelay.Seconds()
+	}
+	cost *= 2 - x.share(now, c.Settings.ColdStart)
+	return cost * (1 + x.errors(now) + x.lateness(now, svc.medianLatency))
+}
+
+// usualService returns the median service time of a route over the servers that have told one.
+func usualService(servers []*server, route string) time.Duration {
+	known := make([]time.Duration, 0, len(servers))
+	for _, x := range servers {
+		if d := x.services[route]; d > 0 {
+			known = append(known, d)
+		}
+	}
+	if len(known) == 0 {
+		return time.Millisecond
+	}
+	slices.Sort(known)
+	return known[(len(known)-1)/2]
+}
+
+// wait returns how long a call would wait for a slot: what the server told, less the time since, and the calls sent there since.
+func (s *server) wait(now time.Time, route string) time.Duration {
+	told := s.backlog(now)
+	since := max(0, s.inFlight-s.ownAtLoad)
+	if over := s.busyNow(now) + 1 - s.slots(); over > 0 && since > 0 {
+		told += time.Duration(min(over, float64(since)) / s.slots() * float64(s.services[route]))
+	}
+	return told
+}
+
+// busyNow returns the slots in use as last told, with our own calls since.
+func (s *server) busyNow(now time.Time) float64 { return s.busy(now, busyFade) }
+
+const busyFade = time.Second // half-life of what a server told of the calls of others
--- /dev/null
+++ b/src/dispatch/soonest_test.go
@@ -0,0 +1,148 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/yuccaport/yuccaport/src/wire"
+)
+
+const ms = time.Millisecond
+
+// objectiveCore returns a core in domain "a" that knows warm servers 1 to 4: two in its own failure domain, two in another.
+func objectiveCore() *Core {
+	c := &Core{Settings: Settings{SharedReserve: 8, NotReadyRetry: 200 * ms}.WithDefaults(), Rand: rand.New(rand.NewPCG(1, 2))}
+	e := TableChanged{Domain: "a", Region: "r"}
+	for id := range uint64(4) {
+		domain := "a"
+		if id >= 2 {
+			domain = "b"
+		}
+		e.Members = append(e.Members, Member{ID: id + 1, Service: "bookings", Domain: domain, Region: "r", Slots: 10, Ready: true, Age: time.Hour})
+	}
+	c.Step(epoch, e)
+	return c
+}
+
+var epoch = time.Unix(0, 0)
+
+var readPolicy = &Policy{Service: "host", Route: "read", Targets: []Target{{Service: "bookings", Weight: 1}}, Idempotent: true, Attempts: 2, Timeout: time.Second}
+
+// tell has a server answer a call with a load.
+func tell(c *Core, id uint64, l Load) {
+	s := c.members[id]
+	s.told(epoch, "read", l)
+}
+
+func arrive(c *Core, call uint64, bulky bool) SendAttempt {
+	for _, a := range c.Step(epoch, CallArrived{Call: call, Policy: readPolicy, Left: time.Second, Objective: 300 * ms, Bulky: bulky}) {
+		if s, ok := a.(SendAttempt); ok {
+			return s
+		}
+	}
+	return SendAttempt{}
+}
+
+// Patterns of who gets the next call, by what the servers told last.
+func TestSoonestServer(t *testing.T) {
+	calm := Load{Free: 8, Slots: 10, Service: 100 * ms}
+	full := Load{Free: -2, Slots: 10, Service: 100 * ms, Backlog: 150 * ms}
+	slow := Load{Free: 8, Slots: 10, Service: 220 * ms}
+	fast := Load{Free: 8, Slots: 10, Service: 60 * ms}
+	tests := map[string]struct {
+		loads [4]Load
+		bulky bool
+		want  []uint64
+	}{
+		"equal servers: stay in the failure domain":        {[4]Load{calm, calm, calm, calm}, false, []uint64{1, 2}},
+		"slow server beside a faster one":                  {[4]Load{slow, calm, calm, calm}, false, []uint64{2}},
+		"slow failure domain":                              {[4]Load{slow, slow, calm, calm}, false, []uint64{3, 4}},
+		"much faster server elsewhere":                     {[4]Load{calm, calm, calm, fast}, false, []uint64{4}},
+		"full failure domain":                              {[4]Load{full, full, calm, calm}, false, []uint64{3, 4}},
+		"full failure domain, upload that is in time here": {[4]Load{full, full, calm, calm}, true, []uint64{1, 2}},
+		"upload that would be late here":                   {[4]Load{{Free: -9, Slots: 10, Service: 100 * ms, Backlog: 400 * ms}, {Free: -9, Slots: 10, Service: 100 * ms, Backlog: 400 * ms}, calm, calm}, true, []uint64{3, 4}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := objectiveCore()
+			for i, l := range tc.loads {
+				tell(c, uint64(i+1), l)
+			}
+			got := arrive(c, 1, tc.bulky)
+			qt.Assert(t, tc.want, qt.Contains, got.Member)
+			qt.Assert(t, got.Final, qt.IsFalse)
+		})
+	}
+}
+
+// Pattern: every server is full. The call goes round while refusals cost nothing, is then offered once as late, and is refused at once after that.
+func TestRefusedByAll(t *testing.T) {
+	c := objectiveCore()
+	full := Load{Free: -9, Slots: 10, Service: 100 * ms, Backlog: 400 * ms}
+	for id := range uint64(4) {
+		tell(c, id+1, full)
+	}
+	s := arrive(c, 1, false)
+	sends, finals := 1, 0
+	for {
+		var next *SendAttempt
+		for _, a := range c.Step(epoch, AttemptRefused{Call: 1, Attempt: s.Attempt, Reason: wire.ReasonQueueFull, RetryAfter: 250 * ms, Load: full}) {
+			switch a := a.(type) {
+			case SendAttempt:
+				next = &a
+			case RefuseCall:
+				qt.Assert(t, a, qt.Equals, RefuseCall{Call: 1, Reason: wire.ReasonQueueFull, RetryAfter: 250 * ms})
+			}
+		}
+		if next == nil {
+			break
+		}
+		s = *next
+		sends++
+		if s.Final {
+			finals++
+		}
+	}
+	qt.Assert(t, finals, qt.Equals, 1)
+	qt.Assert(t, sends <= 1+maxReplaced+1, qt.IsTrue)
+	qt.Assert(t, c.services["bookings"].budget.tokens, qt.Equals, c.services["bookings"].budget.reserve, qt.Commentf("refusals beside the servers are no arrivals"))
+}
+
+// Pattern: grey servers shed part of their calls. Each further attempt may reach a server and draws on the shared budget, of which a part is left to payments.
+func TestShedCallsDrawOnTheSharedBudget(t *testing.T) {
+	c := objectiveCore()
+	shed := func(call uint64, p *Policy) bool {
+		var s SendAttempt
+		for _, a := range c.Step(epoch, CallArrived{Call: call, Policy: p, Left: time.Second, Objective: 300 * ms}) {
+			if a, ok := a.(SendAttempt); ok {
+				s = a
+			}
+		}
+		for _, a := range c.Step(epoch, AttemptRefused{Call: call, Attempt: s.Attempt, Reason: wire.ReasonShed}) {
+			if _, ok := a.(SendAttempt); ok {
+				return true
+			}
+		}
+		return false
+	}
+	c.services["bookings"].budget.share = 0
+	reads := 0
+	for call := range uint64(50) {
+		if shed(call+1, readPolicy) {
+			reads++
+		}
+	}
+	pay := *readPolicy
+	pay.Idempotent = false
+	payments := 0
+	for call := range uint64(50) {
+		if shed(call+100, &pay) {
+			payments++
+		}
+	}
+	qt.Assert(t, reads+payments, qt.Equals, 2, qt.Commentf("the reserve of 8 is shared by 4 daemons"))
+	qt.Assert(t, payments, qt.Equals, 1)
+}
