--- a/src/dispatch/caller_conn.go
+++ b/src/dispatch/caller_conn.go
@@ -145,6 +145,16 @@
 	}
 }
 
+// headerLate tells whether the time for a header that has begun is over.
+func (c *callerConn) headerLate() bool {
+	if c == nil {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.headerEnd.IsZero() && !time.Now().Before(c.headerEnd)
+}
+
 // setBusy takes in that a request's header is whole, or that its answer is written.
 func (c *callerConn) setBusy(busy bool) {
 	c.mu.Lock()
--- /dev/null
+++ b/src/dispatch/live_limits_test.go
@@ -0,0 +1,164 @@
+package dispatch_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/yuccaport/yuccaport/src/dispatch"
+	"github.com/yuccaport/yuccaport/src/header"
+	"github.com/yuccaport/yuccaport/src/link"
+	"github.com/yuccaport/yuccaport/src/wire"
+)
+
+// TestMalformedRequestsRunNothing sends requests that could be read in two ways, each with a second one hidden in it.
+func TestMalformedRequestsRunNothing(t *testing.T) {
+	hidden := "POST /diary/hidden HTTP/1.1\r\nHost: bookings.example\r\nContent-Length: 0\r\n\r\n"
+	chunked := "0\r\n\r\n" + hidden
+	tests := map[string]struct {
+		request string
+		status  int
+	}{
+		"length and chunks":       {"POST /diary HTTP/1.1\r\nHost: bookings.example\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked, 400},
+		"chunks and length":       {"POST /diary HTTP/1.1\r\nHost: bookings.example\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n" + chunked, 400},
+		"identity and length":     {"POST /diary HTTP/1.1\r\nHost: bookings.example\r\nTransfer-Encoding: identity\r\nContent-Length: 0\r\n\r\n" + hidden, 400},
+		"another encoding":        {"POST /diary HTTP/1.1\r\nHost: bookings.example\r\nTransfer-Encoding: gzip, chunked\r\n\r\n" + chunked, 400},
+		"two lengths":             {"POST /diary HTTP/1.1\r\nHost: bookings.example\r\nContent-Length: 0\r\nContent-Length: 80\r\n\r\n" + hidden, 400},
+		"signed length":           {"POST /diary HTTP/1.1\r\nHost: bookings.example\r\nContent-Length: +0\r\n\r\n" + hidden, 400},
+		"blank before the colon":  {"POST /diary HTTP/1.1\r\nHost: bookings.example\r\nContent-Length : 80\r\n\r\n" + hidden, 400},
+		"continued line":          {"POST /diary HTTP/1.1\r\nHost: bookings.example\r\nX-A: b\r\n Content-Length: 80\r\n\r\n" + hidden, 400},
+		"two hosts":               {"POST /diary HTTP/1.1\r\nHost: bookings.example\r\nHost: other.example\r\nContent-Length: 0\r\n\r\n" + hidden, 400},
+		"no host":                 {"POST /diary HTTP/1.1\r\nContent-Length: 0\r\n\r\n" + hidden, 400},
+		"whole address as target": {"GET http://bookings.example/diary HTTP/1.1\r\nHost: bookings.example\r\n\r\n" + hidden, 400},
+		"no path as target":       {"GET diary HTTP/1.1\r\nHost: bookings.example\r\n\r\n" + hidden, 400},
+		"header too large":        {"GET /diary HTTP/1.1\r\nHost: bookings.example\r\nX-A: " + strings.Repeat("x", 3000) + "\r\n\r\n" + hidden, 431},
+		"body too large":          {"POST /diary HTTP/1.1\r\nHost: bookings.example\r\nContent-Length: 100000\r\n\r\n" + hidden, 413},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			var mu sync.Mutex
+			ran := []string{}
+			p := start(t, diary, func(_ context.Context, _ link.Peer, h wire.CallHead, _ io.Reader) link.Outcome {
+				mu.Lock()
+				defer mu.Unlock()
+				ran = append(ran, h.URI)
+				return reply(200, "")
+			}, func(p *dispatch.Proxy) {
+				p.Limits = func() dispatch.Limits { return dispatch.Limits{Header: 2048, Body: 1000} }
+			})
+			conn := p.raw(c, tc.request)
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			c.Assert(err, qt.IsNil)
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+			c.Check(resp.StatusCode, qt.Equals, tc.status)
+			_, err = io.Copy(io.Discard, conn)
+			c.Check(err, qt.IsNil, qt.Commentf("the connection is closed"))
+			mu.Lock()
+			defer mu.Unlock()
+			c.Check(ran, qt.HasLen, 0)
+		})
+	}
+}
+
+// TestRouteByThePathAsSent: a backend server sees the path as sent, so the route is chosen by it.
+func TestRouteByThePathAsSent(t *testing.T) {
+	tests := map[string]struct {
+		path   string
+		status int
+	}{
+		"plain":            {"/diary/a", 200},
+		"with a query":     {"/diary/a?x=/deposits", 200},
+		"dots":             {"/diary/../deposits", 200},
+		"dots to a route":  {"/deposits/../diary/a", 404},
+		"doubled slash":    {"//diary/a", 404},
+		"escaped letter":   {"/di%61ry/a", 404},
+		"prefix of a word": {"/diaryx", 404},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			sent := ""
+			p := start(t, diary, func(_ context.Context, _ link.Peer, h wire.CallHead, _ io.Reader) link.Outcome {
+				sent = h.URI
+				return reply(200, "")
+			})
+			conn := p.raw(c, "GET "+tc.path+" HTTP/1.1\r\nHost: bookings.example\r\nConnection: close\r\n\r\n")
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			c.Assert(err, qt.IsNil)
+			_ = resp.Body.Close()
+			c.Check(resp.StatusCode, qt.Equals, tc.status)
+			if tc.status == 200 {
+				c.Check(sent, qt.Equals, tc.path)
+			}
+		})
+	}
+}
+
+func TestSlowHeaderAndIdleConnectionAreEnded(t *testing.T) {
+	tests := map[string]struct {
+		request string
+		limits  dispatch.Limits
+		want    string
+	}{
+		"slow header": {"GET /diary HTTP/1.1\r\nHost: boo", dispatch.Limits{HeaderTimeout: 50 * time.Millisecond, IdleTimeout: time.Minute}, "HTTP/1.1 408"},
+		"idle":        {"", dispatch.Limits{HeaderTimeout: time.Minute, IdleTimeout: 50 * time.Millisecond}, ""},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			p := start(t, diary, func(context.Context, link.Peer, wire.CallHead, io.Reader) link.Outcome { return reply(200, "") },
+				func(p *dispatch.Proxy) { p.Limits = func() dispatch.Limits { return tc.limits } })
+			conn := p.raw(c, tc.request)
+			b, err := io.ReadAll(conn)
+			c.Assert(err, qt.IsNil)
+			c.Check(strings.HasPrefix(string(b), tc.want), qt.IsTrue, qt.Commentf("%q", b))
+		})
+	}
+}
+
+// TestHeadersOfThePlatform: the caller's deadline bounds the call, its ID goes through and comes back, and nobody can forge where it began.
+func TestHeadersOfThePlatform(t *testing.T) {
+	c := qt.New(t)
+	names := header.Names{RequestID: "Request-Id", Deadline: "Deadline-Milliseconds", Caller: "Calling-Service", Expect: "Expected-Instance", Fractions: true}
+	var head wire.CallHead
+	refuse := false
+	p := start(t, diary, func(_ context.Context, _ link.Peer, h wire.CallHead, _ io.Reader) link.Outcome {
+		head = h
+		if refuse {
+			return link.Refused{Refusal: wire.Refusal{Reason: wire.ReasonLimit, RetryAfterMS: 250}}
+		}
+		return reply(200, "")
+	}, func(p *dispatch.Proxy) {
+		p.Headers = names
+		p.Self = func() wire.Member { return wire.Member{Domain: "mid-a", Service: "bookings"} }
+	})
+	fields := []string{"Request-Id", "r-1", "Deadline-Milliseconds", "400", "Calling-Service", "forged", "Expected-Instance", "forged"}
+	got, err := p.do("GET", "/diary", nil, fields...)
+	c.Assert(err, qt.IsNil)
+	c.Check(got.header.Get("Request-Id"), qt.Equals, "r-1")
+	c.Check(head.TraceID, qt.Equals, "r-1")
+	c.Check(head.Caller, qt.Equals, "bookings")
+	c.Check(head.TimeoutMS <= 400, qt.IsTrue)
+	sent := map[string]string{}
+	for _, f := range head.Fields {
+		sent[f.Name] = f.Value
+	}
+	c.Check(sent["Request-Id"], qt.Equals, "r-1")
+	for _, name := range []string{"Calling-Service", "Expected-Instance", "Deadline-Milliseconds"} {
+		c.Check(sent[name], qt.Equals, "")
+	}
+	refuse = true
+	got, err = p.do("GET", "/diary", nil, fields...)
+	c.Assert(err, qt.IsNil)
+	c.Check(got.status, qt.Equals, 503)
+	c.Check(got.header.Get("Retry-After"), qt.Equals, "0.250")
+}
--- a/src/dispatch/proxy.go
+++ b/src/dispatch/proxy.go
@@ -26,6 +26,7 @@
 const (
 	maxHeaderSize  = 32 << 10 // bytes of a request's header
 	maxConns       = 16384    // callers' connections
+	earlyBody      = 1        // bytes of a request body that the HTTP library reads before the proxy sees the request
 	prefetchSize   = 64 << 10 // bytes of a request body that are read before the call is dispatched
 	defaultStall   = 60 * time.Second
 	defaultGrace   = 30 * time.Second
@@ -200,7 +201,8 @@
 		NoDefaultDate:                true,
 		NoDefaultContentType:         true,
 		ReadBufferSize:               maxHeaderSize,
-		MaxRequestBodySize:           prefetchSize,
+		MaxRequestBodySize:           earlyBody,
+		ErrorHandler:                 p.unreadable,
 		Logger:                       serverLog{p.Log},
 		ConnState:                    markIdle,
 	}
--- a/src/dispatch/serve.go
+++ b/src/dispatch/serve.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"os"
 	"strconv"
 	"time"
 
@@ -56,6 +58,23 @@
 	writeOwn(ctx, status, outcomeNotRun, refusalBody{Reason: reason, Remedy: remedy})
 }
 
+// unreadable answers a request whose header cannot be read, or has not come in time.
+func (p *Proxy) unreadable(ctx *fasthttp.RequestCtx, err error) {
+	status, reason := fasthttp.StatusBadRequest, "malformed"
+	var small *fasthttp.ErrSmallBuffer
+	conn, _ := ctx.Conn().(*callerConn)
+	switch {
+	case errors.As(err, &small):
+		status, reason = fasthttp.StatusRequestHeaderFieldsTooLarge, "header_too_large"
+	case errors.Is(err, os.ErrDeadlineExceeded) || conn.headerLate():
+		status, reason = fasthttp.StatusRequestTimeout, "header_timeout"
+	}
+	p.counters.notRun.Inc()
+	p.Log.Info("rejected", "reason", reason, "status", status, "cause", err.Error())
+	ctx.SetConnectionClose()
+	writeOwn(ctx, status, outcomeNotRun, refusalBody{Reason: reason, Remedy: "send the whole header of a well-formed request in time"})
+}
+
 // requestID returns the caller's ID of a request, empty for none.
 func (p *Proxy) requestID(ctx *fasthttp.RequestCtx) string {
 	if p.Headers.RequestID == "" {
