--- a/src/booking/exchange.go
+++ b/src/booking/exchange.go
@@ -123,7 +123,7 @@
 	case errors.Is(err, errNoConnection):
 		r.Reason = wire.ReasonLimit
 	default:
-		x.s.observe(false)
+		x.s.observeConnect()
 	}
 	x.refuse(r)
 }
--- a/src/booking/health.go
+++ b/src/booking/health.go
@@ -14,6 +14,7 @@
 const (
 	probeEvery    = 500 * time.Millisecond
 	probeTimeout  = time.Second
+	connectsDown  = 2               // connections refused in a row after which a backend server that tells its state is down all the same
 	failuresDown  = 5               // failed calls in a row after which a backend server is down whatever its health endpoint says
 	trustCallsFor = 2 * time.Second // an answered call outweighs a failed probe for it
 	retryDown     = 1 * time.Second // time after which a backend server that calls condemned is tried again
@@ -24,6 +25,7 @@
 type health struct {
 	state    HealthState
 	failures int       // calls failed in a row
+	connects int       // connections refused in a row
 	answered time.Time // of the last answered call
 	down     time.Time // when failed calls took it down, zero when they did not
 }
@@ -96,14 +98,32 @@
 func (s *Server) observe(answered bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.Now()
 	if answered {
-		s.health.failures, s.health.answered = 0, now
+		s.health.failures, s.health.connects, s.health.answered = 0, 0, s.Now()
 		return
 	}
+	if s.Told {
+		return // it still says that it takes calls; those who choose among servers judge by what became of them
+	}
+	s.failed()
+}
+
+// observeConnect takes in that the backend server has refused a connection.
+func (s *Server) observeConnect() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.health.connects++
+	if s.Told && s.health.connects >= connectsDown {
+		s.health.failures = failuresDown - 1
+	}
+	s.failed()
+}
+
+// failed takes in a failed call; s.mu is held.
+func (s *Server) failed() {
 	s.health.failures++
 	if s.health.failures == failuresDown {
-		s.health.down = now
+		s.health.down = s.Now()
 		s.setHealth(HealthDown)
 	}
 }
--- a/src/registry/announcer.go
+++ b/src/registry/announcer.go
@@ -17,7 +17,8 @@
 	entryTTL     = 4 * time.Second // an agent that is killed stays listed for it at most; links tell its death sooner
 	renewEvery   = entryTTL / 3
 	retryEvery   = 400 * time.Millisecond // after a failed call: two attempts in a second of a store that has come back
-	markerTTL    = 30 * time.Second       // longer than a backend server goes on after it has said that it leaves
+	markerTTL    = 10 * time.Minute       // the longest lease: a backend server that leaves is gone long before
+	markerRenew  = markerTTL / 3
 	announceCall = time.Second            // longest wait for the store
 	endCall      = 100 * time.Millisecond // for the end of the lease at a stop, which lapses by itself
 )
@@ -42,7 +43,9 @@
 	revision uint64
 	written  wire.Member
 	marked   string
-	down     bool // the last call failed
+	markers  uint64    // lease for markers, granted ahead, so that a drain costs one call
+	kept     time.Time // when it was granted or renewed
+	down     bool      // the last call failed
 }
 
 func (a *Announcer) init() { a.once.Do(func() { a.wake = make(chan struct{}, 1) }) }
@@ -166,7 +169,7 @@
 	err := a.write(ctx, wanted, marker)
 	switch {
 	case errors.Is(err, problem.NotFound):
-		a.lease = 0
+		a.lease, a.markers = 0, 0
 		err = a.write(ctx, wanted, marker)
 	case errors.Is(err, problem.Conflict):
 		if err = a.reread(ctx); err == nil {
@@ -177,6 +180,9 @@
 		return err
 	}
 	a.written, a.marked = wanted, marker
+	if err := a.keepMarkers(ctx); err != nil {
+		a.Log.Info("no lease ahead for markers", "reason", err.Error())
+	}
 	return nil
 }
 
@@ -198,14 +204,10 @@
 	}
 	c := Change{Guards: []Guard{{a.Key, a.revision}}, Writes: []Write{{a.Key, value, a.lease}}}
 	if marker != a.marked {
-		var lease uint64
-		if err := a.call(ctx, func(ctx context.Context) (err error) {
-			lease, err = a.Store.Grant(ctx, markerTTL)
-			return err
-		}); err != nil {
+		if err := a.keepMarkers(ctx); err != nil {
 			return err
 		}
-		c.Writes = append(c.Writes, Write{a.Keys.Left + marker, []byte(m.Addr.String()), lease})
+		c.Writes = append(c.Writes, Write{a.Keys.Left + marker, []byte(m.Addr.String()), a.markers})
 	}
 	return a.call(ctx, func(ctx context.Context) error {
 		revision, err := a.Store.Commit(ctx, c)
@@ -217,6 +219,20 @@
 	})
 }
 
+// keepMarkers makes sure that there is a lease for markers; a.mu is held.
+func (a *Announcer) keepMarkers(ctx context.Context) error {
+	if a.markers != 0 && time.Since(a.kept) < markerRenew {
+		return nil
+	}
+	return a.call(ctx, func(ctx context.Context) error {
+		lease, err := a.Store.Grant(ctx, markerTTL)
+		if err == nil {
+			a.markers, a.kept = lease, time.Now()
+		}
+		return err
+	})
+}
+
 // reread learns the entry's revision after a write of which the answer was lost, or of an earlier agent on this VM.
 func (a *Announcer) reread(ctx context.Context) error {
 	return a.call(ctx, func(ctx context.Context) error {
