--- a/src/agent/agent.go
+++ b/src/agent/agent.go
@@ -76,6 +76,9 @@
 	startWait  = 250 * time.Millisecond // for which a new agent lets callers wait for its first configuration
 )
 
+// ID returns the member ID by which the log lines of other agents name this one.
+func (a *Agent) ID() uint64 { return a.id }
+
 // Build wires the parts; Run does it when it has not been done.
 func (a *Agent) Build() {
 	if a.pool != nil {
--- a/src/command/agent.go
+++ b/src/command/agent.go
@@ -52,7 +52,8 @@
 	debug.SetGCPercent(gcPercent)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	log.Info("agent started", "callers", s.Listen.Callers.String(), "service", s.Service, "domain", s.Domain)
+	a.Build()
+	log.Info("agent started", "member", a.ID(), "callers", s.Listen.Callers.String(), "service", s.Service, "domain", s.Domain)
 	err = a.Run(ctx)
 	log.Info("agent stopped")
 	return err
--- a/src/dispatch/result.go
+++ b/src/dispatch/result.go
@@ -95,7 +95,7 @@
 		return nil, false
 	}
 	if needFree && !c.inTime(now, s, ch) {
-		if s.objective.IsZero() || s.final || s.reached {
+		if s.objective.IsZero() || s.final {
 			return nil, false
 		}
 		s.final = true
