--- /dev/null
+++ b/src/agent/settings_test.go
@@ -0,0 +1,64 @@
+package agent_test
+
+import (
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/yuccaport/yuccaport/src/agent"
+	"github.com/yuccaport/yuccaport/src/problem"
+)
+
+const whole = `name = "vm-1"
+service = "bookings"
+domain = "mid-a"
+region = "midlands"
+heartbeat = "1500ms"
+stop_grace = "6s"
+drain_bound = "2000ms"
+memory_mb = 284
+link_mbps = 1000.0
+[listen]
+callers = "10.1.0.38:8147"
+links = "10.1.0.38:8146"
+ready = "10.1.0.38:8141"
+heartbeats = "10.1.0.38:8144"
+metrics = "10.1.0.38:7390"
+[backend]
+addr = "10.1.0.38:8145"
+[store]
+addr = "10.200.1.7:8142"
+min_ttl = "1000ms"
+[retry_budget]
+share = 0.2
+reserve = 60
+window = "10s"
+`
+
+func TestParseSettings(t *testing.T) {
+	tests := map[string]struct{ old, replacement, want string }{
+		"whole":           {"", "", ""},
+		"missing text":    {`service = "bookings"`, "service = ", `settings: a.toml:2: .*`},
+		"missing unit":    {`stop_grace = "6s"`, `stop_grace = "s"`, `settings: a.toml:6: .*"stop_grace".*`},
+		"missing key":     {`domain = "mid-a"`, "", `.*domain is "".*`},
+		"ill-typed":       {"memory_mb = 284", `memory_mb = "much"`, `settings: a.toml:8: .*`},
+		"no address":      {`callers = "10.1.0.38:8147"`, "", `.*listen.callers.*IP number and port`},
+		"host name":       {`addr = "10.200.1.7:8142"`, `addr = "store:1"`, `settings: a.toml:19: .*`},
+		"no link":         {"link_mbps = 1000.0", "", `.*link_mbps is "0".*`},
+		"no grace":        {`stop_grace = "6s"`, "", `.*stop_grace is "0s".*`},
+		"key of no use":   {"memory_mb = 284", "memory_kb = 3", `settings: a.toml:8: unknown key "memory_kb".*`},
+		"not TOML at all": {whole, "{", `settings: a.toml.*`},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, err := agent.ParseSettings("a.toml", []byte(strings.Replace(whole, tc.old, tc.replacement, 1)))
+			if tc.want == "" {
+				qt.Assert(t, err, qt.IsNil)
+				return
+			}
+			qt.Assert(t, err, qt.ErrorMatches, tc.want)
+			qt.Assert(t, err, qt.ErrorIs, problem.Settings)
+		})
+	}
+}
--- a/src/registry/announcer_test.go
+++ b/src/registry/announcer_test.go
@@ -1,4 +1,4 @@
-package registry
+package registry_test
 
 import (
 	"context"
@@ -9,6 +9,8 @@
 	"github.com/go-logr/logr"
 
 	"github.com/yuccaport/yuccaport/src/problem"
+	"github.com/yuccaport/yuccaport/src/registry"
+	"github.com/yuccaport/yuccaport/src/standin"
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
@@ -23,8 +25,8 @@
 }
 
 // startAnnouncer runs an announcer until the test ends.
-func startAnnouncer(c *qt.C, s *memoryStore) *Announcer {
-	a := &Announcer{Store: s, Keys: testKeys, Key: testKeys.member(addr(1)), Log: logr.Discard()}
+func startAnnouncer(c *qt.C, s *standin.RegistryStore) *registry.Announcer {
+	a := &registry.Announcer{Store: s, Keys: testKeys, Key: memberKey(addr(1)), Log: logr.Discard()}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- a.Run(ctx) }()
@@ -38,12 +40,12 @@
 // Found by LOST on redes-pto trouble-3: a stop that fell into an outage of the store waited for it.
 func TestAnnouncerNeverHoldsItsCallerWhileTheStoreIsSilent(t *testing.T) {
 	c := qt.New(t)
-	s := newMemoryStore()
+	s := standin.NewRegistryStore()
 	hold := make(chan struct{})
 	a := startAnnouncer(c, s)
 	a.Set(member(1))
-	eventually(c, "announced", func() bool { return s.has(a.Key) })
-	s.set(func() { s.hold = hold })
+	eventually(c, "announced", func() bool { return s.Has(a.Key) })
+	s.Set(func() { s.Hold = hold })
 	c.Cleanup(func() { close(hold) })
 	go func() { _ = a.Leave(context.Background(), "i-1") }() // as a heartbeat that tells of a drain
 	for i := range 400 {
@@ -52,7 +54,7 @@
 		began := time.Now()
 		a.Set(m)
 		a.Missing()
-		c.Assert(time.Since(began) < announceCall/2, qt.IsTrue, qt.Commentf("call %d took %s", i, time.Since(began)))
+		c.Assert(time.Since(began) < registry.AnnounceCall/2, qt.IsTrue, qt.Commentf("call %d took %s", i, time.Since(began)))
 		time.Sleep(time.Millisecond)
 	}
 }
@@ -60,12 +62,12 @@
 // The same, as the schedule that the bench found: a renewal looks at the state while a farewell is calling the store.
 func TestSetDuringACallToTheStore(t *testing.T) {
 	c := qt.New(t)
-	a := &Announcer{Store: newMemoryStore(), Keys: testKeys, Key: testKeys.member(addr(1)), Log: logr.Discard()}
-	a.mu.Lock() // as write holds it while it calls the store
+	a := &registry.Announcer{Store: standin.NewRegistryStore(), Keys: testKeys, Key: memberKey(addr(1)), Log: logr.Discard()}
+	registry.LockCalls(a) // as write holds it while it calls the store
 	renewal, set := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(renewal)
-		a.upToDate()
+		registry.UpToDate(a)
 	}()
 	time.Sleep(20 * time.Millisecond)
 	go func() {
@@ -74,57 +76,57 @@
 	}()
 	select {
 	case <-set:
-	case <-time.After(announceCall):
+	case <-time.After(registry.AnnounceCall):
 		t.Error("Set waits for the store")
 	}
-	a.mu.Unlock()
+	registry.UnlockCalls(a)
 	<-renewal
 	<-set
-	c.Assert(a.upToDate(), qt.IsFalse)
+	c.Assert(registry.UpToDate(a), qt.IsFalse)
 }
 
 func TestAnnouncerWritesAgain(t *testing.T) {
-	tests := map[string]func(s *memoryStore, a *Announcer){
-		"revoked":      func(s *memoryStore, _ *Announcer) { s.revoke() },
-		"answer lost":  func(s *memoryStore, _ *Announcer) { s.set(func() { s.lose = 1 }); s.revoke() },
-		"told missing": func(s *memoryStore, a *Announcer) { s.revoke(); a.Missing() },
-		"store was out": func(s *memoryStore, _ *Announcer) {
-			s.set(func() { s.fail = problem.New(problem.Unavailable, "", "", "") })
-			s.revoke()
-			s.set(func() { s.fail = nil })
+	tests := map[string]func(s *standin.RegistryStore, a *registry.Announcer){
+		"revoked":      func(s *standin.RegistryStore, _ *registry.Announcer) { s.Revoke() },
+		"answer lost":  func(s *standin.RegistryStore, _ *registry.Announcer) { s.Set(func() { s.Lose = 1 }); s.Revoke() },
+		"told missing": func(s *standin.RegistryStore, a *registry.Announcer) { s.Revoke(); a.Missing() },
+		"store was out": func(s *standin.RegistryStore, _ *registry.Announcer) {
+			s.Set(func() { s.Fail = problem.New(problem.Unavailable, "", "", "") })
+			s.Revoke()
+			s.Set(func() { s.Fail = nil })
 		},
 	}
 	for name, disturb := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			s := newMemoryStore()
+			s := standin.NewRegistryStore()
 			a := startAnnouncer(c, s)
 			a.Set(member(1))
-			eventually(c, "announced", func() bool { return s.has(a.Key) })
+			eventually(c, "announced", func() bool { return s.Has(a.Key) })
 			disturb(s, a)
-			eventually(c, "announced again", func() bool { return s.has(a.Key) })
+			eventually(c, "announced again", func() bool { return s.Has(a.Key) })
 		})
 	}
 }
 
 func TestLeaveIsKeptByTheStoreOrNotAcknowledged(t *testing.T) {
 	c := qt.New(t)
-	s := newMemoryStore()
+	s := standin.NewRegistryStore()
 	a := startAnnouncer(c, s)
 	m := member(1)
 	a.Set(m)
-	eventually(c, "announced", func() bool { return s.has(a.Key) })
-	s.set(func() { s.fail = problem.New(problem.Unavailable, "", "", "") })
+	eventually(c, "announced", func() bool { return s.Has(a.Key) })
+	s.Set(func() { s.Fail = problem.New(problem.Unavailable, "", "", "") })
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
 	c.Assert(a.Leave(ctx, "i-1"), qt.IsNotNil)
-	s.set(func() { s.fail = nil; s.lose = 1 })
+	s.Set(func() { s.Fail = nil; s.Lose = 1 })
 	m.State = wire.StateLeaving
 	a.Set(m)
 	ctx, cancel = context.WithTimeout(context.Background(), soon)
 	defer cancel()
 	c.Assert(a.Leave(ctx, "i-1"), qt.IsNil)
-	successor := &Announcer{Store: s, Keys: testKeys, Key: a.Key, Log: logr.Discard()}
+	successor := &registry.Announcer{Store: s, Keys: testKeys, Key: a.Key, Log: logr.Discard()}
 	left, err := successor.HasLeft(ctx, "i-1")
 	c.Assert(err, qt.IsNil)
 	c.Assert(left, qt.IsTrue)
--- a/src/registry/follower_test.go
+++ b/src/registry/follower_test.go
@@ -1,4 +1,4 @@
-package registry
+package registry_test
 
 import (
 	"context"
@@ -11,6 +11,8 @@
 
 	"github.com/yuccaport/yuccaport/src/link"
 	"github.com/yuccaport/yuccaport/src/problem"
+	"github.com/yuccaport/yuccaport/src/registry"
+	"github.com/yuccaport/yuccaport/src/standin"
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
@@ -20,7 +22,7 @@
 // mesh carries messages between followers in memory.
 type mesh struct {
 	mu        sync.Mutex
-	followers map[uint64]*Follower
+	followers map[uint64]*registry.Follower
 	frozen    map[uint64]bool // answer nothing
 	exchanged int
 }
@@ -43,7 +45,7 @@
 
 // configured is a follower with the configurations that it was given.
 type configured struct {
-	*Follower
+	*registry.Follower
 	mu   sync.Mutex
 	last string
 }
@@ -55,23 +57,23 @@
 }
 
 // startFollowers runs followers of members 1 to n in one failure domain until the test ends; each has a view of the store of its own.
-func startFollowers(c *qt.C, n int, s *memoryStore) (*mesh, []*configured, []*memoryStore) {
-	m := &mesh{followers: map[uint64]*Follower{}, frozen: map[uint64]bool{}}
+func startFollowers(c *qt.C, n int, s *standin.RegistryStore) (*mesh, []*configured, []*standin.RegistryStore) {
+	m := &mesh{followers: map[uint64]*registry.Follower{}, frozen: map[uint64]bool{}}
 	var all []*configured
-	var views []*memoryStore
+	var views []*standin.RegistryStore
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	for i := 1; i <= n; i++ {
 		mb := member(i)
 		mb.Domain = "mid-a"
 		b, _ := mb.MarshalMsg(nil) // to memory, cannot fail
-		s.put(testKeys.member(mb.Addr), b)
+		s.Put(memberKey(mb.Addr), b)
 	}
 	for i := 1; i <= n; i++ {
-		view := s.view()
+		view := s.View()
 		f := &configured{}
-		f.Follower = &Follower{
-			Store: view, Keys: testKeys, Key: testKeys.member(addr(i)), ID: uint64(i), Domain: "mid-a", Exchanger: m,
+		f.Follower = &registry.Follower{
+			Store: view, Keys: testKeys, Key: memberKey(addr(i)), ID: uint64(i), Domain: "mid-a", Exchanger: m,
 			OnMembers: func() {}, OnMissing: func() {}, Log: logr.Discard(),
 			OnConfig: func(b []byte) {
 				f.mu.Lock()
@@ -89,7 +91,7 @@
 		cancel()
 		wg.Wait()
 	})
-	s.put(testKeys.Config, []byte("one"))
+	s.Put(testKeys.Config, []byte("one"))
 	for _, f := range all {
 		eventually(c, "configured", func() bool { return f.config() == "one" })
 	}
@@ -98,27 +100,27 @@
 
 // Each disturbance of the reader of a failure domain leaves the others in force within the time allowed. The silent ones were found by CONFIG on hollins-valet trouble-1 and scale-2.
 func TestFollowersOfADisturbedReader(t *testing.T) {
-	tests := map[string]func(m *mesh, reader *memoryStore){
-		"none":            func(*mesh, *memoryStore) {},
-		"store is silent": func(_ *mesh, reader *memoryStore) { reader.set(func() { reader.hold = make(chan struct{}) }) },
-		"store refuses it": func(_ *mesh, reader *memoryStore) {
-			reader.set(func() { reader.fail = problem.New(problem.Unavailable, "", "", "") })
+	tests := map[string]func(m *mesh, reader *standin.RegistryStore){
+		"none":            func(*mesh, *standin.RegistryStore) {},
+		"store is silent": func(_ *mesh, reader *standin.RegistryStore) { reader.Set(func() { reader.Hold = make(chan struct{}) }) },
+		"store refuses it": func(_ *mesh, reader *standin.RegistryStore) {
+			reader.Set(func() { reader.Fail = problem.New(problem.Unavailable, "", "", "") })
 		},
-		"watch goes silent": func(_ *mesh, reader *memoryStore) { reader.set(func() { reader.stuck = true }) },
-		"reader is frozen":  func(m *mesh, _ *memoryStore) { m.mu.Lock(); m.frozen[1] = true; m.mu.Unlock() },
-		"reader is gone":    func(m *mesh, _ *memoryStore) { m.mu.Lock(); delete(m.followers, 1); m.mu.Unlock() },
-		"watch hears nothing": func(_ *mesh, reader *memoryStore) {
-			reader.set(func() { reader.deaf = true })
-			time.AfterFunc(inForce/4, func() { reader.set(func() { reader.deaf = false }) })
+		"watch goes silent": func(_ *mesh, reader *standin.RegistryStore) { reader.Set(func() { reader.Stuck = true }) },
+		"reader is frozen":  func(m *mesh, _ *standin.RegistryStore) { m.mu.Lock(); m.frozen[1] = true; m.mu.Unlock() },
+		"reader is gone":    func(m *mesh, _ *standin.RegistryStore) { m.mu.Lock(); delete(m.followers, 1); m.mu.Unlock() },
+		"watch hears nothing": func(_ *mesh, reader *standin.RegistryStore) {
+			reader.Set(func() { reader.Deaf = true })
+			time.AfterFunc(inForce/4, func() { reader.Set(func() { reader.Deaf = false }) })
 		},
 	}
 	for name, disturb := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			s := newMemoryStore()
+			s := standin.NewRegistryStore()
 			m, all, views := startFollowers(c, 4, s)
 			disturb(m, views[0])
-			s.put(testKeys.Config, []byte("two"))
+			s.Put(testKeys.Config, []byte("two"))
 			began := time.Now()
 			for _, f := range all[1:] {
 				eventually(c, "in force", func() bool { return f.config() == "two" })
@@ -131,18 +133,18 @@
 // One daemon of a failure domain reads the store; the others cost it nothing while all is calm.
 func TestCallsToTheStoreAtRest(t *testing.T) {
 	c := qt.New(t)
-	_, _, views := startFollowers(c, 6, newMemoryStore())
+	_, _, views := startFollowers(c, 6, standin.NewRegistryStore())
 	time.Sleep(100 * time.Millisecond)
 	for _, v := range views {
-		v.set(func() { v.calls = 0 })
+		v.Set(func() { v.Calls = 0 })
 	}
-	time.Sleep(3 * watchWait)
+	time.Sleep(3 * registry.WatchWait)
 	total := 0
 	for i, v := range views {
-		v.set(func() {
-			total += v.calls
+		v.Set(func() {
+			total += v.Calls
 			if i > 0 {
-				c.Check(v.calls, qt.Equals, 0, qt.Commentf("follower %d", i+1))
+				c.Check(v.Calls, qt.Equals, 0, qt.Commentf("follower %d", i+1))
 			}
 		})
 	}
@@ -178,18 +180,18 @@
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
-			m, _ := readerFor(tc.members, testKeys.member(addr(tc.self)), "mid-a", testKeys)
+			m, _ := registry.ReaderFor(tc.members, memberKey(addr(tc.self)), "mid-a", testKeys)
 			qt.Assert(t, m.ID, qt.Equals, tc.want)
 		})
 	}
 	c := qt.New(t)
 	served := map[uint64]int{}
 	for i := 1; i <= 200; i++ {
-		if m, ok := readerFor(of(200), testKeys.member(addr(i)), "mid-a", testKeys); ok {
+		if m, ok := registry.ReaderFor(of(200), memberKey(addr(i)), "mid-a", testKeys); ok {
 			served[m.ID]++
 		}
 	}
-	c.Check(served, qt.HasLen, 1+200/followersMax)
+	c.Check(served, qt.HasLen, 1+200/registry.FollowersMax)
 	for id, n := range served {
 		c.Check(n < 64, qt.IsTrue, qt.Commentf("reader %d serves %d", id, n))
 	}
--- a/src/settings/load.go
+++ b/src/settings/load.go
@@ -35,12 +35,12 @@
 	d := toml.NewDecoder(bytes.NewReader(b))
 	d.DisallowUnknownFields()
 	if err := d.Decode(v); err != nil {
-		return decodeProblem(file, err)
+		return decodeProblem(file, b, err)
 	}
 	return nil
 }
 
-func decodeProblem(file string, err error) error {
+func decodeProblem(file string, b []byte, err error) error {
 	var strict *toml.StrictMissingError
 	if errors.As(err, &strict) && len(strict.Errors) > 0 {
 		e := strict.Errors[0]
@@ -52,7 +52,16 @@
 	if errors.As(err, &de) {
 		row, _ := de.Position()
 		return problem.Wrap(problem.Settings, err, fmt.Sprintf("%s:%d", file, row),
-			fmt.Sprintf("key %q has no usable value", strings.Join(de.Key(), ".")), "see docs/SETTINGS.md for its type")
+			fmt.Sprintf("key %q has no usable value", keyAt(b, row, de.Key())), "see docs/SETTINGS.md for its type")
 	}
 	return problem.Wrap(problem.Settings, err, file, "not TOML", "see docs/SETTINGS.md")
 }
+
+// keyAt returns the key that a line sets; a value that its type refuses comes without one.
+func keyAt(b []byte, row int, key toml.Key) string {
+	if lines := strings.Split(string(b), "\n"); len(key) == 0 && row >= 1 && row <= len(lines) {
+		name, _, _ := strings.Cut(lines[row-1], "=")
+		return strings.TrimSpace(name)
+	}
+	return strings.Join(key, ".")
+}
--- /dev/null
+++ b/src/standin/registry_store.go
@@ -0,0 +1,241 @@
+package standin
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/yuccaport/yuccaport/src/problem"
+	"github.com/yuccaport/yuccaport/src/registry"
+)
+
+// RegistryStore is a registry.Store in memory that can misbehave; its exported fields are changed by Set.
+type RegistryStore struct {
+	mu       sync.Mutex
+	items    map[string]registry.Item
+	leases   map[uint64]bool
+	revision uint64
+	last     uint64
+	Calls    int
+	Fail     error          // returned by every call that is not carried out
+	Lose     int            // commits that are carried out and not answered
+	Hold     chan struct{}  // calls wait for it, nil for none
+	Stuck    bool           // watches never answer
+	Deaf     bool           // watches hear nothing, and answer with the newest revision
+	of       *RegistryStore // whose data this view shows, nil for its own
+	changed  chan struct{}  // closed at the next change
+}
+
+// NewRegistryStore returns an empty store.
+func NewRegistryStore() *RegistryStore {
+	return &RegistryStore{items: map[string]registry.Item{}, leases: map[uint64]bool{}, changed: make(chan struct{})}
+}
+
+// loses tells whether the answer to a commit is lost; data is locked already.
+func (s *RegistryStore) loses(data *RegistryStore) bool {
+	if s != data {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+	}
+	if s.Lose == 0 {
+		return false
+	}
+	s.Lose--
+	return true
+}
+
+// View returns the store as one daemon reaches it, with troubles of its own.
+func (s *RegistryStore) View() *RegistryStore { return &RegistryStore{of: s} }
+
+// data returns the store that holds the data.
+func (s *RegistryStore) data() *RegistryStore {
+	if s.of != nil {
+		return s.of
+	}
+	return s
+}
+
+// Put writes a key as another client does.
+func (s *RegistryStore) Put(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.items[key] = registry.Item{Key: key, Value: value, Revision: s.revision}
+	s.tell()
+}
+
+func (s *RegistryStore) begin(ctx context.Context) error {
+	s.mu.Lock()
+	s.Calls++
+	hold, fail := s.Hold, s.Fail
+	s.mu.Unlock()
+	if hold != nil {
+		select {
+		case <-hold:
+		case <-ctx.Done():
+			return problem.Wrap(problem.Unsure, ctx.Err(), "store", "no answer", "")
+		}
+	}
+	return fail
+}
+
+// List implements registry.Store.
+func (s *RegistryStore) List(ctx context.Context, prefix string) ([]registry.Item, uint64, error) {
+	if err := s.begin(ctx); err != nil {
+		return nil, 0, err
+	}
+	s = s.data()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []registry.Item
+	for k, i := range s.items {
+		if strings.HasPrefix(k, prefix) && !i.Deleted {
+			out = append(out, i)
+		}
+	}
+	slices.SortFunc(out, func(a, b registry.Item) int { return strings.Compare(a.Key, b.Key) })
+	return out, s.revision, nil
+}
+
+// Watch implements registry.Store.
+func (s *RegistryStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]registry.Item, uint64, error) {
+	if err := s.begin(ctx); err != nil {
+		return nil, 0, err
+	}
+	over := time.After(wait)
+	seen := s
+	s = s.data()
+	for {
+		seen.mu.Lock()
+		stuck, deaf := seen.Stuck, seen.Deaf
+		seen.mu.Unlock()
+		if stuck {
+			<-ctx.Done()
+			return nil, 0, problem.Wrap(problem.Unavailable, ctx.Err(), "store", "no answer", "")
+		}
+		s.mu.Lock()
+		var out []registry.Item
+		for k, i := range s.items {
+			if strings.HasPrefix(k, prefix) && i.Revision > after {
+				out = append(out, i)
+			}
+		}
+		revision, changed := s.revision, s.changed
+		s.mu.Unlock()
+		if len(out) > 0 && !deaf {
+			return out, revision, nil
+		}
+		select {
+		case <-changed:
+		case <-over:
+			return nil, revision, nil
+		case <-ctx.Done():
+			return nil, 0, problem.Wrap(problem.Unavailable, ctx.Err(), "store", "no answer", "")
+		}
+	}
+}
+
+// Commit implements registry.Store.
+func (s *RegistryStore) Commit(ctx context.Context, c registry.Change) (uint64, error) {
+	if err := s.begin(ctx); err != nil {
+		return 0, err
+	}
+	seen := s
+	s = s.data()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, g := range c.Guards {
+		i := s.items[g.Key]
+		if (i.Deleted && g.Revision != 0) || (!i.Deleted && i.Revision != g.Revision) {
+			return 0, problem.New(problem.Conflict, g.Key, "condition", "")
+		}
+	}
+	for _, w := range c.Writes {
+		if w.Lease != 0 && !s.leases[w.Lease] {
+			return 0, problem.New(problem.NotFound, "lease", "ended", "")
+		}
+	}
+	s.revision++
+	for _, w := range c.Writes {
+		s.items[w.Key] = registry.Item{Key: w.Key, Value: w.Value, Revision: s.revision}
+	}
+	s.tell()
+	if seen.loses(s) {
+		return 0, problem.New(problem.Unsure, "store", "answer lost", "")
+	}
+	return s.revision, nil
+}
+
+// Grant implements registry.Store.
+func (s *RegistryStore) Grant(ctx context.Context, _ time.Duration) (uint64, error) {
+	if err := s.begin(ctx); err != nil {
+		return 0, err
+	}
+	s = s.data()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.last++
+	s.leases[s.last] = true
+	return s.last, nil
+}
+
+// Keep implements registry.Store.
+func (s *RegistryStore) Keep(ctx context.Context, lease uint64) error {
+	if err := s.begin(ctx); err != nil {
+		return err
+	}
+	s = s.data()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.leases[lease] {
+		return problem.New(problem.NotFound, "lease", "ended", "")
+	}
+	return nil
+}
+
+// End implements registry.Store.
+func (s *RegistryStore) End(ctx context.Context, lease uint64) error {
+	if err := s.begin(ctx); err != nil {
+		return err
+	}
+	s = s.data()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.leases, lease)
+	return nil
+}
+
+// Revoke takes all leases and keys away.
+func (s *RegistryStore) Revoke() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leases = map[uint64]bool{}
+	s.revision++
+	for k, i := range s.items {
+		i.Deleted, i.Revision = true, s.revision
+		s.items[k] = i
+	}
+	s.tell()
+}
+
+// Set changes the troubles of the store.
+func (s *RegistryStore) Set(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
+
+func (s *RegistryStore) tell() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Has tells whether a key exists.
+func (s *RegistryStore) Has(key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i, ok := s.items[key]
+	return ok && !i.Deleted
+}
