A farewell that comes before any heartbeat binds, also across a restart; markers name the start until which an ID has left

Also: without an entry of its own an agent wrote no marker and acknowledged; a marker held for an ID that starts again; an agent that cannot ask the store admitted.

--- a/src/agent/agent.go
+++ b/src/agent/agent.go
@@ -58,10 +58,13 @@
 	mu      sync.Mutex // held while a table is built
 	members *roster.View
 
-	localMu   sync.Mutex // held while the backend server's state changes
-	local     registry.Local
-	announced wire.Member // as last given to the announcer
-	drained   string      // instance whose drain has been written to the store
+	localMu      sync.Mutex // held while the backend server's state changes
+	local        registry.Local
+	announced    wire.Member // as last given to the announcer
+	drained      string      // instance whose drain has been written to the store
+	drainedUntil time.Time   // start until which its incarnations have
+	started      time.Time
+	cleared      bool // the store has been asked whether the incarnation has left
 }
 
 const (
@@ -92,6 +95,7 @@
 	}
 	s := a.Settings
 	a.wake = make(chan struct{}, 1)
+	a.started = time.Now()
 	a.members = roster.NewView(0, nil)
 	a.local = registry.Local{Service: s.Service, Addr: s.Backend.Addr}
 	a.booking = &booking.Server{
--- a/src/agent/agent_test.go
+++ b/src/agent/agent_test.go
@@ -238,6 +238,25 @@
 	c.Check(b.ran.Load(), qt.Equals, ran)
 }
 
+// A farewell that a restarted agent hears first binds it when the server's delayed heartbeat follows.
+func TestFarewellBeforeAnyHeartbeat(t *testing.T) {
+	c := qt.New(t)
+	store := standin.NewRegistryStore()
+	b := startBackend(c, "i-1")
+	v := startVM(c, store.View(), "one", b)
+	verdict, err := v.Leave(context.Background(), "i-1", time.Time{})
+	c.Assert(err, qt.IsNil)
+	c.Check(verdict, qt.Equals, registry.VerdictTaken)
+	c.Check(store.Has(keys.Left+"i-1"), qt.IsTrue, qt.Commentf("the acknowledgement outlives the agent"))
+	store.Put(keys.Config, []byte("1 /a/"))
+	v.beat(c, 15, false)
+	eventually(c, "ready", v.IsReady)
+	status, _, err := v.call("/a/")
+	c.Assert(err, qt.IsNil)
+	c.Check(status, qt.Equals, 503)
+	c.Check(b.ran.Load(), qt.Equals, int64(0))
+}
+
 // Found by LOST on hollins-valet trouble-3: under a planned stop each request that was read is answered, and the agent ends inside its grace.
 func TestPlannedStopAnswersEveryRequest(t *testing.T) {
 	c := qt.New(t)
--- a/src/agent/backend.go
+++ b/src/agent/backend.go
@@ -18,28 +18,42 @@
 // Hear takes a heartbeat of the backend server.
 func (a *Agent) Hear(ctx context.Context, h registry.Heartbeat) (registry.Verdict, error) {
 	a.localMu.Lock()
-	was, wasLeaving := a.local.Instance(), a.local.Leaving()
+	was, wasBorn, wasLeaving := a.local.Instance(), a.local.Born(), a.local.Leaving()
 	v := a.local.Hear(time.Now(), h)
 	if v != registry.VerdictTaken {
 		a.localMu.Unlock()
 		a.Log.Info("heartbeat", "verdict", string(v), "instance", h.Instance, "service", h.Service, "sequence", h.Sequence, "born", h.Born.UnixMilli(), "leaving", h.Leaving)
 		return v, nil
 	}
-	now, leaving, slots := a.local.Instance(), a.local.Leaving(), a.local.Slots()
+	leaving := a.local.Leaving()
+	fresh := h.Instance != was || !h.Born.Equal(wasBorn)
+	if fresh {
+		a.cleared = h.Born.After(a.started) // what this agent has seen from its start on has not left unheard
+	}
+	cleared := a.cleared
 	a.localMu.Unlock()
-	if now != was || leaving != wasLeaving {
-		a.Log.Info("backend server heard", "instance", now, "before", was, "leaving", leaving, "sequence", h.Sequence, "born", h.Born.UnixMilli(), "slots", slots)
+	if fresh || leaving != wasLeaving {
+		a.Log.Info("backend server heard", "instance", h.Instance, "before", was, "leaving", leaving, "sequence", h.Sequence, "born", h.Born.UnixMilli(), "slots", h.Slots)
 	}
 	if leaving {
-		return v, a.drain(ctx, now)
+		return v, a.drain(ctx)
 	}
-	if now != was {
-		if a.hasLeft(ctx, now) {
-			return v, a.drain(ctx, now)
+	if !cleared {
+		left, err := a.leftUntil(ctx, h.Instance)
+		switch {
+		case err != nil:
+			return v, nil // acknowledged; the next heartbeat asks again
+		case !h.Born.After(left):
+			return a.Leave(ctx, h.Instance, left)
 		}
+	}
+	a.localMu.Lock()
+	a.cleared = true
+	a.localMu.Unlock()
+	if fresh || !cleared {
 		a.booking.Resume()
 	}
-	a.booking.SetInstance(now, slots, true)
+	a.booking.SetInstance(h.Instance, h.Slots, true)
 	a.announce()
 	return v, nil
 }
@@ -47,13 +61,13 @@
 // Leave takes the end of an incarnation.
 func (a *Agent) Leave(ctx context.Context, instance string, born time.Time) (registry.Verdict, error) {
 	a.localMu.Lock()
-	v := a.local.Leave(instance, born)
+	v := a.local.Leave(time.Now(), instance, born)
 	a.localMu.Unlock()
 	a.Log.Info("backend server leaves", "instance", instance, "verdict", string(v))
 	if v != registry.VerdictTaken {
 		return v, nil
 	}
-	return v, a.drain(ctx, instance)
+	return v, a.drain(ctx)
 }
 
 // Unreadable notes a heartbeat that cannot be used.
@@ -62,37 +76,38 @@
 }
 
 // drain stops admission, then writes the drain to the store, so that the acknowledgement binds a restarted agent too.
-func (a *Agent) drain(ctx context.Context, instance string) error {
+func (a *Agent) drain(ctx context.Context) error {
 	a.booking.DrainWithin(0)
 	a.announce()
 	a.localMu.Lock()
-	done := a.drained == instance
+	instance, until := a.local.Instance(), a.local.LeftUntil()
+	done := a.drained == instance && !until.After(a.drainedUntil)
 	a.localMu.Unlock()
 	if done {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, ackWithin)
 	defer cancel()
-	if err := a.announcer.Leave(ctx, instance); err != nil {
+	if err := a.announcer.Leave(ctx, instance, until); err != nil {
 		a.Log.Error(err, "drain not acknowledged", "instance", instance)
 		return err
 	}
 	a.localMu.Lock()
-	a.drained = instance
+	a.drained, a.drainedUntil = instance, until
 	a.localMu.Unlock()
 	a.Log.Info("drain acknowledged", "instance", instance)
 	return nil
 }
 
-// hasLeft tells whether an earlier agent has acknowledged the drain of an incarnation.
-func (a *Agent) hasLeft(ctx context.Context, instance string) bool {
+// leftUntil returns the start until which the incarnations of an instance have left, as an earlier agent has acknowledged.
+func (a *Agent) leftUntil(ctx context.Context, instance string) (time.Time, error) {
 	ctx, cancel := context.WithTimeout(ctx, ackWithin)
 	defer cancel()
-	left, err := a.announcer.HasLeft(ctx, instance)
+	until, err := a.announcer.LeftUntil(ctx, instance)
 	if err != nil {
 		a.Log.Error(err, "not known whether the backend server has left", "instance", instance)
 	}
-	return left
+	return until, err
 }
 
 // announce has the entry written when it has changed; an agent that never was ready is of no use to others.
@@ -137,9 +152,12 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	state, instance := a.booking.Ask(ctx)
-	if state != booking.HealthUp || instance == "" || a.hasLeft(ctx, instance) {
+	if state != booking.HealthUp || instance == "" {
 		return
 	}
+	if left, err := a.leftUntil(ctx, instance); err != nil || !left.IsZero() {
+		return // a heartbeat tells which incarnation it is
+	}
 	a.localMu.Lock()
 	probed := a.local.Probed(instance)
 	leaving := a.local.Leaving()
--- a/src/registry/announcer.go
+++ b/src/registry/announcer.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -35,14 +35,14 @@
 
 	state   sync.Mutex
 	wanted  wire.Member
-	marker  string // instance whose leaving is to be marked
+	marker  marker // incarnations whose leaving is to be marked
 	missing bool   // the store lacks the entry
 
 	mu       sync.Mutex // held during calls to the store
 	lease    uint64
 	revision uint64
 	written  wire.Member
-	marked   string
+	marked   marker
 	markers  uint64    // lease for markers, granted ahead, so that a drain costs one call
 	kept     time.Time // when it was granted or renewed
 	down     bool      // the last call failed
@@ -78,11 +78,11 @@
 	}
 }
 
-// Leave marks an instance as leaving and writes the entry as last set; nil tells that both outlive the agent.
-func (a *Announcer) Leave(ctx context.Context, instance string) error {
+// Leave marks the incarnations of an instance that were born until a time as leaving, and writes the entry as last set; nil tells that both outlive the agent.
+func (a *Announcer) Leave(ctx context.Context, instance string, until time.Time) error {
 	a.init()
 	a.state.Lock()
-	a.marker = instance
+	a.marker = marker{instance, until.UnixMilli()}
 	a.state.Unlock()
 	for {
 		err := a.sync(ctx)
@@ -92,11 +92,21 @@
 	}
 }
 
-// HasLeft tells whether an instance has been marked as leaving.
-func (a *Announcer) HasLeft(ctx context.Context, instance string) (bool, error) {
+// LeftUntil returns the time until which incarnations of an instance that were born have been marked as leaving, zero for none.
+func (a *Announcer) LeftUntil(ctx context.Context, instance string) (time.Time, error) {
 	key := a.Keys.Left + instance
 	items, _, err := a.Store.List(ctx, key)
-	return slices.ContainsFunc(items, func(i Item) bool { return i.Key == key }), err
+	for _, i := range items {
+		if i.Key != key {
+			continue
+		}
+		ms, err := strconv.ParseInt(string(i.Value), 10, 64)
+		if err != nil {
+			return time.Time{}, problem.Wrap(problem.Protocol, err, key, "not a marker of this release", "let it lapse")
+		}
+		return time.UnixMilli(ms), nil
+	}
+	return time.Time{}, err
 }
 
 // Run keeps the entry until ctx is over, then ends its lease.
@@ -163,7 +173,7 @@
 		a.lease, a.revision, a.written = 0, 0, wire.Member{}
 	}
 	a.state.Unlock()
-	if wanted.ID == 0 || (a.lease != 0 && wanted == a.written && marker == a.marked) {
+	if (wanted.ID == 0 || a.lease != 0 && wanted == a.written) && marker == a.marked {
 		return nil
 	}
 	err := a.write(ctx, wanted, marker)
@@ -187,8 +197,8 @@
 }
 
 // write makes one attempt; a.mu is held.
-func (a *Announcer) write(ctx context.Context, m wire.Member, marker string) error {
-	if a.lease == 0 {
+func (a *Announcer) write(ctx context.Context, m wire.Member, left marker) error {
+	if a.lease == 0 && m.ID != 0 {
 		err := a.call(ctx, func(ctx context.Context) (err error) {
 			a.lease, err = a.Store.Grant(ctx, entryTTL)
 			return err
@@ -202,20 +212,26 @@
 	if err != nil {
 		return err
 	}
-	c := Change{Guards: []Guard{{a.Key, a.revision}}, Writes: []Write{{a.Key, value, a.lease}}}
-	if marker != a.marked {
+	var c Change
+	if m.ID != 0 {
+		c = Change{Guards: []Guard{{a.Key, a.revision}}, Writes: []Write{{a.Key, value, a.lease}}}
+	}
+	if left != a.marked {
 		if err := a.keepMarkers(ctx); err != nil {
 			return err
 		}
-		c.Writes = append(c.Writes, Write{a.Keys.Left + marker, []byte(m.Addr.String()), a.markers})
+		c.Writes = append(c.Writes, Write{a.Keys.Left + left.instance, strconv.AppendInt(nil, left.untilMS, 10), a.markers})
 	}
 	return a.call(ctx, func(ctx context.Context) error {
 		revision, err := a.Store.Commit(ctx, c)
-		if err == nil {
+		if err != nil {
+			return err
+		}
+		if m.ID != 0 {
 			a.revision = revision
-			a.Log.Info("entry written", "reason", "changed or missing", "state", m.State, "ready", m.Ready, "revision", revision, "marker", marker)
 		}
-		return err
+		a.Log.Info("entry written", "reason", "changed or missing", "state", m.State, "ready", m.Ready, "revision", revision, "left", left.instance)
+		return nil
 	})
 }
 
--- a/src/registry/announcer_test.go
+++ b/src/registry/announcer_test.go
@@ -47,7 +47,7 @@
 	eventually(c, "announced", func() bool { return s.Has(a.Key) })
 	s.Set(func() { s.Hold = hold })
 	c.Cleanup(func() { close(hold) })
-	go func() { _ = a.Leave(context.Background(), "i-1") }() // as a heartbeat that tells of a drain
+	go func() { _ = a.Leave(context.Background(), "i-1", time.UnixMilli(5)) }() // as a heartbeat that tells of a drain
 	for i := range 400 {
 		m := member(1)
 		m.Slots = uint16(i)
@@ -119,18 +119,28 @@
 	s.Set(func() { s.Fail = problem.New(problem.Unavailable, "", "", "") })
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
-	c.Assert(a.Leave(ctx, "i-1"), qt.IsNotNil)
+	c.Assert(a.Leave(ctx, "i-1", time.UnixMilli(5)), qt.IsNotNil)
 	s.Set(func() { s.Fail = nil; s.Lose = 1 })
 	m.State = wire.StateLeaving
 	a.Set(m)
 	ctx, cancel = context.WithTimeout(context.Background(), soon)
 	defer cancel()
-	c.Assert(a.Leave(ctx, "i-1"), qt.IsNil)
+	c.Assert(a.Leave(ctx, "i-1", time.UnixMilli(5)), qt.IsNil)
 	successor := &registry.Announcer{Store: s, Keys: testKeys, Key: a.Key, Log: logr.Discard()}
-	left, err := successor.HasLeft(ctx, "i-1")
+	left, err := successor.LeftUntil(ctx, "i-1")
 	c.Assert(err, qt.IsNil)
-	c.Assert(left, qt.IsTrue)
-	left, err = successor.HasLeft(ctx, "i-2")
+	c.Assert(left, qt.Equals, time.UnixMilli(5))
+	left, err = successor.LeftUntil(ctx, "i-")
 	c.Assert(err, qt.IsNil)
-	c.Assert(left, qt.IsFalse)
+	c.Assert(left.IsZero(), qt.IsTrue)
+}
+
+// An agent that has nothing to announce yet keeps a farewell in the store all the same.
+func TestLeaveWithoutAnEntry(t *testing.T) {
+	c := qt.New(t)
+	s := standin.NewRegistryStore()
+	a := startAnnouncer(c, s)
+	c.Assert(a.Leave(context.Background(), "i-1", time.UnixMilli(5)), qt.IsNil)
+	c.Assert(s.Has(testKeys.Left+"i-1"), qt.IsTrue)
+	c.Assert(s.Has(a.Key), qt.IsFalse)
 }
--- a/src/registry/local_test.go
+++ b/src/registry/local_test.go
@@ -52,11 +52,42 @@
 }
 
 func TestLocalLeave(t *testing.T) {
+	beat := func(born int) Heartbeat {
+		return Heartbeat{Instance: "a", Addr: addr(1), Service: "bookings", Slots: 9, Sequence: 15, Born: epoch.Add(time.Duration(born) * time.Second)}
+	}
 	l := Local{Service: "bookings", Addr: addr(1)}
-	l.Hear(epoch, Heartbeat{Instance: "a", Addr: addr(1), Service: "bookings", Sequence: 1, Born: epoch})
-	qt.Assert(t, l.Leave("b", time.Time{}), qt.Equals, VerdictStale)
-	qt.Assert(t, l.Leave("a", epoch.Add(-time.Second)), qt.Equals, VerdictStale)
+	l.Hear(epoch, beat(0))
+	qt.Assert(t, l.Leave(epoch, "b", time.Time{}), qt.Equals, VerdictStale)
+	qt.Assert(t, l.Leave(epoch, "a", epoch.Add(-time.Second)), qt.Equals, VerdictStale)
 	qt.Assert(t, l.Leaving(), qt.IsFalse)
-	qt.Assert(t, l.Leave("a", time.Time{}), qt.Equals, VerdictTaken)
+	qt.Assert(t, l.Leave(epoch, "a", time.Time{}), qt.Equals, VerdictTaken)
 	qt.Assert(t, l.Leaving(), qt.IsTrue)
 }
+
+// Found by DRAIN on redes-pto trouble-3, seed 349523098045: a restarted agent acknowledged the farewell of a backend server that it had not heard yet, and then took its delayed heartbeat for that of a ready one.
+func TestLocalLeaveBeforeAnyHeartbeat(t *testing.T) {
+	beat := func(born int) Heartbeat {
+		return Heartbeat{Instance: "a", Addr: addr(1), Service: "bookings", Slots: 9, Sequence: 15, Born: epoch.Add(time.Duration(born) * time.Second)}
+	}
+	tests := map[string]struct {
+		before  func(l *Local)
+		born    int // of the heartbeat that follows, in seconds; the farewell comes at 5
+		leaving bool
+	}{
+		"nothing known":                      {func(*Local) {}, 1, true},
+		"found by its health endpoint":       {func(l *Local) { l.Probed("a") }, 1, true},
+		"predecessor known":                  {func(l *Local) { h := beat(0); h.Instance = "z"; l.Hear(epoch, h) }, 1, true},
+		"same ID starts again afterwards":    {func(*Local) {}, 6, false},
+		"probed only after the farewell too": {func(l *Local) { l.Leave(epoch.Add(5*time.Second), "a", time.Time{}); l.Probed("a") }, 1, true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := Local{Service: "bookings", Addr: addr(1)}
+			tc.before(&l)
+			l.Leave(epoch.Add(5*time.Second), "a", time.Time{})
+			l.Hear(epoch.Add(7*time.Second), beat(tc.born))
+			qt.Assert(t, l.Instance(), qt.Equals, "a")
+			qt.Assert(t, l.Leaving(), qt.Equals, tc.leaving)
+		})
+	}
+}
