--- a/src/booking/outlook.go
+++ b/src/booking/outlook.go
@@ -55,17 +55,17 @@
 	if len(c.running) < c.limit && c.queue.size == 0 || c.limit == 0 {
 		return 0
 	}
-	work := c.queue.work(now, priority, late)
+	n, work := c.queue.ahead(now, priority, late)
+	var left time.Duration
 	for _, r := range c.running {
-		work += r.left(now)
+		left += r.left(now)
 	}
-	// The first of the running calls ends well before all of them have.
-	first := work / time.Duration(max(1, len(c.running)))
-	spread := float64(work) / float64(c.limit) / (1 - c.urgent.share(now, priority, c.limit))
-	if c.queue.size == 0 {
-		return min(first, time.Duration(spread))
+	// Fewer calls ahead than slots wait for the first of the running ones to end, more of them for all.
+	d := (left + work) / time.Duration(c.limit)
+	if n < c.limit && len(c.running) > 0 {
+		d = min(d, 2*left/time.Duration(len(c.running))*time.Duration(n+1)/time.Duration(c.limit+1))
 	}
-	return time.Duration(spread)
+	return time.Duration(float64(d) / (1 - c.urgent.share(now, priority, c.limit)))
 }
 
 // expect returns the service time that is expected of a route's calls.
--- a/src/booking/overload_test.go
+++ b/src/booking/overload_test.go
@@ -125,3 +125,18 @@
 	}
 	qt.Assert(t, wait(60) > wait(0)*3/2, qt.IsTrue, qt.Commentf("%s beside urgent calls, %s without", wait(60), wait(0)))
 }
+
+// Pattern: long calls hold every slot and wait in the queue. An urgent short call waits for the first of them to end, and is not refused for the work of all.
+func TestUrgentCallBehindLongOnes(t *testing.T) {
+	const ms = time.Millisecond
+	c := exactCore(9, map[string]time.Duration{"history": 500 * ms, "price": 22 * ms})
+	for i := range 13 {
+		c.Step(epoch.Add(time.Duration(i)*40*ms), Arrive{Call: uint64(i + 1), Route: "history", Priority: 2, Timeout: 2500 * ms, Objective: 1000 * ms})
+	}
+	now := epoch.Add(500 * ms)
+	qt.Assert(t, len(c.running), qt.Equals, 9)
+	qt.Assert(t, c.queue.size > 0, qt.IsTrue)
+	got := c.Step(now, Arrive{Call: 100, Route: "price", Priority: 1, Timeout: 250 * ms, Objective: 150 * ms})
+	qt.Assert(t, got, qt.HasLen, 1)
+	qt.Assert(t, got[0], qt.Satisfies, func(a Action) bool { _, ok := a.(Queue); return ok }, qt.Commentf("%v", got))
+}
--- a/src/booking/waiting.go
+++ b/src/booking/waiting.go
@@ -57,19 +57,20 @@
 	return n
 }
 
-// work returns the service time of the calls that a call of a priority waits for, late ones only where it is late itself.
-func (q *waiting) work(now time.Time, priority uint8, late bool) time.Duration {
-	var d time.Duration
+// ahead returns the number and the service time of the calls that a call of a priority waits for, late ones only where it is late itself.
+func (q *waiting) ahead(now time.Time, priority uint8, late bool) (int, time.Duration) {
+	n, d := 0, time.Duration(0)
 	for r := range priorities {
 		for i := range q.lines[r] {
 			w := &q.lines[r][i]
 			isLate := w.late(now)
 			if (!isLate && (late || r <= rank(priority))) || (isLate && late && r <= rank(priority)) {
+				n++
 				d += w.service
 			}
 		}
 	}
-	return d
+	return n, d
 }
 
 // pop takes the next call among those that are urgent enough.
