--- a/src/agent/agent_test.go
+++ b/src/agent/agent_test.go
@@ -112,7 +112,8 @@
 	c.Cleanup(func() {
 		v.cancel()
 		select {
-		case <-v.done:
+		case err := <-v.done:
+			c.Check(err, qt.IsNil)
 		case <-time.After(soon):
 			c.Error("the agent does not stop")
 		}
--- a/src/agent/in_force.go
+++ b/src/agent/in_force.go
@@ -56,7 +56,7 @@
 		a.Log.Error(err, "configuration not taken", "version", c.Version, "in_force", before)
 		return
 	}
-	a.booking.SetConnections(c.Connections[a.Settings.Service])
+	a.booking.SetLimits(c.Connections[a.Settings.Service], c.HealthPaths[a.Settings.Service])
 	select {
 	case a.wake <- struct{}{}:
 	default:
--- a/src/booking/health.go
+++ b/src/booking/health.go
@@ -153,7 +153,10 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.nc.SetDeadline(longAgo) })
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
-	err := askHealth(c, s.Backend, resp)
+	s.mu.Lock()
+	backend := s.Backend
+	s.mu.Unlock()
+	err := askHealth(c, backend, resp)
 	if stop() && err == nil && !resp.ConnectionClose() {
 		s.conns.put(c)
 	} else {
--- a/src/booking/instance.go
+++ b/src/booking/instance.go
@@ -23,11 +23,16 @@
 	s.setHealth(s.health.judge(s.Now(), state))
 }
 
-// SetConnections takes in how many connections the backend server takes, 0 for no change.
-func (s *Server) SetConnections(n int) {
+// SetLimits takes in how many connections the backend server takes and its health path; zero values change nothing.
+func (s *Server) SetLimits(connections int, healthPath string) {
 	s.init()
-	if n > 0 {
-		s.conns.setMax(n)
+	if connections > 0 {
+		s.conns.setMax(connections)
+	}
+	if healthPath != "" {
+		s.mu.Lock()
+		s.Backend.HealthPath = healthPath
+		s.mu.Unlock()
 	}
 }
 
--- a/src/dispatch/soonest.go
+++ b/src/dispatch/soonest.go
@@ -11,7 +11,8 @@
 	domainCost  = 0.2  // of the service time, for a server in another failure domain
 	regionCost  = 0.5  // for one in another region
 	domainDelay = 3 * time.Millisecond
-	spreadCost  = 0.1 // of the cost, at random, so that daemons that know the same do not all choose the same
+	busyFade    = time.Second // half-life of what a server told of the calls of others
+	spreadCost  = 0.1         // of the cost, at random, so that daemons that know the same do not all choose the same
 )
 
 // soonest returns the server that is expected to answer a call first.
@@ -85,5 +86,3 @@
 
 // busyNow returns the slots in use as last told, with our own calls since.
 func (s *server) busyNow(now time.Time) float64 { return s.busy(now, busyFade) }
-
-const busyFade = time.Second // half-life of what a server told of the calls of others
