--- /dev/null
+++ b/src/agent/bench_test.go
@@ -0,0 +1,26 @@
+package agent_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/yuccaport/yuccaport/src/standin"
+)
+
+// BenchmarkCall sends calls through one agent to the backend servers of two.
+func BenchmarkCall(b *testing.B) {
+	c := qt.New(b)
+	store := standin.NewRegistryStore()
+	store.Put(keys.Config, []byte("1 /a/"))
+	one, two := startVM(c, store.View(), "one", startBackend(c, "i-1")), startVM(c, store.View(), "two", startBackend(c, "i-2"))
+	one.beat(c, 1, false)
+	two.beat(c, 1, false)
+	eventually(c, "served", one.serves("/a/"))
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, _, err := one.call("/a/"); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
