What stood twice stands once; tests outside platform/ have names of their own

The rule which header fields the daemons set stood in dispatch and booking; the work left of running calls in the outlook and the reserve; the test for a free slot in two places, with a flag that turned a queueing function into a question; a drain, and a listener's address, twice. Each release looked at the reserve for seven ranks, also those without a call. Tests of agent, dispatch and registry spelled the platform's headers and keys.

Ruled out: merging the generated message code, which repeats by its nature; a test-only store for agent and registry, which is one already.

--- a/src/agent/agent.go
+++ b/src/agent/agent.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"net"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -115,7 +114,7 @@
 }
 
 func (a *Agent) buildRegistry() {
-	key := a.Keys.Members + linkAddr(a.Links).String()
+	key := a.Keys.Members + link.AddrOf(a.Links.Addr()).String()
 	a.follower = &registry.Follower{
 		Store: a.Store, Keys: a.Keys, Key: key, ID: a.id, Domain: a.Settings.Domain, Slack: a.carry(listBytes), Exchanger: a.pool,
 		OnConfig: a.takeConfig, OnMembers: a.takeMembers, OnMissing: func() { a.announcer.Missing() }, Log: a.Log.WithName("registry"),
@@ -143,7 +142,7 @@
 func (a *Agent) memberLocked() wire.Member {
 	s := a.Settings
 	m := wire.Member{
-		ID: a.id, Addr: linkAddr(a.Links), Service: s.Service, Domain: s.Domain, Region: s.Region,
+		ID: a.id, Addr: link.AddrOf(a.Links.Addr()), Service: s.Service, Domain: s.Domain, Region: s.Region,
 		Slots: uint16(a.slotsLocked()), Ready: a.local.Instance() != "" && a.booking.Healthy(),
 	}
 	if b := a.local.Born(); !b.IsZero() {
@@ -165,11 +164,3 @@
 
 // IsReady tells whether clients are to be sent here.
 func (a *Agent) IsReady() bool { return a.inForce.Load() != nil && !a.leaving.Load() }
-
-func linkAddr(l net.Listener) netip.AddrPort {
-	t, ok := l.Addr().(*net.TCPAddr)
-	if !ok {
-		return netip.AddrPort{}
-	}
-	return netip.AddrPortFrom(t.AddrPort().Addr().Unmap(), t.AddrPort().Port())
-}
--- a/src/agent/agent_test.go
+++ b/src/agent/agent_test.go
@@ -29,8 +29,8 @@
 const soon = 10 * time.Second
 
 var (
-	keys  = registry.Keys{Watched: "op", Config: "op/config", Members: "op-mesh/member/", Left: "op-mesh/left/"}
-	names = header.Names{RequestID: "Request-Id", Deadline: "Deadline-Milliseconds", Caller: "Calling-Service", Expect: "Expected-Instance", Instance: "Instance-Id", NotRun: "Not-Executed", Proof: "Server-Stamp", Fractions: true}
+	keys  = registry.Keys{Watched: "mesh/", Config: "mesh/config", Members: "mesh/member/", Left: "mesh/left/"}
+	names = header.Names{RequestID: "X-Call-Id", Deadline: "X-Left-Ms", Caller: "X-From", Expect: "X-Meant", Instance: "X-Incarnation", NotRun: "X-Not-Run", Proof: "X-Proof", Fractions: true}
 )
 
 // backend is a backend server as the platform has them.
@@ -46,10 +46,10 @@
 
 func (b *backend) serve(ctx *fasthttp.RequestCtx) {
 	if string(ctx.Path()) == "/health" {
-		ctx.Response.Header.Set("Instance-Id", b.instance)
+		ctx.Response.Header.Set("X-Incarnation", b.instance)
 		return
 	}
-	if e := string(ctx.Request.Header.Peek("Expected-Instance")); e != b.instance {
+	if e := string(ctx.Request.Header.Peek("X-Meant")); e != b.instance {
 		ctx.SetStatusCode(fasthttp.StatusMisdirectedRequest)
 		return
 	}
@@ -62,8 +62,8 @@
 	b.last = h
 	b.mu.Unlock()
 	time.Sleep(time.Duration(b.takes.Load()))
-	ctx.Response.Header.Set("Server-Stamp", "s-"+b.instance)
-	ctx.Response.Header.SetBytesV("Request-Id", ctx.Request.Header.Peek("Request-Id"))
+	ctx.Response.Header.Set("X-Proof", "s-"+b.instance)
+	ctx.Response.Header.SetBytesV("X-Call-Id", ctx.Request.Header.Peek("X-Call-Id"))
 	ctx.SetBodyString("by " + b.instance)
 }
 
@@ -153,9 +153,9 @@
 		return 0, "", err
 	}
 	req.Host = "a.example"
-	req.Header.Set("Request-Id", "r-1")
-	req.Header.Set("Deadline-Milliseconds", "3000")
-	req.Header.Set("Calling-Service", "forged")
+	req.Header.Set("X-Call-Id", "r-1")
+	req.Header.Set("X-Left-Ms", "3000")
+	req.Header.Set("X-From", "forged")
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0, "", err
@@ -199,10 +199,10 @@
 	ran.mu.Lock()
 	h := ran.last
 	ran.mu.Unlock()
-	c.Check(h.Get("Calling-Service"), qt.Equals, "bookings")
-	c.Check(h.Get("Expected-Instance"), qt.Equals, ran.instance)
-	c.Check(h.Get("Request-Id"), qt.Equals, "r-1")
-	c.Check(h.Get("Deadline-Milliseconds") <= "3000", qt.IsTrue)
+	c.Check(h.Get("X-From"), qt.Equals, "bookings")
+	c.Check(h.Get("X-Meant"), qt.Equals, ran.instance)
+	c.Check(h.Get("X-Call-Id"), qt.Equals, "r-1")
+	c.Check(h.Get("X-Left-Ms") <= "3000", qt.IsTrue)
 	status, _, err = one.call("/b/")
 	c.Assert(err, qt.IsNil)
 	c.Check(status, qt.Equals, 404)
--- a/src/booking/core.go
+++ b/src/booking/core.go
@@ -91,7 +91,7 @@
 // LoadFor returns the free capacity as a call of a route and priority would find it.
 func (c *Core) LoadFor(now time.Time, route string, priority uint8) wire.Load {
 	l := c.Load(now)
-	if d := c.times.expected(now, route); d > 0 {
+	if d := c.times.expected(route); d > 0 {
 		l.Service = int32(d.Milliseconds())
 	}
 	if c.Exact {
@@ -118,13 +118,16 @@
 	if r, ok := c.shut(now, e.Call); ok {
 		return r.(Refuse), true
 	}
-	if c.limit == 0 || e.Objective == 0 || c.queue.before(e.Priority) == 0 && len(c.running) < c.limit-c.reserve(now, e.Priority) {
+	if c.limit == 0 || e.Objective == 0 || c.startsNow(now, e.Priority) {
 		return Refuse{}, false
 	}
-	if r, ok := c.enqueueInTime(now, e, false)[0].(Refuse); ok {
-		return r, true
-	}
-	return Refuse{}, false
+	_, r, ok := c.place(now, e)
+	return r, !ok
+}
+
+// startsNow tells whether a call of a priority that came now would get a slot at once.
+func (c *Core) startsNow(now time.Time, priority uint8) bool {
+	return c.queue.before(priority) == 0 && len(c.running) < c.limit-c.reserve(now, priority)
 }
 
 func (c *Core) arrive(now time.Time, e Arrive) []Action {
@@ -133,16 +136,21 @@
 	}
 	out := c.expire(now, nil)
 	if e.Objective > 0 {
-		c.slack.add(now, e.Priority, e.Objective-c.expect(now, e.Route))
+		c.slack.add(now, e.Priority, e.Objective-c.expect(e.Route))
 	}
 	least := c.times.least(now, e.Route)
 	switch {
 	case e.Timeout > 0 && least > e.Timeout:
 		return append(out, c.refuse(e.Call, wire.ReasonDeadline))
-	case c.queue.before(e.Priority) == 0 && len(c.running) < c.limit-c.reserve(now, e.Priority):
+	case c.startsNow(now, e.Priority):
 		return append(out, c.admit(now, e.Call, e.Route, e.Priority))
 	case e.Objective != 0:
-		return append(out, c.enqueueInTime(now, e, true)...)
+		w, refusal, ok := c.place(now, e)
+		if !ok {
+			return append(out, refusal)
+		}
+		c.queue.push(w)
+		return append(out, Queue{Call: e.Call, Wait: w.until.Sub(now)})
 	}
 	return c.enqueue(now, e, least, out)
 }
@@ -163,13 +171,13 @@
 		}
 		out = append(out, c.refuse(w.call, wire.ReasonQueueFull))
 	}
-	c.queue.push(waiter{call: e.Call, route: e.Route, priority: e.Priority, service: c.expect(now, e.Route), until: now.Add(allowed), reason: reason})
+	c.queue.push(waiter{call: e.Call, route: e.Route, priority: e.Priority, service: c.expect(e.Route), until: now.Add(allowed), reason: reason})
 	return append(out, Queue{Call: e.Call, Wait: allowed})
 }
 
-// enqueueInTime queues a call that can expect an answer within its objective, or at least within its time; any other is refused at once.
-func (c *Core) enqueueInTime(now time.Time, e Arrive, push bool) []Action {
-	service := c.expect(now, e.Route)
+// place returns the place in the queue of a call that can expect an answer within its objective, or at least within its time; any other is refused at once.
+func (c *Core) place(now time.Time, e Arrive) (waiter, Refuse, bool) {
+	service := c.expect(e.Route)
 	left := e.Timeout
 	if left == 0 {
 		left = c.QueueWait + service
@@ -182,15 +190,12 @@
 	all := c.wait(now, e.Priority, true)
 	switch {
 	case c.queue.size >= c.QueueSize:
-		return []Action{Refuse{Call: e.Call, Reason: wire.ReasonQueueFull, RetryAfter: max(minRetry, inTime)}}
+		return w, Refuse{Call: e.Call, Reason: wire.ReasonQueueFull, RetryAfter: max(minRetry, inTime)}, false
 	case inTime+service <= e.Objective:
 	case !e.Final, all+service > time.Duration(lateShare*float64(left)):
-		return []Action{Refuse{Call: e.Call, Reason: wire.ReasonQueueFull, RetryAfter: max(minRetry, all)}}
-	}
-	if push {
-		c.queue.push(w)
+		return w, Refuse{Call: e.Call, Reason: wire.ReasonQueueFull, RetryAfter: max(minRetry, all)}, false
 	}
-	return []Action{Queue{Call: e.Call, Wait: w.until.Sub(now)}}
+	return w, Refuse{}, true
 }
 
 // shut refuses a call while the backend server leaves or is down.
@@ -205,7 +210,7 @@
 }
 
 func (c *Core) admit(now time.Time, call uint64, route string, priority uint8) Action {
-	r := &running{route: route, since: now, expected: c.expect(now, route)}
+	r := &running{route: route, since: now, expected: c.expect(route)}
 	c.running[call] = r
 	c.urgent.add(now, priority, r.expected)
 	return Admit{Call: call}
--- a/src/booking/estimate.go
+++ b/src/booking/estimate.go
@@ -65,7 +65,7 @@
 }
 
 // expected returns the mean service time of a route, 0 when it is unknown.
-func (s *estimates) expected(_ time.Time, route string) time.Duration {
+func (s *estimates) expected(route string) time.Duration {
 	if e := s.routes[route]; e != nil {
 		return e.mean
 	}
--- a/src/booking/instance.go
+++ b/src/booking/instance.go
@@ -58,7 +58,7 @@
 func (s *Server) DrainWithin(grace time.Duration) {
 	s.init()
 	s.event(Drain{Grace: grace})
-	s.Log.Info("draining", "reason", "told to leave", "grace", grace.String())
+	s.Log.Info("draining", "reason", "asked to leave", "grace", grace.String())
 }
 
 // Resume takes calls again after a drain, for another incarnation.
--- a/src/booking/outlook.go
+++ b/src/booking/outlook.go
@@ -56,10 +56,7 @@
 		return 0
 	}
 	n, work := c.queue.ahead(now, priority, late)
-	var left time.Duration
-	for _, r := range c.running {
-		left += r.left(now)
-	}
+	left := c.remaining(now)
 	// Fewer calls ahead than slots wait for the first of the running ones to end, more of them for all.
 	d := (left + work) / time.Duration(c.limit)
 	if n < c.limit && len(c.running) > 0 {
@@ -68,9 +65,18 @@
 	return time.Duration(float64(d) / (1 - c.urgent.share(now, priority, c.limit)))
 }
 
+// remaining returns the time that all running calls are expected to hold their slots still.
+func (c *Core) remaining(now time.Time) time.Duration {
+	var d time.Duration
+	for _, r := range c.running {
+		d += r.left(now)
+	}
+	return d
+}
+
 // expect returns the service time that is expected of a route's calls.
-func (c *Core) expect(now time.Time, route string) time.Duration {
-	if d := c.times.expected(now, route); d > 0 {
+func (c *Core) expect(route string) time.Duration {
+	if d := c.times.expected(route); d > 0 {
 		return d
 	}
 	return c.times.mean
--- a/src/booking/request.go
+++ b/src/booking/request.go
@@ -55,7 +55,7 @@
 	h.SetMethod(x.head.Method)
 	h.SetRequestURI(x.head.URI)
 	for _, f := range x.head.Fields {
-		if !isOwn(f.Name) && !x.sets(f.Name) {
+		if !isOwn(f.Name) && !x.s.Headers.Replaces(f.Name) {
 			h.Add(f.Name, f.Value)
 		}
 	}
@@ -72,12 +72,6 @@
 	}
 }
 
-// sets tells whether a header field is set by the daemon, whatever the caller sent.
-func (x *exchange) sets(name string) bool {
-	n := x.s.Headers
-	return strings.EqualFold(name, n.Deadline) || (n.Caller != "" && (strings.EqualFold(name, n.Caller) || strings.EqualFold(name, n.Expect)))
-}
-
 func (x *exchange) host() string {
 	if x.head.Host != "" {
 		return x.head.Host
--- a/src/booking/reserve.go
+++ b/src/booking/reserve.go
@@ -45,11 +45,7 @@
 	if slack == 0 {
 		return 0
 	}
-	var work time.Duration
-	for _, r := range c.running {
-		work += r.left(now)
-	}
-	between := work / time.Duration(len(c.running)*len(c.running))
+	between := c.remaining(now) / time.Duration(len(c.running)*len(c.running))
 	switch {
 	case between > slack:
 		return min(maxReserve, c.limit/2)
@@ -59,10 +55,10 @@
 	return 0
 }
 
-// leastUrgent returns the last rank whose calls may take a slot now.
+// leastUrgent returns the last rank whose calls may take a slot now; ranks without a call that waits are not looked at.
 func (c *Core) leastUrgent(now time.Time) int {
 	for r := priorities - 1; r > 0; r-- {
-		if len(c.running) < c.limit-c.reserve(now, uint8(r)) {
+		if len(c.queue.lines[r]) > 0 && len(c.running) < c.limit-c.reserve(now, uint8(r)) {
 			return r
 		}
 	}
--- a/src/booking/server.go
+++ b/src/booking/server.go
@@ -203,8 +203,7 @@
 	if d := s.document(); d != nil {
 		grace = min(grace, d.DrainGrace.Std())
 	}
-	s.event(Drain{Grace: grace})
-	s.Log.Info("draining", "reason", "asked to leave", "grace", grace.String())
+	s.DrainWithin(grace)
 }
 
 func (s *Server) document() *document.Document {
--- a/src/dispatch/fields.go
+++ b/src/dispatch/fields.go
@@ -29,7 +29,7 @@
 	out := make([]wire.Field, 0, 8)
 	for k, v := range h.All() {
 		name := string(k)
-		if perConnection[name] || named[name] || isOwnField(name) || p.replaces(name) {
+		if perConnection[name] || named[name] || isOwnField(name) || p.Headers.Replaces(name) {
 			continue
 		}
 		out = append(out, wire.Field{Name: name, Value: string(v)})
@@ -37,12 +37,6 @@
 	return out
 }
 
-// replaces tells whether the daemons set a header field, whatever the caller sent.
-func (p *Proxy) replaces(name string) bool {
-	h := p.Headers
-	return strings.EqualFold(name, h.Deadline) || (h.Caller != "" && (strings.EqualFold(name, h.Caller) || strings.EqualFold(name, h.Expect)))
-}
-
 func isOwnField(name string) bool {
 	return len(name) >= len(ownPrefix) && strings.EqualFold(name[:len(ownPrefix)], ownPrefix)
 }
--- a/src/dispatch/live_limits_test.go
+++ b/src/dispatch/live_limits_test.go
@@ -125,10 +125,10 @@
 	}
 }
 
-// TestHeadersOfThePlatform: the caller's deadline bounds the call, its ID goes through and comes back, and nobody can forge where it began.
-func TestHeadersOfThePlatform(t *testing.T) {
+// TestAgreedHeaders: the caller's deadline bounds the call, its ID goes through and comes back, and nobody can forge where it began.
+func TestAgreedHeaders(t *testing.T) {
 	c := qt.New(t)
-	names := header.Names{RequestID: "Request-Id", Deadline: "Deadline-Milliseconds", Caller: "Calling-Service", Expect: "Expected-Instance", Fractions: true}
+	names := header.Names{RequestID: "X-Call-Id", Deadline: "X-Left-Ms", Caller: "X-From", Expect: "X-Meant", Fractions: true}
 	var head wire.CallHead
 	refuse := false
 	p := start(t, diary, func(_ context.Context, _ link.Peer, h wire.CallHead, _ io.Reader) link.Outcome {
@@ -141,10 +141,10 @@
 		p.Headers = names
 		p.Self = func() wire.Member { return wire.Member{Domain: "mid-a", Service: "bookings"} }
 	})
-	fields := []string{"Request-Id", "r-1", "Deadline-Milliseconds", "400", "Calling-Service", "forged", "Expected-Instance", "forged"}
+	fields := []string{"X-Call-Id", "r-1", "X-Left-Ms", "400", "X-From", "forged", "X-Meant", "forged"}
 	got, err := p.do("GET", "/diary", nil, fields...)
 	c.Assert(err, qt.IsNil)
-	c.Check(got.header.Get("Request-Id"), qt.Equals, "r-1")
+	c.Check(got.header.Get("X-Call-Id"), qt.Equals, "r-1")
 	c.Check(head.TraceID, qt.Equals, "r-1")
 	c.Check(head.Caller, qt.Equals, "bookings")
 	c.Check(head.TimeoutMS <= 400, qt.IsTrue)
@@ -152,8 +152,8 @@
 	for _, f := range head.Fields {
 		sent[f.Name] = f.Value
 	}
-	c.Check(sent["Request-Id"], qt.Equals, "r-1")
-	for _, name := range []string{"Calling-Service", "Expected-Instance", "Deadline-Milliseconds"} {
+	c.Check(sent["X-Call-Id"], qt.Equals, "r-1")
+	for _, name := range []string{"X-From", "X-Meant", "X-Left-Ms"} {
 		c.Check(sent[name], qt.Equals, "")
 	}
 	refuse = true
--- a/src/dispatch/soonest.go
+++ b/src/dispatch/soonest.go
@@ -78,11 +78,8 @@
 func (s *server) wait(now time.Time, route string) time.Duration {
 	told := s.backlog(now)
 	since := max(0, s.inFlight-s.ownAtLoad)
-	if over := s.busyNow(now) + 1 - s.slots(); over > 0 && since > 0 {
+	if over := s.busy(now, busyFade) + 1 - s.slots(); over > 0 && since > 0 {
 		told += time.Duration(min(over, float64(since)) / s.slots() * float64(s.services[route]))
 	}
 	return told
 }
-
-// busyNow returns the slots in use as last told, with our own calls since.
-func (s *server) busyNow(now time.Time) float64 { return s.busy(now, busyFade) }
--- a/src/header/names.go
+++ b/src/header/names.go
@@ -1,5 +1,7 @@
 package header
 
+import "strings"
+
 // Names holds the names of header fields; an empty name stands for a field that is not used.
 type Names struct {
 	RequestID string // caller's ID of a request, which the backend server echoes
@@ -13,5 +15,10 @@
 	Fractions bool   // Retry-After may carry fractions of a second
 }
 
+// Replaces tells whether the daemons set a header field, whatever the caller sent.
+func (n Names) Replaces(name string) bool {
+	return strings.EqualFold(name, n.Deadline) || (n.Caller != "" && (strings.EqualFold(name, n.Caller) || strings.EqualFold(name, n.Expect)))
+}
+
 // Default returns the names of yuccaport's own interface.
 func Default() Names { return Names{Deadline: "X-Deadline-Ms", NotRun: "X-Not-Run"} }
--- a/src/link/hello.go
+++ b/src/link/hello.go
@@ -52,13 +52,14 @@
 }
 
 func (p *Pool) checkInsecure(a net.Addr) error {
-	if p.Insecure || addrOf(a).Addr().IsLoopback() {
+	if p.Insecure || AddrOf(a).Addr().IsLoopback() {
 		return nil
 	}
 	return problem.New(problem.Settings, a.String(), "link without keys to an address other than loopback", "set [keys], or insecure = true")
 }
 
-func addrOf(a net.Addr) netip.AddrPort {
+// AddrOf returns the IP number and port of a TCP address, the zero AddrPort for any other.
+func AddrOf(a net.Addr) netip.AddrPort {
 	if t, ok := a.(*net.TCPAddr); ok {
 		ap := t.AddrPort()
 		return netip.AddrPortFrom(ap.Addr().Unmap(), ap.Port())
@@ -69,7 +70,7 @@
 func (p *Pool) sendHello(nc net.Conn, expect uint64) error {
 	var at netip.AddrPort
 	if p.Listener != nil {
-		at = addrOf(p.Listener.Addr())
+		at = AddrOf(p.Listener.Addr())
 	}
 	b := appendFrame(nil, wire.FrameHello, &wire.HelloFrame{Protocol: wire.LinkProtocol, Self: p.Self, Expect: expect, Addr: at})
 	p.countBytes(wire.FrameHello, sent, len(b))
--- a/src/link/puppet_test.go
+++ b/src/link/puppet_test.go
@@ -40,7 +40,7 @@
 		p.send(wire.FrameHello, &wire.HelloFrame{Protocol: wire.LinkProtocol, Self: id})
 		return p
 	}
-	return Peer{ID: id, Addr: addrOf(l.Addr())}, accept
+	return Peer{ID: id, Addr: AddrOf(l.Addr())}, accept
 }
 
 // dialPuppet links to a pool as member 99.
--- a/src/registry/core_test.go
+++ b/src/registry/core_test.go
@@ -14,7 +14,7 @@
 
 var (
 	epoch    = time.Unix(1000, 0)
-	testKeys = Keys{Watched: "op", Config: "op/config", Members: "op-mesh/member/", Left: "op-mesh/left/"}
+	testKeys = Keys{Watched: "mesh/", Config: "mesh/config", Members: "mesh/member/", Left: "mesh/left/"}
 )
 
 func addr(n int) netip.AddrPort {
@@ -57,7 +57,7 @@
 	successor.ID = 22
 	foreign := itemOf(member(2), 9)
 	foreign.Key = testKeys.member(addr(9))
-	config := func(revision uint64) Item { return Item{Key: "op/config", Value: []byte("c"), Revision: revision} }
+	config := func(revision uint64) Item { return Item{Key: "mesh/config", Value: []byte("c"), Revision: revision} }
 	all := Listed{Items: []Item{itemOf(member(1), 1), itemOf(member(2), 2), itemOf(member(3), 3)}}
 	tests := map[string]struct {
 		events  []Event
@@ -79,7 +79,7 @@
 		"entry of another address":         {[]Event{all, Changed{Items: []Item{foreign}}}, []string{}, []uint64{1, 2, 3}},
 		"configuration":                    {[]Event{Changed{Items: []Item{config(5)}}}, []string{"TakeConfig"}, []uint64{}},
 		"configuration back":               {[]Event{Changed{Items: []Item{config(5)}}, Changed{Items: []Item{config(4)}}}, []string{}, []uint64{}},
-		"configuration deleted":            {[]Event{Changed{Items: []Item{config(5)}}, Changed{Items: []Item{{Key: "op/config", Revision: 6, Deleted: true}}}}, []string{}, []uint64{}},
+		"configuration deleted":            {[]Event{Changed{Items: []Item{config(5)}}, Changed{Items: []Item{{Key: "mesh/config", Revision: 6, Deleted: true}}}}, []string{}, []uint64{}},
 		"newer configuration from a peer":  {[]Event{Changed{Items: []Item{config(5)}}, PeerTold{Reply: wire.RegistryReply{Config: 6, Value: []byte("d")}}}, []string{"TakeConfig"}, []uint64{}},
 		"older configuration from a peer":  {[]Event{Changed{Items: []Item{config(5)}}, PeerTold{Reply: wire.RegistryReply{Config: 4, Value: []byte("d")}}}, []string{}, []uint64{}},
 		"unknown member from a peer":       {[]Event{all, PeerTold{Reply: wire.RegistryReply{Members: []wire.RegistryEntry{{Key: testKeys.member(addr(4)), Revision: 9, Member: member(4)}}}}}, []string{"Publish"}, []uint64{1, 2, 3, 4}},
--- a/src/registry/names_test.go
+++ b/src/registry/names_test.go
@@ -7,7 +7,7 @@
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
-var testKeys = registry.Keys{Watched: "op", Config: "op/config", Members: "op-mesh/member/", Left: "op-mesh/left/"}
+var testKeys = registry.Keys{Watched: "mesh/", Config: "mesh/config", Members: "mesh/member/", Left: "mesh/left/"}
 
 func addr(n int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 80)
