Workers stay for a second after a call instead of ending with it

Cause: the pool's goroutines ended whenever its queue was empty, which it always is below the bound, so each call and attempt started a goroutine whose stack grew anew: 5.8% of the profile, and wake-ups of threads. Change: src/workers hands a task to a worker that waits, and only else starts one, through the same pool and bound. Ruled out: garbage collection (4.5%) and the callers' HTTP (5.8%) as the worst. Tests: src/workers; puppet connections stop the pool that they start.

--- a/src/dispatch/proxy.go
+++ b/src/dispatch/proxy.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/alitto/pond/v2"
 	"github.com/go-logr/logr"
 	"github.com/valyala/fasthttp"
 
@@ -21,6 +20,7 @@
 	"github.com/yuccaport/yuccaport/src/problem"
 	"github.com/yuccaport/yuccaport/src/trace"
 	"github.com/yuccaport/yuccaport/src/wire"
+	"github.com/yuccaport/yuccaport/src/workers"
 )
 
 const (
@@ -58,7 +58,7 @@
 	Record   *trace.Recorder
 
 	conns    *callerListener
-	pool     pond.Pool
+	pool     workers.Pool
 	base     context.Context
 	kill     context.CancelFunc
 	stopping atomic.Bool
@@ -149,7 +149,7 @@
 		p.tracePrefix = strconv.FormatUint(rand.Uint64(), 36) + "-"
 		p.counters = newCounters(p.Metrics)
 		p.conns = newCallerListener(p.Listener, p.Stall, p.limits)
-		p.pool = pond.NewPool(p.Core.MaxCalls, pond.WithQueueSize(0), pond.WithNonBlocking(true))
+		p.pool.Max = p.Core.MaxCalls
 		p.base, p.kill = context.WithCancel(context.Background())
 		p.ending = make(chan struct{})
 	})
--- a/src/link/pool.go
+++ b/src/link/pool.go
@@ -15,6 +15,7 @@
 
 	"github.com/yuccaport/yuccaport/src/problem"
 	"github.com/yuccaport/yuccaport/src/wire"
+	"github.com/yuccaport/yuccaport/src/workers"
 )
 
 const drainCheckEvery = 20 * time.Millisecond
@@ -40,7 +41,7 @@
 	stop           context.CancelFunc
 	tasks          sync.WaitGroup
 	handshakes     chan struct{}
-	callWorkers    pond.Pool
+	callWorkers    workers.Pool
 	messageWorkers pond.Pool
 	calls          budget
 	memory         budget
@@ -66,7 +67,7 @@
 		p.counters = newCounters(p.Metrics)
 		p.base, p.stop = context.WithCancel(context.Background())
 		p.handshakes = make(chan struct{}, p.limits.Handshakes)
-		p.callWorkers = pond.NewPool(p.limits.Calls, pond.WithQueueSize(p.limits.Calls), pond.WithNonBlocking(true))
+		p.callWorkers.Max = p.limits.Calls
 		p.messageWorkers = pond.NewPool(maxMessages, pond.WithQueueSize(maxMessages), pond.WithNonBlocking(true))
 		p.calls.max = int64(p.limits.Calls)
 		p.memory.max = int64(p.limits.Memory)
--- a/src/link/pool_test.go
+++ b/src/link/pool_test.go
@@ -98,7 +98,7 @@
 	to, stop := startPool(t, server)
 	p := startClient(t)
 	ch := begin(t, p, to, "a", nil, 0)
-	eventually(t, "the call has arrived", func() bool { return server.callWorkers.RunningWorkers() == 1 })
+	eventually(t, "the call has arrived", func() bool { return server.callWorkers.Workers() == 1 })
 	server.Kill()
 	stop()
 	qt.Assert(t, (<-ch).refusal(t).MayHaveRun, qt.IsTrue)
--- a/src/link/puppet_test.go
+++ b/src/link/puppet_test.go
@@ -67,6 +67,7 @@
 	tb.Cleanup(func() {
 		c.fail(errKilled)
 		<-done
+		p.callWorkers.StopAndWait() // its idle workers would count as leaked
 	})
 	return newPuppet(tb, b), c, done
 }
