Split routes are drawn in an even sequence, not at random

Cause: each daemon drew the target of a split route at random, so that a short series was far from its weights (20 of 30 for a half). Change: steps of the golden ratio through the range of weights, one sequence a route and daemon, begun at random; a new version begins anew. A target without usable servers is left out as before. Test: TestWeightedTargetsInShortSeries, all four weights fail with the random draw. Weighed: credit a target as in smooth round robin, which keeps state for each target and pays back what a part could not take.

--- a/src/dispatch/arrival.go
+++ b/src/dispatch/arrival.go
@@ -22,7 +22,7 @@
 	if e.Left < minLeft {
 		return c.refuse(s, wire.ReasonDeadline, 0)
 	}
-	name, ok := c.target(e.Policy)
+	name, ok := c.target(k, e.Policy)
 	if !ok {
 		return c.refuse(s, wire.ReasonNotReady, c.Settings.NotReadyRetry)
 	}
@@ -42,42 +42,6 @@
 	return out
 }
 
-// target draws a service by weight among the targets that have a usable server, else takes the fallback.
-func (c *Core) target(p *Policy) (string, bool) {
-	if name, ok := c.draws(p.Targets, (*service).usable); ok {
-		return name, true
-	}
-	if p.Fallback != "" && c.services[p.Fallback].usable() {
-		return p.Fallback, true
-	}
-	return c.draws(p.Targets, (*service).choosable)
-}
-
-func (c *Core) draws(targets []Target, can func(*service) bool) (string, bool) {
-	total := 0
-	for _, t := range targets {
-		if can(c.services[t.Service]) {
-			total += t.Weight
-		}
-	}
-	if total <= 0 {
-		return "", false
-	}
-	n := 0
-	if len(targets) > 1 {
-		n = c.Rand.IntN(total)
-	}
-	for _, t := range targets {
-		if !can(c.services[t.Service]) {
-			continue
-		}
-		if n -= t.Weight; n < 0 {
-			return t.Service, true
-		}
-	}
-	return "", false
-}
-
 // send begins an attempt.
 func (c *Core) send(now time.Time, s *callState, ch choice) []Action {
 	timeout := s.policy.Timeout
--- a/src/dispatch/core.go
+++ b/src/dispatch/core.go
@@ -10,11 +10,13 @@
 	Settings Settings // with defaults
 	Rand     *rand.Rand
 
+	version        uint64
 	domain, region string
 	members        map[uint64]*server
 	services       map[string]*service
 	calls          map[uint64]*callState
-	perRoute       map[routeKey]int // calls in flight
+	perRoute       map[routeKey]int     // calls in flight
+	turns          map[routeKey]float64 // of routes whose calls are split
 }
 
 // routeKey names a route across services.
@@ -48,6 +50,9 @@
 // changeTable takes over the members of a new table; what is known of those that stay is kept.
 func (c *Core) changeTable(now time.Time, e TableChanged) {
 	old := c.members
+	if e.Version != c.version || c.turns == nil {
+		c.version, c.turns = e.Version, map[routeKey]float64{}
+	}
 	c.domain, c.region = e.Domain, e.Region
 	c.members = make(map[uint64]*server, len(e.Members))
 	services := map[string]*service{}
--- a/src/dispatch/core_test.go
+++ b/src/dispatch/core_test.go
@@ -125,3 +125,25 @@
 	y.run(2000, time.Millisecond)
 	c.Assert(y.sentTo[2] > 140 && y.sentTo[2] < 260, qt.IsTrue, qt.Commentf("%v", y.sentTo))
 }
+
+// Shares of a split hold in every short series of calls, not only on average.
+func TestWeightedTargetsInShortSeries(t *testing.T) {
+	const series, off = 30, 2 // calls, and how many of them may go elsewhere than the weights say
+	for name, weight := range map[string]int{"half": 50, "fifth": 20, "tenth": 10, "most": 95} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			servers := fakeServers(2, time.Millisecond)
+			servers[1].Service = "jobrecords"
+			y := newYard(Settings{}, servers...)
+			y.policy.Targets = []Target{{Service: "bookings", Weight: weight}, {Service: "jobrecords", Weight: 100 - weight}}
+			want := float64(series*weight) / 100
+			before := 0
+			for i := range 100 {
+				y.run(series, time.Millisecond)
+				got := float64(y.sentTo[1] - before)
+				before = y.sentTo[1]
+				c.Assert(got >= want-off && got <= want+off, qt.IsTrue, qt.Commentf("series %d: %v of %v", i, got, want))
+			}
+		})
+	}
+}
