A VM that was suspended reads the store afresh at once

Cause: the clock behind timers does not count a suspension, so an agent that woke waited for a watch whose connection could be dead, and took what it knew for fresh. Change: the follower compares the two clocks at each tick; after a pause of half a second or more it ends its call, lists the store and logs it. Weighed: dropping what is known, which would refuse calls that can be served; a list replaces it within milliseconds.

--- a/src/agent/agent.go
+++ b/src/agent/agent.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/yuccaport/yuccaport/src/booking"
+	"github.com/yuccaport/yuccaport/src/clock"
 	"github.com/yuccaport/yuccaport/src/dispatch"
 	"github.com/yuccaport/yuccaport/src/header"
 	"github.com/yuccaport/yuccaport/src/link"
@@ -115,9 +116,10 @@
 
 func (a *Agent) buildRegistry() {
 	key := a.Keys.Members + link.AddrOf(a.Links.Addr()).String()
+	pauses := &clock.Pauses{}
 	a.follower = &registry.Follower{
 		Store: a.Store, Keys: a.Keys, Key: key, ID: a.id, Domain: a.Settings.Domain, Slack: a.carry(listBytes), Exchanger: a.pool,
-		OnConfig: a.takeConfig, OnMembers: a.takeMembers, OnMissing: func() { a.announcer.Missing() }, Log: a.Log.WithName("registry"),
+		OnConfig: a.takeConfig, OnMembers: a.takeMembers, OnMissing: func() { a.announcer.Missing() }, Suspended: pauses.Since, Log: a.Log.WithName("registry"),
 	}
 	a.announcer = &registry.Announcer{Store: a.Store, Keys: a.Keys, Key: key, Log: a.Log.WithName("registry")}
 }
--- a/src/registry/follower.go
+++ b/src/registry/follower.go
@@ -29,7 +29,8 @@
 	readerRetry  = 3 * time.Second        // until a reader that failed is used again
 	peerTimeout  = 500 * time.Millisecond
 	tickEvery    = 500 * time.Millisecond
-	questionsMax = 16 // members asked at once
+	questionsMax = 16                     // members asked at once
+	suspendedMin = 500 * time.Millisecond // a shorter pause outlasts no time-out of a peer or of the store
 )
 
 // Follower keeps the members and the newest configuration as the store and, without it, the peers tell them.
@@ -41,9 +42,10 @@
 	Domain    string        // own failure domain
 	Slack     time.Duration // that the largest answer takes on the own link
 	Exchanger link.Exchanger
-	OnConfig  func(value []byte) // called with each newer configuration
-	OnMembers func()             // called when Members has changed
-	OnMissing func()             // called when the store lacks the own entry
+	OnConfig  func(value []byte)   // called with each newer configuration
+	OnMembers func()               // called when Members has changed
+	OnMissing func()               // called when the store lacks the own entry
+	Suspended func() time.Duration // how long the VM was suspended since the last call, nil for never
 	Log       logr.Logger
 
 	once    sync.Once
@@ -54,6 +56,8 @@
 	settle  time.Duration // rest after the last changes
 	changed time.Time     // when that rest ended
 	lost    bool
+	cut     context.CancelFunc   // ends the call to the store or the reader that is under way
+	awake   bool                 // the VM was suspended: what was heard before is not gone on from
 	news    chan struct{}        // closed at the next step that may bring any
 	failed  map[uint64]time.Time // readers that did not answer, and when
 	reader  uint64               // through which the store is followed, 0 for none
@@ -81,8 +85,8 @@
 	failures := 0
 	listed := false
 	for ctx.Err() == nil {
-		err := f.follow(ctx, &listed)
-		if err == nil {
+		err := f.follow(f.begin(ctx, &listed), &listed)
+		if err == nil || f.resumed() {
 			failures = 0
 			continue
 		}
@@ -101,6 +105,38 @@
 	return nil
 }
 
+// begin returns the context of the next call, which a suspension ends; after one the store is read afresh.
+func (f *Follower) begin(ctx context.Context, listed *bool) context.Context {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cut != nil {
+		f.cut()
+	}
+	ctx, f.cut = context.WithCancel(ctx)
+	if f.awake {
+		f.awake, *listed = false, false
+	}
+	return ctx
+}
+
+// resumed tells whether the VM was suspended during the last call.
+func (f *Follower) resumed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.awake
+}
+
+// resume ends the call under way, whose connection may be dead without a sign.
+func (f *Follower) resume(pause time.Duration) {
+	f.Log.Info("VM was suspended", "for", pause.String(), "outcome", "the store is read afresh")
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.awake = true
+	if f.cut != nil {
+		f.cut()
+	}
+}
+
 // follow makes one call: a list, or a watch from where the last one ended.
 func (f *Follower) follow(ctx context.Context, listed *bool) error {
 	if !*listed {
@@ -221,6 +257,11 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
+			if f.Suspended != nil {
+				if pause := f.Suspended(); pause > suspendedMin {
+					f.resume(pause)
+				}
+			}
 			f.step(Tick{})
 		}
 	}
--- a/src/registry/follower_test.go
+++ b/src/registry/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -46,8 +47,9 @@
 // configured is a follower with the configurations that it was given.
 type configured struct {
 	*registry.Follower
-	mu   sync.Mutex
-	last string
+	suspended atomic.Int64 // how long its VM was
+	mu        sync.Mutex
+	last      string
 }
 
 func (f *configured) config() string {
@@ -75,6 +77,7 @@
 		f.Follower = &registry.Follower{
 			Store: view, Keys: testKeys, Key: memberKey(addr(i)), ID: uint64(i), Domain: "mid-a", Exchanger: m,
 			OnMembers: func() {}, OnMissing: func() {}, Log: logr.Discard(),
+			Suspended: func() time.Duration { return time.Duration(f.suspended.Swap(0)) },
 			OnConfig: func(b []byte) {
 				f.mu.Lock()
 				defer f.mu.Unlock()
@@ -196,3 +199,20 @@
 		c.Check(n < 64, qt.IsTrue, qt.Commentf("reader %d serves %d", id, n))
 	}
 }
+
+// A VM that wakes up does not wait for the answer to a call that it made before.
+func TestFollowerOfASuspendedVMReadsTheStoreAfresh(t *testing.T) {
+	c := qt.New(t)
+	s := standin.NewRegistryStore()
+	_, all, views := startFollowers(c, 1, s)
+	views[0].Set(func() { views[0].Stuck = true })
+	time.Sleep(2 * registry.WatchWait) // into a watch that never answers
+	for i := range 3 {
+		want := []string{"two", "three", "four"}[i]
+		s.Put(testKeys.Config, []byte(want))
+		began := time.Now()
+		all[0].suspended.Store(int64(3 * time.Second))
+		eventually(c, "in force", func() bool { return all[0].config() == want })
+		c.Check(time.Since(began) < registry.WatchWait, qt.IsTrue, qt.Commentf("%s", time.Since(began)))
+	}
+}
