Agent settings that decided nothing are gone or used

Cause: drain_bound, retry_budget.window, store.min_ttl and memory_mb were read and checked, and nothing looked at them; a changed retry budget was logged as taken. Change: the first two are gone (admission ends at the acknowledgement, a bucket bounds any window); a lease is at least min_ttl long; the heap is collected more often beyond half of memory_mb; a changed budget is told as needing a restart. Test: settings_test, with the two new refusals.

--- a/src/agent/agent.go
+++ b/src/agent/agent.go
@@ -121,7 +121,7 @@
 		Store: a.Store, Keys: a.Keys, Key: key, ID: a.id, Domain: a.Settings.Domain, Slack: a.carry(listBytes), Exchanger: a.pool,
 		OnConfig: a.takeConfig, OnMembers: a.takeMembers, OnMissing: func() { a.announcer.Missing() }, Suspended: pauses.Since, Log: a.Log.WithName("registry"),
 	}
-	a.announcer = &registry.Announcer{Store: a.Store, Keys: a.Keys, Key: key, Log: a.Log.WithName("registry")}
+	a.announcer = &registry.Announcer{Store: a.Store, Keys: a.Keys, Key: key, MinTTL: a.Settings.Store.MinTTL.Std(), Log: a.Log.WithName("registry")}
 }
 
 func (a *Agent) dispatchSettings() dispatch.Settings {
--- a/src/agent/agent_test.go
+++ b/src/agent/agent_test.go
@@ -99,7 +99,7 @@
 	v.Agent = &agent.Agent{
 		Settings: agent.Settings{
 			Name: name, Service: "bookings", Domain: "mid-a", Region: "midlands", LinkMbps: 1000,
-			Heartbeat: settings.Duration(time.Second), StopGrace: settings.Duration(6 * time.Second), DrainBound: settings.Duration(2 * time.Second),
+			Heartbeat: settings.Duration(time.Second), StopGrace: settings.Duration(6 * time.Second),
 			Backend: agent.Backend{Addr: b.addr}, RetryBudget: agent.RetryBudget{Share: 0.2, Reserve: 60},
 		},
 		Store: store, Keys: keys, Headers: names, Decode: decode, Log: logr.Discard(),
--- a/src/agent/reload.go
+++ b/src/agent/reload.go
@@ -58,7 +58,7 @@
 	defer a.localMu.Unlock()
 	old := a.Settings
 	next := old
-	next.StopGrace, next.DrainBound, next.RetryBudget, next.Heartbeat = s.StopGrace, s.DrainBound, s.RetryBudget, s.Heartbeat
+	next.StopGrace, next.Heartbeat = s.StopGrace, s.Heartbeat
 	a.Settings = next
 	a.Log.Info("settings read", "reason", why, "changed", next != old, "needs_restart", s != next)
 }
--- a/src/agent/settings.go
+++ b/src/agent/settings.go
@@ -13,14 +13,13 @@
 // Settings configures an agent.
 type Settings struct {
 	Name        string            `toml:"name"`
-	Service     string            `toml:"service"`     // of the backend server beside the agent
-	Domain      string            `toml:"domain"`      // failure domain
-	Region      string            `toml:"region"`      // region of the failure domain
-	Heartbeat   settings.Duration `toml:"heartbeat"`   // between heartbeats of the backend server
-	StopGrace   settings.Duration `toml:"stop_grace"`  // from the signal to stop until the process is killed
-	DrainBound  settings.Duration `toml:"drain_bound"` // from the acknowledgement of a drain until the last request may reach the backend server
-	MemoryMB    int               `toml:"memory_mb"`   // beyond which the process is killed
-	LinkMbps    float64           `toml:"link_mbps"`   // of the VM's own link, in megabits a second
+	Service     string            `toml:"service"`    // of the backend server beside the agent
+	Domain      string            `toml:"domain"`     // failure domain
+	Region      string            `toml:"region"`     // region of the failure domain
+	Heartbeat   settings.Duration `toml:"heartbeat"`  // between heartbeats of the backend server
+	StopGrace   settings.Duration `toml:"stop_grace"` // from the signal to stop until the process is killed
+	MemoryMB    int               `toml:"memory_mb"`  // beyond which the process is killed
+	LinkMbps    float64           `toml:"link_mbps"`  // of the VM's own link, in megabits a second
 	Listen      Listen            `toml:"listen"`
 	Backend     Backend           `toml:"backend"`
 	Store       Store             `toml:"store"`
@@ -49,9 +48,8 @@
 
 // RetryBudget bounds the repeated attempts of all agents at one service.
 type RetryBudget struct {
-	Share   float64           `toml:"share"`   // of the requests in the window
-	Reserve float64           `toml:"reserve"` // attempts that are allowed in a window besides
-	Window  settings.Duration `toml:"window"`
+	Share   float64 `toml:"share"`   // of the requests
+	Reserve float64 `toml:"reserve"` // attempts that are allowed besides
 }
 
 // LoadSettings reads and checks a settings file; errors are of kind problem.Settings.
@@ -86,11 +84,14 @@
 			return refuse(file, key, addr, "set it to an IP number and port")
 		}
 	}
+	if s.MemoryMB <= 0 {
+		return refuse(file, "memory_mb", s.MemoryMB, "set it to the memory that the process may use, in megabytes")
+	}
 	if s.LinkMbps <= 0 {
 		return refuse(file, "link_mbps", s.LinkMbps, "set it to the speed of the VM's link in megabits a second")
 	}
 	for key, d := range map[string]time.Duration{
-		"heartbeat": s.Heartbeat.Std(), "stop_grace": s.StopGrace.Std(), "drain_bound": s.DrainBound.Std(), "retry_budget.window": s.RetryBudget.Window.Std(),
+		"heartbeat": s.Heartbeat.Std(), "stop_grace": s.StopGrace.Std(), "store.min_ttl": s.Store.MinTTL.Std(),
 	} {
 		if d <= 0 {
 			return refuse(file, key, d, "set it to a time above zero, such as 2s")
--- a/src/agent/settings_test.go
+++ b/src/agent/settings_test.go
@@ -16,7 +16,6 @@
 region = "midlands"
 heartbeat = "1500ms"
 stop_grace = "6s"
-drain_bound = "2000ms"
 memory_mb = 284
 link_mbps = 1000.0
 [listen]
@@ -33,7 +32,6 @@
 [retry_budget]
 share = 0.2
 reserve = 60
-window = "10s"
 `
 
 func TestParseSettings(t *testing.T) {
@@ -42,12 +40,14 @@
 		"missing text":    {`service = "bookings"`, "service = ", `settings: a.toml:2: .*`},
 		"missing unit":    {`stop_grace = "6s"`, `stop_grace = "s"`, `settings: a.toml:6: .*"stop_grace".*`},
 		"missing key":     {`domain = "mid-a"`, "", `.*domain is "".*`},
-		"ill-typed":       {"memory_mb = 284", `memory_mb = "much"`, `settings: a.toml:8: .*`},
+		"ill-typed":       {"memory_mb = 284", `memory_mb = "much"`, `settings: a.toml:7: .*`},
 		"no address":      {`callers = "10.1.0.38:8147"`, "", `.*listen.callers.*IP number and port`},
-		"host name":       {`addr = "10.200.1.7:8142"`, `addr = "store:1"`, `settings: a.toml:19: .*`},
+		"host name":       {`addr = "10.200.1.7:8142"`, `addr = "store:1"`, `settings: a.toml:18: .*`},
 		"no link":         {"link_mbps = 1000.0", "", `.*link_mbps is "0".*`},
+		"no memory":       {"memory_mb = 284", "", `.*memory_mb is "0".*`},
+		"no lease":        {`min_ttl = "1000ms"`, "", `.*store.min_ttl is "0s".*`},
 		"no grace":        {`stop_grace = "6s"`, "", `.*stop_grace is "0s".*`},
-		"key of no use":   {"memory_mb = 284", "memory_kb = 3", `settings: a.toml:8: unknown key "memory_kb".*`},
+		"key of no use":   {"memory_mb = 284", "memory_kb = 3", `settings: a.toml:7: unknown key "memory_kb".*`},
 		"not TOML at all": {whole, "{", `settings: a.toml.*`},
 	}
 	for name, tc := range tests {
--- a/src/command/agent.go
+++ b/src/command/agent.go
@@ -19,6 +19,9 @@
 // gcPercent keeps the heap close to what is live: memory is dearer than processor time beside a backend server.
 const gcPercent = 40
 
+// memoryPart is the share of the process's memory, one in so many, beyond which its heap is collected more often; stacks, the program and unread bytes need the rest.
+const memoryPart = 2
+
 func agentCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "agent",
@@ -50,6 +53,7 @@
 	}
 	a.File = file
 	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(s.MemoryMB) << 20 / memoryPart)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	a.Build()
--- a/src/registry/announcer.go
+++ b/src/registry/announcer.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	entryTTL     = 4 * time.Second // an agent that is killed stays listed for it at most; links tell its death sooner
-	renewEvery   = entryTTL / 3
+	entryTTL     = 4 * time.Second        // an agent that is killed stays listed for it at most; links tell its death sooner
+	renewEvery   = entryTTL / 3           // a longer lease is renewed as often, so that its loss is seen as soon
 	retryEvery   = 400 * time.Millisecond // after a failed call: two attempts in a second of a store that has come back
 	markerTTL    = 10 * time.Minute       // the longest lease: a backend server that leaves is gone long before
 	markerRenew  = markerTTL / 3
@@ -30,7 +30,9 @@
 	Store Store
 	Keys  Keys
 	Key   string // of the entry
-	Log   logr.Logger
+	// MinTTL is the shortest lease that the store grants.
+	MinTTL time.Duration
+	Log    logr.Logger
 
 	once sync.Once
 	wake chan struct{}
@@ -202,7 +204,7 @@
 func (a *Announcer) write(ctx context.Context, m wire.Member, left marker) error {
 	if a.lease == 0 && m.ID != 0 {
 		err := a.call(ctx, func(ctx context.Context) (err error) {
-			a.lease, err = a.Store.Grant(ctx, entryTTL)
+			a.lease, err = a.Store.Grant(ctx, max(entryTTL, a.MinTTL))
 			return err
 		})
 		if err != nil {
