Uploads stay on their own VM where the link is thin

Change: the expected time of a server counts how long the body is on two links, unless both are the same VM, and a bulky call is given to the soonest server of the failure domain by that. Test: TestUploadsOverThinLinks; with a wide link the busier own server is not taken, as before. Ruled out: waits for slots, which are 0 at p50.

--- a/src/agent/agent.go
+++ b/src/agent/agent.go
@@ -126,7 +126,7 @@
 
 func (a *Agent) dispatchSettings() dispatch.Settings {
 	b := a.Settings.RetryBudget
-	return dispatch.Settings{RetryShare: b.Share * budgetPart, SharedReserve: b.Reserve * budgetPart, ColdStart: coldStart, NotReadyRetry: startRetry}
+	return dispatch.Settings{RetryShare: b.Share * budgetPart, SharedReserve: b.Reserve * budgetPart, ColdStart: coldStart, NotReadyRetry: startRetry, LinkRate: a.Settings.LinkMbps * 1e6 / 8}
 }
 
 // carry returns how long the VM's own link takes to carry n bytes.
--- a/src/dispatch/arrival.go
+++ b/src/dispatch/arrival.go
@@ -8,7 +8,7 @@
 
 // arrive sends a call's first attempt or refuses the call.
 func (c *Core) arrive(now time.Time, e CallArrived) []Action {
-	s := &callState{id: e.Call, policy: e.Policy, deadline: now.Add(e.Left), retryLayer: e.RetryLayer, hasBody: e.HasBody, bulky: e.Bulky}
+	s := &callState{id: e.Call, policy: e.Policy, deadline: now.Add(e.Left), retryLayer: e.RetryLayer, hasBody: e.HasBody, body: e.Body}
 	if e.Objective != 0 {
 		s.objective = now.Add(e.Objective)
 	}
--- a/src/dispatch/call.go
+++ b/src/dispatch/call.go
@@ -12,7 +12,6 @@
 
 const (
 	maxAttempts = 8
-	bulkySize   = 16 << 10 // bytes of a request body beyond which it is kept in its failure domain where it can be in time there
 	// watchAfter is how long a call runs before its caller's connection is watched.
 	watchAfter = 10 * time.Millisecond
 )
@@ -59,7 +58,7 @@
 	}
 	c.do(c.p.step(CallArrived{
 		Call: c.id, Policy: c.policy, Left: c.deadline.Sub(c.p.Now()),
-		RetryLayer: c.parent.RetryLayer, HasBody: c.body != nil, Bulky: c.body.length() < 0 || c.body.length() > bulkySize, Objective: c.objectiveLeft(),
+		RetryLayer: c.parent.RetryLayer, HasBody: c.body != nil, Body: c.body.length(), Objective: c.objectiveLeft(),
 	}))
 	c.timers = append(c.timers, callTimer{at: c.start.Add(watchAfter)})
 	timer := time.NewTimer(watchAfter)
--- a/src/dispatch/call_state.go
+++ b/src/dispatch/call_state.go
@@ -26,7 +26,7 @@
 	reached    bool      // an attempt may have reached a backend server, so that a further one counts as repeated
 	retryLayer bool
 	hasBody    bool
-	bulky      bool            // its body is dear to carry to another failure domain
+	body       int64           // bytes of its body, below zero when unknown
 	attempts   []*attemptState // by number, from 1
 	mayHaveRun bool            // of any attempt that is over
 	notRun     int             // attempts that are proven not to have run
@@ -58,6 +58,9 @@
 	return n
 }
 
+// bulky tells whether the call's body is dear to carry to another failure domain.
+func (s *callState) bulky() bool { return s.body < 0 || s.body > bulkySize }
+
 // tried tells whether an attempt has gone to a server.
 func (s *callState) tried(x *server) bool {
 	return slices.ContainsFunc(s.attempts, func(a *attemptState) bool { return a.server.ID == x.ID })
--- a/src/dispatch/choice.go
+++ b/src/dispatch/choice.go
@@ -53,16 +53,16 @@
 
 // nearEnough returns the best server of this failure domain for a call with a bulky body, if that is expected to answer in time.
 func (c *Core) nearEnough(now time.Time, svc *service, servers []*server, s *callState) *server {
-	if !s.bulky {
+	if !s.bulky() {
 		return nil
 	}
-	var best *server
-	for _, x := range servers {
-		if x.Domain == c.domain && c.inTime(now, s, choice{x, ChoiceLocal}) {
-			best = c.better(now, svc, best, x)
-		}
+	near := slices.DeleteFunc(slices.Clone(servers), func(x *server) bool {
+		return x.Domain != c.domain || !c.inTime(now, s, choice{x, ChoiceLocal})
+	})
+	if len(near) == 0 {
+		return nil
 	}
-	return best
+	return c.soonest(now, svc, near, s).server
 }
 
 // skips tells whether a ring of cold servers only is passed over this time.
--- a/src/dispatch/core.go
+++ b/src/dispatch/core.go
@@ -11,6 +11,7 @@
 	Rand     *rand.Rand
 
 	version        uint64
+	self           uint64
 	domain, region string
 	members        map[uint64]*server
 	services       map[string]*service
@@ -53,7 +54,7 @@
 	if e.Version != c.version || c.turns == nil {
 		c.version, c.turns = e.Version, map[routeKey]float64{}
 	}
-	c.domain, c.region = e.Domain, e.Region
+	c.self, c.domain, c.region = e.Self, e.Domain, e.Region
 	c.members = make(map[uint64]*server, len(e.Members))
 	services := map[string]*service{}
 	for _, m := range e.Members {
--- a/src/dispatch/event.go
+++ b/src/dispatch/event.go
@@ -12,7 +12,8 @@
 // TableChanged gives the core the members of a new routing table.
 type TableChanged struct {
 	Version uint64   `json:"version"`
-	Domain  string   `json:"domain"` // failure domain of this daemon
+	Self    uint64   `json:"self,omitempty"` // member ID of this daemon
+	Domain  string   `json:"domain"`         // failure domain of this daemon
 	Region  string   `json:"region"`
 	Members []Member `json:"members"`
 }
@@ -24,7 +25,7 @@
 	Left       time.Duration `json:"left_ns"`               // until the call's deadline
 	RetryLayer bool          `json:"retry_layer,omitempty"` // a daemon earlier in the chain retries
 	HasBody    bool          `json:"has_body,omitempty"`
-	Bulky      bool          `json:"bulky,omitempty"`        // its body is dear to carry to another failure domain
+	Body       int64         `json:"body,omitempty"`         // bytes of the request body, below zero when unknown
 	Objective  time.Duration `json:"objective_ns,omitempty"` // until the answer is late, 0 for no objective
 }
 
--- a/src/dispatch/result.go
+++ b/src/dispatch/result.go
@@ -114,7 +114,7 @@
 	if s.objective.IsZero() {
 		return ch.reason != ChoiceSaturated
 	}
-	return !now.Add(ch.server.wait(now, s.policy.Route) + ch.server.services[s.policy.Route]).After(s.objective)
+	return !now.Add(c.carry(ch.server, s) + ch.server.wait(now, s.policy.Route) + ch.server.services[s.policy.Route]).After(s.objective)
 }
 
 // timer acts on an attempt that takes too long.
--- a/src/dispatch/settings.go
+++ b/src/dispatch/settings.go
@@ -28,6 +28,7 @@
 	AsideMaxTime  time.Duration `json:"aside_max_time_ns,omitempty"`
 	LatencyFactor float64       `json:"latency_factor,omitempty"` // times the service's median
 	MaxCalls      int           `json:"max_calls,omitempty"`      // in flight in one daemon
+	LinkRate      float64       `json:"link_rate,omitempty"`      // bytes a second that a VM's link carries, 0 for a link that costs no time
 }
 
 // WithDefaults returns the settings with every zero field set.
--- a/src/dispatch/soonest.go
+++ b/src/dispatch/soonest.go
@@ -6,10 +6,11 @@
 )
 
 const (
-	calmLoad    = 0.75 // of the slots; beyond it a call is likely to wait or to be slowed down
-	crowdedCost = 0.5  // of the service time, at all slots in use
-	domainCost  = 0.2  // of the service time, for a server in another failure domain
-	regionCost  = 0.5  // for one in another region
+	bulkySize   = 16 << 10 // bytes of a request body beyond which it is kept in its failure domain where it can be in time there
+	calmLoad    = 0.75     // of the slots; beyond it a call is likely to wait or to be slowed down
+	crowdedCost = 0.5      // of the service time, at all slots in use
+	domainCost  = 0.2      // of the service time, for a server in another failure domain
+	regionCost  = 0.5      // for one in another region
 	domainDelay = 3 * time.Millisecond
 	busyFade    = time.Second // half-life of what a server told of the calls of others
 	spreadCost  = 0.1         // of the cost, at random, so that daemons that know the same do not all choose the same
@@ -48,6 +49,7 @@
 	load := (x.busy(now, c.Settings.LoadHalfLife) + 1) / x.slots()
 	cost := t * (1 + crowdedCost*max(0, min(load, 1)-calmLoad)/(1-calmLoad))
 	cost += x.wait(now, s.policy.Route).Seconds()
+	cost += c.carry(x, s).Seconds()
 	if x.Domain != c.domain {
 		far := domainCost
 		if x.Region != c.region {
@@ -59,6 +61,18 @@
 	return cost * (1 + x.errors(now) + x.lateness(now, svc.medianLatency))
 }
 
+// carry returns how long a call's body is on the way to a server: it leaves over this VM's link and arrives over the server's, unless both are the same VM.
+func (c *Core) carry(x *server, s *callState) time.Duration {
+	if x.ID == c.self || c.Settings.LinkRate <= 0 {
+		return 0
+	}
+	n := s.body
+	if n < 0 {
+		n = bulkySize
+	}
+	return time.Duration(2 * float64(n) / c.Settings.LinkRate * float64(time.Second))
+}
+
 // usualService returns the median service time of a route over the servers that have told one.
 func usualService(servers []*server, route string) time.Duration {
 	known := make([]time.Duration, 0, len(servers))
--- a/src/dispatch/soonest_test.go
+++ b/src/dispatch/soonest_test.go
@@ -10,7 +10,10 @@
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
-const ms = time.Millisecond
+const (
+	ms     = time.Millisecond
+	upload = 60 << 10 // bytes
+)
 
 // objectiveCore returns a core in domain "a" that knows warm servers 1 to 4: two in its own failure domain, two in another.
 func objectiveCore() *Core {
@@ -37,8 +40,8 @@
 	s.told(epoch, "read", l)
 }
 
-func arrive(c *Core, call uint64, bulky bool) SendAttempt {
-	for _, a := range c.Step(epoch, CallArrived{Call: call, Policy: readPolicy, Left: time.Second, Objective: 300 * ms, Bulky: bulky}) {
+func arrive(c *Core, call uint64, body int64) SendAttempt {
+	for _, a := range c.Step(epoch, CallArrived{Call: call, Policy: readPolicy, Left: time.Second, Objective: 300 * ms, Body: body}) {
 		if s, ok := a.(SendAttempt); ok {
 			return s
 		}
@@ -54,16 +57,16 @@
 	fast := Load{Free: 8, Slots: 10, Service: 60 * ms}
 	tests := map[string]struct {
 		loads [4]Load
-		bulky bool
+		body  int64
 		want  []uint64
 	}{
-		"equal servers: stay in the failure domain":        {[4]Load{calm, calm, calm, calm}, false, []uint64{1, 2}},
-		"slow server beside a faster one":                  {[4]Load{slow, calm, calm, calm}, false, []uint64{2}},
-		"slow failure domain":                              {[4]Load{slow, slow, calm, calm}, false, []uint64{3, 4}},
-		"much faster server elsewhere":                     {[4]Load{calm, calm, calm, fast}, false, []uint64{4}},
-		"full failure domain":                              {[4]Load{full, full, calm, calm}, false, []uint64{3, 4}},
-		"full failure domain, upload that is in time here": {[4]Load{full, full, calm, calm}, true, []uint64{1, 2}},
-		"upload that would be late here":                   {[4]Load{{Free: -9, Slots: 10, Service: 100 * ms, Backlog: 400 * ms}, {Free: -9, Slots: 10, Service: 100 * ms, Backlog: 400 * ms}, calm, calm}, true, []uint64{3, 4}},
+		"equal servers: stay in the failure domain":        {[4]Load{calm, calm, calm, calm}, 0, []uint64{1, 2}},
+		"slow server beside a faster one":                  {[4]Load{slow, calm, calm, calm}, 0, []uint64{2}},
+		"slow failure domain":                              {[4]Load{slow, slow, calm, calm}, 0, []uint64{3, 4}},
+		"much faster server elsewhere":                     {[4]Load{calm, calm, calm, fast}, 0, []uint64{4}},
+		"full failure domain":                              {[4]Load{full, full, calm, calm}, 0, []uint64{3, 4}},
+		"full failure domain, upload that is in time here": {[4]Load{full, full, calm, calm}, upload, []uint64{1, 2}},
+		"upload that would be late here":                   {[4]Load{{Free: -9, Slots: 10, Service: 100 * ms, Backlog: 400 * ms}, {Free: -9, Slots: 10, Service: 100 * ms, Backlog: 400 * ms}, calm, calm}, upload, []uint64{3, 4}},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -71,7 +74,7 @@
 			for i, l := range tc.loads {
 				tell(c, uint64(i+1), l)
 			}
-			got := arrive(c, 1, tc.bulky)
+			got := arrive(c, 1, tc.body)
 			qt.Assert(t, tc.want, qt.Contains, got.Member)
 			qt.Assert(t, got.Final, qt.IsFalse)
 		})
@@ -85,7 +88,7 @@
 	for id := range uint64(4) {
 		tell(c, id+1, full)
 	}
-	s := arrive(c, 1, false)
+	s := arrive(c, 1, 0)
 	sends, finals := 1, 0
 	for {
 		var next *SendAttempt
@@ -146,3 +149,41 @@
 	qt.Assert(t, reads+payments, qt.Equals, 2, qt.Commentf("the reserve of 8 is shared by 4 daemons"))
 	qt.Assert(t, payments, qt.Equals, 1)
 }
+
+// Pattern: uploads over thin links. Each VM's own backend server needs no link, unless it is late or much slower.
+func TestUploadsOverThinLinks(t *testing.T) {
+	calm := Load{Free: 8, Slots: 10, Service: 200 * ms}
+	busy := Load{Free: 0, Slots: 10, Service: 200 * ms}
+	full := Load{Free: -9, Slots: 10, Service: 200 * ms, Backlog: 400 * ms}
+	tests := map[string]struct {
+		own, rest Load
+		body      int64
+		mbps      float64
+		want      []uint64
+	}{
+		"all calm":                   {calm, calm, upload, 5, []uint64{1}},
+		"own one busier":             {busy, calm, upload, 5, []uint64{1}},
+		"own one would be late":      {full, calm, upload, 5, []uint64{2}},
+		"own one busier, wide link":  {busy, calm, upload, 1000, []uint64{2}},
+		"size unknown":               {calm, calm, -1, 5, []uint64{1}},
+		"small call, own one busier": {busy, calm, 0, 5, []uint64{2}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(50) {
+				c := objectiveCore()
+				c.Rand = rand.New(rand.NewPCG(1, seed))
+				c.self, c.Settings.LinkRate = 1, tc.mbps*1e6/8
+				tell(c, 1, tc.own)
+				for id := uint64(2); id <= 4; id++ {
+					tell(c, id, tc.rest)
+				}
+				for _, a := range c.Step(epoch, CallArrived{Call: 1, Policy: readPolicy, Left: time.Second, Objective: 800 * ms, Body: tc.body}) {
+					if s, ok := a.(SendAttempt); ok {
+						qt.Assert(t, tc.want, qt.Contains, s.Member, qt.Commentf("seed %d", seed))
+					}
+				}
+			}
+		})
+	}
+}
--- a/src/dispatch/table.go
+++ b/src/dispatch/table.go
@@ -96,7 +96,7 @@
 
 // changed returns the event that tells the core of this table.
 func (t *Table) changed(self wire.Member, now time.Time) TableChanged {
-	e := TableChanged{Version: t.Version, Domain: self.Domain, Region: self.Region}
+	e := TableChanged{Version: t.Version, Self: self.ID, Domain: self.Domain, Region: self.Region}
 	for _, ms := range t.members {
 		for _, m := range ms {
 			e.Members = append(e.Members, newMember(m, now))
