Receivers of bodies over a thin link bound what is on its way to them

Change: credit for bodies is given by the receiving VM, for all links together no more than the link carries in 25 ms, half of it to one body; senders that fall silent stop counting after 0.2 s. Tests: intake_test, many uploads over a thin link, frozen senders. Weighed: pacing at the sender, which cannot see the other senders.

--- a/src/agent/agent.go
+++ b/src/agent/agent.go
@@ -105,7 +105,7 @@
 	}
 	a.pool = &link.Pool{
 		Self: a.id, Listener: a.Links, Calls: a.booking, Messages: messages{a}, Insecure: true,
-		Grace: s.StopGrace.Std(), Limits: link.Limits{Ping: linkPing + a.carry(queuedBytes)/4, Hello: linkHello + a.carry(queuedBytes)}, Log: a.Log.WithName("link"), Metrics: a.Set,
+		Grace: s.StopGrace.Std(), Limits: link.Limits{Ping: linkPing + a.carry(queuedBytes)/4, Hello: linkHello + a.carry(queuedBytes), Rate: linkRate(s)}, Log: a.Log.WithName("link"), Metrics: a.Set,
 	}
 	a.proxy = &dispatch.Proxy{
 		Listener: a.Callers, Self: a.member, Table: a.table, Caller: a.pool, Headers: a.Headers, Limits: a.limits,
@@ -126,12 +126,15 @@
 
 func (a *Agent) dispatchSettings() dispatch.Settings {
 	b := a.Settings.RetryBudget
-	return dispatch.Settings{RetryShare: b.Share * budgetPart, SharedReserve: b.Reserve * budgetPart, ColdStart: coldStart, NotReadyRetry: startRetry, LinkRate: a.Settings.LinkMbps * 1e6 / 8}
+	return dispatch.Settings{RetryShare: b.Share * budgetPart, SharedReserve: b.Reserve * budgetPart, ColdStart: coldStart, NotReadyRetry: startRetry, LinkRate: linkRate(a.Settings)}
 }
 
+// linkRate returns how many bytes a second the VM's own link carries.
+func linkRate(s Settings) float64 { return s.LinkMbps * 1e6 / 8 }
+
 // carry returns how long the VM's own link takes to carry n bytes.
 func (a *Agent) carry(n int) time.Duration {
-	return time.Duration(float64(n) * 8 / (a.Settings.LinkMbps * 1e6) * float64(time.Second))
+	return time.Duration(float64(n) / linkRate(a.Settings) * float64(time.Second))
 }
 
 // member returns what the agent announces of itself.
--- a/src/link/inbound.go
+++ b/src/link/inbound.go
@@ -51,9 +51,11 @@
 
 func (c *connection) serve(f wire.OpenFrame) {
 	in := &inbound{c: c, id: f.Call, call: f.Head, flow: c.out.newFlow()}
-	in.inbox = newInbox(&c.pool.memory, in.grant)
+	in.inbox = newInbox(c.pool, in.grant)
 	if f.Head.BodyLength == 0 {
 		in.inbox.ended = true
+	} else {
+		in.inbox.expect(f.Head.BodyLength)
 	}
 	in.ctx, in.cancel = context.WithCancelCause(c.ctx)
 	if f.Head.TimeoutMS > 0 {
--- a/src/link/inbox.go
+++ b/src/link/inbox.go
@@ -18,17 +18,33 @@
 	ended   bool  // the body has arrived to its end
 	err     error // why the body was cut
 	shared  *budget
+	intake  *intake
 	grant   func(add uint32) // sends credit to the other end
 }
 
-func newInbox(shared *budget, grant func(uint32)) *inbox {
-	b := &inbox{window: initialWindow, credit: initialWindow, shared: shared, grant: grant}
+func newInbox(p *Pool, grant func(uint32)) *inbox {
+	b := &inbox{window: initialWindow, credit: initialWindow, shared: &p.memory, intake: p.intake, grant: grant}
 	b.arrived.L = &b.mu
 	return b
 }
 
+// expect prepares for a body of so many bytes, below zero when unknown: one that is known to be longer than its first window gets credit before it is read.
+func (b *inbox) expect(length int64) {
+	b.intake.begin(b, initialWindow)
+	add := int(min(length, firstWindow)) - initialWindow
+	if add <= 0 || !b.shared.take(add) {
+		return
+	}
+	b.mu.Lock()
+	b.window += add
+	b.credit += add
+	b.mu.Unlock()
+	b.intake.request(b, add)
+}
+
 // put stores p and tells whether the other end kept within its credit.
 func (b *inbox) put(p []byte) bool {
+	b.intake.arrived(b, len(p))
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(p) > b.credit {
@@ -49,6 +65,7 @@
 
 // finish marks the body as whole.
 func (b *inbox) finish() {
+	b.intake.end(b)
 	b.mu.Lock()
 	b.ended = true
 	b.mu.Unlock()
@@ -57,6 +74,7 @@
 
 // cut ends a body that is not whole.
 func (b *inbox) cut(err error) {
+	b.intake.end(b)
 	b.mu.Lock()
 	if b.err == nil && !b.ended {
 		b.err = err
@@ -67,6 +85,7 @@
 
 // drop forgets what has arrived and returns the memory.
 func (b *inbox) drop(err error) {
+	b.intake.end(b)
 	b.mu.Lock()
 	if b.err == nil {
 		b.err = err
@@ -112,7 +131,7 @@
 	add := b.acknowledge(n)
 	b.mu.Unlock()
 	if add > 0 {
-		b.grant(uint32(add))
+		b.intake.request(b, add)
 	}
 	return n, nil
 }
--- /dev/null
+++ b/src/link/intake_test.go
@@ -0,0 +1,117 @@
+package link
+
+import (
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const thinRate = 5e6 / 8 // bytes a second
+
+// sender is a peer that sends a body as its credit allows.
+type sender struct {
+	b      *inbox
+	credit atomic.Int64 // given beyond the initial window
+	sent   int64
+}
+
+func newSender(in *intake) *sender {
+	s := &sender{}
+	s.b = &inbox{intake: in, grant: func(add uint32) { s.credit.Add(int64(add)) }}
+	in.begin(s.b, initialWindow)
+	return s
+}
+
+// send has up to n bytes arrive and returns how many did.
+func (s *sender) send(in *intake, n int64) int64 {
+	n = min(n, initialWindow+s.credit.Load()-s.sent)
+	s.sent += n
+	in.arrived(s.b, int(n))
+	return n
+}
+
+// underway returns the bytes that all may send at once.
+func underway(all []*sender) int64 {
+	n := int64(0)
+	for _, s := range all {
+		n += initialWindow + s.credit.Load() - s.sent
+	}
+	return n
+}
+
+// Pattern: many uploads at once over a thin link. What is under way stays within what the link carries in a moment, and all get through.
+func TestManyUploadsOverAThinLink(t *testing.T) {
+	const body = 60 << 10
+	in := newIntake(thinRate)
+	var all []*sender
+	for range 8 {
+		s := newSender(in)
+		in.request(s.b, body-initialWindow)
+		all = append(all, s)
+	}
+	bound := int64(in.max)
+	for range 10_000 {
+		done := 0
+		for _, s := range all {
+			s.send(in, 1000)
+			if s.sent == body {
+				done++
+				in.end(s.b)
+			}
+		}
+		if underway(all) <= bound {
+			bound = int64(in.max) // beyond the initial windows no more than this
+		} else {
+			qt.Assert(t, underway(all) <= int64(len(all))*initialWindow, qt.IsTrue, qt.Commentf("%d", underway(all)))
+		}
+		if done == len(all) {
+			qt.Assert(t, in.under, qt.Equals, 0)
+			qt.Assert(t, in.waiting, qt.HasLen, 0)
+			return
+		}
+	}
+	t.Fatal("some upload never got its credit")
+}
+
+// Pattern: senders that were given credit freeze. Those that wait for it are served after a moment, and one that wakes up goes on.
+func TestFrozenSendersHoldNoCreditForLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		in := newIntake(thinRate)
+		frozen := []*sender{newSender(in), newSender(in)}
+		for _, s := range frozen {
+			s.send(in, initialWindow)
+			in.request(s.b, 60<<10)
+		}
+		waits := newSender(in)
+		waits.send(in, initialWindow)
+		in.request(waits.b, 60<<10)
+		qt.Assert(t, waits.credit.Load(), qt.Equals, int64(0))
+		time.Sleep(2 * intakeSilence)
+		synctest.Wait()
+		qt.Assert(t, waits.credit.Load() > 0, qt.IsTrue)
+		qt.Assert(t, frozen[0].send(in, 1<<20) > 0, qt.IsTrue)
+		for _, s := range append(frozen, waits) {
+			in.end(s.b)
+		}
+		qt.Assert(t, in.under, qt.Equals, 0)
+	})
+}
+
+// One body gets at most half of the room, so that a slow sender does not hold up the others.
+func TestOneBodyLeavesRoomForOthers(t *testing.T) {
+	in := newIntake(thinRate)
+	s := newSender(in)
+	s.send(in, initialWindow)
+	in.request(s.b, 1<<20)
+	qt.Assert(t, s.credit.Load(), qt.Equals, int64(in.max/2))
+}
+
+func TestAWideLinkGivesCreditAtOnce(t *testing.T) {
+	in := newIntake(0)
+	s := newSender(in)
+	in.request(s.b, 1<<20)
+	qt.Assert(t, s.credit.Load(), qt.Equals, int64(1<<20))
+}
--- a/src/link/limits.go
+++ b/src/link/limits.go
@@ -6,7 +6,8 @@
 	maxFrame      = 128 << 10 // bytes of one frame after its length
 	chunkSize     = 16 << 10  // bytes of a body in one frame
 	inlineBody    = 4 << 10   // bytes of a body that travel with the heads
-	initialWindow = 16 << 10  // bytes a body may have under way before its reader has read any
+	initialWindow = 4 << 10   // bytes a body may have under way before its receiver has given any credit
+	firstWindow   = 64 << 10  // bytes of credit that a long body is given at once: uploads of the usual size need no more
 	maxWindow     = 256 << 10 // bytes a body may have under way at most
 	maxUrgent     = 1 << 20   // bytes of heads and control frames queued; beyond it the link is closed
 	busyUrgent    = 256 << 10 // bytes of heads and control frames queued; beyond it new ones wait or are refused
@@ -31,6 +32,7 @@
 	Idle         time.Duration // time without calls after which a dialled link is closed
 	Hello        time.Duration // longest wait for a link to be made
 	Ping         time.Duration // time without a byte after which a link in use is pinged
+	Rate         float64       // bytes a second that the VM's own link carries, 0 for one that needs no care
 }
 
 func (l Limits) withDefaults() Limits {
--- a/src/link/outgoing.go
+++ b/src/link/outgoing.go
@@ -28,7 +28,7 @@
 		return nil, wire.ReasonLinkLost
 	}
 	o := &outgoing{c: c, id: c.lastID + 1, result: make(chan Outcome, 1), flow: c.out.newFlow()}
-	o.inbox = newInbox(&c.pool.memory, o.grant)
+	o.inbox = newInbox(c.pool, o.grant)
 	c.out.mu.Lock()
 	defer c.out.mu.Unlock()
 	if c.out.err != nil {
@@ -159,6 +159,9 @@
 		return protocolError(c.peer.Addr.String(), "reply to a call that was never opened or is already replied to")
 	}
 	if ok {
+		if f.Head.BodyLength != 0 {
+			o.inbox.expect(f.Head.BodyLength)
+		}
 		select {
 		case o.result <- Reply{Head: f.Head, Body: &answer{o: o}}:
 		default:
--- a/src/link/pool.go
+++ b/src/link/pool.go
@@ -45,6 +45,7 @@
 	messageWorkers pond.Pool
 	calls          budget
 	memory         budget
+	intake         *intake
 
 	mu       sync.Mutex
 	routes   map[Peer]*route
@@ -71,6 +72,7 @@
 		p.messageWorkers = pond.NewPool(maxMessages, pond.WithQueueSize(maxMessages), pond.WithNonBlocking(true))
 		p.calls.max = int64(p.limits.Calls)
 		p.memory.max = int64(p.limits.Memory)
+		p.intake = newIntake(p.limits.Rate)
 		p.routes = map[Peer]*route{}
 		p.conns = map[*connection]struct{}{}
 		p.raw = map[net.Conn]time.Time{}
