Credit for bodies that is not used in time leaves its room to others

Change: credit that is not used within 40 ms is no longer counted as on its way; a body holds no more unused credit than before.

--- a/src/link/intake.go
+++ b/src/link/intake.go
@@ -7,10 +7,10 @@
 )
 
 const (
-	intakeTime    = 25 * time.Millisecond  // that small frames may wait on this VM's link behind the bodies of all peers
-	intakeMin     = 8 << 10                // bytes, so that a round trip between failure domains does not leave the link idle
-	intakeGrant   = 2 << 10                // bytes; a smaller grant would cost two frames for little
-	intakeSilence = 200 * time.Millisecond // without a byte after which the credit of a body no longer counts: its sender is away or slow
+	intakeTime  = 25 * time.Millisecond // that small frames may wait on this VM's link behind the bodies of all peers
+	intakeMin   = 8 << 10               // bytes, so that a round trip between failure domains does not leave the link idle
+	intakeGrant = 2 << 10               // bytes; a smaller grant would cost two frames for little
+	intakeUse   = 40 * time.Millisecond // after which a body's credit no longer counts: a sender that has bytes at hand uses it in intakeTime and a round trip
 )
 
 // intake bounds the body bytes that peers may have on their way here together; a thin link would else hold small frames up behind them.
@@ -26,10 +26,10 @@
 
 // coming is what an intake knows of one body.
 type coming struct {
-	under int       // bytes on their way
+	under int       // bytes taken to be on their way
+	idle  int       // bytes of credit that its sender has not used: it waits for its caller, or is away
 	want  int       // credit that the body may have and has not been given
-	moved time.Time // when it was given credit or a byte arrived
-	away  bool      // its sender has credit and is silent, so that it gets no more
+	given time.Time // when it was last given credit
 }
 
 // newIntake returns the intake of a VM whose link carries rate bytes a second, 0 for a link without bound.
@@ -48,7 +48,7 @@
 	}
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	in.bodies[b] = &coming{under: n, moved: time.Now()}
+	in.bodies[b] = &coming{under: n, given: time.Now()}
 	in.under += n
 }
 
@@ -75,10 +75,10 @@
 	}
 	in.mu.Lock()
 	if c, ok := in.bodies[b]; ok {
-		n = min(n, c.under)
-		c.under -= n
-		in.under -= n
-		c.moved, c.away = time.Now(), false
+		counted := min(n, c.under)
+		c.under -= counted
+		in.under -= counted
+		c.idle -= min(n-counted, c.idle)
 	}
 	in.release()
 }
@@ -107,11 +107,11 @@
 	keep := in.waiting[:0]
 	for _, b := range in.waiting {
 		c := in.bodies[b]
-		if n := min(c.want, in.max-in.under, in.max/2-c.under); !c.away && n >= min(c.want, intakeGrant) {
+		if n := min(c.want, in.max-in.under, in.max/2-c.under-c.idle); n >= min(c.want, intakeGrant) {
 			c.want -= n
 			c.under += n
 			in.under += n
-			c.moved = time.Now()
+			c.given = time.Now()
 			out = append(out, given{b, n})
 		}
 		if c.want > 0 {
@@ -121,7 +121,7 @@
 	clear(in.waiting[len(keep):])
 	in.waiting = keep
 	if len(in.waiting) > 0 && in.sweep == nil {
-		in.sweep = time.AfterFunc(intakeSilence, in.forgetSilent)
+		in.sweep = time.AfterFunc(intakeUse, in.forgetUnused)
 	}
 	in.mu.Unlock()
 	for _, g := range out { // outside the lock: a link that is closed here ends its bodies
@@ -129,14 +129,14 @@
 	}
 }
 
-// forgetSilent no longer counts what senders that have fallen silent may still send.
-func (in *intake) forgetSilent() {
+// forgetUnused no longer counts the credit that senders have not used in time.
+func (in *intake) forgetUnused() {
 	in.mu.Lock()
 	in.sweep = nil
 	for _, c := range in.bodies {
-		if c.under > 0 && time.Since(c.moved) >= intakeSilence {
+		if c.under > 0 && time.Since(c.given) >= intakeUse {
 			in.under -= c.under
-			c.under, c.away = 0, true
+			c.under, c.idle = 0, c.idle+c.under
 		}
 	}
 	in.release()
--- a/src/link/intake_test.go
+++ b/src/link/intake_test.go
@@ -89,9 +89,10 @@
 		waits.send(in, initialWindow)
 		in.request(waits.b, 60<<10)
 		qt.Assert(t, waits.credit.Load(), qt.Equals, int64(0))
-		time.Sleep(2 * intakeSilence)
+		time.Sleep(2 * intakeUse)
 		synctest.Wait()
 		qt.Assert(t, waits.credit.Load() > 0, qt.IsTrue)
+		qt.Assert(t, frozen[0].credit.Load() <= int64(in.max/2), qt.IsTrue, qt.Commentf("no more than one body may have"))
 		qt.Assert(t, frozen[0].send(in, 1<<20) > 0, qt.IsTrue)
 		for _, s := range append(frozen, waits) {
 			in.end(s.b)
@@ -115,3 +116,30 @@
 	in.request(s.b, 1<<20)
 	qt.Assert(t, s.credit.Load(), qt.Equals, int64(1<<20))
 }
+
+// Pattern: uploads of callers on slow connections. Each trickles, and none holds the room that the others could use.
+func TestTricklingUploadsLeaveTheRoomToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const body = 60 << 10
+		in := newIntake(thinRate)
+		trickles := []*sender{newSender(in), newSender(in)}
+		for _, s := range trickles {
+			in.request(s.b, body)
+		}
+		quick := newSender(in)
+		in.request(quick.b, body-initialWindow)
+		var took time.Duration
+		for quick.sent < body {
+			time.Sleep(5 * time.Millisecond)
+			took += 5 * time.Millisecond
+			for _, s := range trickles {
+				s.send(in, 100)
+			}
+			quick.send(in, int64(5e-3*thinRate))
+		}
+		qt.Assert(t, took < 2*time.Duration(body/thinRate*float64(time.Second)), qt.IsTrue, qt.Commentf("%s", took))
+		for _, s := range append(trickles, quick) {
+			in.end(s.b)
+		}
+	})
+}
