--- a/src/agent/in_force.go
+++ b/src/agent/in_force.go
@@ -52,16 +52,21 @@
 		a.Log.Info("configuration not taken", "reason", "older than the one in force", "version", c.Version, "in_force", before)
 		return
 	}
-	if err := a.swap(c, c.snapshot()); err != nil {
+	s := c.snapshot()
+	t, err := dispatch.NewTable(s, a.members)
+	if err != nil {
 		a.Log.Error(err, "configuration not taken", "version", c.Version, "in_force", before)
 		return
 	}
+	routes := len(c.Routes)
+	c.Routes = nil // the snapshot holds them
+	a.inForce.Store(&inForce{config: c, snapshot: s, table: t})
 	a.booking.SetLimits(c.Connections[a.Settings.Service], c.HealthPaths[a.Settings.Service])
 	select {
 	case a.wake <- struct{}{}:
 	default:
 	}
-	a.Log.Info("version in force", "version", c.Version, "before", before, "routes", len(c.Routes))
+	a.Log.Info("version in force", "version", c.Version, "before", before, "routes", routes)
 }
 
 // takeMembers makes the table anew for a changed set of members.
@@ -74,17 +79,5 @@
 	if f == nil {
 		return
 	}
-	if err := a.swap(f.config, f.snapshot); err != nil {
-		a.Log.Error(err, "members not taken", "version", f.config.Version)
-	}
-}
-
-// swap builds a table aside and serves from it; a.mu is held.
-func (a *Agent) swap(c *Config, s *ledger.Snapshot) error {
-	t, err := dispatch.NewTable(s, a.members)
-	if err != nil {
-		return err
-	}
-	a.inForce.Store(&inForce{config: c, snapshot: s, table: t})
-	return nil
+	a.inForce.Store(&inForce{config: f.config, snapshot: f.snapshot, table: f.table.WithMembers(a.members)})
 }
--- a/src/dispatch/caller_listener.go
+++ b/src/dispatch/caller_listener.go
@@ -31,7 +31,7 @@
 }
 
 // serve serves connections, each in a goroutine, until the listener is closed and they have ended.
-func (l *callerListener) serve(srv *fasthttp.Server) error {
+func (l *callerListener) serve(server func() *fasthttp.Server) error {
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	slots := make(chan struct{}, maxConns)
@@ -41,6 +41,7 @@
 		if err != nil {
 			return err
 		}
+		srv := server()
 		wg.Go(func() {
 			_ = srv.ServeConn(c)
 			_ = c.Close()
--- a/src/dispatch/match.go
+++ b/src/dispatch/match.go
@@ -20,10 +20,7 @@
 
 // policy returns how a request of a method is dispatched.
 func (m *Match) policy(method string) *Policy {
-	if m.Route.IsIdempotent(method) {
-		return m.rule.idempotent
-	}
-	return m.rule.once
+	return m.rule.policy(m.Route.IsIdempotent(method))
 }
 
 // Match returns the route for a request: the longest prefix of its host's routes that takes the method.
--- a/src/dispatch/proxy.go
+++ b/src/dispatch/proxy.go
@@ -24,17 +24,19 @@
 )
 
 const (
-	maxHeaderSize  = 32 << 10 // bytes of a request's header
-	maxConns       = 16384    // callers' connections
-	earlyBody      = 1        // bytes of a request body that the HTTP library reads before the proxy sees the request
-	prefetchSize   = 64 << 10 // bytes of a request body that are read before the call is dispatched
-	defaultStall   = 60 * time.Second
-	defaultGrace   = 30 * time.Second
-	defaultStart   = 2 * time.Second
-	startPoll      = 5 * time.Millisecond
-	killWait       = 5 * time.Second
-	endWait        = 150 * time.Millisecond // for the answers that a planned stop gives in place of the backend servers'
-	maxRequestBody = 256 << 20              // bytes
+	maxHeaderSize = 32 << 10 // bytes of a request's header
+	// requestLineSize is how many bytes a buffer holds beside a header of the largest size.
+	requestLineSize = 4 << 10
+	maxConns        = 16384    // callers' connections
+	earlyBody       = 1        // bytes of a request body that the HTTP library reads before the proxy sees the request
+	prefetchSize    = 64 << 10 // bytes of a request body that are read before the call is dispatched
+	defaultStall    = 60 * time.Second
+	defaultGrace    = 30 * time.Second
+	defaultStart    = 2 * time.Second
+	startPoll       = 5 * time.Millisecond
+	killWait        = 5 * time.Second
+	endWait         = 150 * time.Millisecond // for the answers that a planned stop gives in place of the backend servers'
+	maxRequestBody  = 256 << 20              // bytes
 )
 
 // Proxy is the HTTP server that callers speak to.
@@ -58,6 +60,7 @@
 	Record   *trace.Recorder
 
 	conns    *callerListener
+	http     *fasthttp.Server // of connections made under the limits in force
 	pool     workers.Pool
 	base     context.Context
 	kill     context.CancelFunc
@@ -81,9 +84,8 @@
 	p.init()
 	defer p.kill()
 	p.awaitServers(ctx)
-	srv := p.server()
 	done := make(chan error, 1)
-	go func() { done <- p.conns.serve(srv) }()
+	go func() { done <- p.conns.serve(p.server) }()
 	var err error
 	select {
 	case err = <-done:
@@ -192,20 +194,26 @@
 	p.conns.stop(last)
 }
 
+// server returns the HTTP server of the next connection, whose buffer takes a header within the limit; only the listener's loop calls it.
 func (p *Proxy) server() *fasthttp.Server {
-	return &fasthttp.Server{
+	size := p.limits().Header + requestLineSize
+	if p.http != nil && p.http.ReadBufferSize == size {
+		return p.http
+	}
+	p.http = &fasthttp.Server{
 		Handler:                      p.serve,
 		StreamRequestBody:            true,
 		DisablePreParseMultipartForm: true,
 		NoDefaultServerHeader:        true,
 		NoDefaultDate:                true,
 		NoDefaultContentType:         true,
-		ReadBufferSize:               maxHeaderSize,
+		ReadBufferSize:               size,
 		MaxRequestBodySize:           earlyBody,
 		ErrorHandler:                 p.unreadable,
 		Logger:                       serverLog{p.Log},
 		ConnState:                    markIdle,
 	}
+	return p.http
 }
 
 // markIdle tells a caller's connection that its answer is written.
--- a/src/dispatch/table.go
+++ b/src/dispatch/table.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -21,7 +22,7 @@
 type Table struct {
 	Version uint64
 
-	hosts   map[string][]*rule // by lower-case host, longest prefix first
+	hosts   map[string][]*rule // by lower-case host, longest prefix first; shared by all tables of one configuration
 	members map[string][]wire.Member
 	byID    map[uint64]wire.Member
 }
@@ -32,8 +33,8 @@
 	route      *document.Route
 	targets    []document.Target
 	fallback   string
-	idempotent *Policy
-	once       *Policy // of calls that may run only once
+	idempotent atomic.Pointer[Policy] // made when first needed: most routes of a large configuration take no call here
+	once       atomic.Pointer[Policy] // of calls that may run only once
 
 	logOnce sync.Once
 	log     logr.Logger
@@ -45,6 +46,18 @@
 	return r.log
 }
 
+// policy returns how the route's calls are dispatched.
+func (r *rule) policy(idempotent bool) *Policy {
+	p := &r.once
+	if idempotent {
+		p = &r.idempotent
+	}
+	if p.Load() == nil {
+		p.CompareAndSwap(nil, newPolicy(r, idempotent))
+	}
+	return p.Load()
+}
+
 // NewTable joins a configuration with a roster view; an error of kind problem.Document names a route that points at a service the configuration lacks.
 func NewTable(s *ledger.Snapshot, v *roster.View) (*Table, error) {
 	t := &Table{Version: s.Version, hosts: map[string][]*rule{}, members: map[string][]wire.Member{}, byID: map[uint64]wire.Member{}}
@@ -60,6 +73,15 @@
 	return t, nil
 }
 
+// WithMembers returns the table of the same configuration and another roster view.
+func (t *Table) WithMembers(v *roster.View) *Table {
+	out := &Table{Version: t.Version, hosts: t.hosts, members: make(map[string][]wire.Member, len(t.members)), byID: make(map[uint64]wire.Member, len(t.byID))}
+	for name := range t.members {
+		out.addMembers(name, v)
+	}
+	return out
+}
+
 // Members returns the members of a service; the slice is not to be changed.
 func (t *Table) Members(service string) []wire.Member { return t.members[service] }
 
@@ -111,7 +133,6 @@
 	if len(r.targets) == 0 {
 		r.targets = []document.Target{{Service: service, Weight: 1}}
 	}
-	r.idempotent, r.once = newPolicy(r, true), newPolicy(r, false)
 	return r
 }
 
--- a/src/dispatch/table_test.go
+++ b/src/dispatch/table_test.go
@@ -79,3 +79,19 @@
 	c.Assert(table.Members("bookings"), qt.HasLen, 1)
 	c.Assert(table.Members("retired"), qt.HasLen, 0)
 }
+
+// A change of members does not make the routes anew: a large configuration has thousands, and members change every second.
+func TestTableWithMembers(t *testing.T) {
+	c := qt.New(t)
+	before, err := dispatch.NewTable(snapshot(bookings(document.Route{Name: "r", Prefix: "/"})), roster.NewView(0, members(2)))
+	c.Assert(err, qt.IsNil)
+	after := before.WithMembers(roster.NewView(0, members(5)))
+	c.Assert(before.Members("bookings"), qt.HasLen, 2)
+	c.Assert(after.Members("bookings"), qt.HasLen, 5)
+	c.Assert(after.Version, qt.Equals, before.Version)
+	allocs := testing.AllocsPerRun(100, func() { before.WithMembers(roster.NewView(0, nil)) })
+	c.Assert(allocs < 20, qt.IsTrue, qt.Commentf("%v", allocs))
+	m, ok := after.Match("Bookings.example", "/a", "GET")
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(m.Table, qt.Equals, after)
+}
--- a/src/link/limits.go
+++ b/src/link/limits.go
@@ -12,7 +12,7 @@
 	maxUrgent     = 1 << 20   // bytes of heads and control frames queued; beyond it the link is closed
 	busyUrgent    = 256 << 10 // bytes of heads and control frames queued; beyond it new ones wait or are refused
 	batchSize     = 64 << 10  // bytes handed to the socket at once
-	readBuffer    = 8 << 10   // bytes
+	readBuffer    = 4 << 10   // bytes; most frames are heads and short bodies
 	maxMessage    = 8 << 20   // bytes of one control message
 	maxMessages   = 64        // control messages served at once
 
