Store calls that a restart and a reader's passing cut cost are gone

And each restarted agent asked for the marker of its backend server, though its first list had it. Change: a reader tells that the store is lost after a second failure, or one without an answer; markers are taken from the first list, the store is asked only for one that cannot be read. Weighed: another reader when one fails, which could itself still follow the failed one and be 2.4 s behind.

--- a/src/agent/backend.go
+++ b/src/agent/backend.go
@@ -101,6 +101,9 @@
 
 // leftUntil returns the start until which the incarnations of an instance have left, as an earlier agent has acknowledged.
 func (a *Agent) leftUntil(ctx context.Context, instance string) (time.Time, error) {
+	if until, ok := a.follower.LeftUntil(instance); ok {
+		return until, nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, ackWithin)
 	defer cancel()
 	until, err := a.announcer.LeftUntil(ctx, instance)
--- a/src/registry/announcer.go
+++ b/src/registry/announcer.go
@@ -104,11 +104,7 @@
 		if i.Key != key {
 			continue
 		}
-		ms, err := strconv.ParseInt(string(i.Value), 10, 64)
-		if err != nil {
-			return time.Time{}, problem.Wrap(problem.Protocol, err, key, "not a marker of this release", "let it lapse")
-		}
-		return time.UnixMilli(ms), nil
+		return parseMarker(i)
 	}
 	return time.Time{}, err
 }
--- a/src/registry/core.go
+++ b/src/registry/core.go
@@ -28,8 +28,9 @@
 	gone     map[string]uint64 // revisions that removed the entries of members that are no longer known
 	revision uint64            // of the store, up to which the members are known
 	config   Item
-	lost     time.Time // when the store stopped answering, zero while it answers
-	peerAt   time.Time // when a peer was last asked
+	left     map[string]Item // markers of the first list by instance, nil before it
+	lost     time.Time       // when the store stopped answering, zero while it answers
+	peerAt   time.Time       // when a peer was last asked
 }
 
 // Step decides on one event.
@@ -41,6 +42,7 @@
 	switch e := e.(type) {
 	case Listed:
 		c.revision = max(c.revision, e.Revision)
+		c.noteLeft(e.Items)
 		return c.listed(now, e.Items)
 	case Changed:
 		c.revision = max(c.revision, e.Revision)
@@ -71,6 +73,29 @@
 	return out
 }
 
+// noteLeft keeps the markers of the first list: later ones are written by this daemon itself, if they concern the backend server beside it.
+func (c *Core) noteLeft(items []Item) {
+	if c.left != nil {
+		return
+	}
+	c.left = map[string]Item{}
+	for _, i := range items {
+		if instance, ok := strings.CutPrefix(i.Key, c.Keys.Left); ok {
+			c.left[instance] = i
+		}
+	}
+}
+
+// LeftUntil returns the start until which incarnations of an instance had left when the store was first listed, zero for none; known is false before that and for a marker that cannot be read.
+func (c *Core) LeftUntil(instance string) (until time.Time, known bool) {
+	i, ok := c.left[instance]
+	if !ok {
+		return time.Time{}, c.left != nil
+	}
+	until, err := parseMarker(i)
+	return until, err == nil
+}
+
 // Reply answers a peer that asks what is known.
 func (c *Core) Reply(r wire.RegistryRequest) wire.RegistryReply {
 	out := wire.RegistryReply{Config: c.config.Revision, Revision: c.revision, Lost: !c.lost.IsZero() || c.revision == 0}
--- a/src/registry/follower.go
+++ b/src/registry/follower.go
@@ -94,7 +94,9 @@
 			break
 		}
 		f.noteLost(err)
-		f.step(StoreLost{})
+		if failures > 0 || errors.Is(err, context.DeadlineExceeded) {
+			f.step(StoreLost{}) // not after one cut: those who follow through this member would all read the store themselves
+		}
 		pause := min(retryMin<<min(failures, 4), retryMax)
 		failures++
 		select {
@@ -144,7 +146,7 @@
 		defer cancel()
 		items, revision, err := f.Store.List(call, f.Keys.Watched)
 		if err != nil {
-			return err
+			return errors.Join(err, call.Err())
 		}
 		f.after, *listed = revision, true
 		f.noteBack("listed", revision)
@@ -164,7 +166,7 @@
 			f.Log.Info("history gone", "reason", "the store dropped it", "after", f.after)
 			return nil
 		}
-		return err
+		return errors.Join(err, call.Err())
 	}
 	f.step(StoreBack{})
 	if len(items) == 0 {
@@ -352,6 +354,14 @@
 	return f.core.ConfigRevision()
 }
 
+// LeftUntil is Core.LeftUntil.
+func (f *Follower) LeftUntil(instance string) (until time.Time, known bool) {
+	f.init()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.core.LeftUntil(instance)
+}
+
 // Members returns the members known.
 func (f *Follower) Members() []wire.Member {
 	f.init()
--- a/src/registry/follower_test.go
+++ b/src/registry/follower_test.go
@@ -216,3 +216,48 @@
 		c.Check(time.Since(began) < registry.WatchWait, qt.IsTrue, qt.Commentf("%s", time.Since(began)))
 	}
 }
+
+// Pattern: a passing cut at the reader, as when the store drops its history. The others go on through it, since all of them at once would cost more than the wait.
+func TestOneCutAtTheReaderSendsNobodyElseToTheStore(t *testing.T) {
+	c := qt.New(t)
+	s := standin.NewRegistryStore()
+	_, all, views := startFollowers(c, 8, s)
+	time.Sleep(2 * registry.WatchWait) // all follow through the reader
+	calls := func() int {
+		n := 0
+		for _, v := range views[1:] {
+			v.Set(func() { n += v.Calls })
+		}
+		return n
+	}
+	before := calls()
+	views[0].Set(func() { views[0].Cut = 1 })
+	time.Sleep(3 * registry.WatchWait)
+	c.Assert(calls(), qt.Equals, before)
+	s.Put(testKeys.Config, []byte("two"))
+	began := time.Now()
+	for _, f := range all {
+		eventually(c, "in force", func() bool { return f.config() == "two" })
+	}
+	c.Assert(time.Since(began) < inForce, qt.IsTrue)
+}
+
+// An agent that starts learns from its first list what an earlier one has acknowledged, without a call for it.
+func TestMarkersOfTheFirstList(t *testing.T) {
+	c := qt.New(t)
+	s := standin.NewRegistryStore()
+	s.Put(testKeys.Left+"i-1", []byte("1700"))
+	s.Put(testKeys.Left+"i-2", []byte("soon"))
+	f := &registry.Follower{Keys: testKeys, Key: memberKey(addr(1))}
+	_, known := f.LeftUntil("i-1")
+	c.Assert(known, qt.IsFalse)
+	_, all, _ := startFollowers(c, 1, s)
+	until, known := all[0].LeftUntil("i-1")
+	c.Assert(known, qt.IsTrue)
+	c.Assert(until, qt.Equals, time.UnixMilli(1700))
+	_, known = all[0].LeftUntil("i-2")
+	c.Assert(known, qt.IsFalse, qt.Commentf("cannot be read: the store is asked, which tells why"))
+	until, known = all[0].LeftUntil("i-3")
+	c.Assert(known, qt.IsTrue)
+	c.Assert(until.IsZero(), qt.IsTrue)
+}
--- a/src/standin/registry_store.go
+++ b/src/standin/registry_store.go
@@ -20,6 +20,7 @@
 	last     uint64
 	Calls    int
 	Fail     error          // returned by every call that is not carried out
+	Cut      int            // calls that fail at once and are not carried out
 	Lose     int            // commits that are carried out and not answered
 	Hold     chan struct{}  // calls wait for it, nil for none
 	Stuck    bool           // watches never answer
@@ -70,6 +71,10 @@
 	s.mu.Lock()
 	s.Calls++
 	hold, fail := s.Hold, s.Fail
+	if s.Cut > 0 && fail == nil {
+		s.Cut--
+		fail = problem.New(problem.Unavailable, "store", "connection cut", "call again")
+	}
 	s.mu.Unlock()
 	if hold != nil {
 		select {
