A reader repeats a call at once before it tells that the store is lost

Change: after a first failure of any kind the store is listed within 30 ms and waited for 0.3 s; only a second failure is told. A reader on a thin link tells at once: its second try takes too long. Test: TestAReaderThatIsCutOnceSendsNobodyElseToTheStore, cut and silent.

--- a/src/registry/follower.go
+++ b/src/registry/follower.go
@@ -23,6 +23,8 @@
 	settleMin    = 50 * time.Millisecond  // after a watch has told changes, so that a series of them costs one call
 	settleMax    = 400 * time.Millisecond // while they go on: well inside the two seconds in which a configuration is to be in force
 	calmAfter    = time.Second            // without changes after which a series is over
+	againTimeout = 300 * time.Millisecond // for a list after a first failure: a silent watch, this and a list at each follower leave time within two seconds
+	againWithin  = 30 * time.Millisecond  // until that list, so that readers that were cut together do not come together
 	retryMin     = 150 * time.Millisecond // after a failed call
 	retryMax     = 700 * time.Millisecond
 	readerWait   = 700 * time.Millisecond // for changes at a reader, which then answers all the same
@@ -85,7 +87,7 @@
 	failures := 0
 	listed := false
 	for ctx.Err() == nil {
-		err := f.follow(f.begin(ctx, &listed), &listed)
+		err := f.follow(f.begin(ctx, &listed), &listed, failures == 1)
 		if err == nil || f.resumed() {
 			failures = 0
 			continue
@@ -94,10 +96,11 @@
 			break
 		}
 		f.noteLost(err)
-		if failures > 0 || errors.Is(err, context.DeadlineExceeded) {
-			f.step(StoreLost{}) // not after one cut: those who follow through this member would all read the store themselves
+		pause := againWithin
+		if failures > 0 || f.Slack > againTimeout { // one failure is no loss where a second try takes little time: those who follow through this member would all read the store themselves
+			f.step(StoreLost{})
+			pause = min(retryMin<<min(max(0, failures-1), 4), retryMax)
 		}
-		pause := min(retryMin<<min(failures, 4), retryMax)
 		failures++
 		select {
 		case <-ctx.Done():
@@ -139,14 +142,18 @@
 	}
 }
 
-// follow makes one call: a list, or a watch from where the last one ended.
-func (f *Follower) follow(ctx context.Context, listed *bool) error {
+// follow makes one call: a list, or a watch from where the last one ended; again tells that it repeats one that failed.
+func (f *Follower) follow(ctx context.Context, listed *bool, again bool) error {
 	if !*listed {
-		call, cancel := context.WithTimeout(ctx, listTimeout+f.Slack)
+		limit := listTimeout + f.Slack
+		if again {
+			limit = againTimeout + f.Slack/3
+		}
+		call, cancel := context.WithTimeout(ctx, limit)
 		defer cancel()
 		items, revision, err := f.Store.List(call, f.Keys.Watched)
 		if err != nil {
-			return errors.Join(err, call.Err())
+			return err
 		}
 		f.after, *listed = revision, true
 		f.noteBack("listed", revision)
@@ -166,7 +173,7 @@
 			f.Log.Info("history gone", "reason", "the store dropped it", "after", f.after)
 			return nil
 		}
-		return errors.Join(err, call.Err())
+		return err
 	}
 	f.step(StoreBack{})
 	if len(items) == 0 {
--- a/src/registry/follower_test.go
+++ b/src/registry/follower_test.go
@@ -217,29 +217,38 @@
 	}
 }
 
-// Pattern: a passing cut at the reader, as when the store drops its history. The others go on through it, since all of them at once would cost more than the wait.
-func TestOneCutAtTheReaderSendsNobodyElseToTheStore(t *testing.T) {
-	c := qt.New(t)
-	s := standin.NewRegistryStore()
-	_, all, views := startFollowers(c, 8, s)
-	time.Sleep(2 * registry.WatchWait) // all follow through the reader
-	calls := func() int {
-		n := 0
-		for _, v := range views[1:] {
-			v.Set(func() { n += v.Calls })
-		}
-		return n
+// Pattern: the store drops its history, as readers see it: a watch that is cut, or one that stays silent. The others go on through the reader, since all of them at once would cost more than the wait.
+func TestAReaderThatIsCutOnceSendsNobodyElseToTheStore(t *testing.T) {
+	tests := map[string]func(reader *standin.RegistryStore){
+		"cut":    func(reader *standin.RegistryStore) { reader.Cut = 1 },
+		"silent": func(reader *standin.RegistryStore) { reader.Stuck = true },
 	}
-	before := calls()
-	views[0].Set(func() { views[0].Cut = 1 })
-	time.Sleep(3 * registry.WatchWait)
-	c.Assert(calls(), qt.Equals, before)
-	s.Put(testKeys.Config, []byte("two"))
-	began := time.Now()
-	for _, f := range all {
-		eventually(c, "in force", func() bool { return f.config() == "two" })
+	for name, disturb := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			s := standin.NewRegistryStore()
+			_, all, views := startFollowers(c, 8, s)
+			time.Sleep(2 * registry.WatchWait) // all follow through the reader
+			calls := func() int {
+				n := 0
+				for _, v := range views[1:] {
+					v.Set(func() { n += v.Calls })
+				}
+				return n
+			}
+			before := calls()
+			views[0].Set(func() { disturb(views[0]) })
+			time.Sleep(3 * registry.WatchWait)
+			views[0].Set(func() { views[0].Stuck = false })
+			c.Assert(calls(), qt.Equals, before)
+			s.Put(testKeys.Config, []byte("two"))
+			began := time.Now()
+			for _, f := range all {
+				eventually(c, "in force", func() bool { return f.config() == "two" })
+			}
+			c.Assert(time.Since(began) < inForce, qt.IsTrue)
+		})
 	}
-	c.Assert(time.Since(began) < inForce, qt.IsTrue)
 }
 
 // An agent that starts learns from its first list what an earlier one has acknowledged, without a call for it.
