--- a/src/agent/agent.go
+++ b/src/agent/agent.go
@@ -107,6 +107,7 @@
 		Self: a.id, Listener: a.Links, Calls: a.booking, Messages: messages{a}, Insecure: true,
 		Grace: s.StopGrace.Std(), Limits: link.Limits{Ping: linkPing + a.carry(queuedBytes)/4, Hello: linkHello + a.carry(queuedBytes), Rate: linkRate(s)}, Log: a.Log.WithName("link"), Metrics: a.Set,
 	}
+	a.booking.Arriving = a.pool.Arriving
 	a.proxy = &dispatch.Proxy{
 		Listener: a.Callers, Self: a.member, Table: a.table, Caller: a.pool, Headers: a.Headers, Limits: a.limits,
 		Core: a.dispatchSettings(), Grace: s.StopGrace.Std(), Start: startWait, Log: a.Log.WithName("dispatch"), Metrics: a.Set,
--- a/src/booking/server.go
+++ b/src/booking/server.go
@@ -34,6 +34,7 @@
 	Document func() *document.Document // own service's document in force, nil before there is one
 	Headers  header.Names              // zero for the default ones
 	Told     bool                      // the backend server tells its state by heartbeats, see SetInstance; its health endpoint is not asked
+	Arriving func() time.Duration      // how long the bodies that are on their way to this VM take, nil for no time
 	Now      func() time.Time          // nil: time.Now
 	Log      logr.Logger
 	Metrics  *metrics.Set
@@ -173,7 +174,7 @@
 		s.refuse(in, *h, wire.Refusal{Reason: reasonOf(ctx)})
 		return nil, nil, false
 	}
-	h.BodyLength = b.length(h.BodyLength)
+	h.BodyLength, h.PatienceMS = b.length(h.BodyLength), 0 // a body that has come is not sent elsewhere
 	return b.reader(), b.release, true
 }
 
--- a/src/dispatch/choice.go
+++ b/src/dispatch/choice.go
@@ -34,8 +34,8 @@
 		return choice{server: c.leastBad(now, svc, pool), reason: ChoiceLastResort}, true
 	}
 	svc.updateMedians(now)
-	if x := c.nearEnough(now, svc, good, s); x != nil {
-		return choice{server: x, reason: ChoiceLocal}, true
+	if ch, ok := c.nearEnough(now, svc, good, s); ok {
+		return ch, true
 	}
 	if !s.objective.IsZero() {
 		return c.soonest(now, svc, good, s), true
@@ -52,18 +52,18 @@
 	return c.chooseCrowded(now, svc, good), true
 }
 
-// nearEnough returns the best server of this failure domain for a call with a bulky body, if that is expected to answer in time.
-func (c *Core) nearEnough(now time.Time, svc *service, servers []*server, s *callState) *server {
+// nearEnough chooses among the servers of this failure domain that are expected to answer a call with a bulky body in time; ok is false when there is none.
+func (c *Core) nearEnough(now time.Time, svc *service, servers []*server, s *callState) (ch choice, ok bool) {
 	if !s.bulky() {
-		return nil
+		return choice{}, false
 	}
 	near := slices.DeleteFunc(slices.Clone(servers), func(x *server) bool {
 		return x.Domain != c.domain || !c.inTime(now, s, choice{server: x, reason: ChoiceLocal})
 	})
 	if len(near) == 0 {
-		return nil
+		return choice{}, false
 	}
-	return c.soonest(now, svc, near, s).server
+	return c.soonest(now, svc, near, s), true
 }
 
 // skips tells whether a ring of cold servers only is passed over this time.
--- a/src/dispatch/soonest.go
+++ b/src/dispatch/soonest.go
@@ -74,7 +74,7 @@
 
 // patience returns how long a call may wait for a slot before it is better off at another server: what is known of the servers is old where each daemon calls one seldom.
 func (c *Core) patience(now time.Time, s *callState, ch choice) time.Duration {
-	if s.final || s.objective.IsZero() || s.bulky() || ch.lead == 0 || len(s.attempts) >= maxLooks {
+	if s.final || s.objective.IsZero() || ch.lead == 0 || s.bulky() && ch.server.ID == c.self || len(s.attempts) >= maxLooks {
 		return 0
 	}
 	return lookCost + ch.lead + time.Duration(waitSlack*float64(ch.server.wait(now, s.policy.Route)))
--- a/src/link/inbox.go
+++ b/src/link/inbox.go
@@ -178,9 +178,9 @@
 		return 0
 	}
 	add := b.unacked
-	if b.window < maxWindow && b.shared.take(b.window) {
-		add += b.window
-		b.window *= 2
+	if more := min(b.window, maxWindow-b.window); more > 0 && b.shared.take(more) {
+		add += more
+		b.window += more
 	}
 	b.unacked = 0
 	b.credit += add
--- a/src/link/intake.go
+++ b/src/link/intake.go
@@ -15,7 +15,8 @@
 
 // intake bounds the body bytes that peers may have on their way here together; a thin link would else hold small frames up behind them.
 type intake struct {
-	max int // bytes, 0 for no bound
+	rate float64 // bytes a second that the link carries
+	max  int     // bytes, 0 for no bound
 
 	mu      sync.Mutex
 	bodies  map[*inbox]*coming
@@ -34,7 +35,7 @@
 
 // newIntake returns the intake of a VM whose link carries rate bytes a second, 0 for a link without bound.
 func newIntake(rate float64) *intake {
-	in := &intake{bodies: map[*inbox]*coming{}}
+	in := &intake{rate: rate, bodies: map[*inbox]*coming{}}
 	if rate > 0 {
 		in.max = max(intakeMin, int(rate*intakeTime.Seconds()))
 	}
@@ -97,6 +98,20 @@
 	in.release()
 }
 
+// backlog returns how long the bodies that peers are sending here take to arrive.
+func (in *intake) backlog() time.Duration {
+	if in.max == 0 {
+		return 0
+	}
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	n := in.under
+	for _, b := range in.waiting {
+		n += in.bodies[b].want
+	}
+	return time.Duration(float64(n) / in.rate * float64(time.Second))
+}
+
 // release gives out the credit that there is room for, at most half of it to one body, and unlocks in.mu.
 func (in *intake) release() {
 	type given struct {
--- a/src/link/intake_test.go
+++ b/src/link/intake_test.go
@@ -108,6 +108,7 @@
 	s.send(in, initialWindow)
 	in.request(s.b, 1<<20)
 	qt.Assert(t, s.credit.Load(), qt.Equals, int64(in.max/2))
+	qt.Assert(t, in.backlog() > time.Second, qt.IsTrue, qt.Commentf("a megabyte over 5 Mbit/s"))
 }
 
 func TestAWideLinkGivesCreditAtOnce(t *testing.T) {
--- a/src/link/limits.go
+++ b/src/link/limits.go
@@ -7,7 +7,7 @@
 	chunkSize     = 16 << 10  // bytes of a body in one frame
 	inlineBody    = 4 << 10   // bytes of a body that travel with the heads
 	initialWindow = 4 << 10   // bytes a body may have under way before its receiver has given any credit
-	firstWindow   = 64 << 10  // bytes of credit that a long body is given at once: uploads of the usual size need no more
+	firstWindow   = 48 << 10  // bytes that a long body may have under way before any is read: with the chunk that its sender reads ahead it stays within the 64 kB that dispatch can send again
 	maxWindow     = 256 << 10 // bytes a body may have under way at most
 	maxUrgent     = 1 << 20   // bytes of heads and control frames queued; beyond it the link is closed
 	busyUrgent    = 256 << 10 // bytes of heads and control frames queued; beyond it new ones wait or are refused
--- a/src/link/pool.go
+++ b/src/link/pool.go
@@ -146,6 +146,12 @@
 	return false
 }
 
+// Arriving returns how long the bodies of calls and answers that are on their way to this VM take to arrive over its link, zero for a link without Limits.Rate.
+func (p *Pool) Arriving() time.Duration {
+	p.init()
+	return p.intake.backlog()
+}
+
 func (p *Pool) list() []*connection {
 	conns := make([]*connection, 0, len(p.conns))
 	for c := range p.conns {
