apply and rollback give up at a deadline and tell that they wait

Cause: beside a store that takes connections and answers nothing, apply said nothing for 15 s and longer (six attempts of two seconds). Test: TestEditBesideASilentStore.

--- a/src/command/app_test.go
+++ b/src/command/app_test.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"net"
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -44,3 +46,25 @@
 		})
 	}
 }
+
+// An operator beside a store that takes connections and answers nothing learns soon that the edit was not accepted.
+func TestEditBesideASilentStore(t *testing.T) {
+	tests := map[string][]string{
+		"apply":    {"apply", "--deadline", "300ms", "../../examples/hollins/bookings.toml"},
+		"rollback": {"rollback", "--deadline", "300ms", "--to", "1", "bookings"},
+	}
+	for name, args := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			c.Assert(err, qt.IsNil)
+			defer func() { _ = l.Close() }()
+			var out, errs bytes.Buffer
+			began := time.Now()
+			code := command.Main(context.Background(), append([]string{"yuccaport", args[0], "--store", l.Addr().String()}, args[1:]...), &out, &errs)
+			c.Check(code, qt.Equals, 1)
+			c.Check(time.Since(began) < time.Second, qt.IsTrue, qt.Commentf("%s", time.Since(began)))
+			c.Check(errs.String(), qt.Matches, `(?s).*(the edit was not accepted|store unavailable).*`)
+		})
+	}
+}
--- a/src/command/apply.go
+++ b/src/command/apply.go
@@ -40,6 +40,7 @@
 		&cli.StringFlag{Name: "token", Usage: "token of the team that owns the service", Sources: cli.EnvVars("YUCCAPORT_TOKEN")},
 		&cli.StringFlag{Name: "note", Usage: "why, kept in the history"},
 		&cli.Uint64Flag{Name: "base", Usage: "version that the edit was made from; a newer one is a conflict"},
+		&cli.DurationFlag{Name: "deadline", Usage: "longest wait for the store to accept the edit", Value: acceptWithin},
 		&cli.BoolFlag{Name: "wait", Usage: "wait until the version is in force on every reachable proxy"},
 		&cli.DurationFlag{Name: "wait-timeout", Usage: "longest wait", Value: 30 * time.Second},
 		jsonFlag(),
@@ -78,7 +79,7 @@
 		Service: doc.Service, Data: b, File: file, BaseVersion: cmd.Uint64("base"),
 		Token: cmd.String("token"), Note: cmd.String("note"), DryRun: cmd.Bool("dry-run"),
 	}
-	r, err := e.Apply(ctx, edit)
+	r, err := accept(ctx, cmd, func(ctx context.Context) (ledger.Result, error) { return e.Apply(ctx, edit) })
 	if err != nil {
 		return err
 	}
--- a/src/command/rollback.go
+++ b/src/command/rollback.go
@@ -28,7 +28,7 @@
 		return err
 	}
 	edit := ledger.Edit{Service: service, BaseVersion: cmd.Uint64("base"), Token: cmd.String("token"), Note: cmd.String("note")}
-	r, err := e.Rollback(ctx, edit, cmd.Uint64("to"))
+	r, err := accept(ctx, cmd, func(ctx context.Context) (ledger.Result, error) { return e.Rollback(ctx, edit, cmd.Uint64("to")) })
 	if err != nil {
 		return err
 	}
