The widest links read the store, and thin ones take the next reader

Agents of mid-c were 2.5 to 3.2 s behind in a configuration storm: their reader had the lowest key and a link of 5 Mbit/s, over which each version takes half a second as the store tells it; it missed its time-out, told that it was lost, and its followers read the store themselves, as slowly. Change: entries tell the link's width; the widest of a failure domain read the store, those of other domains where all links are thin; a follower on a thin link takes the next reader for one that fails, asked first without a wait, and reads the store itself after two; it then lists it, since a watch tells all versions that came since. Tests: TestFollowersOnThinLinksTakeTheNextReader (fails without the next reader), TestReadersHaveTheWidestLinks. Wide links do as before.

--- a/src/agent/agent.go
+++ b/src/agent/agent.go
@@ -149,7 +149,7 @@
 	s := a.Settings
 	m := wire.Member{
 		ID: a.id, Addr: link.AddrOf(a.Links.Addr()), Service: s.Service, Domain: s.Domain, Region: s.Region,
-		Slots: uint16(a.slotsLocked()), Ready: a.local.Instance() != "" && a.booking.Healthy(),
+		LinkMbps: uint32(s.LinkMbps), Slots: uint16(a.slotsLocked()), Ready: a.local.Instance() != "" && a.booking.Healthy(),
 	}
 	if b := a.local.Born(); !b.IsZero() {
 		m.StartedAt = b.UnixMilli()
--- a/src/registry/follower.go
+++ b/src/registry/follower.go
@@ -63,6 +63,8 @@
 	news    chan struct{}        // closed at the next step that may bring any
 	failed  map[uint64]time.Time // readers that did not answer, and when
 	reader  uint64               // through which the store is followed, 0 for none
+	fresh   bool                 // it was chosen just now
+	hurry   bool                 // it was chosen for one that did not answer
 
 	packMu       sync.Mutex
 	packRevision uint64
@@ -97,7 +99,7 @@
 		}
 		f.noteLost(err)
 		pause := againWithin
-		if failures > 0 || f.Slack > againTimeout { // one failure is no loss where a second try takes little time: those who follow through this member would all read the store themselves
+		if failures > 0 || f.thin() { // one failure is no loss where a second try takes little time: those who follow through this member would all read the store themselves
 			f.step(StoreLost{})
 			pause = min(retryMin<<min(max(0, failures-1), 4), retryMax)
 		}
@@ -161,9 +163,14 @@
 		f.step(Listed{Items: items, Revision: revision})
 		return nil
 	}
-	if m, ok := f.readerNow(); ok {
+	m, ok := f.readerNow()
+	if ok {
 		return f.subscribe(ctx, m)
 	}
+	if f.fresh && f.thin() {
+		*listed = false // a list holds the newest version only, a watch all that came since
+		return f.follow(ctx, listed, again)
+	}
 	call, cancel := context.WithTimeout(ctx, watchWait+watchMargin+f.Slack/3)
 	defer cancel()
 	items, revision, err := f.Store.Watch(call, f.Keys.Watched, f.after, watchWait)
@@ -187,26 +194,42 @@
 // readerNow returns the member through which the store is followed now, unless it is to be read here.
 func (f *Follower) readerNow() (wire.Member, bool) {
 	f.mu.Lock()
-	m, ok := readerFor(f.core.Members(), f.Key, f.Domain, f.Keys)
+	members := f.core.Members()
 	f.mu.Unlock()
-	if ok && time.Since(f.failed[m.ID]) < readerRetry {
+	passed := 0 // that did not answer lately
+	recent := func(m wire.Member) bool { return time.Since(f.failed[m.ID]) < readerRetry }
+	m, ok := readerFor(members, f.Key, f.Domain, f.Keys, func(m wire.Member) bool {
+		if recent(m) {
+			passed++
+		}
+		return f.thin() && recent(m)
+	})
+	if ok && (recent(m) || passed > 1) {
 		ok = false
 	}
 	if !ok {
-		m.ID = 0
+		m = wire.Member{}
 	}
-	if m.ID != f.reader {
-		f.Log.Info("store followed", "through", m.ID, "before", f.reader, "reason", "readers of the failure domain")
+	f.fresh, f.hurry = m.ID != f.reader, m.ID != f.reader && passed > 0
+	if f.fresh {
+		f.Log.Info("store followed", "through", m.ID, "before", f.reader, "passed_over", passed, "reason", "widest links of the failure domain")
 		f.reader = m.ID
 	}
 	return m, ok
 }
 
+// thin tells whether the own link is too thin to read the store in time while versions come one after the other; then another reader is taken for one that fails.
+func (f *Follower) thin() bool { return f.Slack > againTimeout }
+
 // subscribe waits for changes at a reader; one that does not answer, or does not follow the store, is passed over for a while.
 func (f *Follower) subscribe(ctx context.Context, m wire.Member) error {
-	ctx, cancel := context.WithTimeout(ctx, readerWait+peerTimeout+f.Slack/3)
+	wait := readerWait
+	if f.hurry {
+		wait = 0 // one has failed already: whether this one answers is to be known at once
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+peerTimeout+f.Slack/3)
 	defer cancel()
-	r, err := f.exchange(ctx, m, wire.RegistryRequest{Config: f.revision(), After: f.after, WaitMS: readerWait.Milliseconds()})
+	r, err := f.exchange(ctx, m, wire.RegistryRequest{Config: f.revision(), After: f.after, WaitMS: wait.Milliseconds()})
 	if err != nil || r.Lost {
 		if len(f.failed) > questionsMax {
 			clear(f.failed)
--- a/src/registry/follower_test.go
+++ b/src/registry/follower_test.go
@@ -59,7 +59,7 @@
 }
 
 // startFollowers runs followers of members 1 to n in one failure domain until the test ends; each has a view of the store of its own.
-func startFollowers(c *qt.C, n int, s *standin.RegistryStore) (*mesh, []*configured, []*standin.RegistryStore) {
+func startFollowers(c *qt.C, n int, s *standin.RegistryStore, change ...func(*registry.Follower)) (*mesh, []*configured, []*standin.RegistryStore) {
 	m := &mesh{followers: map[uint64]*registry.Follower{}, frozen: map[uint64]bool{}}
 	var all []*configured
 	var views []*standin.RegistryStore
@@ -84,6 +84,9 @@
 				f.last = string(b)
 			},
 		}
+		for _, ch := range change {
+			ch(f.Follower)
+		}
 		m.followers[uint64(i)] = f.Follower
 		all, views = append(all, f), append(views, view)
 	}
@@ -154,6 +157,68 @@
 	c.Check(total <= 4, qt.IsTrue, qt.Commentf("%d calls", total))
 }
 
+func none(wire.Member) bool { return false }
+
+// Pattern: a series of versions in a fleet with thin links, whose reader dies. Its followers go on through the next reader; none of them reads the store, which tells each version whole.
+func TestFollowersOnThinLinksTakeTheNextReader(t *testing.T) {
+	c := qt.New(t)
+	s := standin.NewRegistryStore()
+	m, all, views := startFollowers(c, 6, s, func(f *registry.Follower) { f.Slack = time.Second })
+	time.Sleep(2 * registry.WatchWait)
+	calls := func() int {
+		n := 0
+		for _, v := range views[2:] {
+			v.Set(func() { n += v.Calls })
+		}
+		return n
+	}
+	before := calls()
+	m.mu.Lock()
+	delete(m.followers, 1)
+	m.mu.Unlock()
+	for _, version := range []string{"two", "three", "four"} {
+		s.Put(testKeys.Config, []byte(version))
+		began := time.Now()
+		for _, f := range all[1:] {
+			eventually(c, "in force", func() bool { return f.config() == version })
+		}
+		c.Check(time.Since(began) < inForce, qt.IsTrue, qt.Commentf("%s: %s", version, time.Since(began)))
+	}
+	c.Check(calls(), qt.Equals, before)
+}
+
+func TestReadersHaveTheWidestLinks(t *testing.T) {
+	var members []wire.Member
+	for i, d := range []string{"mid-a", "mid-a", "mid-a", "mid-b", "mid-b"} {
+		m := member(i + 1)
+		m.Domain, m.LinkMbps = d, 5
+		members = append(members, m)
+	}
+	members[1].LinkMbps, members[2].LinkMbps = 100, 100
+	first := func(m wire.Member) bool { return m.ID == 2 }
+	tests := map[string]struct {
+		self   int
+		domain string
+		skip   func(wire.Member) bool
+		want   uint64 // 0 for none
+	}{
+		"thin follows wide":               {1, "mid-a", none, 2},
+		"wide follows the first wide":     {3, "mid-a", none, 2},
+		"the reader":                      {2, "mid-a", none, 0},
+		"the first one does not answer":   {1, "mid-a", first, 3},
+		"then the next reads the store":   {3, "mid-a", first, 0},
+		"domain with thin links only":     {4, "mid-b", none, 2},
+		"a reader does not skip itself":   {2, "mid-a", first, 0},
+		"thin domain, first without word": {5, "mid-b", first, 3},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			m, _ := registry.ReaderFor(members, memberKey(addr(tc.self)), tc.domain, testKeys, tc.skip)
+			qt.Assert(t, m.ID, qt.Equals, tc.want)
+		})
+	}
+}
+
 func TestReaders(t *testing.T) {
 	of := func(n int) []wire.Member {
 		var out []wire.Member
@@ -183,14 +248,14 @@
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
-			m, _ := registry.ReaderFor(tc.members, memberKey(addr(tc.self)), "mid-a", testKeys)
+			m, _ := registry.ReaderFor(tc.members, memberKey(addr(tc.self)), "mid-a", testKeys, none)
 			qt.Assert(t, m.ID, qt.Equals, tc.want)
 		})
 	}
 	c := qt.New(t)
 	served := map[uint64]int{}
 	for i := 1; i <= 200; i++ {
-		if m, ok := registry.ReaderFor(of(200), memberKey(addr(i)), "mid-a", testKeys); ok {
+		if m, ok := registry.ReaderFor(of(200), memberKey(addr(i)), "mid-a", testKeys, none); ok {
 			served[m.ID]++
 		}
 	}
--- a/src/wire/member_gen.go
+++ b/src/wire/member_gen.go
@@ -15,8 +15,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Member) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 11
-	o = append(o, 0x9b)
+	// array header, size 12
+	o = append(o, 0x9c)
 	o = msgp.AppendUint64(o, z.ID)
 	o = msgp.AppendString(o, addrPortToString(z.Addr))
 	o = msgp.AppendString(o, addrPortToString(z.Proxy))
@@ -28,6 +28,7 @@
 	o = msgp.AppendUint8(o, uint8(z.State))
 	o = msgp.AppendBool(o, z.Ready)
 	o = msgp.AppendInt64(o, z.StartedAt)
+	o = msgp.AppendUint32(o, z.LinkMbps)
 	return
 }
 
@@ -39,8 +40,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 11 {
-		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
+	if zb0001 != 12 {
+		err = msgp.ArrayError{Wanted: 12, Got: zb0001}
 		return
 	}
 	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
@@ -120,13 +121,18 @@
 		err = msgp.WrapError(err, "StartedAt")
 		return
 	}
+	z.LinkMbps, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "LinkMbps")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Member) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(addrPortToString(z.Addr)) + msgp.StringPrefixSize + len(addrPortToString(z.Proxy)) + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Domain) + msgp.StringPrefixSize + len(z.Region) + msgp.Uint16Size + msgp.Uint32Size + msgp.Uint8Size + msgp.BoolSize + msgp.Int64Size
+	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(addrPortToString(z.Addr)) + msgp.StringPrefixSize + len(addrPortToString(z.Proxy)) + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Domain) + msgp.StringPrefixSize + len(z.Region) + msgp.Uint16Size + msgp.Uint32Size + msgp.Uint8Size + msgp.BoolSize + msgp.Int64Size + msgp.Uint32Size
 	return
 }
 
