--- a/src/wire/member.go
+++ b/src/wire/member.go
@@ -30,9 +30,9 @@
 	Slots       uint16         `msg:"slots"`       // requests the backend server runs at once
 	Incarnation uint32         `msg:"incarnation"` // raised by the member itself to refute a suspicion
 	State       MemberState    `msg:"state"`
-	Ready       bool           `msg:"ready"`      // backend server beside it answers and the daemon holds a configuration
-	StartedAt   int64          `msg:"started_at"` // milliseconds since the Unix epoch, for the cold start ramp
-	LinkMbps    uint32         `msg:"link_mbps"`  // of the VM's own link, 0 when unknown
+	Ready       bool           `msg:"ready"`                       // backend server beside it answers and the daemon holds a configuration
+	StartedAt   int64          `msg:"started_at"`                  // milliseconds since the Unix epoch, for the cold start ramp
+	LinkMbps    uint32         `msg:"link_mbps" json:",omitempty"` // of the VM's own link, 0 when unknown
 }
 
 // RosterRequest asks a peer for what it knows of the members, or tells it what it lacks.
