--- a/src/dispatch/arrival.go
+++ b/src/dispatch/arrival.go
@@ -58,7 +58,7 @@
 	if ch.server.load.Slots > 0 {
 		age = now.Sub(ch.server.loadAt)
 	}
-	s.final = s.final || len(c.candidates(s.policy, c.services[ch.server.Service], s)) == 0
+	s.final = s.final || !c.hasCandidate(s.policy, c.services[ch.server.Service], s)
 	return []Action{
 		SetTimer{Call: s.id, Attempt: n, Timer: TimerAttempt, After: timeout + timerSlack},
 		SendAttempt{Call: s.id, Attempt: n, Member: ch.server.ID, Service: ch.server.Service, Timeout: timeout, Reason: ch.reason, Wait: ch.server.backlog(now), Age: age, Final: s.final, Patience: patience},
--- a/src/dispatch/choice.go
+++ b/src/dispatch/choice.go
@@ -84,17 +84,22 @@
 func (c *Core) candidates(p *Policy, svc *service, s *callState) []*server {
 	out := make([]*server, 0, len(svc.servers))
 	for _, x := range svc.servers {
-		if !x.choosable() || s.tried(x) {
-			continue
-		}
-		if p.Locality == document.LocalityStrict && x.Domain != c.domain {
-			continue
+		if c.isCandidate(p, x, s) {
+			out = append(out, x)
 		}
-		out = append(out, x)
 	}
 	return out
 }
 
+// hasCandidate tells whether there is a server that may be chosen.
+func (c *Core) hasCandidate(p *Policy, svc *service, s *callState) bool {
+	return slices.ContainsFunc(svc.servers, func(x *server) bool { return c.isCandidate(p, x, s) })
+}
+
+func (c *Core) isCandidate(p *Policy, x *server, s *callState) bool {
+	return x.choosable() && !s.tried(x) && (p.Locality != document.LocalityStrict || x.Domain == c.domain)
+}
+
 // ring is a set of servers that is preferred to those beyond it.
 type ring struct {
 	servers []*server
--- a/src/registry/announcer.go
+++ b/src/registry/announcer.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/yuccaport/yuccaport/src/clock"
 	"github.com/yuccaport/yuccaport/src/problem"
 	"github.com/yuccaport/yuccaport/src/wire"
 )
@@ -90,7 +91,7 @@
 	a.state.Unlock()
 	for pause := leaveMin; ; pause = min(2*pause, leaveMax) {
 		err := a.sync(ctx)
-		if err == nil || sleep(ctx, pause) != nil {
+		if err == nil || !clock.Sleep(ctx, pause) {
 			return err
 		}
 	}
