A store call that our own time-out ended says so

Change: the error names the context's end as well. Test: TestErrorTellsWhoGaveUp, seen to fail before. Result: the log line of such a call reads context deadline exceeded; no decision changes.

--- a/src/lane/client.go
+++ b/src/lane/client.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"sync"
@@ -52,6 +53,9 @@
 		return NotSent{err}
 	}
 	reusable, err := l.exchange(ctx, req, read)
+	if err != nil && ctx.Err() != nil {
+		err = errors.Join(ctx.Err(), err) // it was broken off here, which a read error does not tell
+	}
 	if err != nil || !reusable {
 		_ = l.conn.Close()
 		return err
