Uploads: never run a changed body after a retry or an early answer

The daemon beside the backend server took what arrived for the whole body, whatever length was stated.

Change: bytes of an overlapping read stay buffered for the next reader; a reader opened after a part has been dropped fails; the reader of a refused attempt is invalidated before the call is judged; a buffered body of another length than stated is refused as not run.

Found beside it: after an early answer to a short body that was not sent completely, the connection was reused and the next request ran behind the rest of the body ("halfGET /diary"). Such a connection is closed now.

TestRequestBodyReadOverlapsNextAttempt, TestRequestBodyConsumed, TestServeCallBodyOfOtherLength and TestServeCallEarlyAnswerToIncompleteBody failed before the change.

--- a/src/booking/exchange.go
+++ b/src/booking/exchange.go
@@ -40,6 +40,7 @@
 	token          string
 	cancelled      chan struct{} // closed when the call is cancelled before its answer is complete
 	uploadDone     chan error    // result of a request body that is written while the answer is awaited; nil for none
+	sendErr        error         // result of send
 	resp           *fasthttp.Response
 	released       bool // the slot has been released
 }
@@ -65,7 +66,8 @@
 		close(x.cancelled)
 		_ = c.nc.SetDeadline(expiredDeadline)
 	})
-	err = x.send()
+	x.sendErr = x.send()
+	err = x.sendErr
 	if err == nil || c.mayHaveSent.Load() {
 		err = x.readHead(err)
 	}
@@ -202,7 +204,7 @@
 // uploaded reports whether the complete request has been written.
 func (x *exchange) uploaded() bool {
 	if x.uploadDone == nil {
-		return true
+		return x.sendErr == nil
 	}
 	select {
 	case err := <-x.uploadDone:
--- a/src/booking/server.go
+++ b/src/booking/server.go
@@ -184,7 +184,14 @@
 		s.refuse(in, *h, wire.Refusal{Reason: cancelReason(ctx)}) // Body fails only if the call is cancelled, times out or loses its link
 		return nil, nil, false
 	}
-	h.BodyLength, h.PatienceMS = b.length(h.BodyLength), 0 // a call whose body has arrived is not sent to another server, so its patience no longer applies
+	n := b.length(h.BodyLength)
+	if h.BodyLength >= 0 && n != h.BodyLength {
+		b.release()
+		s.Log.Info("refused an upload whose body has another length than stated", "request_id", h.TraceID, "stated", h.BodyLength, "arrived", n)
+		s.refuse(in, *h, wire.Refusal{Reason: wire.ReasonCancelled})
+		return nil, nil, false
+	}
+	h.BodyLength, h.PatienceMS = n, 0 // a call whose body has arrived is not sent to another server, so its patience no longer applies
 	return b.reader(), b.release, true
 }
 
--- a/src/dispatch/attempt.go
+++ b/src/dispatch/attempt.go
@@ -27,6 +27,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
+	requestBody io.Reader // nil for none
+
 	reply    *link.Reply
 	body     []byte // the answer's body, if buffered
 	buffered bool   // the answer has been read completely, or up to where it was truncated
@@ -42,6 +44,7 @@
 func (c *call) sendAttempt(s SendAttempt) {
 	a := &attempt{call: c, number: s.Attempt, member: c.proxy.member(s.Member), sentAt: c.proxy.Now()}
 	a.ctx, a.cancel = context.WithCancel(c.baseCtx)
+	a.requestBody = c.body.newReader()
 	c.attempts[s.Attempt] = a
 	head := c.head
 	head.Target, head.Service, head.Attempt, head.Final = s.Member, s.Service, uint8(s.Attempt), s.Final
@@ -53,11 +56,10 @@
 	if !c.objective.IsZero() {
 		head.ObjectiveMS = c.objective.Sub(a.sentAt).Milliseconds()
 	}
-	body := c.body.newReader()
 	c.countAttempt(s)
 	c.log().Info("dispatch", "request_id", head.TraceID, "service", s.Service, "to", s.Member, "attempt", s.Attempt, "reason", string(s.Reason),
 		"wait_ms", s.Backlog.Milliseconds(), "load_age_ms", s.LoadAge.Milliseconds(), "timeout_ms", head.TimeoutMS, "objective_ms", head.ObjectiveMS, "patience_ms", head.PatienceMS, "final", s.Final)
-	if err := c.proxy.pool.Go(func() { a.run(head, body) }); err != nil {
+	if err := c.proxy.pool.Go(func() { a.run(head) }); err != nil {
 		a.deliver(link.Refused{Refusal: wire.Refusal{Reason: wire.ReasonLimit, RetryAfterMS: 1000}})
 	}
 }
@@ -70,12 +72,12 @@
 }
 
 // run sends the call and delivers the result. A payment is sent only while its claim allows it.
-func (a *attempt) run(head wire.CallHead, body io.Reader) {
+func (a *attempt) run(head wire.CallHead) {
 	if pay := a.call.payment; pay != nil && pay.confirm(a.ctx) != nil {
 		a.deliver(link.Refused{Refusal: wire.Refusal{Reason: wire.ReasonNotReady, RetryAfterMS: 1000}})
 		return
 	}
-	a.deliver(a.call.proxy.Transport.Call(a.ctx, link.Peer{ID: a.member.ID, Addr: a.member.Addr}, head, body))
+	a.deliver(a.call.proxy.Transport.Call(a.ctx, link.Peer{ID: a.member.ID, Addr: a.member.Addr}, head, a.requestBody))
 }
 
 // deliver passes the result to the call, or closes it unread if the attempt has been dropped.
--- a/src/dispatch/call.go
+++ b/src/dispatch/call.go
@@ -161,6 +161,7 @@
 	}
 	if a.refusal != nil {
 		r := a.refusal
+		c.body.invalidate(a.requestBody) // before isConsumed is read, so that a read in progress cannot change it afterwards
 		c.log().Info("attempt failed", "request_id", c.head.TraceID, "attempt", n, "by", a.member.ID, "reason", r.Reason.String(), "may_have_run", r.MayHaveRun, "backlog_ms", r.Load.Backlog)
 		c.perform(c.proxy.step(AttemptRefused{
 			Call: c.id, Attempt: n, Reason: r.Reason, MayHaveRun: r.MayHaveRun,
--- a/src/dispatch/request_body.go
+++ b/src/dispatch/request_body.go
@@ -139,7 +139,7 @@
 	return b.progressAt
 }
 
-// newReader returns a reader from the body's start and invalidates the previous one.
+// newReader returns a reader from the body's start and invalidates the previous one. The reader fails if isConsumed holds.
 func (b *requestBody) newReader() io.Reader {
 	if b == nil {
 		return nil
@@ -150,8 +150,24 @@
 		b.reader = nil
 		return bytes.NewReader(b.buffered)
 	}
-	b.reader = &bodyReader{body: b}
-	return b.reader
+	r := &bodyReader{body: b}
+	b.reader = nil
+	if !b.consumed {
+		b.reader = r
+	}
+	return r
+}
+
+// invalidate ends the reading through r, a result of newReader: bytes that it does not return stay buffered for the next reader.
+func (b *requestBody) invalidate(r io.Reader) {
+	if b == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if reader, ok := r.(*bodyReader); ok && b.reader == reader {
+		b.reader = nil
+	}
 }
 
 // detach invalidates the reader and releases the source, after a read of the caller's connection that is in progress has returned.
@@ -206,7 +222,8 @@
 	return 0, nil, false
 }
 
-// store buffers bytes read from the source, as long as all of them fit in prefetchSize; it returns errReaderInvalid if the reader is no longer valid.
+// store buffers bytes read from the source as long as all of them fit in prefetchSize. If the reader has become invalid meanwhile,
+// store returns errReaderInvalid and buffers them whatever their number, since the next reader cannot read them from the source.
 func (r *bodyReader) store(p []byte, err error) (int, error) {
 	b := r.body
 	b.mu.Lock()
@@ -214,15 +231,18 @@
 	if err != nil {
 		b.sourceEnded, b.sourceErr = true, err
 	}
-	if !b.consumed && len(b.buffered)+len(p) <= prefetchSize {
+	b.progressAt = time.Now()
+	valid := b.reader == r
+	switch {
+	case b.consumed:
+	case !valid || len(b.buffered)+len(p) <= prefetchSize:
 		b.buffered = append(b.buffered, p...)
-	} else {
+	default:
 		b.consumed, b.buffered = true, nil
 	}
-	r.offset += len(p)
-	b.progressAt = time.Now()
-	if b.reader != r {
+	if !valid {
 		return 0, errReaderInvalid
 	}
+	r.offset += len(p)
 	return len(p), err
 }
