booking: a cancelled call is never reported as answered

Cause: SetDeadline wakes a blocked read, but bytes that arrive before its goroutine runs are still returned. A backend server that ended its answer because its own call was cancelled with its parent could so complete it (TestParentCancelled line 34). The other failure of that test (line 40) was the test's own: the call was sent on the health probe's connection, which the raw backend server was closing unannounced, and was refused as cut before it ran; the probe's answer announces the close now.

--- a/src/booking/exchange.go
+++ b/src/booking/exchange.go
@@ -71,6 +71,9 @@
 	if err == nil || c.mayHaveSent.Load() {
 		err = x.readHead(err)
 	}
+	if err == nil && x.isCancelled() {
+		err = x.ctx.Err() // the answer may be that of a backend server whose own calls were cancelled with this one
+	}
 	if err != nil {
 		x.fail(detach, err)
 		return
@@ -78,6 +81,11 @@
 	x.forwardAnswer(detach)
 }
 
+// isCancelled reports whether the call was cancelled; one whose timeout has passed still gets its answer.
+func (x *exchange) isCancelled() bool {
+	return x.ctx.Err() != nil && cancelReason(x.ctx) == wire.ReasonCancelled
+}
+
 func (x *exchange) countConnection() {
 	if x.conn.answers > 0 {
 		x.s.counters.reused.Inc()
--- a/src/booking/parent_test.go
+++ b/src/booking/parent_test.go
@@ -17,6 +17,7 @@
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			raw := startRawBackend(t)
+			raw.healthFields = "Connection: close\r\n" // so that the call is not sent on a connection that is being closed
 			s := startServer(t, raw.listener, 4, 8)
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
--- a/src/booking/raw_backend_test.go
+++ b/src/booking/raw_backend_test.go
@@ -10,9 +10,10 @@
 
 // rawBackend is a backend server that answers each request with the bytes from answer and closes the connection. Health probes succeed.
 type rawBackend struct {
-	listener net.Listener
-	answer   func(head string) string
-	wg       sync.WaitGroup
+	listener     net.Listener
+	answer       func(head string) string
+	healthFields string // further header fields of the answers to health probes
+	wg           sync.WaitGroup
 }
 
 func startRawBackend(tb testing.TB) *rawBackend {
@@ -53,7 +54,7 @@
 			break
 		}
 	}
-	answer := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	answer := "HTTP/1.1 200 OK\r\n" + b.healthFields + "Content-Length: 2\r\n\r\nok"
 	if !strings.HasPrefix(head.String(), "GET /health") {
 		answer = b.answer(head.String())
 	}
