booking: replace a pooled connection only after the backend server has closed it

Cause: with all connections open, a call that needs a new one closed the least recently used and dialled at once. The backend server accepts the new one before it has seen the close of the old one, counts one above its maximum and may reset it (TestServeCallOverload, 3 of 480).

Change: the replaced connection is half-closed and counts until the backend server has closed it, for at most 50 ms. TestConnPoolReplacesAfterRemoteClose saw 4 connections of 2 before.

--- a/src/booking/conn.go
+++ b/src/booking/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"sync/atomic"
 	"syscall"
@@ -43,6 +44,16 @@
 	return c.nc.Write(p)
 }
 
+// closeAndWait closes the connection after the backend server has closed its side, which ends its counting of the connection, or after the given time.
+func (c *conn) closeAndWait(limit time.Duration) {
+	defer func() { _ = c.nc.Close() }()
+	tcp, ok := c.nc.(*net.TCPConn)
+	if !ok || tcp.CloseWrite() != nil || tcp.SetReadDeadline(time.Now().Add(limit)) != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, tcp)
+}
+
 // alive reports whether an idle connection is still open and has received no unsolicited bytes.
 func (c *conn) alive() bool {
 	if c.r.Buffered() > 0 {
--- a/src/booking/conn_pool.go
+++ b/src/booking/conn_pool.go
@@ -17,6 +17,7 @@
 	remoteCloseTime      = 5 * time.Millisecond // a backend server that closes the connection after each answer does so within this time
 	idleTimeout          = 30 * time.Second     // an idle connection is closed after this time
 	dialTimeout          = 2 * time.Second
+	replaceWait          = 50 * time.Millisecond // longest wait for the backend server to close a replaced connection; it is on the same VM and needs far less
 )
 
 var errPoolExhausted = errors.New("all connections to the backend server are in use")
@@ -37,10 +38,13 @@
 // For a non-idempotent call, it reuses only a connection for which isSafeForNonIdempotent holds.
 func (p *connPool) get(ctx context.Context, nonIdempotent bool) (*conn, error) {
 	for {
-		c, err := p.acquire(nonIdempotent)
+		c, replaced, err := p.acquire(nonIdempotent)
 		if err != nil {
 			return nil, err
 		}
+		if replaced != nil {
+			replaced.closeAndWait(replaceWait)
+		}
 		if c == nil {
 			return p.dial(ctx)
 		}
@@ -52,26 +56,30 @@
 }
 
 // acquire returns an idle connection, or nil if a new one is to be dialed, which is then already counted in openCount.
-// If the pool is full and no idle connection is suitable, it closes the least recently used one.
-func (p *connPool) acquire(nonIdempotent bool) (*conn, error) {
+// If the pool is full and no idle connection is suitable, the second result is the least recently used one, to be closed before the new one is dialed.
+func (p *connPool) acquire(nonIdempotent bool) (*conn, *conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		if c := p.idle[i]; !nonIdempotent || p.isSafeForNonIdempotent(c) {
 			p.idle = slices.Delete(p.idle, i, i+1)
-			return c, nil
+			return c, nil, nil
 		}
 	}
-	if p.openCount >= p.Max && len(p.idle) > 0 {
-		_ = p.idle[0].nc.Close()
+	if p.openCount < p.Max {
+		p.openCount++
+		return nil, nil, nil
+	}
+	for len(p.idle) > 0 {
+		oldest := p.idle[0]
 		p.idle = slices.Delete(p.idle, 0, 1)
+		if p.openCount == p.Max {
+			return nil, oldest, nil
+		}
+		_ = oldest.nc.Close() // beyond a maximum that setMax has lowered
 		p.openCount--
 	}
-	if p.openCount >= p.Max {
-		return nil, errPoolExhausted
-	}
-	p.openCount++
-	return nil, nil
+	return nil, nil, errPoolExhausted
 }
 
 // isSafeForNonIdempotent reports whether c can carry a non-idempotent call: it was used within maxNonIdempotentIdle,
--- a/src/booking/conn_pool_test.go
+++ b/src/booking/conn_pool_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -123,3 +126,66 @@
 	qt.Assert(t, s.pool.openCount, qt.Equals, 1)
 	s.pool.drop(c)
 }
+
+// A replaced idle connection counts until the backend server has closed it, since the backend server counts it until then, too:
+// otherwise a burst of calls that need new connections would have some of them reset by a backend server at its maximum.
+func TestConnPoolReplacesAfterRemoteClose(t *testing.T) {
+	c := qt.New(t)
+	const maxConns, closeDelay = 2, 10 * time.Millisecond
+	l := listen(t)
+	var open, most atomic.Int64
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			most.Store(max(most.Load(), open.Add(1)))
+			wg.Go(func() {
+				_, _ = io.Copy(io.Discard, nc)
+				time.Sleep(closeDelay)
+				open.Add(-1)
+				_ = nc.Close()
+			})
+		}
+	})
+	now := time.Now()
+	p := &connPool{Addr: addrOf(l), Max: maxConns, Now: func() time.Time { return now }}
+	defer wg.Wait()
+	defer func() { _ = l.Close() }()
+	defer p.close()
+	for range 5 {
+		var conns [maxConns]*conn
+		for i := range conns {
+			got, err := p.get(context.Background(), true)
+			c.Assert(err, qt.IsNil)
+			conns[i] = got
+		}
+		for _, conn := range conns {
+			p.put(conn)
+		}
+		waitUntil(t, "backend server has accepted the connections", func() bool { return open.Load() == maxConns })
+		now = now.Add(2 * maxNonIdempotentIdle)
+	}
+	c.Assert(most.Load(), qt.Equals, int64(maxConns))
+}
+
+// A backend server that never closes a replaced connection delays the call by replaceWait only.
+func TestConnPoolReplaceWait(t *testing.T) {
+	c := qt.New(t)
+	l := listen(t) // connections are opened, but nothing is read from them
+	defer func() { _ = l.Close() }()
+	now := time.Now()
+	p := &connPool{Addr: addrOf(l), Max: 1, Now: func() time.Time { return now }}
+	defer p.close()
+	first, err := p.get(context.Background(), true)
+	c.Assert(err, qt.IsNil)
+	p.put(first)
+	now = now.Add(2 * maxNonIdempotentIdle)
+	second, err := p.get(context.Background(), true)
+	c.Assert(err, qt.IsNil)
+	c.Assert(second == first, qt.IsFalse)
+	p.put(second)
+	c.Assert(p.openCount, qt.Equals, 1)
+}
