dispatch: keep downloads in their failure domain while they are in time there

Cause: only a request's own body counted as bytes to transfer.

Change: the core learns the mean size of each route's answers; a large one counts in the transfer time and keeps the call in its failure domain as a large body does. TestDownloadsStayInFailureDomain names the cases; it cannot compile without the change.

--- a/src/dispatch/arrival.go
+++ b/src/dispatch/arrival.go
@@ -9,10 +9,11 @@
 // callArrived sends a call's first attempt or refuses the call.
 func (c *Core) callArrived(now time.Time, e CallArrived) []Action {
 	cs := &callState{id: e.Call, policy: e.Policy, deadline: now.Add(e.Remaining), parentRetries: e.ParentRetries, hasBody: e.HasBody, bodyLength: e.BodyLength}
+	cs.answerSize = c.answerSizes.mean(cs.routeKey())
 	if e.Objective != 0 {
 		cs.objective = now.Add(e.Objective)
 	}
-	k := routeKey{e.Policy.Service, e.Policy.Route}
+	k := cs.routeKey()
 	full := e.Policy.MaxInFlight > 0 && c.inFlightByRoute[k] >= e.Policy.MaxInFlight
 	c.calls[cs.id] = cs
 	c.inFlightByRoute[k]++
--- a/src/dispatch/attempt_result.go
+++ b/src/dispatch/attempt_result.go
@@ -19,6 +19,9 @@
 	a.server.removeUnanswered(a)
 	a.server.recordLoad(now, cs.policy.Route, e.Load)
 	c.observeAnswer(now, a.server, e.Status, now.Sub(a.sentAt))
+	if e.Size > 0 && e.Status < 300 {
+		c.answerSizes.add(cs.routeKey(), e.Size)
+	}
 	if isUnavailable(e.Status) && cs.policy.Idempotent {
 		if out, ok := c.retryAnswered(now, cs, e.Attempt); ok {
 			return out
--- a/src/dispatch/call_state.go
+++ b/src/dispatch/call_state.go
@@ -27,6 +27,7 @@
 	parentRetries  bool      // CallArrived.ParentRetries
 	hasBody        bool
 	bodyLength     int64           // in bytes, negative if unknown
+	answerSize     int64           // expected size of the answer in bytes, 0 if unknown
 	attempts       []*attemptState // by number, from 1
 	mayHaveRun     bool            // an attempt that has ended may have run
 	notRunCount    int             // number of attempts proven not to have run
@@ -60,9 +61,22 @@
 	return n
 }
 
-// hasLargeBody reports whether the call's body is costly to transfer to another failure domain; a body of unknown size counts as large.
+func (cs *callState) routeKey() routeKey { return routeKey{cs.policy.Service, cs.policy.Route} }
+
+// hasLargeBody reports whether the request's body is costly to transfer to another VM; a body of unknown size counts as large.
 func (cs *callState) hasLargeBody() bool { return cs.bodyLength < 0 || cs.bodyLength > largeBody }
 
+// hasLargeTransfer reports whether the request's body or the expected answer is costly to transfer between failure domains.
+func (cs *callState) hasLargeTransfer() bool { return cs.hasLargeBody() || cs.answerSize > largeBody }
+
+// transferSize returns the bytes of the request's body and of the expected answer.
+func (cs *callState) transferSize() int64 {
+	if cs.bodyLength < 0 {
+		return largeBody + cs.answerSize
+	}
+	return cs.bodyLength + cs.answerSize
+}
+
 // hasTried reports whether an attempt has been sent to the given server.
 func (cs *callState) hasTried(srv *server) bool {
 	return slices.ContainsFunc(cs.attempts, func(a *attemptState) bool { return a.server.ID == srv.ID })
@@ -95,7 +109,7 @@
 // endCall removes a call from the core's state.
 func (c *Core) endCall(cs *callState) {
 	delete(c.calls, cs.id)
-	k := routeKey{cs.policy.Service, cs.policy.Route}
+	k := cs.routeKey()
 	if c.inFlightByRoute[k]--; c.inFlightByRoute[k] <= 0 {
 		delete(c.inFlightByRoute, k)
 	}
--- a/src/dispatch/choice.go
+++ b/src/dispatch/choice.go
@@ -35,7 +35,7 @@
 		return choice{server: c.chooseLastResort(now, svc, candidates), reason: ChoiceLastResort}, true
 	}
 	svc.updateMedians(now)
-	if ch, ok := c.chooseLocalForLargeBody(now, svc, available, cs); ok {
+	if ch, ok := c.chooseLocalForLargeTransfer(now, svc, available, cs); ok {
 		return ch, true
 	}
 	if !cs.objective.IsZero() {
@@ -53,9 +53,9 @@
 	return c.chooseLeastCost(now, svc, available), true
 }
 
-// chooseLocalForLargeBody chooses, for a call with a large body, the server of this failure domain with the lowest expected latency, among those that are expected to meet the call's objective if it has one; ok is false if the body is not large or no server qualifies.
-func (c *Core) chooseLocalForLargeBody(now time.Time, svc *service, servers []*server, cs *callState) (ch choice, ok bool) {
-	if !cs.hasLargeBody() {
+// chooseLocalForLargeTransfer chooses, for a call with a large body or answer, the server of this failure domain with the lowest expected latency, among those that are expected to meet the call's objective if it has one; ok is false if neither is large or no server qualifies.
+func (c *Core) chooseLocalForLargeTransfer(now time.Time, svc *service, servers []*server, cs *callState) (ch choice, ok bool) {
+	if !cs.hasLargeTransfer() {
 		return choice{}, false
 	}
 	local := slices.DeleteFunc(slices.Clone(servers), func(srv *server) bool {
--- a/src/dispatch/core.go
+++ b/src/dispatch/core.go
@@ -16,7 +16,8 @@
 	members         map[uint64]*server
 	services        map[string]*service
 	calls           map[uint64]*callState
-	inFlightByRoute map[routeKey]int     // calls in flight of the routes that have any
+	inFlightByRoute map[routeKey]int // calls in flight of the routes that have any
+	answerSizes     answerSizes
 	splitPositions  map[routeKey]float64 // position of a route's last call in the split by weight, from 0 to 1; for routes with several targets
 }
 
--- a/src/dispatch/event.go
+++ b/src/dispatch/event.go
@@ -34,6 +34,7 @@
 	Call    uint64 `json:"call"`
 	Attempt int    `json:"attempt"`
 	Status  int    `json:"status"`
+	Size    int64  `json:"size,omitempty"` // of the answer's body in bytes, 0 or negative if unknown
 	Load    Load   `json:"load"`
 }
 
--- a/src/dispatch/expected_latency.go
+++ b/src/dispatch/expected_latency.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	largeBody            = 16 << 10              // bytes; a call with a larger request body stays in its failure domain if a server there is available and expected to meet the call's objective, if it has one
+	largeBody            = 16 << 10              // bytes; a call with a larger request body, or with larger answers expected, stays in its failure domain if a server there is available and expected to meet the call's objective, if it has one
 	highLoad             = 0.75                  // share of the slots in use beyond which a call is likely to be queued or slowed down
 	highLoadCost         = 0.5                   // added with all slots in use, as a share of the service time
 	otherDomainCost      = 0.2                   // added for a server in another failure domain of the region, as a share of the service time
@@ -80,16 +80,12 @@
 	return furtherAttemptCost + ch.margin + time.Duration(waitFactor*float64(ch.server.expectedWait(now, cs.policy.Route)))
 }
 
-// transferTime returns the time to transfer a call's body to a server: over this VM's link and then over the server's, unless the server is on this VM.
+// transferTime returns the time to transfer a call's body and its expected answer between this VM and a server's: over both links, unless the server is on this VM.
 func (c *Core) transferTime(srv *server, cs *callState) time.Duration {
 	if srv.ID == c.self || c.Settings.LinkRate <= 0 {
 		return 0
 	}
-	size := cs.bodyLength
-	if size < 0 {
-		size = largeBody
-	}
-	return time.Duration(2 * float64(size) / c.Settings.LinkRate * float64(time.Second))
+	return time.Duration(2 * float64(cs.transferSize()) / c.Settings.LinkRate * float64(time.Second))
 }
 
 // medianServiceTime returns the median service time of a route over the servers that have reported one, 1 ms if none has.
--- a/src/dispatch/expected_latency_test.go
+++ b/src/dispatch/expected_latency_test.go
@@ -233,3 +233,44 @@
 	s := firstAttempt(c, 1, 0)
 	qt.Assert(t, s.MaxQueueWait > 120*ms, qt.IsTrue, qt.Commentf("%s", s.MaxQueueWait))
 }
+
+// TestDownloadsStayInFailureDomain checks that a route whose answers have been large is served in its own failure domain while a server there is in time,
+// even if a server elsewhere would answer sooner, and that its transfer counts where the link is slow.
+func TestDownloadsStayInFailureDomain(t *testing.T) {
+	const download = 90_000 // bytes
+	normal := Load{Free: 8, Slots: 10, ServiceTime: 100 * ms}
+	fast := Load{Free: 8, Slots: 10, ServiceTime: 40 * ms}
+	queue := Load{Free: -5, Slots: 10, ServiceTime: 100 * ms, Backlog: 150 * ms}
+	full := Load{Free: -9, Slots: 10, ServiceTime: 100 * ms, Backlog: 400 * ms}
+	tests := map[string]struct {
+		loads    [4]Load
+		size     int64
+		status   int
+		linkRate float64
+		want     []uint64
+	}{
+		"small answers go to the faster server":     {loads: [4]Load{normal, normal, fast, fast}, size: 1500, want: []uint64{3, 4}},
+		"large answers stay":                        {loads: [4]Load{normal, normal, fast, fast}, size: download, want: []uint64{1, 2}},
+		"large answers stay behind a queue":         {loads: [4]Load{queue, queue, normal, normal}, size: download, want: []uint64{1, 2}},
+		"large answers that would be late go":       {loads: [4]Load{full, full, normal, normal}, size: download, want: []uint64{3, 4}},
+		"errors tell nothing of the answers' sizes": {loads: [4]Load{normal, normal, fast, fast}, size: download, status: 500, want: []uint64{3, 4}},
+		"slow link: only the own VM is in time":     {loads: [4]Load{queue, normal, normal, normal}, size: 4 * download, linkRate: 1.4e6, want: []uint64{1}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := newObjectiveCore()
+			c.Settings.LinkRate, c.self = tc.linkRate, 1
+			if tc.status == 0 {
+				tc.status = 200
+			}
+			s := firstAttempt(c, 1, 0)
+			c.Step(epoch, AttemptAnswered{Call: 1, Attempt: s.Attempt, Status: tc.status, Size: tc.size})
+			c.Step(epoch, AttemptEnded{Call: 1, Attempt: s.Attempt})
+			for i, l := range tc.loads {
+				reportLoad(c, uint64(i+1), l)
+				c.members[uint64(i+1)].errorRate = 0
+			}
+			qt.Assert(t, tc.want, qt.Contains, firstAttempt(c, 2, 0).Member)
+		})
+	}
+}
