booking: release the slot of a download before its caller has read it

Cause: an answer over 64 kB was streamed while it held its slot.

Change: answers up to 1 MB are read completely, within the 32 MB that request bodies share, the slot is released, then they are forwarded; without room they are streamed as before. A cut answer is refused instead of cut at its caller. TestServeCallSlowDownloadsHoldNoSlot failed before. TestServeCallTruncatedAnswers has a case for each way now, since its long body is buffered.

--- a/src/booking/answer.go
+++ b/src/booking/answer.go
@@ -10,14 +10,15 @@
 )
 
 const (
-	maxBufferedAnswer = 64 << 10         // bytes; an answer up to this size is read completely, so that its slot is free before its caller has read it
+	maxPooledAnswer   = 64 << 10         // bytes; an answer up to this size is read into a buffer of answerBuffers
+	maxBufferedAnswer = 1 << 20          // bytes; an answer up to this size is read completely while bodyBuffer has room, so that its slot is free before its caller has read it
 	stallTimeout      = 20 * time.Second // a streamed answer is cut off after this long without progress, as when its caller reads nothing
 	maxDiscard        = 64 << 10         // bytes of an unneeded answer body that are read to reuse the connection
 )
 
 var errBodyTooLong = errors.New("answer body too long to discard")
 
-var answerBuffers = sync.Pool{New: func() any { return new([maxBufferedAnswer]byte) }}
+var answerBuffers = sync.Pool{New: func() any { return new([maxPooledAnswer]byte) }}
 
 // forwardAnswer forwards the answer to the caller, or refuses the call if the backend server shed it. For detach, see run.
 func (x *exchange) forwardAnswer(detach func() bool) {
@@ -29,19 +30,27 @@
 	switch {
 	case x.hasNoBody():
 		x.forwardBuffered(detach, max(n, 0), nil)
-	case n >= 0 && n <= maxBufferedAnswer:
-		buf := answerBuffers.Get().(*[maxBufferedAnswer]byte)
+	case n >= 0 && n <= maxPooledAnswer:
+		buf := answerBuffers.Get().(*[maxPooledAnswer]byte)
 		defer answerBuffers.Put(buf)
-		if _, err := io.ReadFull(x.answerBody(), buf[:n]); err != nil {
-			x.fail(detach, err)
-			return
-		}
-		x.forwardBuffered(detach, n, buf[:n])
+		x.bufferAnswer(detach, buf[:n])
+	case n >= 0 && n <= maxBufferedAnswer && x.s.bodyBuffer.reserve(n):
+		defer x.s.bodyBuffer.release(n)
+		x.bufferAnswer(detach, make([]byte, n))
 	default:
 		x.forwardStreamed(detach, max(n, -1)) // ContentLength is -1 for a chunked body and -2 for one that ends with the connection
 	}
 }
 
+// bufferAnswer reads an answer of length len(buf) completely and forwards it.
+func (x *exchange) bufferAnswer(detach func() bool, buf []byte) {
+	if _, err := io.ReadFull(x.answerBody(), buf); err != nil {
+		x.fail(detach, err)
+		return
+	}
+	x.forwardBuffered(detach, int64(len(buf)), buf)
+}
+
 // forwardBuffered releases the slot, then forwards an answer that has been read completely.
 func (x *exchange) forwardBuffered(detach func() bool, length int64, body []byte) {
 	x.finish(detach, true, ResultAnswered)
@@ -83,7 +92,7 @@
 
 // copyBody copies a body from r to w. The first result reports whether an error came from the backend server.
 func (x *exchange) copyBody(w io.Writer, r io.Reader) (bool, error) {
-	buf := answerBuffers.Get().(*[maxBufferedAnswer]byte)
+	buf := answerBuffers.Get().(*[maxPooledAnswer]byte)
 	defer answerBuffers.Put(buf)
 	stallTimer := time.AfterFunc(stallTimeout, func() {
 		x.in.Refuse(wire.Refusal{Reason: wire.ReasonCut, MayHaveRun: true}) // a pending Write then fails
--- a/src/booking/body_buffer.go
+++ b/src/booking/body_buffer.go
@@ -9,11 +9,12 @@
 
 const (
 	bufferChunk     = 64 << 10 // bytes; unit of memory allocation
-	maxBufferedBody = 8 << 20  // most bytes of one request body that are buffered
-	maxBufferMemory = 32 << 20 // most bytes of all request bodies that are buffered
+	maxBufferedBody = 8 << 20  // most bytes of one body that are buffered
+	maxBufferMemory = 32 << 20 // most bytes of all bodies that are buffered
 )
 
-// bodyBuffer buffers request bodies, up to its limits, before their calls request a slot, so that a slow caller occupies memory but no slot.
+// bodyBuffer bounds the memory of request bodies that are buffered before their calls request a slot, and of long answers that are buffered
+// before they are forwarded, so that a slow caller or network link occupies memory but no slot.
 type bodyBuffer struct {
 	used atomic.Int64 // bytes reserved
 }
@@ -30,7 +31,7 @@
 func (s *bodyBuffer) read(r io.Reader) (*bufferedBody, error) {
 	b := &bufferedBody{buffer: s}
 	for {
-		if b.reserved+bufferChunk > maxBufferedBody || !s.reserveChunk() {
+		if b.reserved+bufferChunk > maxBufferedBody || !s.reserve(bufferChunk) {
 			b.rest = r
 			return b, nil
 		}
@@ -54,15 +55,18 @@
 	return n == 0 && errors.Is(err, io.EOF)
 }
 
-// reserveChunk reserves memory for one chunk and reports whether it was available.
-func (s *bodyBuffer) reserveChunk() bool {
-	if s.used.Add(bufferChunk) <= maxBufferMemory {
+// reserve reserves n bytes of memory and reports whether they were available.
+func (s *bodyBuffer) reserve(n int64) bool {
+	if s.used.Add(n) <= maxBufferMemory {
 		return true
 	}
-	s.used.Add(-bufferChunk)
+	s.release(n)
 	return false
 }
 
+// release returns reserved memory.
+func (s *bodyBuffer) release(n int64) { s.used.Add(-n) }
+
 // length returns the size of the body in bytes, or the stated length if the body is incomplete.
 func (b *bufferedBody) length(stated int64) int64 {
 	if b.rest != nil {
@@ -89,6 +93,6 @@
 
 // release returns the reserved memory to the buffer. The chunks stay readable, since an upload may still be using them.
 func (b *bufferedBody) release() {
-	b.buffer.used.Add(-b.reserved)
+	b.buffer.release(b.reserved)
 	b.reserved = 0
 }
--- /dev/null
+++ b/src/booking/long_answer_test.go
@@ -0,0 +1,80 @@
+package booking
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Downloads whose callers read slowly hold no slot once the backend server has sent them, so that short reads are still run.
+func TestServeCallSlowDownloadsHoldNoSlot(t *testing.T) {
+	const slots, size = 2, 540_000
+	c := qt.New(t)
+	raw := startRawBackend(t)
+	raw.answer = func(head string) string {
+		n := 2
+		if strings.HasPrefix(head, "GET /calendar") {
+			n = size
+		}
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", n, strings.Repeat("x", n))
+	}
+	s := startServer(t, raw.listener, slots, 8)
+	unblock := make(chan struct{})
+	downloads := make([]*fakeInbound, 2*slots)
+	done := make(chan struct{})
+	for i := range downloads {
+		downloads[i] = newInbound("GET", "/calendar", "", nil, 0)
+		downloads[i].unblock = unblock
+		go func() {
+			downloads[i].serve(t, s)
+			done <- struct{}{}
+		}()
+	}
+	waitUntil(t, "all downloads have been sent by the backend server", func() bool { return s.counters.admitted.Get() == 2*slots && s.InFlight() == 0 })
+	c.Assert(newInbound("GET", "/diary", "", nil, 0).serve(t, s).complete, qt.IsTrue)
+	close(unblock)
+	for range downloads {
+		<-done
+	}
+	for _, in := range downloads {
+		c.Check(in.complete, qt.IsTrue)
+		c.Check(in.answer.Len(), qt.Equals, size)
+	}
+	c.Assert(s.bodyBuffer.used.Load(), qt.Equals, int64(0))
+}
+
+// A long answer that ends early is refused as a whole; without room in memory it is forwarded while it arrives.
+func TestServeCallLongAnswerMemory(t *testing.T) {
+	const size = 200_000
+	tests := map[string]struct {
+		used     int64 // bytes of memory in use before the call
+		sent     int
+		complete bool
+		answered int // bytes that reach the caller
+	}{
+		"whole":                    {sent: size, complete: true, answered: size},
+		"cut":                      {sent: size - 1},
+		"no memory left":           {used: maxBufferMemory, sent: size, complete: true, answered: size},
+		"no memory left, then cut": {used: maxBufferMemory, sent: size - 1, answered: size - 1},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			raw := startRawBackend(t)
+			raw.answer = func(string) string {
+				return fmt.Sprintf("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", tc.sent))
+			}
+			s := startServer(t, raw.listener, 2, 8)
+			s.bodyBuffer.used.Store(tc.used)
+			in := newInbound("GET", "/calendar", "", bytes.NewReader(nil), 0)
+			s.ServeCall(context.Background(), in)
+			c.Assert(in.complete, qt.Equals, tc.complete)
+			c.Assert(in.answer.Len(), qt.Equals, tc.answered)
+			c.Assert(s.bodyBuffer.used.Load(), qt.Equals, tc.used)
+		})
+	}
+}
--- a/src/booking/server_test.go
+++ b/src/booking/server_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -162,11 +163,12 @@
 
 // An answer that ends before its Content-Length, or between two chunks, is never reported as complete.
 func TestServeCallTruncatedAnswers(t *testing.T) {
-	big := strings.Repeat("x", maxBufferedAnswer+1)
+	buffered, streamed := strings.Repeat("x", maxPooledAnswer+1), strings.Repeat("x", maxBufferedAnswer+1)
 	tests := map[string]string{
 		"within the head":        "HTTP/1.1 200 OK\r\nContent-Le",
 		"short body":             "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n12345",
-		"long body":              "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + big,
+		"long body":              fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", maxBufferedAnswer, buffered),
+		"streamed body":          fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", 2*maxBufferedAnswer, streamed),
 		"before the first chunk": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
 		"within a chunk":         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n123",
 		"between two chunks":     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n",
