Links: share the sender's connection by urgency, and count answers in admission and choice

Admission looked at slots only.

Change: a limiter of a VM's outgoing connection grants chunks of long bodies at the rate of the connection, those in time first, then by priority and objective; small frames never wait behind more than 10 ms and one chunk. The core learns the size of each route's answers and refuses a call whose answer could not pass the connection in time, before it runs; answers and refusals tell callers' daemons how long the connection is busy, and they count it for routes with large answers. What a VM sends to itself is not limited.

--- a/src/booking/admission.go
+++ b/src/booking/admission.go
@@ -9,9 +9,9 @@
 )
 
 // admit waits until the core admits or refuses a call, or until the call is cancelled. It returns true for an admitted call, otherwise the refusal and false.
-func (s *Server) admit(ctx context.Context, call uint64, h wire.CallHead, elapsed time.Duration) (wire.Refusal, bool) {
+func (s *Server) admit(ctx context.Context, call uint64, h wire.CallHead, remote bool, elapsed time.Duration) (wire.Refusal, bool) {
 	decision := make(chan Action, 1)
-	wait, queued := s.arrive(call, h, elapsed, decision)
+	wait, queued := s.arrive(call, h, remote, elapsed, decision)
 	if !queued {
 		return admissionResult(<-decision)
 	}
@@ -32,12 +32,12 @@
 }
 
 // arrive passes a call to the core. It returns the longest wait and true if the call is queued; otherwise the decision is already in the channel.
-func (s *Server) arrive(call uint64, h wire.CallHead, elapsed time.Duration, decision chan Action) (time.Duration, bool) {
+func (s *Server) arrive(call uint64, h wire.CallHead, remote bool, elapsed time.Duration, decision chan Action) (time.Duration, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.configureLocked()
 	s.pending[call] = decision
-	e := newArrive(call, h, elapsed)
+	e := s.newArrive(call, h, remote, elapsed)
 	for _, a := range s.stepLocked(e) {
 		if q, ok := a.(Queue); ok && q.Call == call {
 			return q.Wait, true
@@ -48,7 +48,7 @@
 
 // wouldRefuse returns a refusal and true if a call is to be refused before its body is read: because Core.WouldRefuse refuses it,
 // or because the bodies in transit to this VM would delay its own for longer than its patience. False does not mean that the call would be admitted.
-func (s *Server) wouldRefuse(h wire.CallHead) (wire.Refusal, bool) {
+func (s *Server) wouldRefuse(h wire.CallHead, remote bool) (wire.Refusal, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.configureLocked()
@@ -57,13 +57,16 @@
 			return wire.Refusal{Reason: wire.ReasonQueueFull, RetryAfterMS: d.Milliseconds()}, true
 		}
 	}
-	r, refused := s.core.WouldRefuse(s.Now(), newArrive(0, h, 0))
+	r, refused := s.core.WouldRefuse(s.Now(), s.newArrive(0, h, remote, 0))
 	return wire.Refusal{Reason: r.Reason, RetryAfterMS: r.RetryAfter.Milliseconds()}, refused
 }
 
-// newArrive returns the event for a call that arrived the given time ago.
-func newArrive(call uint64, h wire.CallHead, elapsed time.Duration) Arrive {
-	e := Arrive{Call: call, Route: h.Route, Priority: h.Priority, Final: h.Final, Patience: time.Duration(h.PatienceMS) * time.Millisecond}
+// newArrive returns the event for a call, from another VM if remote is set, that arrived the given time ago.
+func (s *Server) newArrive(call uint64, h wire.CallHead, remote bool, elapsed time.Duration) Arrive {
+	e := Arrive{Call: call, Route: h.Route, Priority: h.Priority, Final: h.Final, Patience: time.Duration(h.PatienceMS) * time.Millisecond, Remote: remote}
+	if remote && s.OutboundDelay != nil {
+		e.LinkDelay, e.LinkDelayIfLate = s.OutboundDelay()
+	}
 	if h.ObjectiveMS != 0 {
 		e.Objective = time.Duration(h.ObjectiveMS)*time.Millisecond - elapsed
 	}
--- a/src/booking/call_queue.go
+++ b/src/booking/call_queue.go
@@ -15,8 +15,9 @@
 	route         string
 	priority      uint8
 	serviceTime   time.Duration      // expected service time
+	transferTime  time.Duration      // expected time of its answer on the network connection
 	expiry        time.Time          // time at which it is refused
-	objectiveTime time.Time          // time by which an answer meets the objective, zero for no objective
+	objectiveTime time.Time          // time by which the backend server has to answer to meet the objective, zero for no objective
 	reason        wire.RefusalReason // of the refusal at expiry
 	lateChecked   bool               // removeLate has called keep for it
 }
--- a/src/booking/core.go
+++ b/src/booking/core.go
@@ -23,6 +23,8 @@
 	// It also turns on the reservation of slots for more urgent calls and the wait by priority in LoadFor.
 	FixedLimit bool
 
+	LinkRate float64 // bytes per second of the network connection of this VM, 0 to ignore the time that answers take on it
+
 	limit          int // concurrency limit, between 1 and Slots; 0 before the first event
 	successes      int // answered calls counted towards the next increase of limit
 	lastDecrease   time.Time
@@ -121,13 +123,13 @@
 }
 
 // WouldRefuse returns a refusal and true if a call that arrived now would be refused because isDraining holds or the backend server is not up
-// or, if the call has an objective and no slot is free for it, for one of the reasons of waiterOrRefusal. False does not mean that the call would be admitted:
+// or, if the call has an objective and no slot is free for it or its answer takes time on the network connection, for one of the reasons of waiterOrRefusal. False does not mean that the call would be admitted:
 // whether the timeout leaves enough time to run the call is not checked, nor is the queue for a call without an objective. The queue and the slots stay unchanged.
 func (c *Core) WouldRefuse(now time.Time, e Arrive) (Refuse, bool) {
 	if r, refused := c.unavailableRefusal(now, e.Call); refused {
 		return r.(Refuse), true
 	}
-	if c.limit == 0 || e.Objective == 0 || c.canStartNow(now, e.Priority) {
+	if c.limit == 0 || e.Objective == 0 || c.canStartNow(now, e.Priority) && c.transferTime(e) == 0 {
 		return Refuse{}, false
 	}
 	_, r, accepted := c.waiterOrRefusal(now, e)
@@ -148,22 +150,39 @@
 		c.slack.add(now, e.Priority, e.Objective-c.expectedServiceTime(e.Route))
 	}
 	lowServiceTime := c.serviceTimes.routeLow(now, e.Route)
-	switch {
-	case e.Timeout > 0 && lowServiceTime > e.Timeout:
+	if e.Timeout > 0 && lowServiceTime > e.Timeout {
 		return append(actions, c.newRefusal(e.Call, wire.ReasonDeadline))
-	case c.canStartNow(now, e.Priority):
-		return append(actions, c.admit(now, e.Call, e.Route, e.Priority))
-	case e.Objective != 0:
+	}
+	canStart := c.canStartNow(now, e.Priority)
+	switch {
+	case e.Objective != 0 && (!canStart || c.transferTime(e) > 0):
 		w, refusal, accepted := c.waiterOrRefusal(now, e)
 		if !accepted {
 			return append(actions, refusal)
 		}
+		if canStart {
+			return append(actions, c.admit(now, w))
+		}
 		c.queue.push(w)
 		return append(actions, Queue{Call: e.Call, Wait: w.expiry.Sub(now)})
+	case canStart:
+		return append(actions, c.admit(now, c.newWaiter(now, e)))
 	}
 	return c.enqueue(now, e, lowServiceTime, actions)
 }
 
+// newWaiter returns the queue entry of a call without its expiry.
+func (c *Core) newWaiter(now time.Time, e Arrive) waiter {
+	w := waiter{
+		call: e.Call, route: e.Route, priority: e.Priority,
+		serviceTime: c.expectedServiceTime(e.Route), transferTime: c.transferTime(e), reason: wire.ReasonDeadline,
+	}
+	if e.Objective != 0 {
+		w.objectiveTime = now.Add(e.Objective - w.transferTime)
+	}
+	return w
+}
+
 // enqueue queues a call without an objective if it is expected to get a slot within QueueWait and early enough to meet its deadline; otherwise it refuses the call at once.
 // If the queue is full, a less urgent call is refused in its place, if there is one.
 func (c *Core) enqueue(now time.Time, e Arrive, lowServiceTime time.Duration, actions []Action) []Action {
@@ -181,7 +200,9 @@
 		}
 		actions = append(actions, c.newRefusal(w.call, wire.ReasonQueueFull))
 	}
-	c.queue.push(waiter{call: e.Call, route: e.Route, priority: e.Priority, serviceTime: c.expectedServiceTime(e.Route), expiry: now.Add(maxWait), reason: reason})
+	w := c.newWaiter(now, e)
+	w.expiry, w.reason = now.Add(maxWait), reason
+	c.queue.push(w)
 	return append(actions, Queue{Call: e.Call, Wait: maxWait})
 }
 
@@ -191,24 +212,22 @@
 // A final call that is expected to miss its objective is still queued if its answer is expected within maxLateShare of the time left
 // until its deadline; a call without a deadline counts as having QueueWait plus its expected service time left.
 func (c *Core) waiterOrRefusal(now time.Time, e Arrive) (waiter, Refuse, bool) {
-	serviceTime := c.expectedServiceTime(e.Route)
+	w := c.newWaiter(now, e)
+	answerTime := w.serviceTime + w.transferTime
 	timeLeft := e.Timeout
 	if timeLeft == 0 {
-		timeLeft = c.QueueWait + serviceTime
-	}
-	w := waiter{
-		call: e.Call, route: e.Route, priority: e.Priority, serviceTime: serviceTime,
-		expiry: now.Add(min(c.QueueWait, timeLeft-serviceTime)), objectiveTime: now.Add(e.Objective), reason: wire.ReasonDeadline,
+		timeLeft = c.QueueWait + answerTime
 	}
-	wait := c.expectedWait(now, e.Priority, false)
-	waitIfLate := c.expectedWait(now, e.Priority, true)
+	w.expiry = now.Add(min(c.QueueWait, timeLeft-answerTime))
+	wait := c.expectedAnswerWait(now, e, w.serviceTime, false)
+	waitIfLate := c.expectedAnswerWait(now, e, w.serviceTime, true)
 	switch {
 	case c.queue.size >= c.QueueLimit:
 		return w, Refuse{Call: e.Call, Reason: wire.ReasonQueueFull, RetryAfter: max(minRetryAfter, wait)}, false
 	case e.Patience > 0 && wait > e.Patience:
 		return w, Refuse{Call: e.Call, Reason: wire.ReasonQueueFull, RetryAfter: max(minRetryAfter, wait)}, false
-	case wait+serviceTime <= e.Objective:
-	case !e.Final, waitIfLate+serviceTime > time.Duration(maxLateShare*float64(timeLeft)):
+	case wait+answerTime <= e.Objective:
+	case !e.Final, waitIfLate+answerTime > time.Duration(maxLateShare*float64(timeLeft)):
 		return w, Refuse{Call: e.Call, Reason: wire.ReasonQueueFull, RetryAfter: max(minRetryAfter, waitIfLate)}, false
 	}
 	return w, Refuse{}, true
@@ -225,11 +244,11 @@
 	return nil, false
 }
 
-func (c *Core) admit(now time.Time, call uint64, route string, priority uint8) Action {
-	r := &runningCall{route: route, admitted: now, expected: c.expectedServiceTime(route)}
-	c.running[call] = r
-	c.usage.add(now, priority, r.expected)
-	return Admit{Call: call}
+func (c *Core) admit(now time.Time, w waiter) Action {
+	r := &runningCall{route: w.route, admitted: now, expected: c.expectedServiceTime(w.route), transferTime: w.transferTime, objectiveTime: w.objectiveTime}
+	c.running[w.call] = r
+	c.usage.add(now, w.priority, r.expected)
+	return Admit{Call: w.call}
 }
 
 // newRefusal returns a refusal whose Retry-After is the expected wait behind the queue.
@@ -260,7 +279,7 @@
 func (c *Core) adaptLimit(now time.Time, route string, e Release) {
 	switch e.Result {
 	case ResultAnswered:
-		c.serviceTimes.add(now, route, e.Took)
+		c.serviceTimes.add(now, route, e.Took, e.AnswerSize)
 		c.successes++
 		if c.successes >= c.limit && c.limit < c.Slots {
 			c.limit++
@@ -301,7 +320,7 @@
 		if !ok {
 			break
 		}
-		actions = append(actions, c.admit(now, w.call, w.route, w.priority))
+		actions = append(actions, c.admit(now, w))
 	}
 	return actions
 }
--- a/src/booking/core_objective_test.go
+++ b/src/booking/core_objective_test.go
@@ -14,7 +14,7 @@
 	c := &Core{Slots: slots, QueueLimit: 256, QueueWait: 5 * time.Second, FixedLimit: true}
 	c.Step(epoch, Health{State: HealthUp})
 	for route, d := range serviceTimes {
-		c.serviceTimes.add(epoch, route, d)
+		c.serviceTimes.add(epoch, route, d, 0)
 	}
 	return c
 }
--- a/src/booking/core_test.go
+++ b/src/booking/core_test.go
@@ -19,7 +19,7 @@
 	c := &Core{Slots: slots, QueueLimit: queue, QueueWait: time.Second}
 	c.Step(epoch, Health{State: HealthUp})
 	c.limit = slots
-	c.serviceTimes.add(epoch, "read", serviceTime)
+	c.serviceTimes.add(epoch, "read", serviceTime, 0)
 	return c
 }
 
--- a/src/booking/event.go
+++ b/src/booking/event.go
@@ -7,13 +7,16 @@
 
 // Arrive reports that a call requests a slot.
 type Arrive struct {
-	Call      uint64        `json:"call"`
-	Route     string        `json:"route"`
-	Priority  uint8         `json:"priority"`               // 0 is served first
-	Timeout   time.Duration `json:"timeout_ns"`             // time until the deadline, 0 for no deadline
-	Objective time.Duration `json:"objective_ns,omitempty"` // time left to meet the latency objective, negative if it has been missed, 0 for no objective
-	Patience  time.Duration `json:"patience_ns,omitempty"`  // longest expected wait of a call with an objective; if it is exceeded, the call is refused, since another server may answer sooner; 0 for no bound
-	Final     bool          `json:"final,omitempty"`        // no other server is expected to answer sooner, so a call that is expected to miss its objective is still queued if its answer is expected within maxLateShare of the time left
+	Call            uint64        `json:"call"`
+	Route           string        `json:"route"`
+	Priority        uint8         `json:"priority"`                        // 0 is served first
+	Timeout         time.Duration `json:"timeout_ns"`                      // time until the deadline, 0 for no deadline
+	Objective       time.Duration `json:"objective_ns,omitempty"`          // time left to meet the latency objective, negative if it has been missed, 0 for no objective
+	Patience        time.Duration `json:"patience_ns,omitempty"`           // longest expected wait of a call with an objective; if it is exceeded, the call is refused, since another server may answer sooner; 0 for no bound
+	Remote          bool          `json:"remote,omitempty"`                // the answer leaves this VM over its network connection
+	LinkDelay       time.Duration `json:"link_delay_ns,omitempty"`         // time that the network connection needs for the answers in time that wait to be sent
+	LinkDelayIfLate time.Duration `json:"link_delay_if_late_ns,omitempty"` // the same for all answers that wait
+	Final           bool          `json:"final,omitempty"`                 // no other server is expected to answer sooner, so a call that is expected to miss its objective is still queued if its answer is expected within maxLateShare of the time left
 }
 
 // Abandon reports that a queued call has been cancelled.
@@ -23,9 +26,10 @@
 
 // Release reports that an admitted call no longer holds its slot.
 type Release struct {
-	Call   uint64        `json:"call"`
-	Result Result        `json:"result"`
-	Took   time.Duration `json:"took_ns"` // time from admission to release; the service time, if the call was answered
+	Call       uint64        `json:"call"`
+	Result     Result        `json:"result"`
+	Took       time.Duration `json:"took_ns"`               // time from admission to release; the service time, if the call was answered
+	AnswerSize int64         `json:"answer_size,omitempty"` // of a successful answer in bytes, 0 if unknown
 }
 
 // Tick reports that time has passed.
--- a/src/booking/exchange.go
+++ b/src/booking/exchange.go
@@ -116,12 +116,20 @@
 	}
 	x.released = true
 	took := x.s.Now().Sub(x.admitted)
-	x.s.step(Release{Call: x.call, Result: r, Took: took})
+	x.s.step(Release{Call: x.call, Result: r, Took: took, AnswerSize: x.answerSize(r)})
 	if r == ResultAnswered {
 		x.s.counters.serviceTime.Update(took.Seconds())
 	}
 }
 
+// answerSize returns the size of a successful answer in bytes, 0 if it is unknown.
+func (x *exchange) answerSize(r Result) int64 {
+	if r != ResultAnswered || x.resp.StatusCode() >= fasthttp.StatusMultipleChoices {
+		return 0
+	}
+	return int64(max(0, x.resp.Header.ContentLength()))
+}
+
 func (x *exchange) refuse(r wire.Refusal) { x.s.refuse(x.in, x.head, r) }
 
 // refuseNoConnection refuses a call for which no connection was available. No byte of it has been sent.
--- a/src/booking/fixture_test.go
+++ b/src/booking/fixture_test.go
@@ -15,6 +15,7 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/goleak"
 
+	"github.com/yuccaport/yuccaport/src/link"
 	"github.com/yuccaport/yuccaport/src/settings"
 	"github.com/yuccaport/yuccaport/src/standin"
 	"github.com/yuccaport/yuccaport/src/wire"
@@ -114,6 +115,7 @@
 
 func (in *fakeInbound) Head() wire.CallHead { return in.head }
 func (in *fakeInbound) Body() io.Reader     { return in.body }
+func (in *fakeInbound) Peer() link.Peer     { return link.Peer{ID: 1} }
 
 func (in *fakeInbound) Reply(h wire.ReplyHead) (io.WriteCloser, error) {
 	in.mu.Lock()
--- a/src/booking/inbound_delay_test.go
+++ b/src/booking/inbound_delay_test.go
@@ -30,7 +30,7 @@
 				InboundDelay: func() time.Duration { return tc.inboundDelay },
 			}
 			s.SetInstance("i-1", 9, true)
-			r, refused := s.wouldRefuse(wire.CallHead{Route: "photo", BodyLength: 60 << 10, ObjectiveMS: 800, TimeoutMS: 3000, PatienceMS: tc.patience})
+			r, refused := s.wouldRefuse(wire.CallHead{Route: "photo", BodyLength: 60 << 10, ObjectiveMS: 800, TimeoutMS: 3000, PatienceMS: tc.patience}, true)
 			qt.Assert(t, refused, qt.Equals, tc.refused, qt.Commentf("%+v", r))
 			if refused {
 				qt.Assert(t, r, qt.Equals, wire.Refusal{Reason: wire.ReasonQueueFull, RetryAfterMS: 300})
--- a/src/booking/server.go
+++ b/src/booking/server.go
@@ -31,16 +31,18 @@
 // Its exported fields must be set before its first use. Run must be called once and be running while calls are served; the other methods are safe for concurrent use.
 type Server struct {
 	Backend        settings.Backend
-	Service        string                    // name of the service whose calls are accepted
-	Self           uint64                    // member ID of this daemon; calls with another target are refused
-	Document       func() *document.Document // returns the current configuration document of Service, nil if none has been received yet
-	Headers        header.Names              // zero for header.Default
-	UsesHeartbeats bool                      // heartbeats of the backend server, passed to SetInstance, replace the probes of its health endpoint and report its slots, so the concurrency limit is fixed and lost answers do not take it down
-	InboundDelay   func() time.Duration      // expected time until the bodies in transit to this VM have arrived; nil for zero
-	Now            func() time.Time          // nil for time.Now
-	Log            logr.Logger               // zero for no logging
-	Metrics        *metrics.Set              // nil for a new set
-	Record         *trace.Recorder           // records the events of the core; nil for no recording
+	Service        string                             // name of the service whose calls are accepted
+	Self           uint64                             // member ID of this daemon; calls with another target are refused
+	Document       func() *document.Document          // returns the current configuration document of Service, nil if none has been received yet
+	Headers        header.Names                       // zero for header.Default
+	UsesHeartbeats bool                               // heartbeats of the backend server, passed to SetInstance, replace the probes of its health endpoint and report its slots, so the concurrency limit is fixed and lost answers do not take it down
+	InboundDelay   func() time.Duration               // expected time until the bodies in transit to this VM have arrived; nil for zero
+	OutboundDelay  func() (inTime, all time.Duration) // time that the network connection of this VM needs for the bodies that wait to be sent: those in time for their objective, and all; nil for zero
+	LinkRate       float64                            // bytes per second of the network connection of this VM, 0 to ignore the time that answers take on it
+	Now            func() time.Time                   // nil for time.Now
+	Log            logr.Logger                        // zero for no logging
+	Metrics        *metrics.Set                       // nil for a new set
+	Record         *trace.Recorder                    // records the events of the core; nil for no recording
 
 	once            sync.Once
 	closeWaitCtx    context.Context // cancelled by ReleaseCancelled
@@ -83,6 +85,7 @@
 		}
 		s.counters = newCounters(s.Metrics)
 		s.pool.Addr, s.pool.Max, s.pool.Now = s.Backend.Addr, max(1, s.Backend.Connections), s.Now
+		s.core.LinkRate = s.LinkRate
 		s.core.Slots, s.core.FixedLimit = max(1, s.Backend.Slots), s.UsesHeartbeats // heartbeats report the slots, so the concurrency limit need not adapt
 		s.limits = document.Limits{Queue: document.DefaultQueue, QueueWait: document.Duration(document.DefaultQueueWait)}
 		s.core.QueueLimit, s.core.QueueWait = s.limits.Queue, s.limits.QueueWait.Std()
@@ -159,7 +162,7 @@
 	}
 	defer release()
 	call := s.lastCall.Add(1)
-	if r, admitted := s.admit(ctx, call, h, s.Now().Sub(arrived)); !admitted {
+	if r, admitted := s.admit(ctx, call, h, s.isRemote(in), s.Now().Sub(arrived)); !admitted {
 		s.refuse(in, h, r)
 		return
 	}
@@ -175,7 +178,7 @@
 	if h.BodyLength >= 0 && h.BodyLength <= maxSmallBody || h.BodyLength > maxBufferedBody {
 		return in.Body(), func() {}, true
 	}
-	if r, refused := s.wouldRefuse(*h); refused {
+	if r, refused := s.wouldRefuse(*h, s.isRemote(in)); refused {
 		s.refuse(in, *h, r)
 		return nil, nil, false
 	}
@@ -197,7 +200,7 @@
 
 // refuse sends the refusal, with the current load, to the caller's daemon, and counts and logs it.
 func (s *Server) refuse(in link.InboundCall, h wire.CallHead, r wire.Refusal) {
-	r.Load = s.loadFor(h)
+	r.Load, r.LinkDelayMS = s.loadFor(h)
 	in.Refuse(r)
 	s.counters.countRefusal(r.Reason)
 	if log := s.callLog(); log.Enabled() {
@@ -240,12 +243,21 @@
 	return s.core.Load(s.Now())
 }
 
-func (s *Server) loadFor(h wire.CallHead) wire.Load {
+// loadFor returns the load for the caller's daemon, and in milliseconds the time for which long answers use the network connection of this VM.
+func (s *Server) loadFor(h wire.CallHead) (wire.Load, int64) {
+	e := Arrive{Priority: h.Priority}
+	if s.OutboundDelay != nil {
+		e.LinkDelay, _ = s.OutboundDelay()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.core.LoadFor(s.Now(), h.Route, h.Priority)
+	now := s.Now()
+	return s.core.LoadFor(now, h.Route, h.Priority), s.core.linkWait(now, e, false).Milliseconds()
 }
 
+// isRemote reports whether a call comes from another VM.
+func (s *Server) isRemote(in link.InboundCall) bool { return in.Peer().ID != s.Self }
+
 // InFlight returns the number of calls that hold a slot.
 func (s *Server) InFlight() int {
 	s.init()
--- a/src/booking/service_time.go
+++ b/src/booking/service_time.go
@@ -10,20 +10,29 @@
 	riseDivisor    = 32              // a longer sample moves it by 1/32
 )
 
-// routeEstimate estimates the service time of one route.
+// routeEstimate estimates the service time and the answer size of one route.
 type routeEstimate struct {
 	mean    time.Duration
 	low     time.Duration // estimate near the shortest service times; calls with less time left are refused, and a higher estimate would refuse some that could meet their deadline
 	updated time.Time
+
+	answerSize int64 // mean size of the successful answers in bytes, 0 if unknown
 }
 
-func (e *routeEstimate) add(now time.Time, took time.Duration) {
+func (e *routeEstimate) add(now time.Time, took time.Duration, answerSize int64) {
 	if e.updated.IsZero() {
 		e.mean = took
 	} else {
 		e.mean += (took - e.mean) / meanDivisor
 	}
 	switch {
+	case answerSize <= 0:
+	case e.answerSize == 0:
+		e.answerSize = answerSize
+	default:
+		e.answerSize += (answerSize - e.answerSize) / meanDivisor
+	}
+	switch {
 	case e.updated.IsZero() || now.Sub(e.updated) > lowEstimateTTL:
 		e.low = took
 	case took < e.low:
@@ -42,13 +51,13 @@
 	return e.low
 }
 
-// serviceTimeEstimator estimates the service times of all routes.
+// serviceTimeEstimator estimates the service times and answer sizes of all routes.
 type serviceTimeEstimator struct {
 	routes map[string]*routeEstimate
 	mean   time.Duration // over all calls
 }
 
-func (s *serviceTimeEstimator) add(now time.Time, route string, took time.Duration) {
+func (s *serviceTimeEstimator) add(now time.Time, route string, took time.Duration, answerSize int64) {
 	if s.mean == 0 {
 		s.mean = took
 	} else {
@@ -62,7 +71,7 @@
 		e = &routeEstimate{}
 		s.routes[route] = e
 	}
-	e.add(now, took)
+	e.add(now, took, answerSize)
 }
 
 // routeMean returns the mean service time of a route, 0 if it is unknown.
@@ -73,6 +82,14 @@
 	return 0
 }
 
+// routeAnswerSize returns the mean size of the answers of a route in bytes, 0 if it is unknown.
+func (s *serviceTimeEstimator) routeAnswerSize(route string) int64 {
+	if e := s.routes[route]; e != nil {
+		return e.answerSize
+	}
+	return 0
+}
+
 // routeLow returns the low estimate of the service time of a route, 0 if it is unknown.
 func (s *serviceTimeEstimator) routeLow(now time.Time, route string) time.Duration {
 	return s.routes[route].lowAt(now)
--- a/src/booking/wait_estimate.go
+++ b/src/booking/wait_estimate.go
@@ -14,6 +14,14 @@
 	route    string
 	admitted time.Time
 	expected time.Duration // expected service time
+
+	transferTime  time.Duration // expected time of its answer on the network connection
+	objectiveTime time.Time     // zero for no objective
+}
+
+// isLate reports whether the call can no longer meet its objective.
+func (r *runningCall) isLate(now time.Time) bool {
+	return !r.objectiveTime.IsZero() && now.After(r.objectiveTime)
 }
 
 // remainingTime returns how much longer the call is expected to hold its slot.
--- a/src/dispatch/attempt_result.go
+++ b/src/dispatch/attempt_result.go
@@ -119,7 +119,8 @@
 	if cs.objective.IsZero() {
 		return ch.reason != ChoiceSaturated
 	}
-	return !now.Add(c.transferTime(ch.server, cs) + ch.server.expectedWait(now, cs.policy.Route) + ch.server.serviceTimes[cs.policy.Route]).After(cs.objective)
+	serviceTime := ch.server.serviceTimes[cs.policy.Route]
+	return !now.Add(c.transferTime(ch.server, cs) + c.expectedAnswerWait(now, ch.server, cs, serviceTime) + serviceTime).After(cs.objective)
 }
 
 // timerFired sends a hedged request, or cancels an attempt that has timed out and retries or refuses the call.
--- a/src/dispatch/expected_latency.go
+++ b/src/dispatch/expected_latency.go
@@ -59,7 +59,7 @@
 	seconds := serviceTime.Seconds()
 	load := (srv.busySlots(now, c.Settings.LoadHalfLife) + 1) / srv.slotCount()
 	latency := seconds * (1 + highLoadCost*max(0, min(load, 1)-highLoad)/(1-highLoad))
-	latency += srv.expectedWait(now, cs.policy.Route).Seconds()
+	latency += c.expectedAnswerWait(now, srv, cs, serviceTime).Seconds()
 	latency += c.transferTime(srv, cs).Seconds()
 	if srv.Domain != c.domain {
 		distanceCost := otherDomainCost
@@ -72,12 +72,21 @@
 	return latency * (1 + srv.decayedErrorPenalty(now) + srv.latePenalty(now, svc.medianLatency))
 }
 
+// expectedAnswerWait returns how long a call would wait at a server before its service time and transfer: for a slot and, with a large answer from another VM, for the network connection there as far as that is still busy after the service time.
+func (c *Core) expectedAnswerWait(now time.Time, srv *server, cs *callState, serviceTime time.Duration) time.Duration {
+	wait := srv.expectedWait(now, cs.policy.Route)
+	if srv.ID == c.self || cs.answerSize <= largeBody {
+		return wait
+	}
+	return max(wait, srv.linkDelay(now)-serviceTime)
+}
+
 // maxQueueWait returns how long a call may wait for a slot before another server is expected to answer sooner, 0 for no limit. The limit is needed because load reports are old where a daemon seldom calls each server. The wait of a large body at the server on this VM, which needs no transfer, is not limited.
 func (c *Core) maxQueueWait(now time.Time, cs *callState, ch choice) time.Duration {
 	if cs.final || cs.objective.IsZero() || ch.margin == 0 || cs.hasLargeBody() && ch.server.ID == c.self || len(cs.attempts) >= boundedWaitAttempts {
 		return 0
 	}
-	return furtherAttemptCost + ch.margin + time.Duration(waitFactor*float64(ch.server.expectedWait(now, cs.policy.Route)))
+	return furtherAttemptCost + ch.margin + time.Duration(waitFactor*float64(c.expectedAnswerWait(now, ch.server, cs, ch.server.serviceTimes[cs.policy.Route])))
 }
 
 // transferTime returns the time to transfer a call's body and its expected answer between this VM and a server's: over both links, unless the server is on this VM.
--- a/src/dispatch/server.go
+++ b/src/dispatch/server.go
@@ -102,6 +102,11 @@
 	return max(0, s.load.Backlog-now.Sub(s.loadAt))
 }
 
+// linkDelay returns how long the long answers of other calls use the network connection of the server's VM: the last reported time less the time since.
+func (s *server) linkDelay(now time.Time) time.Duration {
+	return max(0, s.load.LinkDelay-now.Sub(s.loadAt))
+}
+
 // isSaturated reports whether another call would exceed saturationShare of the slots.
 func (s *server) isSaturated(now time.Time, halfLife time.Duration) bool {
 	return s.busySlots(now, halfLife)+1 > math.Ceil(saturationShare*s.slotCount())
--- a/src/link/call.go
+++ b/src/link/call.go
@@ -66,6 +66,8 @@
 type InboundCall interface {
 	// Head returns the call's head.
 	Head() wire.CallHead
+	// Peer returns the member that has sent the call, which may be this one.
+	Peer() Peer
 	// Body returns the request body, which is empty if the call has none. If the body is incomplete, its Read fails with io.ErrUnexpectedEOF once the caller cancels or the link is lost, and with context.DeadlineExceeded if no Reply has begun within the call's timeout.
 	// After Refuse, or once the writer of the answer is closed, a Read may wait until ServeCall has returned, so ServeCall must not wait for it.
 	Body() io.Reader
--- a/src/link/connection.go
+++ b/src/link/connection.go
@@ -25,6 +25,8 @@
 	frames frameReader
 	queue  sendQueue
 
+	recvLimiter *recvLimiter // without limit for a link to this VM itself, which does not use the network connection
+
 	mu              sync.Mutex
 	lastID          uint64                      // highest id of a call or message on this link; both share one sequence
 	outboundCalls   map[uint64]*outboundCall    // at the dialling end
@@ -47,6 +49,10 @@
 	c := &connection{pool: p, nc: nc, dialed: dialed, peer: peer, frames: fr, lastUsed: time.Now(), writerDone: make(chan struct{})}
 	c.ctx, c.cancel = context.WithCancel(p.baseCtx)
 	c.queue.init()
+	c.recvLimiter, c.queue.limiter = p.recvLimiter, p.sendLimiter
+	if peer.ID == p.Self {
+		c.recvLimiter, c.queue.limiter = p.noRecvLimit, nil
+	}
 	c.outboundCalls = map[uint64]*outboundCall{}
 	c.exchanges = map[uint64]*pendingExchange{}
 	c.inboundCalls = map[uint64]*inboundCall{}
--- a/src/link/inbound_call.go
+++ b/src/link/inbound_call.go
@@ -50,8 +50,8 @@
 }
 
 func (c *connection) serveCall(f wire.OpenFrame) {
-	in := &inboundCall{c: c, id: f.Call, head: f.Head, sendFlow: c.queue.newSendFlow()}
-	in.recvBuffer = newRecvBuffer(c.pool, in.sendCredit)
+	in := &inboundCall{c: c, id: f.Call, head: f.Head, sendFlow: c.queue.newBodyFlow(&f.Head)}
+	in.recvBuffer = newRecvBuffer(c.pool, c.recvLimiter, in.sendCredit)
 	if f.Head.BodyLength == 0 {
 		in.recvBuffer.ended = true
 	} else {
@@ -106,6 +106,9 @@
 // Head returns the call's head.
 func (in *inboundCall) Head() wire.CallHead { return in.head }
 
+// Peer returns the member that has sent the call.
+func (in *inboundCall) Peer() Peer { return in.c.peer }
+
 // Body returns the request body.
 func (in *inboundCall) Body() io.Reader { return in.recvBuffer }
 
@@ -124,6 +127,7 @@
 		return nil, err
 	}
 	in.c.pool.countBytes(wire.FrameReply, directionSent, int(end-before))
+	q.expectBody(in.sendFlow, h.BodyLength)
 	if h.BodyLength < 0 || h.BodyLength > maxUrgentPayload {
 		q.hasFrames.Signal() // a short body signals when it is queued, immediately after this, so that head and body are written together
 	}
--- a/src/link/outbound_call.go
+++ b/src/link/outbound_call.go
@@ -27,8 +27,8 @@
 	if c.closing {
 		return nil, wire.ReasonLinkLost
 	}
-	o := &outboundCall{c: c, id: c.lastID + 1, outcome: make(chan Outcome, 1), sendFlow: c.queue.newSendFlow()}
-	o.recvBuffer = newRecvBuffer(c.pool, o.sendCredit)
+	o := &outboundCall{c: c, id: c.lastID + 1, outcome: make(chan Outcome, 1), sendFlow: c.queue.newBodyFlow(&head)}
+	o.recvBuffer = newRecvBuffer(c.pool, c.recvLimiter, o.sendCredit)
 	c.queue.mu.Lock()
 	defer c.queue.mu.Unlock()
 	if c.queue.err != nil {
@@ -44,6 +44,7 @@
 	}
 	c.pool.countBytes(wire.FrameOpen, directionSent, int(end-before))
 	o.openFrameEnd = end
+	c.queue.expectBody(o.sendFlow, head.BodyLength)
 	c.lastID = o.id
 	c.outboundCalls[o.id] = o
 	c.queue.hasFrames.Signal()
--- a/src/link/pool.go
+++ b/src/link/pool.go
@@ -22,7 +22,7 @@
 
 // Pool manages the links between this daemon and others. It implements Caller and Exchanger.
 //
-// The exported fields are set before the first method call. Call, Exchange, InboundDelay and Kill may be called concurrently and without Run; a Pool whose Run is not called only dials.
+// The exported fields are set before the first method call. Call, Exchange, InboundDelay, OutboundDelay and Kill may be called concurrently and without Run; a Pool whose Run is not called only dials.
 type Pool struct {
 	Self     uint64                                                         // ID of this member
 	Listener net.Listener                                                   // accepts links from other daemons; nil for none
@@ -48,6 +48,8 @@
 	callBudget     budget
 	memoryBudget   budget
 	recvLimiter    *recvLimiter
+	noRecvLimit    *recvLimiter
+	sendLimiter    *sendLimiter
 
 	mu            sync.Mutex
 	peerLinks     map[Peer]*peerLink // by the Peer that was asked for: ID 0 and another ID at one address have separate links
@@ -75,6 +77,8 @@
 		p.callBudget.max = int64(p.limits.Calls)
 		p.memoryBudget.max = int64(p.limits.Memory)
 		p.recvLimiter = newRecvLimiter(p.limits.Bandwidth)
+		p.noRecvLimit = newRecvLimiter(0)
+		p.sendLimiter = newSendLimiter(p.limits.Bandwidth)
 		p.peerLinks = map[Peer]*peerLink{}
 		p.conns = map[*connection]struct{}{}
 		p.handshaking = map[net.Conn]time.Time{}
@@ -154,6 +158,13 @@
 	return p.recvLimiter.inboundDelay()
 }
 
+// OutboundDelay returns the time that this VM's network connection needs for the request and answer bodies that wait to be sent to peers, or zero without Limits.Bandwidth:
+// for those whose calls have no objective or can still meet it, which are sent first, and for all.
+func (p *Pool) OutboundDelay() (inTime, all time.Duration) {
+	p.init()
+	return p.sendLimiter.delay()
+}
+
 // listConnections returns the open links; p.mu must be held.
 func (p *Pool) listConnections() []*connection {
 	conns := make([]*connection, 0, len(p.conns))
--- a/src/link/recv_buffer.go
+++ b/src/link/recv_buffer.go
@@ -23,8 +23,8 @@
 	sendCredit  func(add uint32) // sends a window frame to the peer
 }
 
-func newRecvBuffer(p *Pool, sendCredit func(uint32)) *recvBuffer {
-	b := &recvBuffer{window: initialWindow, credit: initialWindow, memory: &p.memoryBudget, recvLimiter: p.recvLimiter, sendCredit: sendCredit}
+func newRecvBuffer(p *Pool, l *recvLimiter, sendCredit func(uint32)) *recvBuffer {
+	b := &recvBuffer{window: initialWindow, credit: initialWindow, memory: &p.memoryBudget, recvLimiter: l, sendCredit: sendCredit}
 	b.changed.L = &b.mu
 	return b
 }
--- a/src/link/recv_limiter_test.go
+++ b/src/link/recv_limiter_test.go
@@ -165,7 +165,7 @@
 		t.Run(name, func(t *testing.T) {
 			p := &Pool{Self: 1, Limits: Limits{Bandwidth: lowBandwidth}}
 			p.init()
-			b := newRecvBuffer(p, func(uint32) { t.Error("credit granted to an ended body") })
+			b := newRecvBuffer(p, p.recvLimiter, func(uint32) { t.Error("credit granted to an ended body") })
 			end(b)
 			b.expectBody(1 << 20)
 			assertEmpty(t, p.recvLimiter)
@@ -178,7 +178,7 @@
 func TestRecvBufferShortBody(t *testing.T) {
 	p := &Pool{Self: 1, Limits: Limits{Bandwidth: lowBandwidth}}
 	p.init()
-	b := newRecvBuffer(p, func(uint32) { t.Error("credit granted to a short body") })
+	b := newRecvBuffer(p, p.recvLimiter, func(uint32) { t.Error("credit granted to a short body") })
 	b.expectBody(initialWindow)
 	assertEmpty(t, p.recvLimiter)
 	qt.Assert(t, b.put(make([]byte, initialWindow)), qt.IsTrue)
--- a/src/link/send_queue.go
+++ b/src/link/send_queue.go
@@ -18,6 +18,7 @@
 	urgentQueued uint64      // urgent bytes queued since the link was opened
 	urgentTaken  uint64      // urgent bytes taken by the writer, which may have reached the peer
 	err          error
+	limiter      *sendLimiter // of the network connection; nil for no limit
 }
 
 // bulkFrame is an encoded frame of bulk data.
@@ -30,20 +31,6 @@
 // frameBuffers holds unused buffers of bulk frames.
 var frameBuffers = sync.Pool{New: func() any { return new([]byte) }}
 
-// sendFlow is the sending state of one body, or of one message in fragments.
-type sendFlow struct {
-	credit      int  // bytes of a body that the peer still accepts; not used for messages
-	frameQueued bool // a bulk frame of the flow is queued
-	err         error
-	ready       sync.Cond // signalled when credit arrives, the bulk frame is taken, or the flow ends
-}
-
-func (q *sendQueue) newSendFlow() *sendFlow {
-	f := &sendFlow{credit: initialWindow}
-	f.ready.L = &q.mu
-	return f
-}
-
 func (q *sendQueue) init() {
 	q.urgentRoom.L = &q.mu
 	q.hasFrames.L = &q.mu
@@ -70,6 +57,7 @@
 	before := len(q.urgent)
 	q.urgent = appendFrame(q.urgent, k, m)
 	q.urgentQueued += uint64(len(q.urgent) - before)
+	q.limiter.charge(len(q.urgent) - before)
 	return q.urgentQueued
 }
 
@@ -101,7 +89,7 @@
 	return f.err
 }
 
-// sendData queues p as data of a call. It waits for credit, and for the previous bulk frame of the call to be taken.
+// sendData queues p as data of a call. It waits for credit, for the previous bulk frame of the call to be taken and, with a long body, for the limiter.
 func (q *sendQueue) sendData(f *sendFlow, call uint64, p []byte) error {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -112,8 +100,18 @@
 		if err := q.sendError(f); err != nil {
 			return err
 		}
-		n := min(len(p), f.credit, chunkSize)
+		n := min(len(p), f.credit, q.limiter.chunk())
 		f.credit -= n
+		if f.long {
+			q.mu.Unlock()
+			q.limiter.acquire(f, n)
+			q.mu.Lock()
+			if err := q.sendError(f); err != nil {
+				return err
+			}
+		} else {
+			q.limiter.charge(n)
+		}
 		q.pushData(f, call, p[:n])
 		p = p[n:]
 	}
@@ -169,6 +167,7 @@
 		f.err = err
 	}
 	q.mu.Unlock()
+	q.limiter.finish(f)
 	f.ready.Broadcast()
 	q.urgentRoom.Broadcast()
 }
@@ -230,6 +229,7 @@
 	if err := q.sendError(f); err != nil {
 		return err
 	}
+	q.limiter.charge(len(frame))
 	if len(frame) <= maxUrgentPayload && len(q.urgent) < urgentHighWater {
 		q.urgent = append(q.urgent, frame...)
 		q.urgentQueued += uint64(len(frame))
--- a/src/wire/call.go
+++ b/src/wire/call.go
@@ -37,10 +37,11 @@
 
 // ReplyHead opens the answer to a call.
 type ReplyHead struct {
-	Status     uint16  `msg:"status"`
-	Fields     []Field `msg:"fields"`
-	BodyLength int64   `msg:"body_length"` // bytes, -1 when unknown
-	Load       Load    `msg:"load"`
+	Status      uint16  `msg:"status"`
+	Fields      []Field `msg:"fields"`
+	BodyLength  int64   `msg:"body_length"` // bytes, -1 when unknown
+	Load        Load    `msg:"load"`
+	LinkDelayMS int64   `msg:"link_delay_ms"` // time for which long answers use the network connection of the VM that answers
 }
 
 // Load is what the daemon beside a backend server knows of its free capacity.
@@ -77,4 +78,5 @@
 	MayHaveRun   bool          `msg:"may_have_run"` // false: the backend server did not begin to run the call
 	RetryAfterMS int64         `msg:"retry_after_ms"`
 	Load         Load          `msg:"load"`
+	LinkDelayMS  int64         `msg:"link_delay_ms"` // as in ReplyHead
 }
--- a/src/wire/call_gen.go
+++ b/src/wire/call_gen.go
@@ -380,9 +380,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Refusal) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "reason"
-	o = append(o, 0x84, 0xa6, 0x72, 0x65, 0x61, 0x73, 0x6f, 0x6e)
+	o = append(o, 0x85, 0xa6, 0x72, 0x65, 0x61, 0x73, 0x6f, 0x6e)
 	o = msgp.AppendUint8(o, uint8(z.Reason))
 	// string "may_have_run"
 	o = append(o, 0xac, 0x6d, 0x61, 0x79, 0x5f, 0x68, 0x61, 0x76, 0x65, 0x5f, 0x72, 0x75, 0x6e)
@@ -397,6 +397,9 @@
 		err = msgp.WrapError(err, "Load")
 		return
 	}
+	// string "link_delay_ms"
+	o = append(o, 0xad, 0x6c, 0x69, 0x6e, 0x6b, 0x5f, 0x64, 0x65, 0x6c, 0x61, 0x79, 0x5f, 0x6d, 0x73)
+	o = msgp.AppendInt64(o, z.LinkDelayMS)
 	return
 }
 
@@ -450,6 +453,12 @@
 				err = msgp.WrapError(err, "Load")
 				return
 			}
+		case "link_delay_ms":
+			z.LinkDelayMS, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LinkDelayMS")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -464,7 +473,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Refusal) Msgsize() (s int) {
-	s = 1 + 7 + msgp.Uint8Size + 13 + msgp.BoolSize + 15 + msgp.Int64Size + 5 + z.Load.Msgsize()
+	s = 1 + 7 + msgp.Uint8Size + 13 + msgp.BoolSize + 15 + msgp.Int64Size + 5 + z.Load.Msgsize() + 14 + msgp.Int64Size
 	return
 }
 
@@ -499,9 +508,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ReplyHead) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "status"
-	o = append(o, 0x84, 0xa6, 0x73, 0x74, 0x61, 0x74, 0x75, 0x73)
+	o = append(o, 0x85, 0xa6, 0x73, 0x74, 0x61, 0x74, 0x75, 0x73)
 	o = msgp.AppendUint16(o, z.Status)
 	// string "fields"
 	o = append(o, 0xa6, 0x66, 0x69, 0x65, 0x6c, 0x64, 0x73)
@@ -522,6 +531,9 @@
 		err = msgp.WrapError(err, "Load")
 		return
 	}
+	// string "link_delay_ms"
+	o = append(o, 0xad, 0x6c, 0x69, 0x6e, 0x6b, 0x5f, 0x64, 0x65, 0x6c, 0x61, 0x79, 0x5f, 0x6d, 0x73)
+	o = msgp.AppendInt64(o, z.LinkDelayMS)
 	return
 }
 
@@ -603,6 +615,12 @@
 				err = msgp.WrapError(err, "Load")
 				return
 			}
+		case "link_delay_ms":
+			z.LinkDelayMS, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LinkDelayMS")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -621,6 +639,6 @@
 	for za0001 := range z.Fields {
 		s += 1 + msgp.StringPrefixSize + len(z.Fields[za0001].Name) + msgp.StringPrefixSize + len(z.Fields[za0001].Value)
 	}
-	s += 12 + msgp.Int64Size + 5 + z.Load.Msgsize()
+	s += 12 + msgp.Int64Size + 5 + z.Load.Msgsize() + 14 + msgp.Int64Size
 	return
 }
