booking: judge late calls again while they wait

Change: the wait of a late call counts the share of the slots that calls in time have used lately, and late calls are judged at each event.

--- a/src/booking/call_queue.go
+++ b/src/booking/call_queue.go
@@ -19,7 +19,6 @@
 	expiry        time.Time          // time at which it is refused
 	objectiveTime time.Time          // time by which the backend server has to answer to meet the objective, zero for no objective
 	reason        wire.RefusalReason // of the refusal at expiry
-	lateChecked   bool               // removeLate has called keep for it
 }
 
 // latestStart returns the time by which the call has to start to meet its objective; without an objective, its expiry.
@@ -98,17 +97,13 @@
 	return waiter{}, false
 }
 
-// removeLate removes and returns the calls that have become late and for which keep returns false. keep is called at most once for each call.
+// removeLate removes and returns the late calls for which keep returns false.
 func (q *callQueue) removeLate(now time.Time, keep func(*waiter) bool) []waiter {
 	var out []waiter
 	for r := range q.byRank {
 		for i := 0; i < len(q.byRank[r]); i++ {
 			w := &q.byRank[r][i]
-			if w.lateChecked || !w.late(now) {
-				continue
-			}
-			w.lateChecked = true
-			if !keep(w) {
+			if w.late(now) && !keep(w) {
 				out = append(out, q.removeAt(r, i))
 				i--
 			}
--- a/src/booking/core.go
+++ b/src/booking/core.go
@@ -247,7 +247,7 @@
 func (c *Core) admit(now time.Time, w waiter) Action {
 	r := &runningCall{route: w.route, admitted: now, expected: c.expectedServiceTime(w.route), transferTime: w.transferTime, objectiveTime: w.objectiveTime}
 	c.running[w.call] = r
-	c.usage.add(now, w.priority, r.expected)
+	c.usage.add(now, w.priority, w.late(now), r.expected)
 	return Admit{Call: w.call}
 }
 
@@ -302,13 +302,21 @@
 	c.limit = max(1, c.limit-max(1, c.limit/4))
 }
 
-// refuseExpired refuses the queued calls whose wait has expired, and those that have become late and for which worthWaiting is false.
+// refuseExpired refuses the queued calls whose wait has expired, and the late ones for which worthWaiting is false:
+// calls in time that keep arriving precede a late one, so that its wait may become hopeless long before it expires.
 func (c *Core) refuseExpired(now time.Time, actions []Action) []Action {
 	for _, w := range c.queue.removeExpired(now) {
 		actions = append(actions, c.newRefusal(w.call, w.reason))
 	}
-	for _, w := range c.queue.removeLate(now, func(w *waiter) bool { return c.worthWaiting(now, w) }) {
-		actions = append(actions, Refuse{Call: w.call, Reason: wire.ReasonQueueFull, RetryAfter: max(minRetryAfter, c.expectedWait(now, w.priority, true))})
+	waits := map[uint8]time.Duration{} // of late calls by priority
+	lateWait := func(w *waiter) time.Duration {
+		if _, ok := waits[w.priority]; !ok {
+			waits[w.priority] = c.expectedWait(now, w.priority, true)
+		}
+		return waits[w.priority]
+	}
+	for _, w := range c.queue.removeLate(now, func(w *waiter) bool { return worthWaiting(now, w, lateWait(w)) }) {
+		actions = append(actions, Refuse{Call: w.call, Reason: wire.ReasonQueueFull, RetryAfter: max(minRetryAfter, lateWait(&w))})
 	}
 	return actions
 }
--- a/src/booking/wait_estimate.go
+++ b/src/booking/wait_estimate.go
@@ -31,35 +31,47 @@
 
 // slotUsage tracks the expected slot time of the calls of each priority that were admitted recently.
 type slotUsage struct {
-	used    [rankCount]float64 // seconds of slot time, decaying
-	updated time.Time
+	used     [rankCount]float64 // seconds of slot time of calls that were not late, decaying
+	usedLate [rankCount]float64 // the same of late calls
+	updated  time.Time
 }
 
-func (u *slotUsage) add(now time.Time, priority uint8, serviceTime time.Duration) {
+func (u *slotUsage) add(now time.Time, priority uint8, late bool, serviceTime time.Duration) {
 	u.decay(now)
-	u.used[rank(priority)] += serviceTime.Seconds()
+	if late {
+		u.usedLate[rank(priority)] += serviceTime.Seconds()
+	} else {
+		u.used[rank(priority)] += serviceTime.Seconds()
+	}
 }
 
 func (u *slotUsage) decay(now time.Time) {
 	factor := max(0, 1-now.Sub(u.updated).Seconds()/usageWindow.Seconds())
 	for i := range u.used {
 		u.used[i] *= factor
+		u.usedLate[i] *= factor
 	}
 	u.updated = now
 }
 
-// moreUrgentShare returns the share of the slots, at most maxUrgentShare, recently used by calls more urgent than the given priority.
-func (u *slotUsage) moreUrgentShare(now time.Time, priority uint8, slots int) float64 {
+// precedingShare returns the share of the slots, at most maxUrgentShare, recently used by calls that precede one of the given priority whenever they arrive:
+// the more urgent ones and, if it is late, all that are not.
+func (u *slotUsage) precedingShare(now time.Time, priority uint8, late bool, slots int) float64 {
 	u.decay(now)
 	sum := 0.0
-	for r := range rank(priority) {
-		sum += u.used[r]
+	for r := range rankCount {
+		switch {
+		case r < rank(priority) && late:
+			sum += u.used[r] + u.usedLate[r]
+		case r < rank(priority) || late:
+			sum += u.used[r]
+		}
 	}
 	return min(maxUrgentShare, sum/(float64(max(1, slots))*usageWindow.Seconds()))
 }
 
 // expectedWait returns how long a call of the given priority is expected to wait for a slot, given the remaining times of the running calls,
-// the calls ahead of it and the share of the slots that more urgent calls use. For late, see workAhead.
+// the calls ahead of it and the share of the slots that calls which arrive later, but precede it, use. For late, see workAhead.
 func (c *Core) expectedWait(now time.Time, priority uint8, late bool) time.Duration {
 	if len(c.running) < c.limit && c.queue.size == 0 || c.limit == 0 {
 		return 0
@@ -72,8 +84,8 @@
 	if n < c.limit && len(c.running) > 0 {
 		d = min(d, 2*remainingWork/time.Duration(len(c.running))*time.Duration(n+1)/time.Duration(c.limit+1))
 	}
-	// More urgent calls that arrive meanwhile take their share of the slots.
-	return time.Duration(float64(d) / (1 - c.usage.moreUrgentShare(now, priority, c.limit)))
+	// Calls that arrive meanwhile and precede this one take their share of the slots.
+	return time.Duration(float64(d) / (1 - c.usage.precedingShare(now, priority, late, c.limit)))
 }
 
 // remainingWork returns the sum of the remaining times of all running calls.
@@ -93,9 +105,9 @@
 	return c.serviceTimes.mean
 }
 
-// worthWaiting reports whether the answer of a call that has become late is expected within maxLateShare of the time left until its deadline.
+// worthWaiting reports whether the answer of a late call with the given expected wait is expected within maxLateShare of the time left until its deadline.
 // A call without a deadline, or with a later one, counts as having its deadline QueueWait plus its expected service time after its arrival.
-func (c *Core) worthWaiting(now time.Time, w *waiter) bool {
+func worthWaiting(now time.Time, w *waiter, wait time.Duration) bool {
 	timeLeft := w.expiry.Add(w.serviceTime).Sub(now)
-	return c.expectedWait(now, w.priority, true)+w.serviceTime <= time.Duration(maxLateShare*float64(timeLeft))
+	return wait+w.serviceTime <= time.Duration(maxLateShare*float64(timeLeft))
 }
