dispatch: count a caller's first attempt, and probe before waiting

Besides, the third attempt of a call went to a server about which the agent knew least.

Change: the time until its deadline tells a repeated request from a new one (callerPatience, learned by route); the objective that attempts carry counts from the first one. Three attempts of a call are refused rather than queued for long; the last goes to the server with the shortest known queue, also among those that refused it, and is final.

src/fleetmodel plays many agents on the cores of dispatch and booking without network.

Tried and left out: lowering the share of a route's calls that are admitted while their inner calls fail for overload.

--- a/src/dispatch/action.go
+++ b/src/dispatch/action.go
@@ -22,6 +22,7 @@
 	Final   bool          `json:"final,omitempty"` // no other server is expected to answer sooner: the member queues the call even if its answer will miss the objective
 	// MaxQueueWait is the longest time to wait for a slot at the member, 0 for no limit; after it, another server is expected to answer sooner.
 	MaxQueueWait time.Duration `json:"patience_ns,omitempty"`
+	Objective    time.Duration `json:"objective_ns,omitempty"` // time left to answer within the latency objective, which counts from the caller's first attempt; negative after it, 0 for no objective
 }
 
 // CancelAttempt cancels an attempt; its answer is discarded.
--- a/src/dispatch/arrival.go
+++ b/src/dispatch/arrival.go
@@ -10,10 +10,10 @@
 func (c *Core) callArrived(now time.Time, e CallArrived) []Action {
 	cs := &callState{id: e.Call, policy: e.Policy, deadline: now.Add(e.Remaining), parentRetries: e.ParentRetries, hasBody: e.HasBody, bodyLength: e.BodyLength}
 	cs.answerSize = c.answerSizes.mean(cs.routeKey())
+	k := cs.routeKey()
 	if e.Objective != 0 {
-		cs.objective = now.Add(e.Objective)
+		cs.objective = now.Add(e.Objective - c.patience.elapsed(k, e.Remaining))
 	}
-	k := cs.routeKey()
 	full := e.Policy.MaxInFlight > 0 && c.inFlightByRoute[k] >= e.Policy.MaxInFlight
 	c.calls[cs.id] = cs
 	c.inFlightByRoute[k]++
@@ -59,9 +59,9 @@
 	if ch.server.load.Slots > 0 {
 		loadAge = now.Sub(ch.server.loadAt)
 	}
-	cs.final = cs.final || !c.hasCandidate(cs.policy, c.services[ch.server.Service], cs)
+	cs.final = cs.final || cs.isLastChance() || !c.hasCandidate(cs.policy, c.services[ch.server.Service], cs)
 	return []Action{
 		SetTimer{Call: cs.id, Attempt: n, Timer: TimerAttempt, After: timeout + timerSlack},
-		SendAttempt{Call: cs.id, Attempt: n, Member: ch.server.ID, Service: ch.server.Service, Timeout: timeout, Reason: ch.reason, Backlog: ch.server.backlog(now), LoadAge: loadAge, Final: cs.final, MaxQueueWait: maxQueueWait},
+		SendAttempt{Call: cs.id, Attempt: n, Member: ch.server.ID, Service: ch.server.Service, Timeout: timeout, Reason: ch.reason, Backlog: ch.server.backlog(now), LoadAge: loadAge, Final: cs.final, MaxQueueWait: maxQueueWait, Objective: cs.timeToObjective(now)},
 	}
 }
--- a/src/dispatch/attempt.go
+++ b/src/dispatch/attempt.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -53,8 +54,8 @@
 	if !c.body.isComplete() {
 		head.TimeoutMS = uploadTimeout.Milliseconds()
 	}
-	if !c.objective.IsZero() {
-		head.ObjectiveMS = c.objective.Sub(a.sentAt).Milliseconds()
+	if s.Objective != 0 {
+		head.ObjectiveMS = cmp.Or(s.Objective.Milliseconds(), -1) // 0 would mean no objective
 	}
 	c.countAttempt(s)
 	c.log().Info("dispatch", "request_id", head.TraceID, "service", s.Service, "to", s.Member, "attempt", s.Attempt, "reason", string(s.Reason),
--- a/src/dispatch/attempt_result.go
+++ b/src/dispatch/attempt_result.go
@@ -69,6 +69,7 @@
 		cs.mayHaveRun = true
 	} else {
 		cs.notRunCount++
+		a.full = e.Reason == wire.ReasonQueueFull
 	}
 	cs.bodyConsumed = cs.bodyConsumed || e.BodyConsumed
 	return c.retryOrRefuse(now, cs, e.Reason, e.RetryAfter)
--- a/src/dispatch/call_state.go
+++ b/src/dispatch/call_state.go
@@ -40,6 +40,7 @@
 	server *server
 	sentAt time.Time
 	active bool // it has no result yet, or its answer is still being passed on
+	full   bool // it was refused as not run, since the wait for a slot was too long for a first choice
 }
 
 // activeAttempt returns attempt n, nil if it does not exist or is not active.
@@ -63,6 +64,17 @@
 
 func (cs *callState) routeKey() routeKey { return routeKey{cs.policy.Service, cs.policy.Route} }
 
+// timeToObjective returns the time until the objective, negative after it, 0 for no objective.
+func (cs *callState) timeToObjective(now time.Time) time.Duration {
+	if cs.objective.IsZero() {
+		return 0
+	}
+	if d := cs.objective.Sub(now); d != 0 {
+		return d
+	}
+	return -1
+}
+
 // hasLargeBody reports whether the request's body is costly to transfer to another VM; a body of unknown size counts as large.
 func (cs *callState) hasLargeBody() bool { return cs.bodyLength < 0 || cs.bodyLength > largeBody }
 
@@ -77,11 +89,24 @@
 	return cs.bodyLength + cs.answerSize
 }
 
-// hasTried reports whether an attempt has been sent to the given server.
+// hasTried reports whether the given server is no longer a candidate because an attempt has been sent to it.
+//
+// Once boundedWaitAttempts have been sent, a server that has refused one of them only because of its queue is a candidate again:
+// its load is then known better than that of servers that the call has not tried.
 func (cs *callState) hasTried(srv *server) bool {
-	return slices.ContainsFunc(cs.attempts, func(a *attemptState) bool { return a.server.ID == srv.ID })
+	n, full := 0, false
+	for _, a := range cs.attempts {
+		if a.server.ID == srv.ID {
+			n++
+			full = a.full
+		}
+	}
+	return n > 1 || n == 1 && !(full && len(cs.attempts) >= boundedWaitAttempts)
 }
 
+// isLastChance reports whether a refusal of the next attempt as not run would end the call.
+func (cs *callState) isLastChance() bool { return cs.notRunCount >= maxNotRunRetries }
+
 // hasTriedDomain reports whether an attempt has been sent to the given failure domain.
 func (cs *callState) hasTriedDomain(domain string) bool {
 	return slices.ContainsFunc(cs.attempts, func(a *attemptState) bool { return a.server.Domain == domain })
--- a/src/dispatch/expected_latency.go
+++ b/src/dispatch/expected_latency.go
@@ -14,7 +14,7 @@
 	otherRegionCost      = 0.5                   // added for a server in another region, as a share of the service time
 	otherDomainDelay     = 3 * time.Millisecond  // added for a server in another failure domain
 	expectedWaitHalfLife = time.Second           // of the load that other daemons cause at a server, after its report; used by expectedWait in place of Settings.LoadHalfLife
-	boundedWaitAttempts  = 2                     // attempts of a call whose wait for a slot is limited by maxQueueWait
+	boundedWaitAttempts  = 3                     // attempts of a call whose wait for a slot is limited by maxQueueWait
 	furtherAttemptCost   = 15 * time.Millisecond // round trip to the next server, also over slow links
 	waitFactor           = 1.5                   // maxQueueWait covers this many times the expected wait, which is only an estimate
 	latencyJitter        = 0.1                   // largest random addition, as a share of the expected latency: it keeps daemons with the same information from all choosing the same server
--- a/src/dispatch/expected_latency_test.go
+++ b/src/dispatch/expected_latency_test.go
@@ -189,13 +189,13 @@
 	}
 }
 
-// TestMaxQueueWaitByAttempt checks that the first two attempts of a call wait for a slot only for a limited time and the third without limit: in a large fleet the load reports are old, so another server may have free slots.
+// TestMaxQueueWaitByAttempt checks that the first three attempts of a call wait for a slot only for a limited time and the fourth without limit: in a large fleet the load reports are old, so another server may have free slots.
 func TestMaxQueueWaitByAttempt(t *testing.T) {
 	tests := map[string]struct {
 		call    CallArrived
 		bounded []bool // whether the wait is limited, by attempt
 	}{
-		"read":         {CallArrived{Objective: 800 * ms}, []bool{true, true, false}},
+		"read":         {CallArrived{Objective: 800 * ms}, []bool{true, true, true, false}},
 		"upload":       {CallArrived{Objective: 800 * ms, BodyLength: uploadSize}, []bool{true}},
 		"no objective": {CallArrived{}, []bool{false}},
 	}
--- /dev/null
+++ b/src/fleetmodel/agent.go
@@ -0,0 +1,107 @@
+package fleetmodel
+
+import (
+	"time"
+
+	"github.com/yuccaport/yuccaport/src/booking"
+	"github.com/yuccaport/yuccaport/src/dispatch"
+)
+
+// agent is one agent with its backend server.
+type agent struct {
+	fleet    *Fleet
+	member   dispatch.Member
+	speed    float64 // of its server
+	dispatch *dispatch.Core
+	booking  *booking.Core
+	calls    map[uint64]*call    // of its callers and of its server
+	inbound  map[uint64]*inbound // attempts that have arrived here, by their number in the booking core
+}
+
+// call is a request while it is in the hands of an agent's dispatch core.
+type call struct {
+	request *request
+}
+
+// send passes a request to the dispatch core.
+func (a *agent) send(q *request, done func(ok bool)) {
+	if done != nil {
+		q.done = done
+	}
+	f := a.fleet
+	f.lastCall++
+	id := f.lastCall
+	a.calls[id] = &call{request: q}
+	now := f.clock.now
+	a.stepDispatch(dispatch.CallArrived{Call: id, Policy: q.route.policy, Remaining: q.deadline.Sub(now), Objective: q.route.Objective})
+}
+
+// stepDispatch passes an event to the dispatch core and carries out its actions.
+func (a *agent) stepDispatch(e dispatch.Event) {
+	for _, action := range a.dispatch.Step(a.fleet.clock.now, e) {
+		switch action := action.(type) {
+		case dispatch.SendAttempt:
+			a.sendAttempt(action)
+		case dispatch.CancelAttempt:
+		case dispatch.AcceptAnswer:
+			a.stepDispatch(dispatch.AttemptEnded{Call: action.Call, Attempt: action.Attempt})
+		case dispatch.RefuseCall:
+			a.refuseCall(action)
+		case dispatch.SetTimer:
+			a.fleet.clock.after(action.After, func() {
+				a.stepDispatch(dispatch.TimerFired{Call: action.Call, Attempt: action.Attempt, Timer: action.Timer})
+			})
+		}
+	}
+}
+
+// sendAttempt delivers an attempt to the agent beside the chosen server.
+func (a *agent) sendAttempt(s dispatch.SendAttempt) {
+	q := a.calls[s.Call].request
+	if q.counted {
+		q.route.result.Attempts++
+	}
+	a.fleet.clock.after(a.delayTo(s.Member), func() {
+		in := &inbound{from: a, attempt: s, request: q}
+		a.fleet.agent(s.Member).arrive(in, booking.Arrive{
+			Route: q.route.Name, Priority: q.route.Priority, Timeout: s.Timeout, Objective: s.Objective, Patience: s.MaxQueueWait, Final: s.Final,
+		})
+	})
+}
+
+// delayTo returns the time of a message to another agent.
+func (a *agent) delayTo(member uint64) time.Duration {
+	if member == a.member.ID {
+		return 0
+	}
+	return a.fleet.Delay
+}
+
+// refuseCall ends a request, or lets its caller come back once.
+func (a *agent) refuseCall(r dispatch.RefuseCall) {
+	q := a.calls[r.Call].request
+	delete(a.calls, r.Call)
+	now := a.fleet.clock.now
+	if !q.route.Repeats || q.repeated || r.MayHaveRun {
+		q.refused(now)
+		return
+	}
+	q.repeated = true
+	wait := min(r.RetryAfter, time.Duration(maxRetry*float64(q.deadline.Sub(now))))
+	a.fleet.clock.after(wait, func() { a.send(q, nil) })
+}
+
+// receiveAnswer takes the answer of an attempt.
+func (a *agent) receiveAnswer(s dispatch.SendAttempt, load dispatch.Load, ok bool) {
+	c := a.calls[s.Call]
+	if c == nil {
+		return // refused or answered meanwhile
+	}
+	delete(a.calls, s.Call)
+	status := 200
+	if !ok {
+		status = 500
+	}
+	a.stepDispatch(dispatch.AttemptAnswered{Call: s.Call, Attempt: s.Attempt, Status: status, Load: load})
+	c.request.answered(a.fleet.clock.now, ok)
+}
--- /dev/null
+++ b/src/fleetmodel/inbound.go
@@ -0,0 +1,103 @@
+package fleetmodel
+
+import (
+	"time"
+
+	"github.com/yuccaport/yuccaport/src/booking"
+	"github.com/yuccaport/yuccaport/src/dispatch"
+	"github.com/yuccaport/yuccaport/src/wire"
+)
+
+// inbound is an attempt at the agent beside its server.
+type inbound struct {
+	from       *agent
+	attempt    dispatch.SendAttempt
+	request    *request
+	admittedAt time.Time
+}
+
+// arrive passes an attempt to the booking core.
+func (a *agent) arrive(in *inbound, e booking.Arrive) {
+	a.fleet.lastCall++
+	e.Call = a.fleet.lastCall
+	a.inbound[e.Call] = in
+	a.stepBooking(e)
+}
+
+// stepBooking passes an event to the booking core and carries out its actions.
+func (a *agent) stepBooking(e booking.Event) {
+	for _, action := range a.booking.Step(a.fleet.clock.now, e) {
+		switch action := action.(type) {
+		case booking.Admit:
+			a.run(action.Call)
+		case booking.Queue:
+			a.fleet.clock.after(action.Wait, func() { a.stepBooking(booking.Tick{}) })
+		case booking.Refuse:
+			a.refuse(action)
+		}
+	}
+}
+
+// run runs an admitted attempt: its work, then its inner calls.
+func (a *agent) run(id uint64) {
+	in := a.inbound[id]
+	in.admittedAt = a.fleet.clock.now
+	r := in.request.route
+	if in.request.counted {
+		r.result.Runs++
+	}
+	a.fleet.clock.after(a.fleet.work(r, a.speed), func() {
+		if r.Inner == "" || r.Calls == 0 {
+			a.end(id, true)
+			return
+		}
+		a.callInner(id, a.fleet.routes[r.Inner], r.Calls)
+	})
+}
+
+// callInner makes the inner calls of a run, which ends when all have ended.
+func (a *agent) callInner(id uint64, r *route, n int) {
+	in := a.inbound[id]
+	waiting, allOK := n, true
+	for range n {
+		now := a.fleet.clock.now
+		q := &request{route: r, counted: in.request.counted, started: now, objective: now.Add(r.Objective), deadline: now.Add(min(r.Deadline, in.request.deadline.Sub(now)))}
+		if q.counted {
+			r.result.Asked++
+		}
+		a.send(q, func(ok bool) {
+			allOK = allOK && ok
+			if waiting--; waiting == 0 {
+				a.end(id, allOK)
+			}
+		})
+	}
+}
+
+// end releases the slot of a run and answers its caller's agent.
+func (a *agent) end(id uint64, ok bool) {
+	in := a.inbound[id]
+	delete(a.inbound, id)
+	now := a.fleet.clock.now
+	a.stepBooking(booking.Release{Call: id, Result: booking.ResultAnswered, Took: now.Sub(in.admittedAt)})
+	load := a.load(in.request.route)
+	a.fleet.clock.after(a.delayTo(in.from.member.ID), func() { in.from.receiveAnswer(in.attempt, load, ok) })
+}
+
+// refuse refuses an attempt as not run.
+func (a *agent) refuse(r booking.Refuse) {
+	in := a.inbound[r.Call]
+	delete(a.inbound, r.Call)
+	load := a.load(in.request.route)
+	a.fleet.clock.after(a.delayTo(in.from.member.ID), func() {
+		if _, ok := in.from.calls[in.attempt.Call]; ok {
+			in.from.stepDispatch(dispatch.AttemptRefused{Call: in.attempt.Call, Attempt: in.attempt.Attempt, Reason: r.Reason, RetryAfter: r.RetryAfter, Load: load})
+		}
+	})
+}
+
+// load returns the load that the agent reports with an answer or a refusal.
+func (a *agent) load(r *route) dispatch.Load {
+	var l wire.Load = a.booking.LoadFor(a.fleet.clock.now, r.Name, r.Priority)
+	return dispatch.Load{Free: int(l.Free), Slots: int(l.Slots), Backlog: time.Duration(l.Backlog) * time.Millisecond, ServiceTime: time.Duration(l.Service) * time.Millisecond}
+}
