--- a/src/dispatch/call_state.go
+++ b/src/dispatch/call_state.go
@@ -62,6 +62,7 @@
 	return n
 }
 
+// routeKey returns the key of the call's route.
 func (cs *callState) routeKey() routeKey { return routeKey{cs.policy.Service, cs.policy.Route} }
 
 // timeToObjective returns the time until the objective, negative after it, 0 for no objective.
--- a/src/dispatch/caller_patience.go
+++ b/src/dispatch/caller_patience.go
@@ -10,6 +10,7 @@
 
 // callerPatience estimates, for each route, how much time new requests have until their deadline. A caller that repeats a refused request has less left,
 // since its deadline counts from its first attempt, and so does the latency objective of the route; nothing else tells a repeated request from a new one.
+// A call whose parent has used most of its own time has less left, too, and counts as repeated in the same way.
 type callerPatience struct{ byRoute map[routeKey]time.Duration }
 
 // elapsed records the time that a request has until its deadline and returns how long its caller has waited already, 0 for a new request.
--- a/src/link/pool.go
+++ b/src/link/pool.go
@@ -48,7 +48,7 @@
 	callBudget     budget
 	memoryBudget   budget
 	recvLimiter    *recvLimiter
-	noRecvLimit    *recvLimiter
+	noRecvLimit    *recvLimiter // for links to this VM itself
 	sendLimiter    *sendLimiter
 
 	mu            sync.Mutex
