--- a/src/dispatch/call_state.go
+++ b/src/dispatch/call_state.go
@@ -95,14 +95,15 @@
 // Once boundedWaitAttempts have been sent, a server that has refused one of them only because of its queue is a candidate again:
 // its load is then known better than that of servers that the call has not tried.
 func (cs *callState) hasTried(srv *server) bool {
-	n, full := 0, false
+	n, wasFull := 0, false
 	for _, a := range cs.attempts {
 		if a.server.ID == srv.ID {
 			n++
-			full = a.full
+			wasFull = a.full
 		}
 	}
-	return n > 1 || n == 1 && !(full && len(cs.attempts) >= boundedWaitAttempts)
+	maySendAgain := n == 1 && wasFull && len(cs.attempts) >= boundedWaitAttempts
+	return n > 0 && !maySendAgain
 }
 
 // isLastChance reports whether a refusal of the next attempt as not run would end the call.
--- a/src/fleetmodel/inbound.go
+++ b/src/fleetmodel/inbound.go
@@ -5,7 +5,6 @@
 
 	"github.com/yuccaport/yuccaport/src/booking"
 	"github.com/yuccaport/yuccaport/src/dispatch"
-	"github.com/yuccaport/yuccaport/src/wire"
 )
 
 // inbound is an attempt at the agent beside its server.
@@ -98,6 +97,6 @@
 
 // load returns the load that the agent reports with an answer or a refusal.
 func (a *agent) load(r *route) dispatch.Load {
-	var l wire.Load = a.booking.LoadFor(a.fleet.clock.now, r.Name, r.Priority)
+	l := a.booking.LoadFor(a.fleet.clock.now, r.Name, r.Priority)
 	return dispatch.Load{Free: int(l.Free), Slots: int(l.Slots), Backlog: time.Duration(l.Backlog) * time.Millisecond, ServiceTime: time.Duration(l.Service) * time.Millisecond}
 }
