registry: drains call the store less while it is lost

Change: once the agent knows that the store is lost, twice a heartbeat. TestAnnouncerWriteTombstoneDuringOutage: 5 calls before, 2 now.

--- a/src/registry/announcer.go
+++ b/src/registry/announcer.go
@@ -16,16 +16,17 @@
 )
 
 const (
-	entryTTL               = 4 * time.Second         // TTL of the entry's lease unless MinTTL is longer; the entry of a killed agent stays in the store for as long, but broken links reveal its death sooner
-	renewInterval          = entryTTL / 2            // leaves time for two attempts after a failed renewal; not lengthened with MinTTL, so that the loss of an entry is detected equally soon
-	minRetryInterval       = 400 * time.Millisecond  // after a first failed call
-	maxRetryInterval       = 1500 * time.Millisecond // after several; the entry is to be back within two seconds of the store's recovery
-	tombstoneTTL           = 10 * time.Minute        // the longest lease requested; a leaving backend server has ended long before
-	tombstoneLeaseInterval = tombstoneTTL / 3        // age of the lease for tombstones from which the next write requests a new one
-	storeCallTimeout       = time.Second             // per call to the store
-	revokeTimeout          = 100 * time.Millisecond  // at a stop, where the lease expires by itself if the call fails
-	minTombstoneRetryDelay = 50 * time.Millisecond   // between attempts to write a tombstone, for which a drain has less than a second
-	maxTombstoneRetryDelay = 200 * time.Millisecond  // the same, after several failures
+	entryTTL                = 4 * time.Second         // TTL of the entry's lease unless MinTTL is longer; the entry of a killed agent stays in the store for as long, but broken links reveal its death sooner
+	renewInterval           = entryTTL / 2            // leaves time for two attempts after a failed renewal; not lengthened with MinTTL, so that the loss of an entry is detected equally soon
+	minRetryInterval        = 400 * time.Millisecond  // after a first failed call
+	maxRetryInterval        = 1500 * time.Millisecond // after several; the entry is to be back within two seconds of the store's recovery
+	tombstoneTTL            = 10 * time.Minute        // the longest lease requested; a leaving backend server has ended long before
+	tombstoneLeaseInterval  = tombstoneTTL / 3        // age of the lease for tombstones from which the next write requests a new one
+	storeCallTimeout        = time.Second             // per call to the store
+	revokeTimeout           = 100 * time.Millisecond  // at a stop, where the lease expires by itself if the call fails
+	minTombstoneRetryDelay  = 50 * time.Millisecond   // between attempts to write a tombstone, for which a drain has less than a second
+	maxTombstoneRetryDelay  = 200 * time.Millisecond  // the same, after several failures
+	lostTombstoneRetryDelay = 400 * time.Millisecond  // the same, if the store was lost already; two attempts fit into a heartbeat
 )
 
 // Announcer keeps the agent's entry in the store under a lease, and writes tombstones.
@@ -93,7 +94,11 @@
 	a.desiredMu.Lock()
 	a.desiredTombstone = tombstone{instance, latestStart.UnixMilli()}
 	a.desiredMu.Unlock()
-	for delay := minTombstoneRetryDelay; ; delay = min(2*delay, maxTombstoneRetryDelay) {
+	minDelay, maxDelay := minTombstoneRetryDelay, maxTombstoneRetryDelay
+	if a.storeLost() {
+		minDelay, maxDelay = lostTombstoneRetryDelay, lostTombstoneRetryDelay
+	}
+	for delay := minDelay; ; delay = min(2*delay, maxDelay) {
 		err := a.reconcile(ctx)
 		if err == nil || !clock.Sleep(ctx, delay) {
 			return err
@@ -101,6 +106,13 @@
 	}
 }
 
+// storeLost reports whether the last call to the store failed.
+func (a *Announcer) storeLost() bool {
+	a.storeMu.Lock()
+	defer a.storeMu.Unlock()
+	return a.lossLogged
+}
+
 // ReadTombstone returns the latest start time that the tombstone of an instance ID covers, zero if there is no tombstone. It makes one call to the store, limited only by ctx. The error is of kind problem.Protocol if the tombstone is malformed.
 func (a *Announcer) ReadTombstone(ctx context.Context, instance string) (time.Time, error) {
 	key := a.Keys.TombstonePrefix + instance
--- a/src/registry/announcer_test.go
+++ b/src/registry/announcer_test.go
@@ -181,3 +181,23 @@
 	eventually(c, "announced again", func() bool { return s.Has(a.EntryKey) })
 	c.Check(time.Since(began) <= 2*time.Second, qt.IsTrue, qt.Commentf("%s", time.Since(began)))
 }
+
+// A drain during an outage that the agent has noticed calls the store at most twice a heartbeat; a later heartbeat succeeds once the store answers.
+func TestAnnouncerWriteTombstoneDuringOutage(t *testing.T) {
+	c := qt.New(t)
+	s := standin.NewRegistryStore()
+	s.Set(func() { s.Fail = problem.New(problem.Unavailable, "store", "busy", "wait") })
+	a := &registry.Announcer{Store: s, Keys: testKeys, EntryKey: memberKey(addr(1)), Log: logr.Discard()}
+	heartbeat := func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), 700*time.Millisecond)
+		defer cancel()
+		return a.WriteTombstone(ctx, "i-1", time.UnixMilli(5))
+	}
+	c.Assert(heartbeat(), qt.IsNotNil)
+	s.Set(func() { s.Calls = 0 })
+	c.Assert(heartbeat(), qt.IsNotNil)
+	calls := 0
+	s.Set(func() { calls, s.Fail = s.Calls, nil })
+	c.Assert(calls <= 2, qt.IsTrue, qt.Commentf("%d calls in a heartbeat", calls))
+	c.Assert(heartbeat(), qt.IsNil)
+}
