registry: an agent that starts while the store is away learns from a peer that dials it

Change: the hello of a dialling member is reported (Pool.OnPeer); an agent that has no configuration while the store does not answer queries that member, and then its peers, as agents that have lost the store do.

--- a/src/agent/agent.go
+++ b/src/agent/agent.go
@@ -116,6 +116,7 @@
 		Settings: a.dispatchSettings(), Grace: s.StopGrace.Std(), StartTimeout: startTimeout, Log: a.Log.WithName("dispatch"), Metrics: a.Metrics,
 	}
 	a.buildRegistry()
+	a.pool.OnPeer = a.follower.OfferPeer
 }
 
 func (a *Agent) buildRegistry() {
--- a/src/link/accept.go
+++ b/src/link/accept.go
@@ -77,6 +77,9 @@
 	defer p.tasks.Done()
 	defer func() { _ = rawConn.Close() }()
 	nc, fr, h, err := p.handshake(rawConn, 0, false)
+	if p.OnPeer != nil && h.Self != 0 && h.Addr.IsValid() && (err == nil || errors.Is(err, errWrongMember)) {
+		p.OnPeer(Peer{ID: h.Self, Addr: h.Addr})
+	}
 	p.mu.Lock()
 	delete(p.handshaking, rawConn)
 	if err == nil && p.stopped {
--- a/src/link/pool.go
+++ b/src/link/pool.go
@@ -29,6 +29,7 @@
 	Dial     func(ctx context.Context, to netip.AddrPort) (net.Conn, error) // nil for plain TCP
 	Calls    CallHandler                                                    // nil refuses every call
 	Messages MessageHandler                                                 // nil refuses every message
+	OnPeer   func(Peer)                                                     // called when a member that accepts links itself has dialled this one, also if it expected another member here; must not block; nil for nothing
 	Keys     *Keys                                                          // nil for no TLS
 	Insecure bool                                                           // allows links without TLS to addresses other than loopback
 	Grace    time.Duration                                                  // time for calls in flight to finish once the context of Run is done; 0 cuts them at once
--- a/src/registry/core.go
+++ b/src/registry/core.go
@@ -60,6 +60,8 @@
 		return c.applyPeerReply(now, e)
 	case MemberProbed:
 		return c.applyProbeResult(e)
+	case PeerSeen:
+		return c.queryFirstPeer(now, e.Member)
 	case Tick:
 		return append(c.probeMissing(now), c.queryPeerIfDue(now)...)
 	}
@@ -263,6 +265,15 @@
 	return []Action{QueryPeer{Member: peers[c.Rand.IntN(len(peers))]}}
 }
 
+// queryFirstPeer queries an agent that has dialled this one if this one has no configuration and the store does not answer, as after a start during an outage: it then knows no other member.
+func (c *Core) queryFirstPeer(now time.Time, m wire.Member) []Action {
+	if c.storeLostAt.IsZero() || c.config.Revision > 0 || m.ID == c.ID || now.Sub(c.peerQueriedAt) < peerQueryInterval {
+		return nil
+	}
+	c.peerQueriedAt = now
+	return []Action{QueryPeer{Member: m}}
+}
+
 // applyPeerReply applies the newer entries and the newer configuration of a peer's reply. An entry that the reply lacks is kept: only a deletion reported by an authoritative peer marks it as missing.
 func (c *Core) applyPeerReply(now time.Time, e PeerReplied) []Action {
 	r := e.Reply
--- a/src/registry/event.go
+++ b/src/registry/event.go
@@ -35,6 +35,11 @@
 	Alive    bool
 }
 
+// PeerSeen reports that another agent has dialled this one.
+type PeerSeen struct {
+	Member wire.Member // with its ID and address only
+}
+
 // Tick reports that time has passed.
 type Tick struct{}
 
@@ -44,4 +49,5 @@
 func (StoreAnswered) isEvent() {}
 func (PeerReplied) isEvent()   {}
 func (MemberProbed) isEvent()  {}
+func (PeerSeen) isEvent()      {}
 func (Tick) isEvent()          {}
--- a/src/registry/follower.go
+++ b/src/registry/follower.go
@@ -24,7 +24,7 @@
 
 // Follower keeps the members and the newest configuration up to date. Each agent runs one. It watches the store or a reader, which is a member that relays the changes in the store, and queries peers while neither answers.
 //
-// Its exported fields are set before the first call of a method; of the functions only SuspendedFor may be nil. OnConfig, OnMembers and OnEntryMissing may run concurrently, and also shortly after Run has returned, while a query to a peer ends. Members, Tombstone and ServeMessage may be called concurrently.
+// Its exported fields are set before the first call of a method; of the functions only SuspendedFor may be nil. OnConfig, OnMembers and OnEntryMissing may run concurrently, and also shortly after Run has returned, while a query to a peer ends. Members, Tombstone, OfferPeer and ServeMessage may be called concurrently.
 type Follower struct {
 	Store    Store
 	Keys     Keys
--- a/src/registry/follower_test.go
+++ b/src/registry/follower_test.go
@@ -387,3 +387,58 @@
 	inForce("three")
 	c.Check(time.Since(began) < configDeadline, qt.IsTrue)
 }
+
+// An agent that starts while the store is away takes the configuration and the members from an agent that dials it. One that has a configuration, or whose store answers, makes no such query.
+func TestFollowerStartDuringOutage(t *testing.T) {
+	tests := map[string]struct {
+		storeFails bool
+		offered    uint64 // member ID
+		configured bool
+	}{
+		"store away":               {true, 1, true},
+		"store away, itself":       {true, 99, false},
+		"store away, nobody dials": {true, 0, false},
+		"store answers":            {false, 1, true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			s := standin.NewRegistryStore()
+			network, _, _ := startFollowers(c, 3, s)
+			view := s.View()
+			if tc.storeFails {
+				view.Fail = problem.New(problem.Unavailable, "store", "busy", "wait")
+			}
+			config := make(chan string, 10)
+			f := &registry.Follower{
+				Store: view, Keys: testKeys, EntryKey: memberKey(addr(99)), ID: 99, Domain: "mid-a", Exchanger: network, Log: logr.Discard(),
+				OnMembers: func() {}, OnEntryMissing: func() {}, OnConfig: func(b []byte) { config <- string(b) },
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan error, 1)
+			go func() { done <- f.Run(ctx) }()
+			defer func() {
+				cancel()
+				c.Check(<-done, qt.IsNil)
+			}()
+			network.mu.Lock()
+			before := network.exchanges
+			network.mu.Unlock()
+			for end := time.Now().Add(configDeadline); time.Now().Before(end) && len(config) == 0; time.Sleep(10 * time.Millisecond) {
+				if tc.offered != 0 {
+					f.OfferPeer(link.Peer{ID: tc.offered, Addr: addr(int(tc.offered))})
+				}
+			}
+			c.Assert(len(config) > 0, qt.Equals, tc.configured)
+			if tc.configured {
+				c.Check(<-config, qt.Equals, "one")
+				c.Check(f.Members(), qt.HasLen, 3)
+			}
+			if !tc.storeFails {
+				network.mu.Lock()
+				c.Check(network.exchanges-before <= 2*int(configDeadline/registry.WatchWait)*3, qt.IsTrue)
+				network.mu.Unlock()
+			}
+		})
+	}
+}
--- a/src/registry/queries.go
+++ b/src/registry/queries.go
@@ -25,6 +25,12 @@
 	return true
 }
 
+// OfferPeer names an agent that has dialled this one. It does not block.
+func (f *Follower) OfferPeer(p link.Peer) {
+	f.init()
+	f.step(PeerSeen{Member: wire.Member{ID: p.ID, Addr: p.Addr}})
+}
+
 // probeMember checks whether a member whose entry is missing answers over its link. A busy member is alive; if another member answers at its address, the member is dead.
 func (f *Follower) probeMember(m wire.Member) {
 	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
