--- a/src/fleetmodel/agent.go
+++ b/src/fleetmodel/agent.go
@@ -14,15 +14,10 @@
 	speed    float64 // of its server
 	dispatch *dispatch.Core
 	booking  *booking.Core
-	calls    map[uint64]*call    // of its callers and of its server
+	calls    map[uint64]*request // of its callers and of its server, while its dispatch core handles them
 	inbound  map[uint64]*inbound // attempts that have arrived here, by their number in the booking core
 }
 
-// call is a request while it is in the hands of an agent's dispatch core.
-type call struct {
-	request *request
-}
-
 // send passes a request to the dispatch core.
 func (a *agent) send(q *request, done func(ok bool)) {
 	if done != nil {
@@ -31,7 +26,7 @@
 	f := a.fleet
 	f.lastCall++
 	id := f.lastCall
-	a.calls[id] = &call{request: q}
+	a.calls[id] = q
 	now := f.clock.now
 	a.stepDispatch(dispatch.CallArrived{Call: id, Policy: q.route.policy, Remaining: q.deadline.Sub(now), Objective: q.route.Objective})
 }
@@ -42,7 +37,7 @@
 		switch action := action.(type) {
 		case dispatch.SendAttempt:
 			a.sendAttempt(action)
-		case dispatch.CancelAttempt:
+		case dispatch.CancelAttempt: // the attempt goes on; its answer finds no call
 		case dispatch.AcceptAnswer:
 			a.stepDispatch(dispatch.AttemptEnded{Call: action.Call, Attempt: action.Attempt})
 		case dispatch.RefuseCall:
@@ -57,7 +52,7 @@
 
 // sendAttempt delivers an attempt to the agent beside the chosen server.
 func (a *agent) sendAttempt(s dispatch.SendAttempt) {
-	q := a.calls[s.Call].request
+	q := a.calls[s.Call]
 	if q.counted {
 		q.route.result.Attempts++
 	}
@@ -79,7 +74,7 @@
 
 // refuseCall ends a request, or lets its caller come back once.
 func (a *agent) refuseCall(r dispatch.RefuseCall) {
-	q := a.calls[r.Call].request
+	q := a.calls[r.Call]
 	delete(a.calls, r.Call)
 	now := a.fleet.clock.now
 	if !q.route.Repeats || q.repeated || r.MayHaveRun {
@@ -87,14 +82,14 @@
 		return
 	}
 	q.repeated = true
-	wait := min(r.RetryAfter, time.Duration(maxRetry*float64(q.deadline.Sub(now))))
+	wait := min(r.RetryAfter, time.Duration(maxRetryWait*float64(q.deadline.Sub(now))))
 	a.fleet.clock.after(wait, func() { a.send(q, nil) })
 }
 
 // receiveAnswer takes the answer of an attempt.
 func (a *agent) receiveAnswer(s dispatch.SendAttempt, load dispatch.Load, ok bool) {
-	c := a.calls[s.Call]
-	if c == nil {
+	q := a.calls[s.Call]
+	if q == nil {
 		return // refused or answered meanwhile
 	}
 	delete(a.calls, s.Call)
@@ -103,5 +98,5 @@
 		status = 500
 	}
 	a.stepDispatch(dispatch.AttemptAnswered{Call: s.Call, Attempt: s.Attempt, Status: status, Load: load})
-	c.request.answered(a.fleet.clock.now, ok)
+	q.answered(a.fleet.clock.now, ok)
 }
--- a/src/fleetmodel/fleet.go
+++ b/src/fleetmodel/fleet.go
@@ -11,12 +11,12 @@
 
 const (
 	domains        = 3               // failure domains, over which the agents are spread
-	maxRetry       = 1.0 / 3         // share of the time until its deadline after which a refused caller comes back, whatever it was told
+	maxRetryWait   = 1.0 / 3         // share of the time until its deadline after which a refused caller comes back, whatever it was told
 	deadlineSpread = 0.15            // largest shortening of a caller's deadline, as a share of its route's
 	workSpread     = 0.3             // largest deviation of a run's work from the mean, as a share of it
 	queueLimit     = 256             // calls
 	queueWait      = 5 * time.Second // longest wait for a slot
-	attemptsMax    = 2               // of a call that may have run
+	maxAttempts    = 2               // of a call that may have run
 )
 
 // Fleet is a set of agents with their backend servers and the load on them. Its exported fields are set before Run, which must be called once.
@@ -36,13 +36,6 @@
 	start    time.Time
 }
 
-// route is a Route with its policy and results.
-type route struct {
-	Route
-	policy *dispatch.Policy
-	result Result
-}
-
 // Run plays the load and returns the results by route.
 func (f *Fleet) Run() map[string]Result {
 	f.init()
@@ -66,7 +59,7 @@
 	f.routes = map[string]*route{}
 	for _, r := range f.Routes {
 		f.routes[r.Name] = &route{Route: r, policy: &dispatch.Policy{
-			Service: "fleet", Route: r.Name, Targets: []dispatch.Target{{Service: r.Service, Weight: 1}}, Idempotent: true, Attempts: attemptsMax, Timeout: r.Deadline,
+			Service: "fleet", Route: r.Name, Targets: []dispatch.Target{{Service: r.Service, Weight: 1}}, Idempotent: true, Attempts: maxAttempts, Timeout: r.Deadline,
 		}}
 	}
 	table := dispatch.TableChanged{Version: 1, Region: "region"}
@@ -79,7 +72,7 @@
 			}
 			m := dispatch.Member{ID: id, Service: s.Name, Domain: fmt.Sprint("domain-", id%domains), Region: "region", Slots: s.Slots, Ready: true, Age: time.Hour}
 			table.Members = append(table.Members, m)
-			a := &agent{fleet: f, member: m, speed: speed, calls: map[uint64]*call{}, inbound: map[uint64]*inbound{}}
+			a := &agent{fleet: f, member: m, speed: speed, calls: map[uint64]*request{}, inbound: map[uint64]*inbound{}}
 			a.dispatch = &dispatch.Core{Settings: dispatch.Settings{SharedRetryBurst: 1000}.WithDefaults(), Rand: rand.New(rand.NewPCG(f.Seed, id))}
 			a.booking = &booking.Core{Slots: s.Slots, QueueLimit: queueLimit, QueueWait: queueWait, FixedLimit: true}
 			a.booking.Step(f.start, booking.Health{State: booking.HealthUp})
