registry: query a peer at every tick while the store is lost

Traced: an agent without the store queries one random peer at a tick; ticks come every 500 ms and queries were due after 500 ms, so about every second tick was just too early.

--- a/src/registry/core.go
+++ b/src/registry/core.go
@@ -14,7 +14,7 @@
 	maxRemoved        = 512                    // removed members remembered for Reply, beyond which all are forgotten; an agent that misses a removal keeps the member until it lists the store again, and then probes it
 	probeInterval     = time.Second            // between two probes of a member whose entry is missing
 	peerQueryDelay    = 500 * time.Millisecond // time without the store before a peer is queried
-	peerQueryInterval = 500 * time.Millisecond // several attempts fit into the 2 s within which a configuration must be in force
+	peerQueryInterval = 400 * time.Millisecond // less than the interval of ticks, so that each tick queries a peer; several attempts fit into the 2 s within which a configuration must be in force
 )
 
 // Core maintains the set of members and the newest configuration. It does no I/O.
