--- a/src/registry/follower_outage_test.go
+++ b/src/registry/follower_outage_test.go
@@ -14,7 +14,7 @@
 	"github.com/yuccaport/yuccaport/src/standin"
 )
 
-// While the store refuses all calls, the agents that watch a reader leave it to the reader to find out when the store is back: at 295 agents their own calls were most of 24,000 in a day.
+// While the store refuses all calls, the agents that watch a reader leave it to the reader to find out when the store is back: the calls of all agents of a large fleet would add up.
 // A configuration written after the store's recovery, or seen by any agent meanwhile, is in force in time.
 func TestFollowerStoreOutage(t *testing.T) {
 	c := qt.New(t)
