booking: log and export what a backend server says of itself

Nothing showed that a backend server had named a limit or had said in its answers that it was leaving. The agent beside it now reads both fields, logs each change with the instance and the value before, and exports two gauges. No call is admitted or refused differently.

--- a/src/booking/counters.go
+++ b/src/booking/counters.go
@@ -19,11 +19,13 @@
 	dialed      *metrics.Counter
 	reused      *metrics.Counter
 	reclaimed   *metrics.Counter // slots released after the backend server did not end a cancelled or failed call in time, or before ReleaseCancelled was called
+	namedLimit  *metrics.Gauge   // requests a second that the backend server takes, noLimit for no limit
+	leaving     *metrics.Gauge   // 1 if the backend server says in its answers that it is leaving
 	serviceTime *metrics.Histogram
 }
 
 func newCounters(s *metrics.Set) *counters {
-	return &counters{
+	c := &counters{
 		set:         s,
 		admitted:    s.GetOrCreateCounter("yuccaport_booking_calls_admitted_total"),
 		queued:      s.GetOrCreateCounter("yuccaport_booking_calls_queued_total"),
@@ -33,8 +35,12 @@
 		dialed:      s.GetOrCreateCounter("yuccaport_booking_connections_dialed_total"),
 		reused:      s.GetOrCreateCounter("yuccaport_booking_connections_reused_total"),
 		reclaimed:   s.GetOrCreateCounter("yuccaport_booking_slots_reclaimed_total"),
+		namedLimit:  s.GetOrCreateGauge("yuccaport_booking_backend_limit_per_second", nil),
+		leaving:     s.GetOrCreateGauge("yuccaport_booking_backend_leaving", nil),
 		serviceTime: s.GetOrCreateHistogram("yuccaport_booking_service_seconds"),
 	}
+	c.namedLimit.Set(noLimit)
+	return c
 }
 
 func (c *counters) countRefusal(r wire.RefusalReason) {
--- a/src/booking/health.go
+++ b/src/booking/health.go
@@ -174,6 +174,7 @@
 	if n := s.Headers.Instance; n != "" {
 		instance = string(resp.Header.Peek(n))
 	}
+	s.recordNotice(instance, &resp.Header)
 	return parseHealth(resp), instance, true
 }
 
--- a/src/booking/request.go
+++ b/src/booking/request.go
@@ -99,7 +99,13 @@
 			}
 			continue
 		}
-		return x.checkAnswer()
+		if err := x.checkAnswer(); err != nil {
+			return err
+		}
+		if !x.isMisdirected() {
+			x.s.recordNotice(x.instance, &x.resp.Header)
+		}
+		return nil
 	}
 }
 
--- a/src/booking/server.go
+++ b/src/booking/server.go
@@ -60,6 +60,7 @@
 	pending  map[uint64]chan Action // calls not yet admitted or refused, with the channel for the decision
 	health   healthTracker
 	instance string // the only instance that may run calls; empty if none is set
+	notices  noticeTracker
 }
 
 // ReleaseCancelled causes the slots of cancelled and failed calls, including those that are cancelled or fail later, to be released without waiting for the backend server to end the calls.
--- a/src/header/names.go
+++ b/src/header/names.go
@@ -12,6 +12,8 @@
 	NotRun    string // marks an answer to a request that the backend server has not run
 	Load      string // requests running, requests waiting and slots, with commas
 	Proof     string // marks an answer that a backend server has made
+	Limit     string // requests a second that a backend server takes from all VMs together, as long as its answers name it
+	Leaving   string // "1" in the answers of a backend server that is leaving
 	Fractions bool   // Retry-After may carry fractions of a second
 }
 
@@ -20,5 +22,7 @@
 	return strings.EqualFold(name, n.Deadline) || (n.Caller != "" && (strings.EqualFold(name, n.Caller) || strings.EqualFold(name, n.Expect)))
 }
 
-// Default returns the names of yuccaport's own interface.
-func Default() Names { return Names{Deadline: "X-Deadline-Ms", NotRun: "X-Not-Run"} }
+// Default returns the names of yuccaport's own interface. Backend servers there say by their health endpoint that they are leaving.
+func Default() Names {
+	return Names{Deadline: "X-Deadline-Ms", NotRun: "X-Not-Run", Limit: "X-Limit-Per-Second"}
+}
