--- a/src/agent/agent_test.go
+++ b/src/agent/agent_test.go
@@ -30,7 +30,7 @@
 
 var (
 	testKeys    = registry.Keys{WatchPrefix: "mesh/", Config: "mesh/config", MemberPrefix: "mesh/member/", TombstonePrefix: "mesh/left/"}
-	headerNames = header.Names{RequestID: "X-Call-Id", Deadline: "X-Left-Ms", Caller: "X-From", Expect: "X-Meant", Instance: "X-Instance-Id", NotRun: "X-Not-Run", Proof: "X-Proof", Fractions: true}
+	headerNames = header.Names{RequestID: "X-Call-Id", Deadline: "X-Left-Ms", Caller: "X-From", Expect: "X-Meant", Instance: "X-Instance-Id", NotRun: "X-Not-Run", Proof: "X-Proof", Limit: "X-Limit", Leaving: "X-Leaving", Fractions: true}
 )
 
 // backend is a backend server that answers 421 to a request for another instance, and counts and delays the calls that it executes.
@@ -39,6 +39,7 @@
 	addr        netip.AddrPort
 	calls       atomic.Int64 // calls executed
 	serviceTime atomic.Int64 // nanoseconds
+	leaving     atomic.Bool  // its answers say that it is leaving
 
 	mu         sync.Mutex
 	lastHeader http.Header
@@ -62,6 +63,9 @@
 	b.lastHeader = h
 	b.mu.Unlock()
 	time.Sleep(time.Duration(b.serviceTime.Load()))
+	if b.leaving.Load() {
+		ctx.Response.Header.Set("X-Leaving", "1")
+	}
 	ctx.Response.Header.Set("X-Proof", "s-"+b.instance)
 	ctx.Response.Header.SetBytesV("X-Call-Id", ctx.Request.Header.Peek("X-Call-Id"))
 	ctx.SetBodyString("by " + b.instance)
--- a/src/standin/backend.go
+++ b/src/standin/backend.go
@@ -12,11 +12,12 @@
 
 // Header fields of a backend server.
 const (
-	HeaderToken       = "X-Request-Token"   // names a request, echoed in its answer
-	HeaderKey         = "Idempotency-Key"   // names a payment
-	HeaderDeadline    = "X-Deadline-Ms"     // milliseconds that the caller still waits
-	HeaderNotRun      = "X-Not-Run"         // 1 on a refusal that did not run
-	HeaderHandlerTime = "X-Handler-Time-Us" // microseconds that the run took
+	HeaderToken       = "X-Request-Token"    // names a request, echoed in its answer
+	HeaderKey         = "Idempotency-Key"    // names a payment
+	HeaderDeadline    = "X-Deadline-Ms"      // milliseconds that the caller still waits
+	HeaderNotRun      = "X-Not-Run"          // 1 on a refusal that did not run
+	HeaderLimit       = "X-Limit-Per-Second" // requests a second that it takes from all callers together
+	HeaderHandlerTime = "X-Handler-Time-Us"  // microseconds that the run took
 )
 
 const (
--- a/src/standin/backend_faults.go
+++ b/src/standin/backend_faults.go
@@ -10,5 +10,6 @@
 	Unhealthy         bool    `json:"unhealthy"`           // the health endpoint says 503
 	CutAnswers        bool    `json:"cut_answers"`         // answers end in the middle of their body
 	RefuseConnections bool    `json:"refuse_connections"`  // new connections are closed at once
+	Limit             float64 `json:"limit"`               // requests a second that the answers name as its limit, 0 for none
 	Dead              bool    `json:"dead"`                // nothing runs, every connection is closed
 }
--- a/src/standin/backend_handler.go
+++ b/src/standin/backend_handler.go
@@ -23,6 +23,9 @@
 		hangUp(c)
 		return
 	}
+	if limit := b.Faults().Limit; limit > 0 {
+		c.Response.Header.Set(HeaderLimit, strconv.FormatFloat(limit, 'f', -1, 64))
+	}
 	switch string(c.Path()) {
 	case "/health":
 		b.health(c)
