booking: keep to the limit that a backend server names in its answers

Cause: no agent read the field; it went on to callers like any other. Admission knew slots, queue and link, but no rate. Change: the agent beside the server, the only way to it, admits calls at the named rate, all VMs together, in the order of the queue. The wait for the rate counts as the wait for a slot does: in refusals, in Retry-After and in the load that callers' agents choose by. A limit ends once answers have not named it for a second; one that no answer confirms is asked for at the health endpoint. A restarted agent asks there before it relies on the first answer.

--- a/src/agent/agent_test.go
+++ b/src/agent/agent_test.go
@@ -40,12 +40,16 @@
 	calls       atomic.Int64 // calls executed
 	serviceTime atomic.Int64 // nanoseconds
 	leaving     atomic.Bool  // its answers say that it is leaving
+	limit       atomic.Int64 // calls a second that its answers name, 0 for none
 
 	mu         sync.Mutex
 	lastHeader http.Header
 }
 
 func (b *backend) serve(ctx *fasthttp.RequestCtx) {
+	if n := b.limit.Load(); n > 0 {
+		ctx.Response.Header.Set("X-Limit", fmt.Sprint(n))
+	}
 	if string(ctx.Path()) == "/health" {
 		ctx.Response.Header.Set("X-Instance-Id", b.instance)
 		return
--- a/src/agent/backend.go
+++ b/src/agent/backend.go
@@ -28,6 +28,7 @@
 	leaving := a.backend.Leaving()
 	newIncarnation := h.Instance != oldInstance || !h.StartedAt.Equal(oldStartedAt)
 	if newIncarnation {
+		a.wakeBackendCheck()
 		a.tombstoneRuledOut = h.StartedAt.After(a.agentStartedAt) // an incarnation that started after this agent cannot have a tombstone written by an earlier agent
 	}
 	ruledOut := a.tombstoneRuledOut
@@ -144,17 +145,29 @@
 	}
 }
 
-// probeInstance reads the instance ID from the health endpoint while none is known and a configuration, which holds the health path, is in force.
+// wakeBackendCheck makes watchBackend check at once.
+func (a *Agent) wakeBackendCheck() {
+	select {
+	case a.backendCheck <- struct{}{}:
+	default:
+	}
+}
+
+// probeInstance queries the health endpoint while a configuration, which holds the health path, is in force: for the instance ID while none is known,
+// and until the first answer of a backend server that is older than this agent, which may have named a limit to the agent before it.
 func (a *Agent) probeInstance(ctx context.Context) {
 	a.backendMu.Lock()
-	instanceKnown := a.backend.Instance() != ""
+	known, olderThanAgent := a.backend.Instance(), !a.backend.StartedAt().After(a.agentStartedAt)
 	a.backendMu.Unlock()
-	if instanceKnown || a.serving.Load() == nil {
+	if a.serving.Load() == nil || known != "" && (!olderThanAgent || a.booking.HasAnswered(known)) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	state, instance := a.booking.CheckHealth(ctx)
+	if known != "" {
+		return // booking has recorded what the answer says
+	}
 	if state != booking.HealthUp || instance == "" {
 		return
 	}
--- a/src/agent/serving_state.go
+++ b/src/agent/serving_state.go
@@ -65,10 +65,7 @@
 	c.Routes = nil // the snapshot holds them
 	a.serving.Store(&servingState{config: c, snapshot: s, table: t})
 	a.booking.ConfigureBackend(c.Connections[a.Settings.Service], c.HealthPaths[a.Settings.Service])
-	select {
-	case a.backendCheck <- struct{}{}:
-	default:
-	}
+	a.wakeBackendCheck()
 	a.Log.Info("version in force", "version", c.Version, "before", currentVersion, "routes", routes)
 }
 
--- a/src/booking/backend_state.go
+++ b/src/booking/backend_state.go
@@ -23,10 +23,20 @@
 	if changed {
 		s.health = healthTracker{state: s.health.state}
 	}
+	if instance != "" && instance != s.notices.instance && s.core.rate.limited {
+		s.stepLocked(CallLimit{PerSecond: noLimit, NewInstance: true})
+	}
 	s.reportedHealth = state
 	s.setHealthLocked(s.health.evaluate(s.Now(), state))
 }
 
+// HasAnswered reports whether an answer of the given instance has been read, so that a limit that it names is known.
+func (s *Server) HasAnswered(instance string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.notices.known && s.notices.instance == instance
+}
+
 // ConfigureBackend sets the maximum number of connections to the backend server and its health path; zero values change nothing.
 func (s *Server) ConfigureBackend(connections int, healthPath string) {
 	s.init()
--- a/src/booking/call_rate_server_test.go
+++ b/src/booking/call_rate_server_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/yuccaport/yuccaport/src/settings"
 	"github.com/yuccaport/yuccaport/src/standin"
 )
 
@@ -48,3 +49,34 @@
 	c.Check(float64(n) <= 1.5*limit*window.Seconds()+5, qt.IsTrue, qt.Commentf("%d calls in %s", n, window))
 	c.Check(float64(n) >= 0.8*limit*window.Seconds(), qt.IsTrue, qt.Commentf("only %d calls in %s", n, window))
 }
+
+// A limit of 0 stops all answers that could lift it, so the health endpoint must be asked until it names the limit no more.
+func TestServerLimitZeroIsLifted(t *testing.T) {
+	c := qt.New(t)
+	b := startRawBackend(t)
+	limit := "X-Limit-Per-Second: 0\r\n"
+	var mu sync.Mutex
+	b.answer = func(string) string { return "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok" }
+	b.health = func() string {
+		mu.Lock()
+		defer mu.Unlock()
+		return limit
+	}
+	s := &Server{UsesHeartbeats: true, Backend: settings.Backend{Addr: addrOf(b.listener), Slots: 4, Connections: 8, HealthPath: "/health"}, Service: "bookings", Self: 7}
+	s.SetInstance("", 0, false)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	s.CheckHealth(ctx)
+	s.mu.Lock()
+	s.setHealthLocked(HealthUp)
+	s.reportedHealth = HealthUp
+	s.mu.Unlock()
+	refused := newInbound("GET", "/diary", "1", nil, 0).serve(t, s)
+	c.Assert(refused.refusal, qt.IsNotNil)
+	c.Check(refused.refusal.RetryAfterMS, qt.Equals, limitCheckAge.Milliseconds())
+	mu.Lock()
+	limit = ""
+	mu.Unlock()
+	runUntilCleanup(t, s.Run)
+	waitUntil(t, "a call is answered", func() bool { return newInbound("GET", "/diary", "2", nil, 0).serve(t, s).complete })
+}
--- a/src/booking/core.go
+++ b/src/booking/core.go
@@ -33,6 +33,7 @@
 	serviceTimes   serviceTimeEstimator
 	usage          slotUsage
 	slack          slackTracker
+	rate           callRate
 	health         HealthState
 	drainRequested bool
 	drainStart     time.Time // time from which new calls are refused
@@ -65,6 +66,9 @@
 		c.drain(now.Add(e.Grace))
 	case Health:
 		return c.setHealth(now, e.State)
+	case CallLimit:
+		c.rate.apply(now, e, c.serviceTimes.mean)
+		return c.admitQueued(now, c.refuseExpired(now, nil))
 	case Resume:
 		c.drainRequested = false
 	}
@@ -82,7 +86,7 @@
 // InFlight returns the number of calls that hold a slot.
 func (c *Core) InFlight() int { return len(c.running) }
 
-// Load returns the load for the caller's daemon. Free is the concurrency limit minus the running and the queued calls, so it may be negative;
+// Load returns the load for the caller's daemon. Free is the concurrency limit minus the running and the queued calls, or fewer under a limit that the backend server has named, so it may be negative;
 // it is at most 0 while isDraining holds or the backend server is not up. Slots is the number of slots of the backend server.
 // Backlog is the expected wait of a further call and Service the mean service time, both in milliseconds.
 func (c *Core) Load(now time.Time) wire.Load {
@@ -90,10 +94,13 @@
 	if c.limit == 0 {
 		free = c.initialLimit()
 	}
+	if c.rate.limited {
+		free = min(free, c.rate.free(now)-c.queue.size)
+	}
 	if c.isDraining(now) || c.health != HealthUp {
 		free = min(free, 0)
 	}
-	return wire.Load{Free: int16(free), Slots: int16(c.Slots), Backlog: int32(c.meanWaitBehind(c.queue.size).Milliseconds()), Service: int32(c.serviceTimes.mean.Milliseconds())}
+	return wire.Load{Free: int16(free), Slots: int16(c.Slots), Backlog: int32(c.meanWaitBehind(now, c.queue.size).Milliseconds()), Service: int32(c.serviceTimes.mean.Milliseconds())}
 }
 
 // LoadFor returns Load with the mean service time of the route, if it is known, and, with FixedLimit, the expected wait of a call of the given priority.
@@ -115,11 +122,11 @@
 
 // meanWaitBehind returns the expected wait of a call that has n calls ahead of it in the queue, estimated from the mean service time alone.
 // It is used for calls without an objective, for the Retry-After of newRefusal and in Load; for calls with an objective, expectedWait estimates more closely.
-func (c *Core) meanWaitBehind(n int) time.Duration {
+func (c *Core) meanWaitBehind(now time.Time, n int) time.Duration {
 	if len(c.running) < c.limit || c.limit == 0 {
-		return 0
+		return c.rate.wait(now, n)
 	}
-	return c.serviceTimes.mean * time.Duration(n+1) / time.Duration(c.limit)
+	return max(c.rate.wait(now, n), c.serviceTimes.mean*time.Duration(n+1)/time.Duration(c.limit))
 }
 
 // WouldRefuse returns a refusal and true if a call that arrived now would be refused because isDraining holds or the backend server is not up
@@ -138,7 +145,7 @@
 
 // canStartNow reports whether a call of the given priority that arrived now would be admitted immediately.
 func (c *Core) canStartNow(now time.Time, priority uint8) bool {
-	return c.queue.countAhead(priority) == 0 && len(c.running) < c.limit-c.reservedSlots(now, priority)
+	return c.queue.countAhead(priority) == 0 && len(c.running) < c.limit-c.reservedSlots(now, priority) && c.rate.available(now)
 }
 
 func (c *Core) arrive(now time.Time, e Arrive) []Action {
@@ -146,12 +153,15 @@
 		return []Action{refusal}
 	}
 	actions := c.refuseExpired(now, nil)
+	if c.rate.limited {
+		actions = c.admitQueued(now, actions) // the Tick for a queued call may still be to come
+	}
 	if e.Objective > 0 {
 		c.slack.add(now, e.Priority, e.Objective-c.expectedServiceTime(e.Route))
 	}
 	lowServiceTime := c.serviceTimes.routeLow(now, e.Route)
 	if e.Timeout > 0 && lowServiceTime > e.Timeout {
-		return append(actions, c.newRefusal(e.Call, wire.ReasonDeadline))
+		return append(actions, c.newRefusal(now, e.Call, wire.ReasonDeadline))
 	}
 	canStart := c.canStartNow(now, e.Priority)
 	switch {
@@ -190,15 +200,15 @@
 	if e.Timeout > 0 && e.Timeout-lowServiceTime < maxWait {
 		maxWait, reason = e.Timeout-lowServiceTime, wire.ReasonDeadline
 	}
-	if c.QueueLimit == 0 || c.meanWaitBehind(c.queue.countAhead(e.Priority)) > maxWait {
-		return append(actions, c.newRefusal(e.Call, reason))
+	if c.QueueLimit == 0 || c.meanWaitBehind(now, c.queue.countAhead(e.Priority)) > maxWait {
+		return append(actions, c.newRefusal(now, e.Call, reason))
 	}
 	if c.queue.size >= c.QueueLimit {
 		w, ok := c.queue.evictLessUrgent(e.Priority)
 		if !ok {
-			return append(actions, c.newRefusal(e.Call, wire.ReasonQueueFull))
+			return append(actions, c.newRefusal(now, e.Call, wire.ReasonQueueFull))
 		}
-		actions = append(actions, c.newRefusal(w.call, wire.ReasonQueueFull))
+		actions = append(actions, c.newRefusal(now, w.call, wire.ReasonQueueFull))
 	}
 	w := c.newWaiter(now, e)
 	w.expiry, w.reason = now.Add(maxWait), reason
@@ -223,12 +233,12 @@
 	waitIfLate := c.expectedAnswerWait(now, e, w.serviceTime, true)
 	switch {
 	case c.queue.size >= c.QueueLimit:
-		return w, Refuse{Call: e.Call, Reason: wire.ReasonQueueFull, RetryAfter: max(minRetryAfter, wait)}, false
+		return w, Refuse{Call: e.Call, Reason: wire.ReasonQueueFull, RetryAfter: retryAfter(wait)}, false
 	case e.Patience > 0 && wait > e.Patience:
-		return w, Refuse{Call: e.Call, Reason: wire.ReasonQueueFull, RetryAfter: max(minRetryAfter, wait)}, false
+		return w, Refuse{Call: e.Call, Reason: wire.ReasonQueueFull, RetryAfter: retryAfter(wait)}, false
 	case wait+answerTime <= e.Objective:
 	case !e.Final, waitIfLate+answerTime > time.Duration(maxLateShare*float64(timeLeft)):
-		return w, Refuse{Call: e.Call, Reason: wire.ReasonQueueFull, RetryAfter: max(minRetryAfter, waitIfLate)}, false
+		return w, Refuse{Call: e.Call, Reason: wire.ReasonQueueFull, RetryAfter: retryAfter(waitIfLate)}, false
 	}
 	return w, Refuse{}, true
 }
@@ -247,13 +257,22 @@
 func (c *Core) admit(now time.Time, w waiter) Action {
 	r := &runningCall{route: w.route, admitted: now, expected: c.expectedServiceTime(w.route), transferTime: w.transferTime, objectiveTime: w.objectiveTime}
 	c.running[w.call] = r
+	c.rate.take(now, w.priority, w.late(now), c.serviceTimes.mean)
 	c.usage.add(now, w.priority, w.late(now), r.expected)
 	return Admit{Call: w.call}
 }
 
 // newRefusal returns a refusal whose Retry-After is the expected wait behind the queue.
-func (c *Core) newRefusal(call uint64, reason wire.RefusalReason) Action {
-	return Refuse{Call: call, Reason: reason, RetryAfter: max(minRetryAfter, c.meanWaitBehind(c.queue.size))}
+func (c *Core) newRefusal(now time.Time, call uint64, reason wire.RefusalReason) Action {
+	return Refuse{Call: call, Reason: reason, RetryAfter: retryAfter(c.meanWaitBehind(now, c.queue.size))}
+}
+
+// retryAfter returns the Retry-After for an expected wait. Under a limit of 0, it is the time until that limit is checked.
+func retryAfter(wait time.Duration) time.Duration {
+	if wait >= maxRateWait {
+		return limitCheckAge
+	}
+	return max(minRetryAfter, wait)
 }
 
 func (c *Core) release(now time.Time, e Release) []Action {
@@ -306,7 +325,7 @@
 // calls in time that keep arriving precede a late one, so that its wait may become hopeless long before it expires.
 func (c *Core) refuseExpired(now time.Time, actions []Action) []Action {
 	for _, w := range c.queue.removeExpired(now) {
-		actions = append(actions, c.newRefusal(w.call, w.reason))
+		actions = append(actions, c.newRefusal(now, w.call, w.reason))
 	}
 	waits := map[uint8]time.Duration{} // of late calls by priority
 	lateWait := func(w *waiter) time.Duration {
@@ -316,14 +335,14 @@
 		return waits[w.priority]
 	}
 	for _, w := range c.queue.removeLate(now, func(w *waiter) bool { return worthWaiting(now, w, lateWait(w)) }) {
-		actions = append(actions, Refuse{Call: w.call, Reason: wire.ReasonQueueFull, RetryAfter: max(minRetryAfter, lateWait(&w))})
+		actions = append(actions, Refuse{Call: w.call, Reason: wire.ReasonQueueFull, RetryAfter: retryAfter(lateWait(&w))})
 	}
 	return actions
 }
 
-// admitQueued admits queued calls while slots are free.
+// admitQueued admits queued calls while slots are free and the limit that the backend server has named allows it.
 func (c *Core) admitQueued(now time.Time, actions []Action) []Action {
-	for len(c.running) < c.limit {
+	for len(c.running) < c.limit && c.rate.available(now) {
 		w, ok := c.queue.pop(now, c.maxAdmissibleRank(now))
 		if !ok {
 			break
@@ -333,6 +352,15 @@
 	return actions
 }
 
+// NextTick returns the time until the Core needs a Tick because a queued call, for which a slot is free, waits for the limit that the backend server has named; it reports false if there is none.
+func (c *Core) NextTick(now time.Time) (time.Duration, bool) {
+	if !c.rate.limited || c.queue.size == 0 || len(c.running) >= c.limit {
+		return 0, false
+	}
+	d := c.rate.wait(now, 0)
+	return d, d > 0 // without a wait, the free slots are reserved, and a release admits the call
+}
+
 // setHealth sets the state. A backend server that recovers from down starts with initialLimit again; when it goes down, the queued calls are refused.
 func (c *Core) setHealth(now time.Time, s HealthState) []Action {
 	if s == HealthUp && c.health == HealthDown {
--- a/src/booking/event.go
+++ b/src/booking/event.go
@@ -52,6 +52,12 @@
 	State HealthState `json:"state"`
 }
 
+// CallLimit reports what an answer of the backend server says of the calls that it takes.
+type CallLimit struct {
+	PerSecond   float64 `json:"per_second"`             // negative if the answer names no limit
+	NewInstance bool    `json:"new_instance,omitempty"` // another instance, which has named no limit yet
+}
+
 // Resume ends a drain started by Drain.
 type Resume struct{}
 
@@ -62,4 +68,5 @@
 func (Configure) isEvent() {}
 func (Drain) isEvent()     {}
 func (Health) isEvent()    {}
+func (CallLimit) isEvent() {}
 func (Resume) isEvent()    {}
--- a/src/booking/health.go
+++ b/src/booking/health.go
@@ -75,10 +75,15 @@
 	return s.health.state == HealthUp
 }
 
-// updateHealth updates the health from the health endpoint or, with heartbeats, from the last heartbeat.
+// updateHealth updates the health from the health endpoint or, with heartbeats, from the last heartbeat; the health endpoint is then queried only to check an unconfirmed limit.
 func (s *Server) updateHealth(ctx context.Context) {
-	if !s.UsesHeartbeats {
+	switch {
+	case !s.UsesHeartbeats:
 		s.reportedHealth = s.queryHealth(ctx)
+	case s.needsLimitCheck():
+		checkCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
+		s.CheckHealth(checkCtx)
 	}
 	if ctx.Err() != nil {
 		return
@@ -88,6 +93,13 @@
 	s.setHealthLocked(s.health.evaluate(s.Now(), s.reportedHealth))
 }
 
+// needsLimitCheck reports whether the limit that the backend server has named is unconfirmed.
+func (s *Server) needsLimitCheck() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.rate.needsCheck(s.Now())
+}
+
 // setHealthLocked passes the state to the core if it has changed. s.mu must be held.
 func (s *Server) setHealthLocked(state HealthState) {
 	if state == s.health.state {
--- a/src/booking/notice.go
+++ b/src/booking/notice.go
@@ -74,6 +74,9 @@
 	if s.instance != "" && instance != s.instance {
 		return
 	}
+	if n.limit != noLimit || s.core.rate.limited {
+		s.stepLocked(CallLimit{PerSecond: n.limit})
+	}
 	before := s.notices.last.limit
 	if !s.notices.update(instance, n) {
 		return
--- a/src/booking/raw_backend_test.go
+++ b/src/booking/raw_backend_test.go
@@ -12,7 +12,8 @@
 type rawBackend struct {
 	listener     net.Listener
 	answer       func(head string) string
-	healthFields string // further header fields of the answers to health probes
+	healthFields string        // further header fields of the answers to health probes
+	health       func() string // if set, used in place of healthFields
 	wg           sync.WaitGroup
 }
 
@@ -54,7 +55,11 @@
 			break
 		}
 	}
-	answer := "HTTP/1.1 200 OK\r\n" + b.healthFields + "Content-Length: 2\r\n\r\nok"
+	healthFields := b.healthFields
+	if b.health != nil {
+		healthFields = b.health()
+	}
+	answer := "HTTP/1.1 200 OK\r\n" + healthFields + "Content-Length: 2\r\n\r\nok"
 	if !strings.HasPrefix(head.String(), "GET /health") {
 		answer = b.answer(head.String())
 	}
--- a/src/booking/replay.go
+++ b/src/booking/replay.go
@@ -55,6 +55,8 @@
 		return decode[Configure](b)
 	case "drain":
 		return decode[Drain](b)
+	case "call_limit":
+		return decode[CallLimit](b)
 	case "resume":
 		return Resume{}, nil
 	case "health":
--- a/src/booking/server.go
+++ b/src/booking/server.go
@@ -61,6 +61,8 @@
 	health   healthTracker
 	instance string // the only instance that may run calls; empty if none is set
 	notices  noticeTracker
+	tickAt   time.Time   // time of the scheduled Tick, zero for none
+	tick     *time.Timer // passes it to the core
 }
 
 // ReleaseCancelled causes the slots of cancelled and failed calls, including those that are cancelled or fail later, to be released without waiting for the backend server to end the calls.
@@ -118,9 +120,31 @@
 	for _, a := range actions {
 		s.deliverLocked(a)
 	}
+	s.scheduleTickLocked(now)
 	return actions
 }
 
+// scheduleTickLocked schedules the next Tick that the core needs. s.mu must be held.
+func (s *Server) scheduleTickLocked(now time.Time) {
+	d, ok := s.core.NextTick(now)
+	at := now.Add(d)
+	if !ok || !s.tickAt.IsZero() && !at.Before(s.tickAt) {
+		return
+	}
+	if s.tick != nil {
+		s.tick.Stop()
+	}
+	s.tickAt = at
+	s.tick = time.AfterFunc(d, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.tickAt.Equal(at) {
+			s.tickAt = time.Time{}
+			s.stepLocked(Tick{})
+		}
+	})
+}
+
 // deliverLocked sends a decision to the call that waits for it, if it still does. s.mu must be held.
 func (s *Server) deliverLocked(a Action) {
 	var call uint64
--- a/src/fleetmodel/agent.go
+++ b/src/fleetmodel/agent.go
@@ -12,6 +12,9 @@
 	fleet    *Fleet
 	member   dispatch.Member
 	speed    float64 // of its server
+	limit    float64 // that its server names, 0 for none
+	tickAt   time.Time
+	admitted []time.Time // of the calls of its server
 	dispatch *dispatch.Core
 	booking  *booking.Core
 	calls    map[uint64]*request // of its callers and of its server, while its dispatch core handles them
--- a/src/fleetmodel/fleet.go
+++ b/src/fleetmodel/fleet.go
@@ -73,6 +73,9 @@
 			m := dispatch.Member{ID: id, Service: s.Name, Domain: fmt.Sprint("domain-", id%domains), Region: "region", Slots: s.Slots, Ready: true, Age: time.Hour}
 			table.Members = append(table.Members, m)
 			a := &agent{fleet: f, member: m, speed: speed, calls: map[uint64]*request{}, inbound: map[uint64]*inbound{}}
+			if len(s.Limits) > 0 {
+				a.limit = s.Limits[i%len(s.Limits)]
+			}
 			a.dispatch = &dispatch.Core{Settings: dispatch.Settings{SharedRetryBurst: 1000}.WithDefaults(), Rand: rand.New(rand.NewPCG(f.Seed, id))}
 			a.booking = &booking.Core{Slots: s.Slots, QueueLimit: queueLimit, QueueWait: queueWait, FixedLimit: true}
 			a.booking.Step(f.start, booking.Health{State: booking.HealthUp})
--- a/src/fleetmodel/inbound.go
+++ b/src/fleetmodel/inbound.go
@@ -35,12 +35,26 @@
 			a.refuse(action)
 		}
 	}
+	a.scheduleTick()
+}
+
+// scheduleTick schedules the next Tick that the booking core needs.
+func (a *agent) scheduleTick() {
+	now := a.fleet.clock.now
+	d, ok := a.booking.NextTick(now)
+	at := now.Add(d)
+	if !ok || a.tickAt.After(now) && !at.Before(a.tickAt) {
+		return
+	}
+	a.tickAt = at
+	a.fleet.clock.after(d, func() { a.stepBooking(booking.Tick{}) })
 }
 
 // run runs an admitted attempt: its work, then its inner calls.
 func (a *agent) run(id uint64) {
 	in := a.inbound[id]
 	in.admittedAt = a.fleet.clock.now
+	a.admitted = append(a.admitted, in.admittedAt)
 	r := in.request.route
 	if in.request.counted {
 		r.result.Runs++
@@ -78,6 +92,9 @@
 	in := a.inbound[id]
 	delete(a.inbound, id)
 	now := a.fleet.clock.now
+	if a.limit > 0 {
+		a.stepBooking(booking.CallLimit{PerSecond: a.limit})
+	}
 	a.stepBooking(booking.Release{Call: id, Result: booking.ResultAnswered, Took: now.Sub(in.admittedAt)})
 	load := a.load(in.request.route)
 	a.fleet.clock.after(a.delayTo(in.from.member.ID), func() { in.from.receiveAnswer(in.attempt, load, ok) })
--- a/src/fleetmodel/service.go
+++ b/src/fleetmodel/service.go
@@ -6,4 +6,5 @@
 	Servers int
 	Slots   int       // of each server
 	Speeds  []float64 // of the servers in turn, empty for 1
+	Limits  []float64 // calls a second that the servers name in turn in their answers, 0 for no limit; empty for none
 }
