agent, dispatch: a server that says in its answers that it is leaving gets no more calls

Cause: the same as for a limit that is named in answers: no agent read the field. Change: the agent beside the server drains it at the first such answer, as at a leave that the server reports. The answer's head tells the caller's agent, which keeps it by the address of the agent and the start of the server, so that neither a table that shows the server as ready nor a restart of the agent beside it brings it back; a later start does. Evidence: TestServerLeavingInAnswers failed before and passes; TestCoreAnswerOfLeavingServer plays restarts, unknown starts and reused addresses.

--- a/src/agent/backend.go
+++ b/src/agent/backend.go
@@ -71,6 +71,17 @@
 	return verdict, a.drain(ctx)
 }
 
+// handleLeavingAnswer drains an instance of the backend server whose answers say that it is leaving, before any heartbeat says so.
+func (a *Agent) handleLeavingAnswer(instance string) {
+	a.backendMu.Lock()
+	startedAt := a.backend.StartedAt()
+	isCurrent := a.backend.Instance() == instance
+	a.backendMu.Unlock()
+	if isCurrent {
+		_, _ = a.HandleLeave(context.Background(), instance, startedAt) // a tombstone that is not written is logged, and written with a later heartbeat
+	}
+}
+
 // HandleInvalidHeartbeat logs a heartbeat that is malformed or incomplete; err says why.
 func (a *Agent) HandleInvalidHeartbeat(instance string, err error) {
 	a.Log.Info("invalid heartbeat refused", "verdict", string(registry.VerdictRefused), "instance", instance, "reason", err.Error())
--- a/src/booking/exchange.go
+++ b/src/booking/exchange.go
@@ -36,6 +36,7 @@
 
 	conn           *conn
 	instance       string // the only instance that may run it, empty for any
+	notice         notice // of its answer
 	skippedAnswers int    // number of answers to other requests that were skipped
 	token          string
 	cancelled      chan struct{} // closed when the call is cancelled before its answer is complete
--- a/src/booking/notice.go
+++ b/src/booking/notice.go
@@ -49,42 +49,51 @@
 	invalid  string // unreadable limit that was logged last
 }
 
-// update records a notice and reports whether it differs from the one before.
-func (t *noticeTracker) update(instance string, n notice) bool {
+// update records a notice. It returns the one before, of the same instance, and whether they differ.
+func (t *noticeTracker) update(instance string, n notice) (before notice, changed bool) {
 	if t.instance != instance || !t.known {
 		*t = noticeTracker{instance: instance, last: notice{limit: noLimit}, known: true, invalid: t.invalid}
 	}
-	changed := t.last != n
+	before = t.last
 	t.last = n
-	return changed
+	return before, before != n
 }
 
-// recordNotice records what an instance of the backend server says of itself in the head of an answer. An answer with an unreadable limit changes nothing, nor does one of an instance that has been replaced.
-func (s *Server) recordNotice(instance string, h *fasthttp.ResponseHeader) {
+// recordNotice records what an instance of the backend server says of itself in the head of an answer, and returns it. An answer with an unreadable limit changes nothing, nor does one of an instance that has been replaced.
+func (s *Server) recordNotice(instance string, h *fasthttp.ResponseHeader) notice {
 	n, invalid := readNotice(s.Headers, h)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if invalid != "" {
-		if invalid != s.notices.invalid {
-			s.notices.invalid = invalid
-			s.Log.Info("limit of the backend server ignored", "reason", "not a decimal number of requests a second", "instance", instance, "value", invalid)
-		}
-		return
-	}
 	if s.instance != "" && instance != s.instance {
-		return
+		return n
 	}
-	if n.limit != noLimit || s.core.rate.limited {
+	if invalid != "" {
+		s.logInvalidLimit(instance, invalid)
+		n.limit = s.notices.last.limit
+	} else if n.limit != noLimit || s.core.rate.limited {
 		s.stepLocked(CallLimit{PerSecond: n.limit})
 	}
-	before := s.notices.last.limit
-	if !s.notices.update(instance, n) {
-		return
+	before, changed := s.notices.update(instance, n)
+	if !changed {
+		return n
 	}
 	s.counters.namedLimit.Set(n.limit)
 	s.counters.leaving.Set(0)
 	if n.leaving {
 		s.counters.leaving.Set(1)
 	}
-	s.Log.Info("backend server changed what its answers say", "instance", instance, "limit_per_s", n.limit, "before", before, "leaving", n.leaving)
+	s.Log.Info("backend server changed what its answers say", "instance", instance, "limit_per_s", n.limit, "before", before.limit, "leaving", n.leaving)
+	if n.leaving && !before.leaving && s.OnLeaving != nil {
+		go s.OnLeaving(instance)
+	}
+	return n
+}
+
+// logInvalidLimit logs an unreadable limit once. s.mu must be held.
+func (s *Server) logInvalidLimit(instance, value string) {
+	if value == s.notices.invalid {
+		return
+	}
+	s.notices.invalid = value
+	s.Log.Info("limit of the backend server ignored", "reason", "not a decimal number of requests a second", "instance", instance, "value", value)
 }
--- a/src/booking/request.go
+++ b/src/booking/request.go
@@ -103,7 +103,7 @@
 			return err
 		}
 		if !x.isMisdirected() {
-			x.s.recordNotice(x.instance, &x.resp.Header)
+			x.notice = x.s.recordNotice(x.instance, &x.resp.Header)
 		}
 		return nil
 	}
@@ -161,6 +161,7 @@
 func (x *exchange) replyHead(length int64) wire.ReplyHead {
 	h := wire.ReplyHead{Status: uint16(x.resp.StatusCode()), BodyLength: length}
 	h.Load, h.LinkDelayMS = x.s.loadFor(x.head)
+	h.Leaving = x.notice.leaving
 	h.Fields = make([]wire.Field, 0, x.resp.Header.Len())
 	for k, v := range x.resp.Header.All() {
 		if name := string(k); !isReserved(name) && !isConnectionField(name) {
--- a/src/booking/server.go
+++ b/src/booking/server.go
@@ -39,6 +39,7 @@
 	InboundDelay   func() time.Duration               // expected time until the bodies in transit to this VM have arrived; nil for zero
 	OutboundDelay  func() (inTime, all time.Duration) // time that the network connection of this VM needs for the bodies that wait to be sent: those in time for their objective, and all; nil for zero
 	LinkRate       float64                            // bytes per second of the network connection of this VM, 0 to ignore the time that answers take on it
+	OnLeaving      func(instance string)              // called when the answers of an instance begin to say that it is leaving; nil for no call
 	Now            func() time.Time                   // nil for time.Now
 	Log            logr.Logger                        // zero for no logging
 	Metrics        *metrics.Set                       // nil for a new set
--- a/src/dispatch/attempt_result.go
+++ b/src/dispatch/attempt_result.go
@@ -18,6 +18,10 @@
 	}
 	a.server.removeUnanswered(a)
 	a.server.recordLoad(now, cs.policy.Route, e.Load)
+	if e.Leaving {
+		c.leaving.add(now, a.server.Member)
+		a.server.leaving = true
+	}
 	c.observeAnswer(now, a.server, e.Status, now.Sub(a.sentAt))
 	if e.Size > 0 && e.Status < 300 {
 		c.answerSizes.add(cs.routeKey(), e.Size)
--- a/src/dispatch/call.go
+++ b/src/dispatch/call.go
@@ -169,7 +169,7 @@
 		}))
 		return
 	}
-	c.perform(c.proxy.step(AttemptAnswered{Call: c.id, Attempt: n, Status: int(a.reply.Head.Status), Size: a.reply.Head.BodyLength, Load: newLoad(a.reply.Head.Load, a.reply.Head.LinkDelayMS)}))
+	c.perform(c.proxy.step(AttemptAnswered{Call: c.id, Attempt: n, Status: int(a.reply.Head.Status), Size: a.reply.Head.BodyLength, Load: newLoad(a.reply.Head.Load, a.reply.Head.LinkDelayMS), Leaving: a.reply.Head.Leaving}))
 }
 
 // abortCall cancels the call and resets the caller's connection without an answer: the call may have run, and a refusal might state that it has not.
--- a/src/dispatch/core.go
+++ b/src/dispatch/core.go
@@ -19,6 +19,7 @@
 	inFlightByRoute map[routeKey]int // calls in flight of the routes that have any
 	answerSizes     answerSizes
 	patience        callerPatience
+	leaving         leavingServers
 	splitPositions  map[routeKey]float64 // position of a route's last call in the split by weight, from 0 to 1; for routes with several targets
 }
 
@@ -68,6 +69,7 @@
 			srv.departed = false
 		}
 		srv.Member = m
+		srv.leaving = c.leaving.contains(m)
 		c.members[m.ID] = srv
 		c.ensureService(services, m.Service).addServer(srv)
 	}
--- a/src/dispatch/event.go
+++ b/src/dispatch/event.go
@@ -36,6 +36,7 @@
 	Status  int    `json:"status"`
 	Size    int64  `json:"size,omitempty"` // of the answer's body in bytes, 0 or negative if unknown
 	Load    Load   `json:"load"`
+	Leaving bool   `json:"leaving,omitempty"` // the answer says that the backend server is leaving
 }
 
 // AttemptRefused reports an attempt that ended without an answer.
--- a/src/dispatch/member.go
+++ b/src/dispatch/member.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/yuccaport/yuccaport/src/wire"
@@ -16,11 +17,19 @@
 	State   wire.MemberState `json:"state,omitempty"`
 	Ready   bool             `json:"ready"`
 	Age     time.Duration    `json:"age_ns"` // since the daemon's start, by its own clock
+
+	Addr      netip.AddrPort `json:"addr,omitzero"`       // of the daemon, which it keeps over its own restarts
+	StartedAt time.Time      `json:"started_at,omitzero"` // of the backend server or, where its start is not reported, of the daemon; zero if unknown
 }
 
 func newMember(m wire.Member, now time.Time) Member {
+	startedAt := time.Time{}
+	if m.StartedAt > 0 {
+		startedAt = time.UnixMilli(m.StartedAt)
+	}
 	return Member{
 		ID: m.ID, Service: m.Service, Domain: m.Domain, Region: m.Region, Slots: int(m.Slots),
 		State: m.State, Ready: m.Ready, Age: now.Sub(time.UnixMilli(m.StartedAt)),
+		Addr: m.Addr, StartedAt: startedAt,
 	}
 }
--- a/src/dispatch/server.go
+++ b/src/dispatch/server.go
@@ -30,6 +30,7 @@
 	Member
 	startedAt  time.Time
 	departed   bool            // it has refused a call as leaving or replaced, and no table has shown that yet
+	leaving    bool            // it has said in an answer that it is leaving, which is final for this start of it
 	inFlight   int             // attempts of this daemon
 	unanswered []*attemptState // attempts without an answer yet, oldest first
 
@@ -54,9 +55,9 @@
 	returnedAt     time.Time // end of the last ejection
 }
 
-// isEligible reports whether calls may be sent to the server at all: it is neither leaving, dead nor departed.
+// isEligible reports whether calls may be sent to the server at all: it is neither leaving, by the table or by its answers, nor dead nor departed.
 func (s *server) isEligible() bool {
-	return !s.departed && s.State != wire.StateLeaving && s.State != wire.StateDead
+	return !s.departed && !s.leaving && s.State != wire.StateLeaving && s.State != wire.StateDead
 }
 
 // isHealthy reports whether the roster shows the server as alive and ready.
--- a/src/wire/call.go
+++ b/src/wire/call.go
@@ -42,6 +42,7 @@
 	BodyLength  int64   `msg:"body_length"` // bytes, -1 when unknown
 	Load        Load    `msg:"load"`
 	LinkDelayMS int64   `msg:"link_delay_ms"` // time for which long answers use the network connection of the VM that answers
+	Leaving     bool    `msg:"leaving"`       // the answer says that the backend server is leaving
 }
 
 // Load is what the daemon beside a backend server knows of its free capacity.
--- a/src/wire/call_gen.go
+++ b/src/wire/call_gen.go
@@ -508,9 +508,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ReplyHead) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "status"
-	o = append(o, 0x85, 0xa6, 0x73, 0x74, 0x61, 0x74, 0x75, 0x73)
+	o = append(o, 0x86, 0xa6, 0x73, 0x74, 0x61, 0x74, 0x75, 0x73)
 	o = msgp.AppendUint16(o, z.Status)
 	// string "fields"
 	o = append(o, 0xa6, 0x66, 0x69, 0x65, 0x6c, 0x64, 0x73)
@@ -534,6 +534,9 @@
 	// string "link_delay_ms"
 	o = append(o, 0xad, 0x6c, 0x69, 0x6e, 0x6b, 0x5f, 0x64, 0x65, 0x6c, 0x61, 0x79, 0x5f, 0x6d, 0x73)
 	o = msgp.AppendInt64(o, z.LinkDelayMS)
+	// string "leaving"
+	o = append(o, 0xa7, 0x6c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
+	o = msgp.AppendBool(o, z.Leaving)
 	return
 }
 
@@ -621,6 +624,12 @@
 				err = msgp.WrapError(err, "LinkDelayMS")
 				return
 			}
+		case "leaving":
+			z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Leaving")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -639,6 +648,6 @@
 	for za0001 := range z.Fields {
 		s += 1 + msgp.StringPrefixSize + len(z.Fields[za0001].Name) + msgp.StringPrefixSize + len(z.Fields[za0001].Value)
 	}
-	s += 12 + msgp.Int64Size + 5 + z.Load.Msgsize() + 14 + msgp.Int64Size
+	s += 12 + msgp.Int64Size + 5 + z.Load.Msgsize() + 14 + msgp.Int64Size + 8 + msgp.BoolSize
 	return
 }
