booking: take over a Retry-After with fractions of a second

Found while looking for what else a server says of itself and nobody reads. A server that refused a call with Retry-After: 0.75 was taken to say nothing, so that its caller was told 10 ms and came back too soon, to be refused again. Cause: the value was parsed as a whole number and the error dropped. Change: fractions are read; no number still means the shortest time, and a minute is the longest. Evidence: TestServeCallShedRetryAfter; two of its cases failed before (10 ms for 0.75 s).

--- a/src/booking/exchange.go
+++ b/src/booking/exchange.go
@@ -19,6 +19,8 @@
 	closeWaitMargin  = 250 * time.Millisecond // time after the timeout of a call for the backend server to close the connection
 	defaultCloseWait = 5 * time.Second        // time for the backend server to close the connection of a call without a timeout
 	connectRetryMS   = 100                    // milliseconds; Retry-After of a call that got no connection
+
+	maxShedRetryAfter = time.Minute // longest Retry-After that is taken over from the backend server
 )
 
 var expiredDeadline = time.Unix(1, 0) // unblocks pending reads and writes
@@ -194,7 +196,7 @@
 
 // refuseShed refuses a call that the backend server has shed, that is, has answered without running it.
 func (x *exchange) refuseShed(detach func() bool) {
-	retryAfter, _ := strconv.Atoi(string(x.resp.Header.Peek("Retry-After")))
+	after := shedRetryAfter(string(x.resp.Header.Peek("Retry-After")))
 	x.s.counters.shed.Inc()
 	bodyRead := x.discardBody() == nil
 	x.finish(detach, bodyRead, ResultShed)
@@ -203,7 +205,16 @@
 		x.refuse(wire.Refusal{Reason: wire.ReasonWrongMember})
 		return
 	}
-	x.refuse(wire.Refusal{Reason: wire.ReasonShed, RetryAfterMS: max(minRetryAfter.Milliseconds(), int64(retryAfter)*1000)})
+	x.refuse(wire.Refusal{Reason: wire.ReasonShed, RetryAfterMS: after.Milliseconds()})
+}
+
+// shedRetryAfter returns the time that a Retry-After in seconds, with or without fractions, states, between minRetryAfter and maxShedRetryAfter; minRetryAfter if it is no number.
+func shedRetryAfter(value string) time.Duration {
+	seconds, err := strconv.ParseFloat(value, 64)
+	if err != nil || !(seconds > minRetryAfter.Seconds()) {
+		return minRetryAfter
+	}
+	return time.Duration(min(seconds, maxShedRetryAfter.Seconds()) * float64(time.Second))
 }
 
 // finish returns the connection to the pool if it is reusable, closes it otherwise, and releases the slot.
