registry: a store that comes back from an older copy

Seen by tests on the stand-in, which can now come back from a copy: an agent ordered all changes by the store's revision, so that the operator's configurations were ignored until the counter had caught up, an older configuration could come from the returned store, leases and preconditions of the lost history were used on, and an acknowledged drain was forgotten when its agent restarted. Cause: the revision was taken for something that only grows, and the store for something that forgets nothing. Change: revisions carry the store's era in their upper bits; configurations are ordered by their version; leaves that are known stay; the announcer discards leases, revisions and what it wrote at a rise and writes it again at its next renewal; all agents keep the tombstones that they see, and one that starts asks two peers before it opens its backend server. TestCoreStep's case 'list' now expects the two questions that a new agent asks; nothing else of it changes.

--- a/src/agent/agent.go
+++ b/src/agent/agent.go
@@ -33,6 +33,8 @@
 	Headers      header.Names                        // zero for header.Default
 	DecodeConfig func(value []byte) (*Config, error) // decodes the store's configuration value
 
+	ConfigVersion func(value []byte) uint64 // version of the store's configuration value, 0 if it cannot be read; if nil, the store's revisions alone order configurations
+
 	CallerListener    net.Listener
 	LinkListener      net.Listener
 	ReadyListener     net.Listener
@@ -96,6 +98,7 @@
 		a.id = rand.Uint64()
 	}
 	s := a.Settings
+	a.Metrics.GetOrCreateGauge("yuccaport_store_era", func() float64 { return float64(a.Store.Era()) })
 	a.backendCheck = make(chan struct{}, 1)
 	a.agentStartedAt = time.Now()
 	a.memberView = roster.NewView(0, nil)
@@ -124,7 +127,7 @@
 	key := a.Keys.MemberPrefix + link.AddrOf(a.LinkListener.Addr()).String()
 	pauses := &clock.Pauses{}
 	a.follower = &registry.Follower{
-		Store: a.Store, Keys: a.Keys, EntryKey: key, ID: a.id, Domain: a.Settings.Domain, MaxTransferTime: a.transferTime(assumedListBytes), Exchanger: a.pool,
+		Store: a.Store, Keys: a.Keys, EntryKey: key, ID: a.id, Domain: a.Settings.Domain, MaxTransferTime: a.transferTime(assumedListBytes), Exchanger: a.pool, ConfigVersion: a.ConfigVersion,
 		OnConfig: a.applyConfig, OnMembers: a.updateMembers, OnEntryMissing: func() { a.announcer.MarkEntryMissing() }, SuspendedFor: pauses.Since, Log: a.Log.WithName("registry"),
 	}
 	a.announcer = &registry.Announcer{Store: a.Store, Keys: a.Keys, EntryKey: key, MinTTL: a.Settings.Store.MinTTL.Std(), Log: a.Log.WithName("registry")}
--- a/src/agent/backend.go
+++ b/src/agent/backend.go
@@ -111,13 +111,15 @@
 	return nil
 }
 
-// readTombstone returns the latest start time that the instance's tombstone covers, zero if there is no tombstone. Incarnations that started at or before this time have announced that they are leaving. If the follower knows the tombstone, the result is as of its first listing of the store.
+// readTombstone returns the latest start time that the instance's tombstone covers, zero if there is no tombstone. Incarnations that started at or before this time have announced that they are leaving. The follower knows it once it has listed the store and asked a peer; otherwise the store is read.
 func (a *Agent) readTombstone(ctx context.Context, instance string) (time.Time, error) {
-	if latestStart, ok := a.follower.Tombstone(instance); ok {
-		return latestStart, nil
-	}
 	ctx, cancel := context.WithTimeout(ctx, tombstoneTimeout)
 	defer cancel()
+	awaitCtx, cancelAwait := context.WithTimeout(ctx, tombstoneTimeout/2)
+	defer cancelAwait()
+	if latestStart, ok := a.follower.AwaitTombstone(awaitCtx, instance); ok {
+		return latestStart, nil
+	}
 	latestStart, err := a.announcer.ReadTombstone(ctx, instance)
 	if err != nil {
 		a.Log.Error(err, "cannot read the tombstone", "instance", instance)
--- a/src/registry/announcer.go
+++ b/src/registry/announcer.go
@@ -53,6 +53,7 @@
 	entryRevision           uint64
 	writtenEntry            wire.Member
 	writtenTombstone        tombstone
+	era                     uint64 // of the store in which the fields above are valid
 	tombstoneLease          uint64 // granted in advance, so that a drain takes one call
 	tombstoneLeaseGrantedAt time.Time
 	lossLogged              bool // "store lost" has been logged, "store recovered" not yet; used without storeMu around RenewLease, where a concurrent change could lose or repeat a log line
@@ -173,7 +174,7 @@
 	a.desiredMu.Unlock() // not held while waiting for storeMu: SetEntry and MarkEntryMissing must not wait for a call to the store
 	a.storeMu.Lock()
 	defer a.storeMu.Unlock()
-	return a.entryLease != 0 && !entryMissing && desiredEntry == a.writtenEntry && desiredTombstone == a.writtenTombstone
+	return a.entryLease != 0 && a.era == a.Store.Era() && !entryMissing && desiredEntry == a.writtenEntry && desiredTombstone == a.writtenTombstone
 }
 
 // resetEntry discards the lease and the revision of an entry that the store has lost.
@@ -183,6 +184,25 @@
 	a.storeMu.Unlock()
 }
 
+// voidEarlierEra discards leases, revisions and what was written, if the store has come back from an older copy since: leases and revisions are given out again, and what was written may be gone. The caller must hold a.storeMu.
+func (a *Announcer) voidEarlierEra() {
+	era := a.Store.Era()
+	if a.era == 0 || a.era == era {
+		a.noteFirstEra()
+		return
+	}
+	a.era = era
+	a.entryLease, a.entryRevision, a.writtenEntry = 0, 0, wire.Member{}
+	a.tombstoneLease, a.writtenTombstone = 0, tombstone{}
+}
+
+// noteFirstEra records the era that the first answer of the store has shown. The caller must hold a.storeMu.
+func (a *Announcer) noteFirstEra() {
+	if a.era == 0 {
+		a.era = a.Store.Era()
+	}
+}
+
 // reconcile writes the desired entry and tombstone unless both are as last written and the entry is not known to be missing.
 func (a *Announcer) reconcile(ctx context.Context) error {
 	a.storeMu.Lock()
@@ -194,6 +214,7 @@
 		a.entryLease, a.entryRevision, a.writtenEntry = 0, 0, wire.Member{}
 	}
 	a.desiredMu.Unlock()
+	a.voidEarlierEra()
 	if (desiredEntry.ID == 0 || a.entryLease != 0 && desiredEntry == a.writtenEntry) && desiredTombstone == a.writtenTombstone {
 		return nil
 	}
@@ -210,6 +231,9 @@
 	if err != nil {
 		return err
 	}
+	if a.Store.Era() != a.era {
+		return problem.New(problem.Unavailable, "store", "it came back from an older copy during a write", "write again")
+	}
 	a.writtenEntry, a.writtenTombstone = desiredEntry, desiredTombstone
 	if err := a.ensureTombstoneLease(ctx); err != nil {
 		a.Log.Info("no lease granted in advance for tombstones", "reason", err.Error())
@@ -222,6 +246,7 @@
 	if a.entryLease == 0 && entry.ID != 0 {
 		err := a.callStore(ctx, func(ctx context.Context) (err error) {
 			a.entryLease, err = a.Store.GrantLease(ctx, max(entryTTL, a.MinTTL))
+			a.noteFirstEra()
 			return err
 		})
 		if err != nil {
@@ -263,6 +288,7 @@
 	}
 	return a.callStore(ctx, func(ctx context.Context) error {
 		lease, err := a.Store.GrantLease(ctx, tombstoneTTL)
+		a.noteFirstEra()
 		if err == nil {
 			a.tombstoneLease, a.tombstoneLeaseGrantedAt = lease, time.Now()
 		}
@@ -305,7 +331,7 @@
 func (a *Announcer) revokeLease(ctx context.Context) {
 	a.storeMu.Lock()
 	defer a.storeMu.Unlock()
-	if a.entryLease == 0 {
+	if a.entryLease == 0 || a.era != a.Store.Era() { // a lease of an earlier era may be another agent's by now
 		return
 	}
 	lease := a.entryLease
--- a/src/registry/core.go
+++ b/src/registry/core.go
@@ -25,13 +25,17 @@
 	EntryKey string // key of this agent's entry
 	ID       uint64 // member ID of this agent
 	Rand     *rand.Rand
+	// ConfigVersion returns the version of a configuration, 0 if it cannot be read. A store that comes back from an older copy holds an older version, which must not replace a newer one. If nil, revisions alone order configurations.
+	ConfigVersion func(value []byte) uint64
 
 	entries       map[string]*entry
 	removed       map[string]uint64 // revisions at which the entries of removed members were deleted, by key
 	revision      uint64            // store revision that the members reflect
 	config        Item
-	tombstones    map[string]Item // tombstones in the first listing, by instance ID; nil before it
-	storeLostAt   time.Time       // zero while the store answers
+	configVersion uint64 // of config, 0 if unknown
+	tombstones    tombstoneSet
+	start         startQuery
+	storeLostAt   time.Time // zero while the store answers
 	peerQueriedAt time.Time
 }
 
@@ -43,10 +47,15 @@
 	}
 	switch e := e.(type) {
 	case Listed:
+		if c.isOfEarlierEra(e.Revision) {
+			return nil
+		}
 		c.revision = max(c.revision, e.Revision)
-		c.loadTombstones(e.Items)
-		return c.applyListing(now, e.Items)
+		return append(c.applyListing(now, e.Items), c.queryAtStart(now)...)
 	case Changed:
+		if c.isOfEarlierEra(e.Revision) {
+			return nil
+		}
 		c.revision = max(c.revision, e.Revision)
 		return c.applyChanges(now, e.Items)
 	case StoreLost:
@@ -77,35 +86,37 @@
 	return out
 }
 
-// loadTombstones keeps the tombstones of the first listing. Later ones for the local backend server are written by this agent itself.
-func (c *Core) loadTombstones(items []Item) {
-	if c.tombstones != nil {
-		return
-	}
-	c.tombstones = map[string]Item{}
-	for _, i := range items {
-		if instance, ok := strings.CutPrefix(i.Key, c.Keys.TombstonePrefix); ok {
-			c.tombstones[instance] = i
-		}
-	}
+// isOfEarlierEra reports whether an answer of the store is of an earlier era than what the members reflect, as one that was late.
+func (c *Core) isOfEarlierEra(revision uint64) bool {
+	era, _ := SplitRevision(revision)
+	current, _ := SplitRevision(c.revision)
+	return era < current
 }
 
-// Tombstone returns the latest start time that the tombstone of an instance ID covered when the store was first listed, zero if there was no tombstone. known is false before the first listing and if the tombstone cannot be parsed.
-func (c *Core) Tombstone(instance string) (latestStart time.Time, known bool) {
-	i, ok := c.tombstones[instance]
-	if !ok {
-		return time.Time{}, c.tombstones != nil
-	}
-	latestStart, err := parseTombstoneTime(i)
-	return latestStart, err == nil
+// Tombstone returns the latest start time that the tombstone of an instance ID covers, zero if there is no tombstone. known is false until the store has been listed and a peer has been asked, since a store that came back from an older copy may have lost a tombstone, and if the tombstone cannot be parsed.
+func (c *Core) Tombstone(now time.Time, instance string) (latestStart time.Time, known bool) {
+	return c.tombstones.latestStart(instance), c.revision > 0 && c.start.isDone(now) && !c.tombstones.unreadable[instance]
 }
 
-// Reply answers a peer's request: the configuration if it is newer than r.Config, the members written or deleted after r.After, and whether the store is lost or not yet listed. Unlike on the wire, the configuration in the reply is not compressed. A member whose entry is missing is reported as deleted, also while it is still being probed.
+// hasNewerConfig reports whether the configuration is newer than that of a peer's request.
+func (c *Core) hasNewerConfig(r wire.RegistryRequest) bool {
+	if c.configVersion > 0 && r.ConfigVersion > 0 {
+		return c.configVersion > r.ConfigVersion
+	}
+	return c.config.Revision > r.Config
+}
+
+// Reply answers a peer's request: the configuration if it is newer than the peer's, the members and tombstones written or deleted after r.After, and whether the store is lost or not yet listed. Unlike on the wire, the configuration in the reply is not compressed. A member whose entry is missing is reported as deleted, also while it is still being probed.
 func (c *Core) Reply(r wire.RegistryRequest) wire.RegistryReply {
-	out := wire.RegistryReply{Config: c.config.Revision, Revision: c.revision, Lost: !c.storeLostAt.IsZero() || c.revision == 0}
-	if r.Config < c.config.Revision {
+	out := wire.RegistryReply{Config: c.config.Revision, ConfigVersion: c.configVersion, Revision: c.revision, Lost: !c.storeLostAt.IsZero() || c.revision == 0}
+	if c.hasNewerConfig(r) {
 		out.Value = c.config.Value
 	}
+	tombstonesAfter := r.After
+	if r.Start {
+		tombstonesAfter = 0
+	}
+	out.Tombstones = c.tombstones.after(tombstonesAfter)
 	for _, k := range slices.Sorted(maps.Keys(c.entries)) {
 		if e := c.entries[k]; max(e.revision, e.deletedRevision) > r.After {
 			out.Members = append(out.Members, wire.RegistryEntry{Key: k, Revision: max(e.revision, e.deletedRevision), Member: e.member, Deleted: e.deletedRevision > 0})
@@ -121,11 +132,11 @@
 
 // HasUpdates reports whether there is an update for a request: a newer revision, a newer configuration or the loss of the store.
 func (c *Core) HasUpdates(r wire.RegistryRequest) bool {
-	return c.revision > r.After || c.config.Revision > r.Config || !c.storeLostAt.IsZero()
+	return c.revision > r.After || c.hasNewerConfig(r) || !c.storeLostAt.IsZero()
 }
 
-// ConfigRevision returns the store revision of the newest known configuration, 0 for none.
-func (c *Core) ConfigRevision() uint64 { return c.config.Revision }
+// Config returns the store revision and the version of the newest known configuration, 0 for none.
+func (c *Core) Config() (revision, version uint64) { return c.config.Revision, c.configVersion }
 
 // applyListing applies a full listing; entries that are not in it are missing from the store.
 func (c *Core) applyListing(now time.Time, items []Item) []Action {
@@ -156,6 +167,8 @@
 		switch {
 		case i.Key == c.Keys.Config:
 			out = append(out, c.applyConfig(i)...)
+		case strings.HasPrefix(i.Key, c.Keys.TombstonePrefix):
+			c.tombstones.addItem(strings.TrimPrefix(i.Key, c.Keys.TombstonePrefix), i)
 		case strings.HasPrefix(i.Key, c.Keys.MemberPrefix):
 			membersChanged = c.applyEntry(now, i) || membersChanged
 			if i.Key == c.EntryKey && i.Deleted {
@@ -169,11 +182,24 @@
 	return append(out, c.probeMissing(now)...)
 }
 
+// applyConfig keeps a configuration that is newer: by version or, of those whose versions are equal or unknown, by revision.
 func (c *Core) applyConfig(i Item) []Action {
-	if i.Deleted || i.Revision <= c.config.Revision {
+	if i.Deleted {
+		return nil
+	}
+	version := uint64(0)
+	if c.ConfigVersion != nil {
+		version = c.ConfigVersion(i.Value)
+	}
+	switch {
+	case version > 0 && c.configVersion > 0 && version != c.configVersion:
+		if version < c.configVersion {
+			return nil
+		}
+	case i.Revision <= c.config.Revision:
 		return nil
 	}
-	c.config = i
+	c.config, c.configVersion = i, version
 	return []Action{ApplyConfig{Value: i.Value}}
 }
 
@@ -193,10 +219,20 @@
 	if _, err := m.UnmarshalMsg(i.Value); err != nil || m.ID == 0 || !m.Addr.IsValid() || c.Keys.memberKey(m.Addr) != i.Key {
 		return false // ignored: malformed, or not under the key of its address
 	}
+	if old != nil && isOlderCopy(old, m, i.Revision) {
+		m = old.member
+	}
 	c.setEntry(i.Key, m, i.Revision)
 	return old == nil || old.member != m
 }
 
+// isOlderCopy reports whether an entry of a new era lacks the leave of a member that was known before: the store came back from a copy that is older than the leave.
+func isOlderCopy(old *entry, m wire.Member, revision uint64) bool {
+	oldEra, _ := SplitRevision(old.revision)
+	era, _ := SplitRevision(revision)
+	return era > oldEra && m.ID == old.member.ID && old.member.State == wire.StateLeaving && m.State != wire.StateLeaving && m.StartedAt <= old.member.StartedAt
+}
+
 // markMissing records that an entry is no longer in the store and reports whether its member was removed. Only a leaving member is removed at once; any other is probed first.
 func (c *Core) markMissing(now time.Time, key string, e *entry, revision uint64) bool {
 	e.deletedRevision = max(e.deletedRevision, revision)
@@ -278,6 +314,10 @@
 func (c *Core) applyPeerReply(now time.Time, e PeerReplied) []Action {
 	r := e.Reply
 	var out []Action
+	c.start.answered = true
+	for _, t := range r.Tombstones {
+		c.tombstones.add(t)
+	}
 	if e.Authoritative {
 		c.revision = max(c.revision, r.Revision)
 	}
--- a/src/registry/core_test.go
+++ b/src/registry/core_test.go
@@ -50,6 +50,27 @@
 	return out
 }
 
+// coreTest is a sequence of events with the members after it.
+type coreTest struct {
+	events  []Event
+	want    []string // actions of the last event
+	members []uint64
+}
+
+func runCoreTests(t *testing.T, tests map[string]coreTest) {
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := newCore()
+			var last []Action
+			for _, e := range tc.events {
+				last = c.Step(startTime, e)
+			}
+			qt.Assert(t, typeNames(last), qt.DeepEquals, tc.want)
+			qt.Assert(t, memberIDs(c), qt.DeepEquals, tc.members)
+		})
+	}
+}
+
 func TestCoreStep(t *testing.T) {
 	leaving := member(2)
 	leaving.State = wire.StateLeaving
@@ -59,12 +80,8 @@
 	wrongKey.Key = testKeys.memberKey(addr(9))
 	config := func(revision uint64) Item { return Item{Key: "mesh/config", Value: []byte("c"), Revision: revision} }
 	all := Listed{Items: []Item{itemOf(member(1), 1), itemOf(member(2), 2), itemOf(member(3), 3)}}
-	tests := map[string]struct {
-		events  []Event
-		want    []string // actions of the last event
-		members []uint64
-	}{
-		"list":              {[]Event{all}, []string{"PublishMembers"}, []uint64{1, 2, 3}},
+	tests := map[string]coreTest{
+		"list":              {[]Event{all}, []string{"PublishMembers", "QueryPeer", "QueryPeer"}, []uint64{1, 2, 3}}, // a new agent asks two peers what the store may have lost
 		"own entry missing": {[]Event{Listed{}}, []string{"Announce"}, []uint64{}},
 		"own entry revoked": {[]Event{all, Changed{Items: []Item{{Key: testKeys.memberKey(addr(1)), Revision: 7, Deleted: true}}}}, []string{"Announce"}, []uint64{1, 2, 3}},
 		"entry missing":     {[]Event{all, Changed{Items: []Item{{Key: testKeys.memberKey(addr(2)), Revision: 7, Deleted: true}}}}, []string{"ProbeMember"}, []uint64{1, 2, 3}},
@@ -86,17 +103,7 @@
 		"member missing from a peer's reply":             {[]Event{all, PeerReplied{Reply: wire.RegistryReply{}}}, []string{}, []uint64{1, 2, 3}},
 		"own entry from a peer":                          {[]Event{all, PeerReplied{Reply: wire.RegistryReply{Members: []wire.RegistryEntry{{Key: testKeys.memberKey(addr(1)), Revision: 9, Member: member(7)}}}}}, []string{}, []uint64{1, 2, 3}},
 	}
-	for name, tc := range tests {
-		t.Run(name, func(t *testing.T) {
-			c := newCore()
-			var last []Action
-			for _, e := range tc.events {
-				last = c.Step(startTime, e)
-			}
-			qt.Assert(t, typeNames(last), qt.DeepEquals, tc.want)
-			qt.Assert(t, memberIDs(c), qt.DeepEquals, tc.members)
-		})
-	}
+	runCoreTests(t, tests)
 }
 
 // An agent without the store must query its peers several times within the 2 s in which a configuration must be in force.
--- a/src/registry/follower.go
+++ b/src/registry/follower.go
@@ -14,12 +14,13 @@
 )
 
 const (
-	relistDelay    = 30 * time.Millisecond  // longest delay before the listing after a first failure; its jitter spreads readers whose connections were cut at the same time
-	baseRetryDelay = 150 * time.Millisecond // base of the exponential delay after failures that count as a loss of the store; jitter shortens it by up to half
-	maxRetryDelay  = 700 * time.Millisecond
-	lostRetryDelay = 2 * time.Second // after a failure at an agent whose reader has lost the store too; the reader is asked first then, and peers are queried meanwhile
-	tickInterval   = 500 * time.Millisecond
-	maxQueries     = 16 // concurrent requests to other members
+	relistDelay           = 30 * time.Millisecond  // longest delay before the listing after a first failure; its jitter spreads readers whose connections were cut at the same time
+	baseRetryDelay        = 150 * time.Millisecond // base of the exponential delay after failures that count as a loss of the store; jitter shortens it by up to half
+	maxRetryDelay         = 700 * time.Millisecond
+	lostRetryDelay        = 2 * time.Second // after a failure at an agent whose reader has lost the store too; the reader is asked first then, and peers are queried meanwhile
+	tickInterval          = 500 * time.Millisecond
+	tombstonePollInterval = 20 * time.Millisecond // between checks whether a tombstone is known
+	maxQueries            = 16                    // concurrent requests to other members
 )
 
 // Follower keeps the members and the newest configuration up to date. Each agent runs one. It watches the store or a reader, which is a member that relays the changes in the store, and queries peers while neither answers.
@@ -34,6 +35,7 @@
 	// MaxTransferTime is the time that the largest answer takes over this agent's link, which counts as slow above 300 ms (relistTimeout). It is added to the timeouts of listings and of queries to peers, and a third of it to those of watches and of the listing after a first failure.
 	MaxTransferTime time.Duration
 	Exchanger       link.Exchanger       // sends registry requests to other members
+	ConfigVersion   func([]byte) uint64  // see Core.ConfigVersion
 	OnConfig        func(value []byte)   // called with each newer configuration; concurrent calls may arrive out of order, so it must ignore an older one
 	OnMembers       func()               // called when the result of Members may have changed
 	OnEntryMissing  func()               // called when the store lacks this agent's entry
@@ -63,7 +65,7 @@
 
 func (f *Follower) init() {
 	f.once.Do(func() {
-		f.core = Core{Keys: f.Keys, EntryKey: f.EntryKey, ID: f.ID, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+		f.core = Core{Keys: f.Keys, EntryKey: f.EntryKey, ID: f.ID, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), ConfigVersion: f.ConfigVersion}
 		f.querySlots = make(chan struct{}, maxQueries)
 		f.updated = make(chan struct{})
 		f.failedReaders = map[uint64]time.Time{}
@@ -129,7 +131,6 @@
 		close(f.updated)
 		f.updated = make(chan struct{})
 	}
-	configRevision := f.core.ConfigRevision()
 	f.mu.Unlock()
 	for _, a := range actions {
 		switch a := a.(type) {
@@ -145,17 +146,29 @@
 				f.step(MemberProbed{MemberID: a.Member.ID, Alive: true})
 			}
 		case QueryPeer:
-			f.startQuery(func() { f.queryPeer(a.Member, configRevision) })
+			f.startQuery(func() { f.queryPeer(a.Member, a.Start) })
 		}
 	}
 }
 
-// Tombstone returns the latest start time that the tombstone of an instance ID covered when the store was first listed, zero if there was no tombstone. If known is false, before the first listing or because the tombstone is malformed, use Announcer.ReadTombstone.
-func (f *Follower) Tombstone(instance string) (latestStart time.Time, known bool) {
+// AwaitTombstone waits until it is known whether an instance ID has a tombstone, and returns the latest start time that it covers, zero if there is none. known is false if ctx ends before, or if the tombstone is malformed.
+func (f *Follower) AwaitTombstone(ctx context.Context, instance string) (latestStart time.Time, known bool) {
 	f.init()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.core.Tombstone(instance)
+	t := time.NewTicker(tombstonePollInterval)
+	defer t.Stop()
+	for {
+		f.mu.Lock()
+		latestStart, known = f.core.Tombstone(time.Now(), instance)
+		f.mu.Unlock()
+		if known {
+			return latestStart, true
+		}
+		select {
+		case <-ctx.Done():
+			return time.Time{}, false
+		case <-t.C:
+		}
+	}
 }
 
 // Members returns the known members, this agent among them once its entry is known, ordered by key. A member whose entry is missing stays until it fails a probe, unless it was leaving.
--- a/src/registry/queries.go
+++ b/src/registry/queries.go
@@ -35,16 +35,22 @@
 func (f *Follower) probeMember(m wire.Member) {
 	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 	defer cancel()
-	_, err := f.exchange(ctx, m, wire.RegistryRequest{Config: f.configRevision(), After: math.MaxUint64}) // no entries in the reply
+	config, version := f.config()
+	_, err := f.exchange(ctx, m, wire.RegistryRequest{Config: config, ConfigVersion: version, After: math.MaxUint64}) // no entries in the reply
 	f.Log.Info("probed member whose entry is missing", "member", m.ID, "addr", m.Addr.String(), "alive", err == nil, "reason", "entry missing from the store")
 	f.step(MemberProbed{MemberID: m.ID, Alive: err == nil || errors.Is(err, problem.Busy)})
 }
 
-// queryPeer requests a peer's members and newer configuration.
-func (f *Follower) queryPeer(m wire.Member, configRevision uint64) {
+// queryPeer requests a peer's newer configuration, and its members or, with start, its tombstones.
+func (f *Follower) queryPeer(m wire.Member, start bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout+f.MaxTransferTime)
 	defer cancel()
-	r, err := f.exchange(ctx, m, wire.RegistryRequest{Config: configRevision})
+	req := wire.RegistryRequest{Start: start}
+	req.Config, req.ConfigVersion = f.config()
+	if start {
+		req.After = math.MaxUint64 // no entries in the reply
+	}
+	r, err := f.exchange(ctx, m, req)
 	if err != nil {
 		f.Log.V(1).Info("query to peer failed", "member", m.ID, "reason", err.Error())
 		return
@@ -70,8 +76,9 @@
 	return r, err
 }
 
-func (f *Follower) configRevision() uint64 {
+// config returns the revision and the version of the newest known configuration.
+func (f *Follower) config() (revision, version uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.core.ConfigRevision()
+	return f.core.Config()
 }
--- a/src/registry/source.go
+++ b/src/registry/source.go
@@ -59,7 +59,8 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+peerTimeout+f.MaxTransferTime/3)
 	defer cancel()
 	m := src.reader
-	r, err := f.exchange(ctx, m, wire.RegistryRequest{Config: f.configRevision(), After: f.watchRevision, WaitMS: wait.Milliseconds()})
+	config, version := f.config()
+	r, err := f.exchange(ctx, m, wire.RegistryRequest{Config: config, ConfigVersion: version, After: f.watchRevision, WaitMS: wait.Milliseconds()})
 	f.lostReaderID = 0
 	if err == nil && r.Lost {
 		f.lostReaderID = m.ID
--- a/src/registry/store_watch.go
+++ b/src/registry/store_watch.go
@@ -46,6 +46,7 @@
 	if err != nil {
 		return err
 	}
+	f.logNewEra(revision)
 	f.watchRevision = revision
 	f.logStoreRecovered("listed", revision)
 	f.step(StoreAnswered{})
@@ -86,6 +87,15 @@
 	f.coalescedAt = time.Now()
 }
 
+// logNewEra logs that the store has come back from an older copy, if a listing is of a later era than the last answer.
+func (f *Follower) logNewEra(revision uint64) {
+	before, beforeNumber := SplitRevision(f.watchRevision)
+	era, number := SplitRevision(revision)
+	if f.watchRevision > 0 && era > before {
+		f.Log.Info("store came back from an older copy", "era", era, "before", before, "revision", number, "revision_before", beforeNumber, "outcome", "configuration kept by version, own entry and tombstone written again")
+	}
+}
+
 func (f *Follower) logStoreLost(err error) {
 	if !f.lossLogged {
 		f.lossLogged = true
--- a/src/standin/registry_store.go
+++ b/src/standin/registry_store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -17,6 +18,8 @@
 	items    map[string]registry.Item
 	leases   map[uint64]bool
 	revision uint64
+	era      uint64 // rises with each Restore
+	eraSeen  uint64 // highest era that an answer of this view has shown
 	last     uint64
 	Calls    int
 	Fail     error          // returned by every call that is not carried out
@@ -91,17 +94,73 @@
 	if err := s.begin(ctx); err != nil {
 		return nil, 0, err
 	}
+	defer s.answered()
 	s = s.data()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []registry.Item
 	for k, i := range s.items {
 		if strings.HasPrefix(k, prefix) && !i.Deleted {
-			out = append(out, i)
+			out = append(out, s.inEra(i))
 		}
 	}
 	slices.SortFunc(out, func(a, b registry.Item) int { return strings.Compare(a.Key, b.Key) })
-	return out, s.revision, nil
+	return out, registry.JoinRevision(s.era, s.revision), nil
+}
+
+// inEra returns an item with its revision in the current era; s.mu is held.
+func (s *RegistryStore) inEra(i registry.Item) registry.Item {
+	i.Revision = registry.JoinRevision(s.era, i.Revision)
+	return i
+}
+
+// answered records the era that an answer of this view has shown.
+func (s *RegistryStore) answered() {
+	data := s.data()
+	data.mu.Lock()
+	era := data.era
+	data.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.eraSeen = max(s.eraSeen, era)
+}
+
+// Era implements registry.Store.
+func (s *RegistryStore) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.eraSeen
+}
+
+// RegistryCopy is a copy of a RegistryStore's data at one time.
+type RegistryCopy struct {
+	items    map[string]registry.Item
+	leases   map[uint64]bool
+	revision uint64
+	last     uint64
+}
+
+// Copy returns a copy of the data.
+func (s *RegistryStore) Copy() RegistryCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return RegistryCopy{items: maps.Clone(s.items), leases: maps.Clone(s.leases), revision: s.revision, last: s.last}
+}
+
+// Restore brings the data back to an earlier copy, as a store does that comes back from one: a new era begins, in which revisions and leases are given out again.
+func (s *RegistryStore) Restore(c RegistryCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.items, s.leases, s.revision, s.last = maps.Clone(c.items), maps.Clone(c.leases), c.revision, c.last
+	s.tell()
+}
+
+// SetEra sets the era, as of a store that has come back from copies before.
+func (s *RegistryStore) SetEra(era uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era = era
 }
 
 // Watch implements registry.Store.
@@ -109,9 +168,11 @@
 	if err := s.begin(ctx); err != nil {
 		return nil, 0, err
 	}
+	defer s.answered()
 	over := time.After(wait)
 	seen := s
 	s = s.data()
+	era, after := registry.SplitRevision(after)
 	for {
 		seen.mu.Lock()
 		stuck, deaf := seen.Stuck, seen.Deaf
@@ -124,11 +185,15 @@
 		var out []registry.Item
 		for k, i := range s.items {
 			if strings.HasPrefix(k, prefix) && i.Revision > after {
-				out = append(out, i)
+				out = append(out, s.inEra(i))
 			}
 		}
-		revision, changed := s.revision, s.changed
+		gone := era != s.era || after > s.revision
+		revision, changed := registry.JoinRevision(s.era, s.revision), s.changed
 		s.mu.Unlock()
+		if gone {
+			return nil, 0, problem.New(registry.HistoryGone, "store", "no changes after this revision", "list again")
+		}
 		if len(out) > 0 && !deaf {
 			return out, revision, nil
 		}
@@ -147,13 +212,15 @@
 	if err := s.begin(ctx); err != nil {
 		return 0, err
 	}
+	defer s.answered()
 	seen := s
 	s = s.data()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, g := range c.Preconditions {
 		i := s.items[g.Key]
-		if (i.Deleted && g.Revision != 0) || (!i.Deleted && i.Revision != g.Revision) {
+		_, want := registry.SplitRevision(g.Revision) // as on the wire: a revision of an earlier era may hold by chance
+		if (i.Deleted && want != 0) || (!i.Deleted && i.Revision != want) {
 			return 0, problem.New(problem.Conflict, g.Key, "condition", "")
 		}
 	}
@@ -170,7 +237,7 @@
 	if seen.loses(s) {
 		return 0, problem.New(problem.Unsure, "store", "answer lost", "")
 	}
-	return s.revision, nil
+	return registry.JoinRevision(s.era, s.revision), nil
 }
 
 // GrantLease implements registry.Store.
@@ -178,6 +245,7 @@
 	if err := s.begin(ctx); err != nil {
 		return 0, err
 	}
+	defer s.answered()
 	s = s.data()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -191,6 +259,7 @@
 	if err := s.begin(ctx); err != nil {
 		return err
 	}
+	defer s.answered()
 	s = s.data()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -205,6 +274,7 @@
 	if err := s.begin(ctx); err != nil {
 		return err
 	}
+	defer s.answered()
 	s = s.data()
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/src/wire/registry.go
+++ b/src/wire/registry.go
@@ -9,6 +9,9 @@
 	Config uint64 `msg:"config"`  // revision of the asker's configuration, 0 for none
 	After  uint64 `msg:"after"`   // store revision up to which the asker knows the members, 0 for all
 	WaitMS int64  `msg:"wait_ms"` // longest wait for a change, 0 for none
+
+	ConfigVersion uint64 `msg:"config_version"` // version of the asker's configuration, 0 if unknown; goes before Config
+	Start         bool   `msg:"start"`          // the asker has just started and wants all tombstones
 }
 
 // RegistryReply is what a daemon knows of the registry.
@@ -18,6 +21,16 @@
 	Config   uint64          `msg:"config"`              // revision of the answerer's configuration
 	Value    []byte          `msg:"value,limit=1048576"` // the configuration, packed; empty when the asker's is as new
 	Members  []RegistryEntry `msg:"members"`
+
+	ConfigVersion uint64              `msg:"config_version"` // version of the answerer's configuration, 0 if unknown
+	Tombstones    []RegistryTombstone `msg:"tombstones"`
+}
+
+// RegistryTombstone says which starts of a backend server have announced that they are leaving.
+type RegistryTombstone struct {
+	Instance      string `msg:"instance"`
+	LatestStartMS int64  `msg:"latest_start_ms"` // milliseconds since the Unix epoch; all that started then or before
+	Revision      uint64 `msg:"revision"`        // that wrote it
 }
 
 // RegistryEntry is a member with the revision that wrote it or removed its entry.
--- a/src/wire/registry_gen.go
+++ b/src/wire/registry_gen.go
@@ -98,9 +98,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *RegistryReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 7
 	// string "lost"
-	o = append(o, 0x85, 0xa4, 0x6c, 0x6f, 0x73, 0x74)
+	o = append(o, 0x87, 0xa4, 0x6c, 0x6f, 0x73, 0x74)
 	o = msgp.AppendBool(o, z.Lost)
 	// string "revision"
 	o = append(o, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
@@ -121,6 +121,24 @@
 			return
 		}
 	}
+	// string "config_version"
+	o = append(o, 0xae, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendUint64(o, z.ConfigVersion)
+	// string "tombstones"
+	o = append(o, 0xaa, 0x74, 0x6f, 0x6d, 0x62, 0x73, 0x74, 0x6f, 0x6e, 0x65, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Tombstones)))
+	for za0002 := range z.Tombstones {
+		// map header, size 3
+		// string "instance"
+		o = append(o, 0x83, 0xa8, 0x69, 0x6e, 0x73, 0x74, 0x61, 0x6e, 0x63, 0x65)
+		o = msgp.AppendString(o, z.Tombstones[za0002].Instance)
+		// string "latest_start_ms"
+		o = append(o, 0xaf, 0x6c, 0x61, 0x74, 0x65, 0x73, 0x74, 0x5f, 0x73, 0x74, 0x61, 0x72, 0x74, 0x5f, 0x6d, 0x73)
+		o = msgp.AppendInt64(o, z.Tombstones[za0002].LatestStartMS)
+		// string "revision"
+		o = append(o, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendUint64(o, z.Tombstones[za0002].Revision)
+	}
 	return
 }
 
@@ -205,6 +223,70 @@
 					return
 				}
 			}
+		case "config_version":
+			z.ConfigVersion, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ConfigVersion")
+				return
+			}
+		case "tombstones":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Tombstones")
+				return
+			}
+			if zb0004 > zcd01470blimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Tombstones) >= int(zb0004) {
+				z.Tombstones = (z.Tombstones)[:zb0004]
+			} else {
+				z.Tombstones = make([]RegistryTombstone, zb0004)
+			}
+			for za0002 := range z.Tombstones {
+				var zb0005 uint32
+				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Tombstones", za0002)
+					return
+				}
+				for zb0005 > 0 {
+					zb0005--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Tombstones", za0002)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "instance":
+						z.Tombstones[za0002].Instance, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Tombstones", za0002, "Instance")
+							return
+						}
+					case "latest_start_ms":
+						z.Tombstones[za0002].LatestStartMS, bts, err = msgp.ReadInt64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Tombstones", za0002, "LatestStartMS")
+							return
+						}
+					case "revision":
+						z.Tombstones[za0002].Revision, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Tombstones", za0002, "Revision")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Tombstones", za0002)
+							return
+						}
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -223,15 +305,19 @@
 	for za0001 := range z.Members {
 		s += z.Members[za0001].Msgsize()
 	}
+	s += 15 + msgp.Uint64Size + 11 + msgp.ArrayHeaderSize
+	for za0002 := range z.Tombstones {
+		s += 1 + 9 + msgp.StringPrefixSize + len(z.Tombstones[za0002].Instance) + 16 + msgp.Int64Size + 9 + msgp.Uint64Size
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z RegistryRequest) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *RegistryRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 5
 	// string "config"
-	o = append(o, 0x83, 0xa6, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67)
+	o = append(o, 0x85, 0xa6, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67)
 	o = msgp.AppendUint64(o, z.Config)
 	// string "after"
 	o = append(o, 0xa5, 0x61, 0x66, 0x74, 0x65, 0x72)
@@ -239,6 +325,12 @@
 	// string "wait_ms"
 	o = append(o, 0xa7, 0x77, 0x61, 0x69, 0x74, 0x5f, 0x6d, 0x73)
 	o = msgp.AppendInt64(o, z.WaitMS)
+	// string "config_version"
+	o = append(o, 0xae, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendUint64(o, z.ConfigVersion)
+	// string "start"
+	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x72, 0x74)
+	o = msgp.AppendBool(o, z.Start)
 	return
 }
 
@@ -278,6 +370,88 @@
 				err = msgp.WrapError(err, "WaitMS")
 				return
 			}
+		case "config_version":
+			z.ConfigVersion, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ConfigVersion")
+				return
+			}
+		case "start":
+			z.Start, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Start")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *RegistryRequest) Msgsize() (s int) {
+	s = 1 + 7 + msgp.Uint64Size + 6 + msgp.Uint64Size + 8 + msgp.Int64Size + 15 + msgp.Uint64Size + 6 + msgp.BoolSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z RegistryTombstone) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "instance"
+	o = append(o, 0x83, 0xa8, 0x69, 0x6e, 0x73, 0x74, 0x61, 0x6e, 0x63, 0x65)
+	o = msgp.AppendString(o, z.Instance)
+	// string "latest_start_ms"
+	o = append(o, 0xaf, 0x6c, 0x61, 0x74, 0x65, 0x73, 0x74, 0x5f, 0x73, 0x74, 0x61, 0x72, 0x74, 0x5f, 0x6d, 0x73)
+	o = msgp.AppendInt64(o, z.LatestStartMS)
+	// string "revision"
+	o = append(o, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendUint64(o, z.Revision)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RegistryTombstone) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "instance":
+			z.Instance, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Instance")
+				return
+			}
+		case "latest_start_ms":
+			z.LatestStartMS, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LatestStartMS")
+				return
+			}
+		case "revision":
+			z.Revision, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Revision")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -291,7 +465,7 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z RegistryRequest) Msgsize() (s int) {
-	s = 1 + 7 + msgp.Uint64Size + 6 + msgp.Uint64Size + 8 + msgp.Int64Size
+func (z RegistryTombstone) Msgsize() (s int) {
+	s = 1 + 9 + msgp.StringPrefixSize + len(z.Instance) + 16 + msgp.Int64Size + 9 + msgp.Uint64Size
 	return
 }
