platform: a soak of agents on real processes

The stand-in of the store ends leases that are not renewed when asked to, and removes the keys of an ended lease.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 RED  := $(shell sed -n 's/^test: *\([A-Za-z0-9_]*\).*/\1/p' KNOWN-RED.txt | paste -sd'|' -)
 SKIP := $(if $(RED),-skip '^($(RED))$$')
 
-.PHONY: build test lint generate capacity
+.PHONY: build test soak lint generate capacity
 
 build:
 	go build -o yuccaport .
@@ -12,6 +12,12 @@
 	@sed -n '/^test:/s/^/known red, passed over: /p' KNOWN-RED.txt
 	go test -count=1 -timeout 20m $(SKIP) ./...
 
+# Random faults on real processes, for example: make soak SEED=7 MINUTES=2
+SEED    ?= 1
+MINUTES ?= 1
+soak:
+	YUCCAPORT_SOAK_SEED=$(SEED) YUCCAPORT_SOAK_TIME=$(MINUTES)m go test -count=1 -timeout 0 -v -run '^TestSoak$$' ./platform
+
 lint:
 	test -z "$$(gofmt -l main.go src platform)"
 	$(LINT) run --allow-parallel-runners ./...
--- a/src/standin/registry_store.go
+++ b/src/standin/registry_store.go
@@ -17,6 +17,8 @@
 	mu       sync.Mutex
 	items    map[string]registry.Item
 	leases   map[uint64]bool
+	grants   map[uint64]leaseGrant
+	keyLease map[string]uint64 // lease of each key that has one
 	revision uint64
 	era      uint64 // rises with each Restore
 	eraSeen  uint64 // highest era that an answer of this view has shown
@@ -34,7 +36,47 @@
 
 // NewRegistryStore returns an empty store.
 func NewRegistryStore() *RegistryStore {
-	return &RegistryStore{items: map[string]registry.Item{}, leases: map[uint64]bool{}, changed: make(chan struct{})}
+	return &RegistryStore{
+		items: map[string]registry.Item{}, leases: map[uint64]bool{}, grants: map[uint64]leaseGrant{}, keyLease: map[string]uint64{}, changed: make(chan struct{}),
+	}
+}
+
+// leaseGrant is the time for which a lease was granted and when it ends unless it is renewed.
+type leaseGrant struct {
+	ttl  time.Duration
+	ends time.Time
+}
+
+// ExpireLeases ends the leases that have not been renewed in time, with their keys. Without a call of it, leases last until they are revoked.
+func (s *RegistryStore) ExpireLeases(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for lease, g := range s.grants {
+		if s.leases[lease] && now.After(g.ends) {
+			s.endLease(lease)
+		}
+	}
+}
+
+// endLease ends a lease and removes its keys; s.mu is held.
+func (s *RegistryStore) endLease(lease uint64) {
+	delete(s.leases, lease)
+	delete(s.grants, lease)
+	removed := false
+	for k, l := range s.keyLease {
+		if l != lease {
+			continue
+		}
+		delete(s.keyLease, k)
+		if !removed {
+			s.revision++
+			removed = true
+		}
+		s.items[k] = registry.Item{Key: k, Revision: s.revision, Deleted: true}
+	}
+	if removed {
+		s.tell()
+	}
 }
 
 // loses tells whether the answer to a commit is lost; data is locked already.
@@ -136,6 +178,8 @@
 type RegistryCopy struct {
 	items    map[string]registry.Item
 	leases   map[uint64]bool
+	grants   map[uint64]leaseGrant
+	keyLease map[string]uint64
 	revision uint64
 	last     uint64
 }
@@ -144,7 +188,9 @@
 func (s *RegistryStore) Copy() RegistryCopy {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return RegistryCopy{items: maps.Clone(s.items), leases: maps.Clone(s.leases), revision: s.revision, last: s.last}
+	return RegistryCopy{
+		items: maps.Clone(s.items), leases: maps.Clone(s.leases), grants: maps.Clone(s.grants), keyLease: maps.Clone(s.keyLease), revision: s.revision, last: s.last,
+	}
 }
 
 // Restore brings the data back to an earlier copy, as a store does that comes back from one: a new era begins, in which revisions and leases are given out again.
@@ -153,6 +199,7 @@
 	defer s.mu.Unlock()
 	s.era++
 	s.items, s.leases, s.revision, s.last = maps.Clone(c.items), maps.Clone(c.leases), c.revision, c.last
+	s.grants, s.keyLease = maps.Clone(c.grants), maps.Clone(c.keyLease)
 	s.tell()
 }
 
@@ -232,6 +279,10 @@
 	s.revision++
 	for _, w := range c.Writes {
 		s.items[w.Key] = registry.Item{Key: w.Key, Value: w.Value, Revision: s.revision}
+		delete(s.keyLease, w.Key)
+		if w.Lease != 0 {
+			s.keyLease[w.Key] = w.Lease
+		}
 	}
 	s.tell()
 	if seen.loses(s) {
@@ -241,7 +292,7 @@
 }
 
 // GrantLease implements registry.Store.
-func (s *RegistryStore) GrantLease(ctx context.Context, _ time.Duration) (uint64, error) {
+func (s *RegistryStore) GrantLease(ctx context.Context, ttl time.Duration) (uint64, error) {
 	if err := s.begin(ctx); err != nil {
 		return 0, err
 	}
@@ -251,6 +302,7 @@
 	defer s.mu.Unlock()
 	s.last++
 	s.leases[s.last] = true
+	s.grants[s.last] = leaseGrant{ttl, time.Now().Add(ttl)}
 	return s.last, nil
 }
 
@@ -266,6 +318,8 @@
 	if !s.leases[lease] {
 		return problem.New(problem.NotFound, "lease", "ended", "")
 	}
+	g := s.grants[lease]
+	s.grants[lease] = leaseGrant{g.ttl, time.Now().Add(g.ttl)}
 	return nil
 }
 
@@ -278,7 +332,7 @@
 	s = s.data()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.leases, lease)
+	s.endLease(lease)
 	return nil
 }
 
@@ -286,7 +340,7 @@
 func (s *RegistryStore) Revoke() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.leases = map[uint64]bool{}
+	s.leases, s.grants, s.keyLease = map[uint64]bool{}, map[uint64]leaseGrant{}, map[string]uint64{}
 	s.revision++
 	for k, i := range s.items {
 		i.Deleted, i.Revision = true, s.revision
