--- a/src/registry/era_test.go
+++ b/src/registry/era_test.go
@@ -241,7 +241,7 @@
 			}()
 			c.Cleanup(func() {
 				cancel()
-				<-done
+				c.Check(<-done, qt.IsNil)
 			})
 			a.SetEntry(member(i + 1))
 		}
