registry: a new agent waits for the answers to its own question

Found by reading. An agent that starts asks two peers for what a returned store may have lost before it opens its backend server. The first reply of any kind counted as the answer: that of a reader to the watch, which holds no earlier tombstones, or that of a peer that had itself just started. An empty store no longer counts as not listed.

--- a/src/registry/core.go
+++ b/src/registry/core.go
@@ -67,6 +67,8 @@
 		c.storeLostAt = time.Time{}
 	case PeerReplied:
 		return c.applyPeerReply(now, e)
+	case StartQueryEnded:
+		c.start.pending--
 	case MemberProbed:
 		return c.applyProbeResult(e)
 	case PeerSeen:
@@ -93,9 +95,9 @@
 	return era < current
 }
 
-// Tombstone returns the latest start time that the tombstone of an instance ID covers, zero if there is no tombstone. known is false until the store has been listed and a peer has been asked, since a store that came back from an older copy may have lost a tombstone, and if the tombstone cannot be parsed.
+// Tombstone returns the latest start time that the tombstone of an instance ID covers, zero if there is no tombstone. known is false until the store has been listed and peers have been asked, since a store that came back from an older copy may have lost a tombstone, and if the tombstone cannot be parsed.
 func (c *Core) Tombstone(now time.Time, instance string) (latestStart time.Time, known bool) {
-	return c.tombstones.latestStart(instance), c.revision > 0 && c.start.isDone(now) && !c.tombstones.unreadable[instance]
+	return c.tombstones.latestStart(instance), c.start.isDone(now) && !c.tombstones.unreadable[instance]
 }
 
 // hasNewerConfig reports whether the configuration is newer than that of a peer's request.
@@ -314,7 +316,6 @@
 func (c *Core) applyPeerReply(now time.Time, e PeerReplied) []Action {
 	r := e.Reply
 	var out []Action
-	c.start.answered = true
 	for _, t := range r.Tombstones {
 		c.tombstones.add(t)
 	}
--- a/src/registry/core_era_test.go
+++ b/src/registry/core_era_test.go
@@ -73,3 +73,37 @@
 	}
 	qt.Check(t, JoinRevision(2, 1) > JoinRevision(1, 1<<48-1), qt.IsTrue)
 }
+
+// A new agent knows what the store may have lost only once the peers that it asked have answered: neither a reader's reply to its watch nor one of two answers will do.
+func TestCoreStartQuery(t *testing.T) {
+	tombstones := wire.RegistryReply{Tombstones: []wire.RegistryTombstone{{Instance: "i-1", LatestStartMS: 1700, Revision: 5}}}
+	answered := func(r wire.RegistryReply) []Event { return []Event{PeerReplied{Reply: r}, StartQueryEnded{}} }
+	tests := map[string]struct {
+		events []Event
+		after  time.Duration
+		known  bool
+		want   time.Time
+	}{
+		"not answered":                 {nil, 0, false, time.Time{}},
+		"reply of a reader":            {[]Event{PeerReplied{Authoritative: true}}, 0, false, time.Time{}},
+		"one of two":                   {answered(wire.RegistryReply{}), 0, false, time.Time{}},
+		"both, the second knows it":    {append(answered(wire.RegistryReply{}), answered(tombstones)...), 0, true, time.UnixMilli(1700)},
+		"one, and one failed":          {append(answered(tombstones), StartQueryEnded{}), 0, true, time.UnixMilli(1700)},
+		"both failed":                  {[]Event{StartQueryEnded{}, StartQueryEnded{}}, 0, true, time.Time{}},
+		"no answer for startQueryTime": {nil, startQueryTime, true, time.Time{}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := newCore()
+			c.Step(startTime, Listed{Items: []Item{itemOf(member(1), 0), itemOf(member(2), 0), itemOf(member(3), 0)}})
+			for _, e := range tc.events {
+				c.Step(startTime, e)
+			}
+			latestStart, known := c.Tombstone(startTime.Add(tc.after), "i-1")
+			qt.Check(t, known, qt.Equals, tc.known)
+			if known {
+				qt.Check(t, latestStart, qt.Equals, tc.want)
+			}
+		})
+	}
+}
--- a/src/registry/event.go
+++ b/src/registry/event.go
@@ -29,6 +29,9 @@
 	Authoritative bool // the peer is the reader that this agent watches and is not cut off from the store, so its revision, and the deletions and this agent's own entry in its reply, are applied
 }
 
+// StartQueryEnded reports that a query of a new agent to a peer has ended, with or without a reply.
+type StartQueryEnded struct{}
+
 // MemberProbed is the result of a ProbeMember action.
 type MemberProbed struct {
 	MemberID uint64
@@ -43,11 +46,12 @@
 // Tick reports that time has passed.
 type Tick struct{}
 
-func (Listed) isEvent()        {}
-func (Changed) isEvent()       {}
-func (StoreLost) isEvent()     {}
-func (StoreAnswered) isEvent() {}
-func (PeerReplied) isEvent()   {}
-func (MemberProbed) isEvent()  {}
-func (PeerSeen) isEvent()      {}
-func (Tick) isEvent()          {}
+func (Listed) isEvent()          {}
+func (Changed) isEvent()         {}
+func (StoreLost) isEvent()       {}
+func (StoreAnswered) isEvent()   {}
+func (PeerReplied) isEvent()     {}
+func (StartQueryEnded) isEvent() {}
+func (MemberProbed) isEvent()    {}
+func (PeerSeen) isEvent()        {}
+func (Tick) isEvent()            {}
--- a/src/registry/queries.go
+++ b/src/registry/queries.go
@@ -51,11 +51,14 @@
 		req.After = math.MaxUint64 // no entries in the reply
 	}
 	r, err := f.exchange(ctx, m, req)
-	if err != nil {
+	if err == nil {
+		f.step(PeerReplied{Reply: r})
+	} else {
 		f.Log.V(1).Info("query to peer failed", "member", m.ID, "reason", err.Error())
-		return
 	}
-	f.step(PeerReplied{Reply: r})
+	if start {
+		f.step(StartQueryEnded{})
+	}
 }
 
 // exchange sends a registry request to a member and returns the reply with its configuration decompressed.
