booking: a limit too large for an integer does not keep calls out

Found by reading: the calls that a limit of 1e300 a second allows were converted to an integer without a bound, so that the load told callers that no slot was free. TestCoreCallLimitHuge failed before (0 free slots of 4).

--- a/src/booking/call_rate.go
+++ b/src/booking/call_rate.go
@@ -1,6 +1,9 @@
 package booking
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	maxRateBurst  = time.Second // calls admitted at once are at most those of this time at the named limit
@@ -93,7 +96,7 @@
 
 // free returns the number of calls that may be admitted now. It applies only while the rate is limited.
 func (r *callRate) free(now time.Time) int {
-	return int(r.tokens + r.perSecond*max(0, now.Sub(r.updated)).Seconds())
+	return int(min(math.MaxInt16, r.tokens+r.perSecond*max(0, now.Sub(r.updated)).Seconds()))
 }
 
 // needsCheck reports whether no answer has confirmed the limit for limitCheckAge, as when calls are rare or the limit is 0.
--- a/src/booking/call_rate_test.go
+++ b/src/booking/call_rate_test.go
@@ -1,6 +1,7 @@
 package booking
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -213,3 +214,16 @@
 	c.Assert(s.admitted, qt.HasLen, 1)
 	c.Check(s.core.queue.byRank[1], qt.HasLen, 0, qt.Commentf("the payment went first"))
 }
+
+// A limit beyond all that a backend server can run must not keep calls out.
+func TestCoreCallLimitHuge(t *testing.T) {
+	for _, limit := range []float64{1e6, 1e18, 1e300, math.MaxFloat64} {
+		c := qt.New(t)
+		s := newRateSimulation(4, limit, 10*time.Millisecond)
+		s.step(CallLimit{PerSecond: limit})
+		s.advance(time.Second)
+		c.Check(s.core.Load(s.now).Free, qt.Equals, int16(4), qt.Commentf("limit %v", limit))
+		s.arrive(0)
+		c.Check(s.admitted, qt.HasLen, 1)
+	}
+}
