dispatch: a leave counts for the backend server that the call was sent to

Found by reading: an answer that says that its server is leaving, read after a table had shown the server that replaced it at the same agent, marked that one as leaving for good. The start of the server at the time of sending is kept with the attempt. TestCoreLateAnswerOfLeavingServer fails with the start as of now.

--- a/src/dispatch/attempt_result.go
+++ b/src/dispatch/attempt_result.go
@@ -19,8 +19,8 @@
 	a.server.removeUnanswered(a)
 	a.server.recordLoad(now, cs.policy.Route, e.Load)
 	if e.Leaving {
-		c.leaving.add(now, a.server.Member)
-		a.server.leaving = true
+		c.leaving.add(now, a.server.Addr, a.backendStart)
+		a.server.leaving = c.leaving.contains(a.server.Member)
 	}
 	c.observeAnswer(now, a.server, e.Status, now.Sub(a.sentAt))
 	if e.Size > 0 && e.Status < 300 {
--- a/src/dispatch/call_state.go
+++ b/src/dispatch/call_state.go
@@ -37,10 +37,11 @@
 
 // attemptState is one attempt of a call.
 type attemptState struct {
-	server *server
-	sentAt time.Time
-	active bool // it has no result yet, or its answer is still being passed on
-	full   bool // it was refused as not run, since the wait for a slot was too long for a first choice
+	server       *server
+	backendStart time.Time // Member.StartedAt of the server when the attempt was sent
+	sentAt       time.Time
+	active       bool // it has no result yet, or its answer is still being passed on
+	full         bool // it was refused as not run, since the wait for a slot was too long for a first choice
 }
 
 // activeAttempt returns attempt n, nil if it does not exist or is not active.
--- a/src/dispatch/leaving_servers.go
+++ b/src/dispatch/leaving_servers.go
@@ -13,17 +13,16 @@
 // It is kept apart from the members, since a daemon that restarts is a new member beside the same backend server.
 type leavingServers map[netip.AddrPort]time.Time
 
-// add adds the backend server of a member. If its start is unknown, all that have started until now are added.
-func (l *leavingServers) add(now time.Time, m Member) {
+// add adds the backend server that started at a time beside the daemon at an address. If its start is unknown, all that have started until now are added.
+func (l *leavingServers) add(now time.Time, addr netip.AddrPort, startedAt time.Time) {
 	if *l == nil {
 		*l = leavingServers{}
 	}
-	startedAt := m.StartedAt
 	if startedAt.IsZero() {
 		startedAt = now
 	}
-	if startedAt.After((*l)[m.Addr]) {
-		(*l)[m.Addr] = startedAt
+	if startedAt.After((*l)[addr]) {
+		(*l)[addr] = startedAt
 	}
 	if len(*l) > maxLeavingServers {
 		l.dropEarliest()
--- a/src/dispatch/leaving_servers_test.go
+++ b/src/dispatch/leaving_servers_test.go
@@ -77,6 +77,23 @@
 	}
 }
 
+// An answer that is read after its backend server has been replaced must not count for the one that replaced it.
+func TestCoreLateAnswerOfLeavingServer(t *testing.T) {
+	c := qt.New(t)
+	now := time.UnixMilli(1_000_000)
+	core := &Core{Settings: Settings{}.WithDefaults(), Rand: rand.New(rand.NewPCG(1, 0))}
+	policy := &Policy{Service: "bookings", Route: "r", Targets: []Target{{Service: "bookings", Weight: 1}}, Timeout: time.Second}
+	m := Member{ID: 1, Service: "bookings", Domain: "mid-a", Slots: 4, Ready: true, Addr: netip.MustParseAddrPort("10.0.0.1:80"), StartedAt: now.Add(-time.Minute)}
+	core.Step(now, TableChanged{Version: 1, Domain: "mid-a", Members: []Member{m}})
+	core.Step(now, CallArrived{Call: 1, Policy: policy, Remaining: time.Second})
+	m.StartedAt = now
+	core.Step(now, TableChanged{Version: 2, Domain: "mid-a", Members: []Member{m}})
+	core.Step(now, AttemptAnswered{Call: 1, Attempt: 1, Status: 200, Leaving: true})
+	core.Step(now, AttemptEnded{Call: 1, Attempt: 1})
+	_, refused := core.Step(now, CallArrived{Call: 2, Policy: policy, Remaining: time.Second})[0].(RefuseCall)
+	c.Check(refused, qt.IsFalse)
+}
+
 // What is kept of leaving servers is bounded: the earliest start is dropped first.
 func TestLeavingServersBounded(t *testing.T) {
 	c := qt.New(t)
@@ -85,7 +102,8 @@
 		return Member{Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 80), StartedAt: time.UnixMilli(int64(i + 1))}
 	}
 	for i := range maxLeavingServers + 10 {
-		l.add(time.UnixMilli(0), member(i))
+		m := member(i)
+		l.add(time.UnixMilli(0), m.Addr, m.StartedAt)
 	}
 	c.Check(len(l), qt.Equals, maxLeavingServers)
 	c.Check(l.contains(member(0)), qt.IsFalse)
