registry: agents of a build without eras beside one with them

Found by thinking an upgrade through: on a store that shows eras, a reader of the build before has lower revisions than the agent that follows it, so that it never has an update for it; the other way round, an old agent would take revisions with an era for numbers of the store. Change: a reader in an earlier era than its follower counts as lost; an agent that asks with a number alone is told that the store is lost, and reads it itself. Both concern only stores that show eras. Evidence: TestFollowerReaderWithoutEras failed before (a configuration not in force after 5 s), TestCoreReplyWithoutEras too.

--- a/src/registry/core.go
+++ b/src/registry/core.go
@@ -100,6 +100,12 @@
 	return c.tombstones.latestStart(instance), c.start.isDone(now) && !c.tombstones.unreadable[instance]
 }
 
+// isWithoutEra reports whether a revision is a number of the store alone.
+func isWithoutEra(revision uint64) bool {
+	era, number := SplitRevision(revision)
+	return era == 0 && number > 0
+}
+
 // hasNewerConfig reports whether the configuration is newer than that of a peer's request.
 func (c *Core) hasNewerConfig(r wire.RegistryRequest) bool {
 	if c.configVersion > 0 && r.ConfigVersion > 0 {
@@ -119,6 +125,9 @@
 		tombstonesAfter = 0
 	}
 	out.Tombstones = c.tombstones.after(tombstonesAfter)
+	if isWithoutEra(r.After) && !isWithoutEra(c.revision) {
+		out.Lost = true // an agent of an older build, which does not know eras, is to read the store itself
+	}
 	for _, k := range slices.Sorted(maps.Keys(c.entries)) {
 		if e := c.entries[k]; max(e.revision, e.deletedRevision) > r.After {
 			out.Members = append(out.Members, wire.RegistryEntry{Key: k, Revision: max(e.revision, e.deletedRevision), Member: e.member, Deleted: e.deletedRevision > 0})
--- a/src/registry/core_era_test.go
+++ b/src/registry/core_era_test.go
@@ -74,6 +74,28 @@
 	qt.Check(t, JoinRevision(2, 1) > JoinRevision(1, 1<<48-1), qt.IsTrue)
 }
 
+// An agent of a build without eras asks with the store's own numbers. It is sent to the store, since it would take revisions with an era for numbers.
+func TestCoreReplyWithoutEras(t *testing.T) {
+	tests := map[string]struct {
+		era   uint64 // of the store
+		after uint64
+		lost  bool
+	}{
+		"same era":             {2, JoinRevision(2, 80), false},
+		"earlier era":          {2, JoinRevision(1, 90), false},
+		"no era":               {2, 80, true},
+		"all":                  {2, 0, false},
+		"store without an era": {0, 80, false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := newCore()
+			c.Step(startTime, Listed{Items: []Item{inEra(member(1), tc.era, 90)}, Revision: JoinRevision(tc.era, 90)})
+			qt.Check(t, c.Reply(wire.RegistryRequest{After: tc.after}).Lost, qt.Equals, tc.lost)
+		})
+	}
+}
+
 // A new agent knows what the store may have lost only once the peers that it asked have answered: neither a reader's reply to its watch nor one of two answers will do.
 func TestCoreStartQuery(t *testing.T) {
 	tombstones := wire.RegistryReply{Tombstones: []wire.RegistryTombstone{{Instance: "i-1", LatestStartMS: 1700, Revision: 5}}}
--- a/src/registry/era_test.go
+++ b/src/registry/era_test.go
@@ -12,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
 
+	"github.com/yuccaport/yuccaport/src/link"
 	"github.com/yuccaport/yuccaport/src/problem"
 	"github.com/yuccaport/yuccaport/src/registry"
 	"github.com/yuccaport/yuccaport/src/standin"
@@ -274,3 +275,68 @@
 	c.Check(afterRestore <= factor*afterOutage, qt.IsTrue, qt.Commentf("%d calls, %d after an outage", afterRestore, afterOutage))
 	c.Check(busiest <= 4*agents, qt.IsTrue, qt.Commentf("%d calls in a second", busiest))
 }
+
+// oldBuildNetwork carries messages to a reader that does not know eras: its revisions are the store's numbers, and it has no updates for an agent that is further by them.
+type oldBuildNetwork struct{ asked chan wire.RegistryRequest }
+
+// Exchange implements link.Exchanger.
+func (n oldBuildNetwork) Exchange(ctx context.Context, _ link.Peer, _ link.MessageKind, payload []byte) ([]byte, error) {
+	var req wire.RegistryRequest
+	if _, err := req.UnmarshalMsg(payload); err != nil {
+		return nil, err
+	}
+	select {
+	case n.asked <- req:
+	default:
+	}
+	select {
+	case <-time.After(time.Duration(req.WaitMS) * time.Millisecond):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	return (&wire.RegistryReply{Revision: 7, Config: 7}).MarshalMsg(nil)
+}
+
+// While agents are upgraded one after the other, an agent that follows a reader of a build without eras must still get each configuration in time.
+func TestFollowerReaderWithoutEras(t *testing.T) {
+	c := qt.New(t)
+	s := standin.NewRegistryStore()
+	s.SetEra(3)
+	reader := member(1)
+	reader.Domain = "mid-a"
+	b, err := reader.MarshalMsg(nil)
+	c.Assert(err, qt.IsNil)
+	s.Put(memberKey(reader.Addr), b)
+	s.Put(testKeys.Config, []byte("1"))
+	network := oldBuildNetwork{make(chan wire.RegistryRequest, 100)}
+	var mu sync.Mutex
+	config := ""
+	f := &registry.Follower{
+		Store: s.View(), Keys: testKeys, EntryKey: memberKey(addr(2)), ID: 2, Domain: "mid-a", Exchanger: network, Log: logr.Discard(),
+		ConfigVersion: configVersion, OnMembers: func() {}, OnEntryMissing: func() {},
+		OnConfig: func(b []byte) {
+			mu.Lock()
+			defer mu.Unlock()
+			config = string(b)
+		},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- f.Run(ctx) }()
+	defer func() {
+		cancel()
+		c.Check(<-done, qt.IsNil)
+	}()
+	for i := 1; i <= 4; i++ {
+		s.Put(testKeys.Config, []byte(strconv.Itoa(i)))
+		began := time.Now()
+		eventually(c, "configuration in force", func() bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return config == strconv.Itoa(i)
+		})
+		c.Check(time.Since(began) < configDeadline, qt.IsTrue, qt.Commentf("%d: %s", i, time.Since(began)))
+		time.Sleep(registry.WatchWait)
+	}
+	c.Check(len(network.asked) > 0, qt.IsTrue)
+}
--- a/src/registry/source.go
+++ b/src/registry/source.go
@@ -49,7 +49,14 @@
 // hasSlowLink reports whether this agent's link is too slow to read the store in time when versions follow one another quickly. If so, one failed reader is replaced by another reader; only after a second failure is the store watched. slowLinkShare, which compares links with one another, is independent of it.
 func (f *Follower) hasSlowLink() bool { return f.MaxTransferTime > relistTimeout }
 
-// watchReader waits for changes at a reader. A reader that does not answer, or reports that it has lost the store or not yet listed it, is skipped for readerRetryDelay,
+// isOfEarlierEra reports whether a revision is of an earlier era than the last answer of the store or a reader.
+func (f *Follower) isOfEarlierEra(revision uint64) bool {
+	era, _ := SplitRevision(revision)
+	current, _ := SplitRevision(f.watchRevision)
+	return era < current
+}
+
+// watchReader waits for changes at a reader. A reader that does not answer, is in an earlier era of the store, or reports that it has lost the store or not yet listed it, is skipped for readerRetryDelay,
 // or until the store has failed at this agent as well.
 func (f *Follower) watchReader(ctx context.Context, src source) error {
 	wait := readerWait
@@ -62,15 +69,16 @@
 	config, version := f.config()
 	r, err := f.exchange(ctx, m, wire.RegistryRequest{Config: config, ConfigVersion: version, After: f.watchRevision, WaitMS: wait.Milliseconds()})
 	f.lostReaderID = 0
+	behind := err == nil && f.isOfEarlierEra(r.Revision)
 	if err == nil && r.Lost {
 		f.lostReaderID = m.ID
 	}
-	if err != nil || r.Lost {
+	if err != nil || r.Lost || behind {
 		if len(f.failedReaders) > maxQueries { // keeps the map small
 			clear(f.failedReaders)
 		}
 		f.failedReaders[m.ID] = time.Now()
-		f.Log.Info("skipping reader", "member", m.ID, "lost", r.Lost, "failed", err != nil)
+		f.Log.Info("skipping reader", "member", m.ID, "lost", r.Lost, "behind", behind, "failed", err != nil)
 		return nil // the next call reads the store or another reader at once
 	}
 	f.watchRevision = max(f.watchRevision, r.Revision)
