--- a/src/agent/backend.go
+++ b/src/agent/backend.go
@@ -71,7 +71,8 @@
 	return verdict, a.drain(ctx)
 }
 
-// handleLeavingAnswer drains an instance of the backend server whose answers say that it is leaving, before any heartbeat says so.
+// handleLeavingAnswer drains an instance of the backend server whose answers say that it is
+// leaving, before any heartbeat says so.
 func (a *Agent) handleLeavingAnswer(instance string) {
 	a.backendMu.Lock()
 	startedAt := a.backend.StartedAt()
@@ -111,7 +112,10 @@
 	return nil
 }
 
-// readTombstone returns the latest start time that the instance's tombstone covers, zero if there is no tombstone. Incarnations that started at or before this time have announced that they are leaving. The follower knows it once it has listed the store and asked a peer; otherwise the store is read.
+// readTombstone returns the latest start time that the instance's tombstone covers, zero if there
+// is no tombstone. Incarnations that started at or before this time have announced that they are
+// leaving. The follower knows it once it has listed the store and asked a peer; otherwise the store
+// is read.
 func (a *Agent) readTombstone(ctx context.Context, instance string) (time.Time, error) {
 	ctx, cancel := context.WithTimeout(ctx, tombstoneTimeout)
 	defer cancel()
@@ -166,8 +170,9 @@
 	}
 }
 
-// probeInstance queries the health endpoint while a configuration, which holds the health path, is in force: for the instance ID while none is known,
-// and until the first answer of a backend server that is older than this agent, which may have named a limit to the agent before it.
+// probeInstance queries the health endpoint while a configuration, which holds the health path, is
+// in force: for the instance ID while none is known, and until the first answer of a backend server
+// that is older than this agent, which may have named a limit to the agent before it.
 func (a *Agent) probeInstance(ctx context.Context) {
 	a.backendMu.Lock()
 	known, olderThanAgent := a.backend.Instance(), !a.backend.StartedAt().After(a.agentStartedAt)
--- a/src/agent/leaving_answer_test.go
+++ b/src/agent/leaving_answer_test.go
@@ -9,7 +9,8 @@
 	"github.com/yuccaport/yuccaport/src/standin"
 )
 
-// A backend server that says in its answers that it is leaving must get no more calls, whatever its heartbeats say, and callers must be served by another one.
+// A backend server that says in its answers that it is leaving must get no more calls, whatever its
+// heartbeats say, and callers must be served by another one.
 func TestServerLeavingInAnswers(t *testing.T) {
 	c := qt.New(t)
 	store := standin.NewRegistryStore()
--- a/src/agent/named_limit_test.go
+++ b/src/agent/named_limit_test.go
@@ -10,7 +10,8 @@
 	"github.com/yuccaport/yuccaport/src/standin"
 )
 
-// A restarted agent must keep to a limit that its backend server named to the one before it, already with its first calls.
+// A restarted agent must keep to a limit that its backend server named to the one before it,
+// already with its first calls.
 func TestNamedLimitAfterAgentRestart(t *testing.T) {
 	c := qt.New(t)
 	b := startBackend(c, "i-1")
--- a/src/agent/store_era_test.go
+++ b/src/agent/store_era_test.go
@@ -9,7 +9,9 @@
 	"github.com/yuccaport/yuccaport/src/standin"
 )
 
-// The store comes back from a copy that lacks an acknowledged drain, and the agent that acknowledged it has ended: the agent that starts in its place must honor the drain, which the other agents have seen.
+// The store comes back from a copy that lacks an acknowledged drain, and the agent that
+// acknowledged it has ended: the agent that starts in its place must honor the drain, which the
+// other agents have seen.
 func TestDrainSurvivesStoreFromOlderCopy(t *testing.T) {
 	c := qt.New(t)
 	store := standin.NewRegistryStore()
--- a/src/booking/backend_state.go
+++ b/src/booking/backend_state.go
@@ -30,7 +30,8 @@
 	s.setHealthLocked(s.health.evaluate(s.Now(), state))
 }
 
-// HasAnswered reports whether an answer of the given instance has been read, so that a limit that it names is known.
+// HasAnswered reports whether an answer of the given instance has been read, so that a limit that
+// it names is known.
 func (s *Server) HasAnswered(instance string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/src/booking/call_rate.go
+++ b/src/booking/call_rate.go
@@ -6,13 +6,19 @@
 )
 
 const (
-	maxRateBurst  = time.Second // calls admitted at once are at most those of this time at the named limit
-	limitLinger   = time.Second // a limit is lifted once answers have not named it for this long; one sent before it was named may be read after one that names it
-	limitCheckAge = time.Second // a limit that no answer has confirmed for this long is checked at the health endpoint
-	maxRateWait   = time.Hour   // stands for a wait without end
+	// maxRateBurst bounds the calls that are admitted at once: to those of this time at the limit.
+	maxRateBurst = time.Second
+	// limitLinger is the time after which a limit is lifted that answers name no more. An answer
+	// that was sent before the limit was named may be read after one that names it.
+	limitLinger = time.Second
+	// limitCheckAge is the time after which a limit that no answer has confirmed is checked at the
+	// health endpoint.
+	limitCheckAge = time.Second
+	maxRateWait   = time.Hour // stands for a wait without end
 )
 
-// callRate limits the rate at which calls are admitted to the limit that the backend server has named. The zero value does not limit it.
+// callRate limits the rate at which calls are admitted to the limit that the backend server has
+// named. The zero value does not limit it.
 type callRate struct {
 	limited   bool
 	perSecond float64
@@ -52,8 +58,9 @@
 	r.refill(now, burst) // no more tokens than fit under the new limit
 }
 
-// refill adds the tokens of the time since the last refill. A backend server that runs calls at the limit has as many in progress as fit in burst, its mean service time,
-// so that as many may start at once after a pause.
+// refill adds the tokens of the time since the last refill. A backend server that runs calls at the
+// limit has as many in progress as fit in burst, its mean service time, so that as many may start
+// at once after a pause.
 func (r *callRate) refill(now time.Time, burst time.Duration) {
 	capacity := max(1, r.perSecond*min(burst, maxRateBurst).Seconds())
 	r.tokens = min(capacity, r.tokens+r.perSecond*max(0, now.Sub(r.updated)).Seconds())
@@ -82,7 +89,8 @@
 	return rateTime(float64(n+1)-r.tokens-r.perSecond*elapsed, r.perSecond)
 }
 
-// expectedWait returns wait, and the time for the calls that arrive later but precede a call of the given priority.
+// expectedWait returns wait, and the time for the calls that arrive later but precede a call of the
+// given priority.
 func (r *callRate) expectedWait(now time.Time, priority uint8, late bool, n int) time.Duration {
 	if !r.limited {
 		return 0
@@ -99,7 +107,8 @@
 	return int(min(math.MaxInt16, r.tokens+r.perSecond*max(0, now.Sub(r.updated)).Seconds()))
 }
 
-// needsCheck reports whether no answer has confirmed the limit for limitCheckAge, as when calls are rare or the limit is 0.
+// needsCheck reports whether no answer has confirmed the limit for limitCheckAge, as when calls are
+// rare or the limit is 0.
 func (r *callRate) needsCheck(now time.Time) bool {
 	return r.limited && now.Sub(r.answeredAt) >= limitCheckAge
 }
--- a/src/booking/call_rate_server_test.go
+++ b/src/booking/call_rate_server_test.go
@@ -13,7 +13,8 @@
 	"github.com/yuccaport/yuccaport/src/standin"
 )
 
-// A backend server that names a limit in its answers must not get more calls a second than that, from all VMs together.
+// A backend server that names a limit in its answers must not get more calls a second than that,
+// from all VMs together.
 func TestServerNamedLimit(t *testing.T) {
 	const (
 		limit    = 20.0 // calls a second, a small part of what the backend server can run
@@ -50,7 +51,8 @@
 	c.Check(float64(n) >= 0.8*limit*window.Seconds(), qt.IsTrue, qt.Commentf("only %d calls in %s", n, window))
 }
 
-// A limit of 0 stops all answers that could lift it, so the health endpoint must be asked until it names the limit no more.
+// A limit of 0 stops all answers that could lift it, so the health endpoint must be asked until it
+// names the limit no more.
 func TestServerLimitZeroIsLifted(t *testing.T) {
 	c := qt.New(t)
 	b := startRawBackend(t)
--- a/src/booking/call_rate_test.go
+++ b/src/booking/call_rate_test.go
@@ -18,7 +18,8 @@
 	rateExtraCalls = 5               // that it accepts beyond that
 )
 
-// rateSimulation plays calls against a Core whose backend server answers each after serviceTime and then names its limit.
+// rateSimulation plays calls against a Core whose backend server answers each after serviceTime and
+// then names its limit.
 type rateSimulation struct {
 	core        *Core
 	now         time.Time
@@ -99,7 +100,8 @@
 	return most
 }
 
-// However calls arrive, a backend server that has named a limit must not get more calls than it accepts in any window, nor after it has named another one.
+// However calls arrive, a backend server that has named a limit must not get more calls than it
+// accepts in any window, nor after it has named another one.
 func TestCoreCallLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		limit := rapid.Float64Range(0.2, 60).Draw(t, "limit")
@@ -139,7 +141,8 @@
 	c.Check(s.refused > 0, qt.IsTrue)
 }
 
-// A limit holds while answers name it: one answer without it, read late, must not lift it; answers without it for limitLinger must, and a changed one replaces it.
+// A limit holds while answers name it: one answer without it, read late, must not lift it; answers
+// without it for limitLinger must, and a changed one replaces it.
 func TestCoreCallLimitLifted(t *testing.T) {
 	const second = time.Second
 	type answer struct {
@@ -174,7 +177,8 @@
 	}
 }
 
-// Under a limit of 0 calls are refused at once, with the time after which the limit is checked; another instance starts without a limit.
+// Under a limit of 0 calls are refused at once, with the time after which the limit is checked;
+// another instance starts without a limit.
 func TestCoreCallLimitZero(t *testing.T) {
 	c := qt.New(t)
 	s := newRateSimulation(4, noLimit, 10*time.Millisecond)
@@ -194,7 +198,8 @@
 	c.Check(s.admitted, qt.HasLen, 1)
 }
 
-// While calls wait for the limit, a more urgent one that arrives later goes first, a call that would miss its objective is refused at once with its wait, and the load tells the wait.
+// While calls wait for the limit, a more urgent one that arrives later goes first, a call that
+// would miss its objective is refused at once with its wait, and the load tells the wait.
 func TestCoreCallLimitOrder(t *testing.T) {
 	c := qt.New(t)
 	s := newRateSimulation(12, 4, 10*time.Millisecond)
--- a/src/booking/core.go
+++ b/src/booking/core.go
@@ -267,7 +267,8 @@
 	return Refuse{Call: call, Reason: reason, RetryAfter: retryAfter(c.meanWaitBehind(now, c.queue.size))}
 }
 
-// retryAfter returns the Retry-After for an expected wait. Under a limit of 0, it is the time until that limit is checked.
+// retryAfter returns the Retry-After for an expected wait. Under a limit of 0, it is the time until
+// that limit is checked.
 func retryAfter(wait time.Duration) time.Duration {
 	if wait >= maxRateWait {
 		return limitCheckAge
@@ -340,7 +341,8 @@
 	return actions
 }
 
-// admitQueued admits queued calls while slots are free and the limit that the backend server has named allows it.
+// admitQueued admits queued calls while slots are free and the limit that the backend server has
+// named allows it.
 func (c *Core) admitQueued(now time.Time, actions []Action) []Action {
 	for len(c.running) < c.limit && c.rate.available(now) {
 		w, ok := c.queue.pop(now, c.maxAdmissibleRank(now))
@@ -352,7 +354,8 @@
 	return actions
 }
 
-// NextTick returns the time until the Core needs a Tick because a queued call, for which a slot is free, waits for the limit that the backend server has named; it reports false if there is none.
+// NextTick returns the time until the Core needs a Tick because a queued call, for which a slot is
+// free, waits for the limit that the backend server has named; it reports false if there is none.
 func (c *Core) NextTick(now time.Time) (time.Duration, bool) {
 	if !c.rate.limited || c.queue.size == 0 || len(c.running) >= c.limit {
 		return 0, false
--- a/src/booking/exchange.go
+++ b/src/booking/exchange.go
@@ -208,7 +208,8 @@
 	x.refuse(wire.Refusal{Reason: wire.ReasonShed, RetryAfterMS: after.Milliseconds()})
 }
 
-// shedRetryAfter returns the time that a Retry-After in seconds, with or without fractions, states, between minRetryAfter and maxShedRetryAfter; minRetryAfter if it is no number.
+// shedRetryAfter returns the time that a Retry-After in seconds, with or without fractions, states,
+// between minRetryAfter and maxShedRetryAfter; minRetryAfter if it is no number.
 func shedRetryAfter(value string) time.Duration {
 	seconds, err := strconv.ParseFloat(value, 64)
 	if err != nil || !(seconds > minRetryAfter.Seconds()) {
--- a/src/booking/health.go
+++ b/src/booking/health.go
@@ -75,7 +75,8 @@
 	return s.health.state == HealthUp
 }
 
-// updateHealth updates the health from the health endpoint or, with heartbeats, from the last heartbeat; the health endpoint is then queried only to check an unconfirmed limit.
+// updateHealth updates the health from the health endpoint or, with heartbeats, from the last
+// heartbeat; the health endpoint is then queried only to check an unconfirmed limit.
 func (s *Server) updateHealth(ctx context.Context) {
 	switch {
 	case !s.UsesHeartbeats:
--- a/src/booking/notice.go
+++ b/src/booking/notice.go
@@ -20,7 +20,8 @@
 	leaving bool
 }
 
-// readNotice reads the notice of an answer. An unreadable limit is returned as invalid; the notice then names none.
+// readNotice reads the notice of an answer. An unreadable limit is returned as invalid; the notice
+// then names none.
 func readNotice(n header.Names, h *fasthttp.ResponseHeader) (out notice, invalid string) {
 	out.limit = noLimit
 	if n.Leaving != "" {
@@ -59,7 +60,9 @@
 	return before, before != n
 }
 
-// recordNotice records what an instance of the backend server says of itself in the head of an answer, and returns it. An answer with an unreadable limit changes nothing, nor does one of an instance that has been replaced.
+// recordNotice records what an instance of the backend server says of itself in the head of an
+// answer, and returns it. An answer with an unreadable limit changes nothing, nor does one of an
+// instance that has been replaced.
 func (s *Server) recordNotice(instance string, h *fasthttp.ResponseHeader) notice {
 	n, invalid := readNotice(s.Headers, h)
 	s.mu.Lock()
--- a/src/booking/shed_retry_after_test.go
+++ b/src/booking/shed_retry_after_test.go
@@ -8,7 +8,8 @@
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
-// A backend server that refuses a call may state a Retry-After with fractions of a second; it must reach the caller's agent, not the shortest one.
+// A backend server that refuses a call may state a Retry-After with fractions of a second; it must
+// reach the caller's agent, not the shortest one.
 func TestServeCallShedRetryAfter(t *testing.T) {
 	tests := map[string]struct {
 		value string
--- a/src/booking/wait_estimate.go
+++ b/src/booking/wait_estimate.go
@@ -70,7 +70,8 @@
 	return min(maxUrgentShare, sum/(float64(max(1, slots))*usageWindow.Seconds()))
 }
 
-// expectedWait returns how long a call of the given priority is expected to wait for a slot and for the limit that the backend server has named. For late, see workAhead.
+// expectedWait returns how long a call of the given priority is expected to wait for a slot and for
+// the limit that the backend server has named. For late, see workAhead.
 func (c *Core) expectedWait(now time.Time, priority uint8, late bool) time.Duration {
 	if c.limit == 0 {
 		return 0
@@ -79,8 +80,9 @@
 	return max(c.expectedSlotWait(now, priority, late, n, work), c.rate.expectedWait(now, priority, late, n))
 }
 
-// expectedSlotWait returns how long a call is expected to wait for a slot, given the remaining times of the running calls,
-// the number and service time of the calls ahead of it and the share of the slots that calls which arrive later, but precede it, use.
+// expectedSlotWait returns how long a call is expected to wait for a slot, given the remaining
+// times of the running calls, the number and service time of the calls ahead of it and the share of
+// the slots that calls which arrive later, but precede it, use.
 func (c *Core) expectedSlotWait(now time.Time, priority uint8, late bool, n int, work time.Duration) time.Duration {
 	if len(c.running) < c.limit && c.queue.size == 0 || c.rate.limited && len(c.running)+n < c.limit {
 		return 0
--- a/src/deposit/older_copy_test.go
+++ b/src/deposit/older_copy_test.go
@@ -10,7 +10,8 @@
 	"github.com/yuccaport/yuccaport/src/standin"
 )
 
-// A payment that ran must not run again because the store came back from a copy that lacks its claim: its holder still knows it.
+// A payment that ran must not run again because the store came back from a copy that lacks its
+// claim: its holder still knows it.
 func TestGuardStoreFromOlderCopy(t *testing.T) {
 	c := qt.New(t)
 	ctx := context.Background()
--- a/src/dispatch/leaving_servers_test.go
+++ b/src/dispatch/leaving_servers_test.go
@@ -11,7 +11,8 @@
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
-// A backend server that has said in an answer that it is leaving must get no more calls, whatever later tables say of it; only a later start of it may.
+// A backend server that has said in an answer that it is leaving must get no more calls, whatever
+// later tables say of it; only a later start of it may.
 func TestCoreAnswerOfLeavingServer(t *testing.T) {
 	const leavingID, otherID, restartedID = 1, 2, 3
 	start := time.UnixMilli(1_000_000)
@@ -77,7 +78,8 @@
 	}
 }
 
-// An answer that is read after its backend server has been replaced must not count for the one that replaced it.
+// An answer that is read after its backend server has been replaced must not count for the one that
+// replaced it.
 func TestCoreLateAnswerOfLeavingServer(t *testing.T) {
 	c := qt.New(t)
 	now := time.UnixMilli(1_000_000)
--- a/src/dispatch/server.go
+++ b/src/dispatch/server.go
@@ -55,7 +55,8 @@
 	returnedAt     time.Time // end of the last ejection
 }
 
-// isEligible reports whether calls may be sent to the server at all: it is neither leaving, by the table or by its answers, nor dead nor departed.
+// isEligible reports whether calls may be sent to the server at all: it is neither leaving, by the
+// table or by its answers, nor dead nor departed.
 func (s *server) isEligible() bool {
 	return !s.departed && !s.leaving && s.State != wire.StateLeaving && s.State != wire.StateDead
 }
--- a/src/fleetmodel/named_limit_test.go
+++ b/src/fleetmodel/named_limit_test.go
@@ -7,7 +7,8 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// limitedFleet returns six servers, each pair of which may name a limit, 0 for none. load is the offered work as a share of what all can run.
+// limitedFleet returns six servers, each pair of which may name a limit, 0 for none. load is the
+// offered work as a share of what all can run.
 func limitedFleet(load float64, limits []float64) *Fleet {
 	const slots, work = 12, 220 * ms
 	speeds := []float64{1.5, 0.5, 1}
@@ -44,8 +45,9 @@
 	return most
 }
 
-// Servers that name a limit in their answers: none gets more than that in any 4 s, all agents together, and the other servers take the rest.
-// What can be served is served as well as by a fleet without limits at the same share of its capacity, less allowedLoss.
+// Servers that name a limit in their answers: none gets more than that in any 4 s, all agents
+// together, and the other servers take the rest. What can be served is served as well as by a fleet
+// without limits at the same share of its capacity, less allowedLoss.
 func TestNamedLimit(t *testing.T) {
 	const limit = 25 // calls a second
 	fastest, all := []float64{limit, 0, 0}, []float64{limit, limit, limit}
--- a/src/header/names.go
+++ b/src/header/names.go
@@ -22,7 +22,8 @@
 	return strings.EqualFold(name, n.Deadline) || (n.Caller != "" && (strings.EqualFold(name, n.Caller) || strings.EqualFold(name, n.Expect)))
 }
 
-// Default returns the names of yuccaport's own interface. Backend servers there say by their health endpoint that they are leaving.
+// Default returns the names of yuccaport's own interface. Backend servers there say by their health
+// endpoint that they are leaving.
 func Default() Names {
 	return Names{Deadline: "X-Deadline-Ms", NotRun: "X-Not-Run", Limit: "X-Limit-Per-Second"}
 }
--- a/src/registry/action.go
+++ b/src/registry/action.go
@@ -17,7 +17,8 @@
 // ProbeMember requests a check whether a member whose entry is missing from the store answers over its link. The result must be passed to Step as a MemberProbed event; until then the member is not probed again.
 type ProbeMember struct{ Member wire.Member }
 
-// QueryPeer requests a newer configuration from a peer and, while the store does not answer, the members or, with Start, the tombstones.
+// QueryPeer requests a newer configuration from a peer and, while the store does not answer, the
+// members or, with Start, the tombstones.
 type QueryPeer struct {
 	Member wire.Member
 	Start  bool // this agent has just started
--- a/src/registry/announcer.go
+++ b/src/registry/announcer.go
@@ -184,7 +184,9 @@
 	a.storeMu.Unlock()
 }
 
-// voidEarlierEra discards leases, revisions and what was written, if the store has come back from an older copy since: leases and revisions are given out again, and what was written may be gone. The caller must hold a.storeMu.
+// voidEarlierEra discards leases, revisions and what was written, if the store has come back from
+// an older copy since: leases and revisions are given out again, and what was written may be gone.
+// The caller must hold a.storeMu.
 func (a *Announcer) voidEarlierEra() {
 	era := a.Store.Era()
 	if a.era == 0 || a.era == era {
@@ -196,7 +198,8 @@
 	a.tombstoneLease, a.writtenTombstone = 0, tombstone{}
 }
 
-// noteFirstEra records the era that the first answer of the store has shown. The caller must hold a.storeMu.
+// noteFirstEra records the era that the first answer of the store has shown. The caller must hold
+// a.storeMu.
 func (a *Announcer) noteFirstEra() {
 	if a.era == 0 {
 		a.era = a.Store.Era()
--- a/src/registry/core.go
+++ b/src/registry/core.go
@@ -25,7 +25,9 @@
 	EntryKey string // key of this agent's entry
 	ID       uint64 // member ID of this agent
 	Rand     *rand.Rand
-	// ConfigVersion returns the version of a configuration, 0 if it cannot be read. A store that comes back from an older copy holds an older version, which must not replace a newer one. If nil, revisions alone order configurations.
+	// ConfigVersion returns the version of a configuration, 0 if it cannot be read. A store that
+	// comes back from an older copy holds an older version, which must not replace a newer one. If
+	// nil, revisions alone order configurations.
 	ConfigVersion func(value []byte) uint64
 
 	entries       map[string]*entry
@@ -88,14 +90,18 @@
 	return out
 }
 
-// isOfEarlierEra reports whether an answer of the store is of an earlier era than what the members reflect, as one that was late.
+// isOfEarlierEra reports whether an answer of the store is of an earlier era than what the members
+// reflect, as one that was late.
 func (c *Core) isOfEarlierEra(revision uint64) bool {
 	era, _ := SplitRevision(revision)
 	current, _ := SplitRevision(c.revision)
 	return era < current
 }
 
-// Tombstone returns the latest start time that the tombstone of an instance ID covers, zero if there is no tombstone. known is false until the store has been listed and peers have been asked, since a store that came back from an older copy may have lost a tombstone, and if the tombstone cannot be parsed.
+// Tombstone returns the latest start time that the tombstone of an instance ID covers, zero if
+// there is no tombstone. known is false until the store has been listed and peers have been asked,
+// since a store that came back from an older copy may have lost a tombstone, and if the tombstone
+// cannot be parsed.
 func (c *Core) Tombstone(now time.Time, instance string) (latestStart time.Time, known bool) {
 	return c.tombstones.latestStart(instance), c.start.isDone(now) && !c.tombstones.unreadable[instance]
 }
@@ -114,7 +120,10 @@
 	return c.config.Revision > r.Config
 }
 
-// Reply answers a peer's request: the configuration if it is newer than the peer's, the members and tombstones written or deleted after r.After, and whether the store is lost or not yet listed. Unlike on the wire, the configuration in the reply is not compressed. A member whose entry is missing is reported as deleted, also while it is still being probed.
+// Reply answers a peer's request: the configuration if it is newer than the peer's, the members and
+// tombstones written or deleted after r.After, and whether the store is lost or not yet listed.
+// Unlike on the wire, the configuration in the reply is not compressed. A member whose entry is
+// missing is reported as deleted, also while it is still being probed.
 func (c *Core) Reply(r wire.RegistryRequest) wire.RegistryReply {
 	out := wire.RegistryReply{Config: c.config.Revision, ConfigVersion: c.configVersion, Revision: c.revision, Lost: !c.storeLostAt.IsZero() || c.revision == 0}
 	if c.hasNewerConfig(r) {
@@ -193,7 +202,8 @@
 	return append(out, c.probeMissing(now)...)
 }
 
-// applyConfig keeps a configuration that is newer: by version or, of those whose versions are equal or unknown, by revision.
+// applyConfig keeps a configuration that is newer: by version or, of those whose versions are equal
+// or unknown, by revision.
 func (c *Core) applyConfig(i Item) []Action {
 	if i.Deleted {
 		return nil
@@ -237,7 +247,8 @@
 	return old == nil || old.member != m
 }
 
-// isOlderCopy reports whether an entry of a new era lacks the leave of a member that was known before: the store came back from a copy that is older than the leave.
+// isOlderCopy reports whether an entry of a new era lacks the leave of a member that was known
+// before: the store came back from a copy that is older than the leave.
 func isOlderCopy(old *entry, m wire.Member, revision uint64) bool {
 	oldEra, _ := SplitRevision(old.revision)
 	era, _ := SplitRevision(revision)
--- a/src/registry/core_era_test.go
+++ b/src/registry/core_era_test.go
@@ -9,10 +9,12 @@
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
-// inEra returns an item of member n, or of the successor with the given ID at its address, at a revision of an era.
+// inEra returns an item of member n, or of the successor with the given ID at its address, at a
+// revision of an era.
 func inEra(m wire.Member, era, number uint64) Item { return itemOf(m, JoinRevision(era, number)) }
 
-// After the store came back from an older copy, a lower revision of the new era goes before a higher one of the era before, and late answers of that era change nothing.
+// After the store came back from an older copy, a lower revision of the new era goes before a
+// higher one of the era before, and late answers of that era change nothing.
 func TestCoreEras(t *testing.T) {
 	successor := member(2)
 	successor.ID = 22
@@ -32,7 +34,8 @@
 	})
 }
 
-// A copy that is older than a member's leave must not bring the member back; a later start of its backend server, or another agent at its address, must.
+// A copy that is older than a member's leave must not bring the member back; a later start of its
+// backend server, or another agent at its address, must.
 func TestCoreLeaveOlderCopyLacks(t *testing.T) {
 	leaving := member(2)
 	leaving.State, leaving.StartedAt = wire.StateLeaving, 500
@@ -74,7 +77,8 @@
 	qt.Check(t, JoinRevision(2, 1) > JoinRevision(1, 1<<48-1), qt.IsTrue)
 }
 
-// An agent of a build without eras asks with the store's own numbers. It is sent to the store, since it would take revisions with an era for numbers.
+// An agent of a build without eras asks with the store's own numbers. It is sent to the store,
+// since it would take revisions with an era for numbers.
 func TestCoreReplyWithoutEras(t *testing.T) {
 	tests := map[string]struct {
 		era   uint64 // of the store
@@ -96,7 +100,8 @@
 	}
 }
 
-// A new agent knows what the store may have lost only once the peers that it asked have answered: neither a reader's reply to its watch nor one of two answers will do.
+// A new agent knows what the store may have lost only once the peers that it asked have answered:
+// neither a reader's reply to its watch nor one of two answers will do.
 func TestCoreStartQuery(t *testing.T) {
 	tombstones := wire.RegistryReply{Tombstones: []wire.RegistryTombstone{{Instance: "i-1", LatestStartMS: 1700, Revision: 5}}}
 	answered := func(r wire.RegistryReply) []Event { return []Event{PeerReplied{Reply: r}, StartQueryEnded{}} }
--- a/src/registry/era_test.go
+++ b/src/registry/era_test.go
@@ -25,7 +25,8 @@
 	return n
 }
 
-// startFollower runs one more follower, in a failure domain of its own so that it reads the store itself, and returns the configurations that it delivers.
+// startFollower runs one more follower, in a failure domain of its own so that it reads the store
+// itself, and returns the configurations that it delivers.
 func startFollower(c *qt.C, s registry.Store, network *peerNetwork, n int) (*registry.Follower, func() []string) {
 	var mu sync.Mutex
 	var configs []string
@@ -52,8 +53,10 @@
 	}
 }
 
-// The store comes back from an older copy: its revisions go back and are given out again, so that an agent that orders changes by them ignores the operator's next configurations.
-// Each of those must be in force in time, an older one never again, and an agent that starts meanwhile must take the newest from a peer.
+// The store comes back from an older copy: its revisions go back and are given out again, so that
+// an agent that orders changes by them ignores the operator's next configurations. Each of those
+// must be in force in time, an older one never again, and an agent that starts meanwhile must take
+// the newest from a peer.
 func TestFollowerStoreFromOlderCopy(t *testing.T) {
 	tests := map[string]struct {
 		restores    int
@@ -129,7 +132,8 @@
 	}
 }
 
-// A tombstone that the store has lost must still be known to an agent that starts afterwards: its peers have seen it.
+// A tombstone that the store has lost must still be known to an agent that starts afterwards: its
+// peers have seen it.
 func TestFollowerTombstoneLostByStore(t *testing.T) {
 	c := qt.New(t)
 	s := standin.NewRegistryStore()
@@ -170,7 +174,9 @@
 	c.Check(known, qt.IsTrue)
 }
 
-// What an agent wrote after the copy was made must be back within about two seconds: its entry, under a lease of its own although the store gives lease IDs out again, and the tombstone of an acknowledged drain.
+// What an agent wrote after the copy was made must be back within about two seconds: its entry,
+// under a lease of its own although the store gives lease IDs out again, and the tombstone of an
+// acknowledged drain.
 func TestAnnouncerStoreFromOlderCopy(t *testing.T) {
 	const back = 2*time.Second + 500*time.Millisecond
 	c := qt.New(t)
@@ -221,7 +227,9 @@
 	c.Check(other.RenewLease(context.Background(), lease), qt.IsNil)
 }
 
-// After the return of the store all agents write their entries again. In the ten seconds after it they must make at most twice the calls that they make after an outage in which their leases were lost, and spread them.
+// After the return of the store all agents write their entries again. In the ten seconds after it
+// they must make at most twice the calls that they make after an outage in which their leases were
+// lost, and spread them.
 func TestAnnouncersStoreCallsAfterRestore(t *testing.T) {
 	const agents, period, factor = 73, 10 * time.Second, 2
 	c := qt.New(t)
@@ -276,7 +284,8 @@
 	c.Check(busiest <= 4*agents, qt.IsTrue, qt.Commentf("%d calls in a second", busiest))
 }
 
-// oldBuildNetwork carries messages to a reader that does not know eras: its revisions are the store's numbers, and it has no updates for an agent that is further by them.
+// oldBuildNetwork carries messages to a reader that does not know eras: its revisions are the
+// store's numbers, and it has no updates for an agent that is further by them.
 type oldBuildNetwork struct{ asked chan wire.RegistryRequest }
 
 // Exchange implements link.Exchanger.
@@ -297,7 +306,8 @@
 	return (&wire.RegistryReply{Revision: 7, Config: 7}).MarshalMsg(nil)
 }
 
-// While agents are upgraded one after the other, an agent that follows a reader of a build without eras must still get each configuration in time.
+// While agents are upgraded one after the other, an agent that follows a reader of a build without
+// eras must still get each configuration in time.
 func TestFollowerReaderWithoutEras(t *testing.T) {
 	c := qt.New(t)
 	s := standin.NewRegistryStore()
--- a/src/registry/follower.go
+++ b/src/registry/follower.go
@@ -151,7 +151,9 @@
 	}
 }
 
-// AwaitTombstone waits until it is known whether an instance ID has a tombstone, and returns the latest start time that it covers, zero if there is none. known is false if ctx ends before, or if the tombstone is malformed.
+// AwaitTombstone waits until it is known whether an instance ID has a tombstone, and returns the
+// latest start time that it covers, zero if there is none. known is false if ctx ends before, or if
+// the tombstone is malformed.
 func (f *Follower) AwaitTombstone(ctx context.Context, instance string) (latestStart time.Time, known bool) {
 	f.init()
 	t := time.NewTicker(tombstonePollInterval)
--- a/src/registry/revision.go
+++ b/src/registry/revision.go
@@ -8,7 +8,9 @@
 
 // JoinRevision returns the revision of a change with the given number in an era of the store.
 //
-// A revision orders all changes: first by era, which rises when the store comes back from an older copy of its data, then by the number that the store gives each change, which goes back then. Without eras, the era is 0.
+// A revision orders all changes: first by era, which rises when the store comes back from an older
+// copy of its data, then by the number that the store gives each change, which goes back then.
+// Without eras, the era is 0.
 func JoinRevision(era, number uint64) uint64 { return era<<eraShift | number }
 
 // SplitRevision returns the era of a revision and the number of the change in it.
--- a/src/registry/source.go
+++ b/src/registry/source.go
@@ -49,7 +49,8 @@
 // hasSlowLink reports whether this agent's link is too slow to read the store in time when versions follow one another quickly. If so, one failed reader is replaced by another reader; only after a second failure is the store watched. slowLinkShare, which compares links with one another, is independent of it.
 func (f *Follower) hasSlowLink() bool { return f.MaxTransferTime > relistTimeout }
 
-// isOfEarlierEra reports whether a revision is of an earlier era than the last answer of the store or a reader.
+// isOfEarlierEra reports whether a revision is of an earlier era than the last answer of the store
+// or a reader.
 func (f *Follower) isOfEarlierEra(revision uint64) bool {
 	era, _ := SplitRevision(revision)
 	current, _ := SplitRevision(f.watchRevision)
--- a/src/registry/start_query.go
+++ b/src/registry/start_query.go
@@ -12,7 +12,9 @@
 	startQueryTime  = 300 * time.Millisecond // after which a new agent goes on without their answers
 )
 
-// startQuery is the question of an agent that has just listed the store for the first time: the store may have come back from a copy that lacks a configuration or tombstones which its peers know.
+// startQuery is the question of an agent that has just listed the store for the first time: the
+// store may have come back from a copy that lacks a configuration or tombstones which its peers
+// know.
 type startQuery struct {
 	askedAt time.Time // zero before the first listing
 	pending int       // peers that have not answered
--- a/src/registry/store.go
+++ b/src/registry/store.go
@@ -7,12 +7,14 @@
 	"github.com/yuccaport/yuccaport/src/problem"
 )
 
-// HistoryGone is the kind of error that Watch returns if the store no longer has the changes after the given revision, also because that revision is of an earlier era.
+// HistoryGone is the kind of error that Watch returns if the store no longer has the changes after
+// the given revision, also because that revision is of an earlier era.
 const HistoryGone problem.Kind = "history gone"
 
 // Store is a linearizable key-value store with leases and prefix watches. Its methods may be called concurrently.
 //
-// It may come back from an older copy of its data: what was written since is gone, leases too, and a new era begins. Revisions are those of JoinRevision.
+// It may come back from an older copy of its data: what was written since is gone, leases too, and
+// a new era begins. Revisions are those of JoinRevision.
 //
 // Errors are of the kinds problem.Unavailable (not executed), problem.Unsure (may have been executed or may still be), problem.Conflict, problem.NotFound and HistoryGone.
 type Store interface {
@@ -28,6 +30,7 @@
 	RenewLease(ctx context.Context, lease uint64) error
 	// RevokeLease ends a lease and removes its keys.
 	RevokeLease(ctx context.Context, lease uint64) error
-	// Era returns the highest era that any answer so far has shown, 0 for none. Leases and preconditions of an earlier era are void.
+	// Era returns the highest era that any answer so far has shown, 0 for none. Leases and
+	// preconditions of an earlier era are void.
 	Era() uint64
 }
--- a/src/registry/store_watch.go
+++ b/src/registry/store_watch.go
@@ -87,7 +87,8 @@
 	f.coalescedAt = time.Now()
 }
 
-// logNewEra logs that the store has come back from an older copy, if a listing is of a later era than the last answer.
+// logNewEra logs that the store has come back from an older copy, if a listing is of a later era
+// than the last answer.
 func (f *Follower) logNewEra(revision uint64) {
 	before, beforeNumber := SplitRevision(f.watchRevision)
 	era, number := SplitRevision(revision)
--- a/src/registry/tombstone.go
+++ b/src/registry/tombstone.go
@@ -10,7 +10,8 @@
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
-// maxKnownTombstones limits the tombstones that an agent keeps; beyond it, those of the earliest starts are dropped.
+// maxKnownTombstones limits the tombstones that an agent keeps; beyond it, those of the earliest
+// starts are dropped.
 const maxKnownTombstones = 1024
 
 // tombstone records that all incarnations of an instance ID that started at or before latestStartMS have announced that they are leaving.
@@ -19,7 +20,8 @@
 	latestStartMS int64 // milliseconds since the Unix epoch
 }
 
-// tombstoneSet holds the tombstones that an agent knows, by instance ID. A tombstone stays when the store loses it.
+// tombstoneSet holds the tombstones that an agent knows, by instance ID. A tombstone stays when the
+// store loses it.
 type tombstoneSet struct {
 	known      map[string]wire.RegistryTombstone
 	unreadable map[string]bool // instance IDs whose tombstone in the store cannot be parsed
@@ -63,7 +65,8 @@
 	}
 }
 
-// latestStart returns the latest start time that the tombstone of an instance covers, zero if there is none.
+// latestStart returns the latest start time that the tombstone of an instance covers, zero if there
+// is none.
 func (s *tombstoneSet) latestStart(instance string) time.Time {
 	t, ok := s.known[instance]
 	if !ok {
--- a/src/standin/keyspace_copy.go
+++ b/src/standin/keyspace_copy.go
@@ -19,7 +19,8 @@
 	return KeyspaceCopy{entries: maps.Clone(k.entries), leases: maps.Clone(k.leases), revision: k.revision}
 }
 
-// Restore brings the data back to an earlier copy, as a store does that comes back from one: revisions are given out again.
+// Restore brings the data back to an earlier copy, as a store does that comes back from one:
+// revisions are given out again.
 func (k *Keyspace) Restore(c KeyspaceCopy) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/src/standin/registry_store.go
+++ b/src/standin/registry_store.go
@@ -47,7 +47,8 @@
 	ends time.Time
 }
 
-// ExpireLeases ends the leases that have not been renewed in time, with their keys. Without a call of it, leases last until they are revoked.
+// ExpireLeases ends the leases that have not been renewed in time, with their keys. Without a call
+// of it, leases last until they are revoked.
 func (s *RegistryStore) ExpireLeases(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -193,7 +194,8 @@
 	}
 }
 
-// Restore brings the data back to an earlier copy, as a store does that comes back from one: a new era begins, in which revisions and leases are given out again.
+// Restore brings the data back to an earlier copy, as a store does that comes back from one: a new
+// era begins, in which revisions and leases are given out again.
 func (s *RegistryStore) Restore(c RegistryCopy) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
