--- a/src/agent/agent.go
+++ b/src/agent/agent.go
@@ -167,6 +167,7 @@
 		ID: a.id, Addr: link.AddrOf(a.LinkListener.Addr()), Service: s.Service, Domain: s.Domain, Region: s.Region,
 		LinkMbps: uint32(s.LinkMbps), Slots: uint16(a.slotsLocked()), Ready: a.backend.Instance() != "" && a.booking.Healthy(),
 	}
+	m.Version = a.backend.Version()
 	if startedAt := a.backend.StartedAt(); !startedAt.IsZero() {
 		m.StartedAt = startedAt.UnixMilli()
 	}
--- a/src/header/names.go
+++ b/src/header/names.go
@@ -13,6 +13,7 @@
 	Load      string // requests running, requests waiting and slots, with commas
 	Proof     string // marks an answer that a backend server has made
 	Limit     string // requests a second that a backend server takes from all VMs together, as long as its answers name it
+	Tenant    string // name of the caller's tenant, set for the backend server
 	Leaving   string // "1" in the answers of a backend server that is leaving
 	Fractions bool   // Retry-After may carry fractions of a second
 }
--- a/src/link/call.go
+++ b/src/link/call.go
@@ -61,6 +61,8 @@
 	KindDeposit      MessageKind = 5 // reserved for claims
 	KindRegistry     MessageKind = 6 // wire.RegistryRequest, answered with wire.RegistryReply
 	KindQuarantine   MessageKind = 7 // wire.QuarantineReport, answered with another one
+	KindRollout      MessageKind = 8 // wire.RolloutReport, answered with wire.RolloutReply
+	KindTenant       MessageKind = 9 // wire.TenantReport, answered with wire.TenantGrants
 )
 
 // InboundCall is a call received from another daemon. It must not be used after ServeCall has returned.
--- a/src/registry/announcer.go
+++ b/src/registry/announcer.go
@@ -257,7 +257,7 @@
 			return err
 		}
 	}
-	value, err := entry.MarshalMsg(nil)
+	value, err := encodeMember(entry)
 	if err != nil {
 		return err
 	}
--- a/src/registry/backend_state.go
+++ b/src/registry/backend_state.go
@@ -16,6 +16,7 @@
 	leaving       bool
 	heartbeatSeen bool
 	slots         int
+	version       string
 	coldStartEnd  time.Time            // the backend server is slow until then
 	tombstones    map[string]time.Time // by instance ID: the incarnations that started at or before this time have announced that they are leaving
 }
@@ -38,7 +39,7 @@
 	default:
 		s.instance, s.startedAt, s.leaving = h.Instance, h.StartedAt, false
 	}
-	s.heartbeatSeen, s.sequence, s.slots = true, h.Sequence, h.Slots
+	s.heartbeatSeen, s.sequence, s.slots, s.version = true, h.Sequence, h.Slots, h.Version
 	if h.Leaving {
 		s.recordTombstone(h.Instance, h.StartedAt)
 	}
@@ -95,6 +96,9 @@
 // Slots returns the number of requests that the backend server runs at once, 0 if it is unknown.
 func (s *BackendState) Slots() int { return s.slots }
 
+// Version returns the version of the backend server's software, empty if it is unknown.
+func (s *BackendState) Version() string { return s.version }
+
 // StartedAt returns the start time of the current incarnation, zero if it is unknown.
 func (s *BackendState) StartedAt() time.Time { return s.startedAt }
 
--- a/src/registry/core.go
+++ b/src/registry/core.go
@@ -139,7 +139,7 @@
 	}
 	for _, k := range slices.Sorted(maps.Keys(c.entries)) {
 		if e := c.entries[k]; max(e.revision, e.deletedRevision) > r.After {
-			out.Members = append(out.Members, wire.RegistryEntry{Key: k, Revision: max(e.revision, e.deletedRevision), Member: e.member, Deleted: e.deletedRevision > 0})
+			out.Members = append(out.Members, wire.RegistryEntry{Key: k, Revision: max(e.revision, e.deletedRevision), Member: e.member, Version: e.member.Version, Deleted: e.deletedRevision > 0})
 		}
 	}
 	for _, k := range slices.Sorted(maps.Keys(c.removed)) {
@@ -236,8 +236,8 @@
 		}
 		return false
 	}
-	var m wire.Member
-	if _, err := m.UnmarshalMsg(i.Value); err != nil || m.ID == 0 || !m.Addr.IsValid() || c.Keys.memberKey(m.Addr) != i.Key {
+	m, err := decodeMember(i.Value)
+	if err != nil || m.ID == 0 || !m.Addr.IsValid() || c.Keys.memberKey(m.Addr) != i.Key {
 		return false // ignored: malformed, or not under the key of its address
 	}
 	if old != nil && isOlderCopy(old, m, i.Revision) {
@@ -362,6 +362,7 @@
 		case m.Key == c.EntryKey && !e.Authoritative, old != nil && m.Revision <= old.revision, c.Keys.memberKey(m.Member.Addr) != m.Key:
 			// ignored: own entry from a peer that is not authoritative, entry that is not newer, entry under a wrong key
 		default:
+			m.Member.Version = m.Version
 			c.setEntry(m.Key, m.Member, m.Revision)
 			membersChanged = true
 		}
--- a/src/registry/entry.go
+++ b/src/registry/entry.go
@@ -15,3 +15,28 @@
 	probedAt        time.Time // when the last probe started
 	probing         bool      // a probe is in flight
 }
+
+// encodeMember returns the value of a member's entry in the store.
+func encodeMember(m wire.Member) ([]byte, error) {
+	value, err := m.MarshalMsg(nil)
+	if err != nil || m.Version == "" {
+		return value, err
+	}
+	details := wire.MemberDetails{Version: m.Version}
+	return details.MarshalMsg(value)
+}
+
+// decodeMember decodes the value of a member's entry; builds without wire.MemberDetails write the
+// member alone.
+func decodeMember(value []byte) (wire.Member, error) {
+	var m wire.Member
+	rest, err := m.UnmarshalMsg(value)
+	if err != nil || len(rest) == 0 {
+		return m, err
+	}
+	var details wire.MemberDetails
+	if _, err := details.UnmarshalMsg(rest); err == nil {
+		m.Version = details.Version
+	}
+	return m, nil
+}
--- a/src/registry/heartbeat.go
+++ b/src/registry/heartbeat.go
@@ -11,7 +11,8 @@
 	Addr      netip.AddrPort // address of the backend server
 	Service   string
 	Domain    string
-	Slots     int // requests that the backend server runs at once
+	Version   string // of the backend server's software, empty if it is not reported
+	Slots     int    // requests that the backend server runs at once
 	Leaving   bool
 	Sequence  uint64        // increases with each heartbeat of an incarnation
 	StartedAt time.Time     // start of the incarnation
--- a/src/wire/call.go
+++ b/src/wire/call.go
@@ -35,6 +35,8 @@
 	Version     uint64  `msg:"version"`              // configuration version the choice was made with
 	Content     uint64  `msg:"content"`              // hash of the request's content, 0 from a daemon that does not compute it
 	Quarantine  uint64  `msg:"quarantine,omitempty"` // digest of the crashes that the sender knows, 0 for none
+	Rollout     uint64  `msg:"rollout,omitempty"`    // ID of the rollout order of Service that the sender follows, 0 for none
+	Tenant      string  `msg:"tenant,omitempty"`     // name of the caller's tenant, empty for none
 }
 
 // ReplyHead opens the answer to a call.
@@ -45,6 +47,8 @@
 	Load        Load    `msg:"load"`
 	LinkDelayMS int64   `msg:"link_delay_ms"` // time for which long answers use the network connection of the VM that answers
 	Leaving     bool    `msg:"leaving"`       // the answer says that the backend server is leaving
+
+	SpeedPercent int32 `msg:"speed_percent,omitempty"` // how long work takes on the backend server's VM now, 100 as usual, 0 when unknown
 }
 
 // Load is what the daemon beside a backend server knows of its free capacity.
@@ -86,4 +90,6 @@
 	Load         Load          `msg:"load"`
 	LinkDelayMS  int64         `msg:"link_delay_ms"`      // as in ReplyHead
 	Repeated     bool          `msg:"repeated,omitempty"` // with ReasonCrashed: not the first backend server to crash under this request
+
+	SpeedPercent int32 `msg:"speed_percent,omitempty"` // as in ReplyHead
 }
--- a/src/wire/call_gen.go
+++ b/src/wire/call_gen.go
@@ -16,13 +16,21 @@
 func (z *CallHead) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(22)
-	var zb0001Mask uint32 /* 22 bits */
+	zb0001Len := uint32(24)
+	var zb0001Mask uint32 /* 24 bits */
 	_ = zb0001Mask
 	if z.Quarantine == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x200000
 	}
+	if z.Rollout == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x400000
+	}
+	if z.Tenant == "" {
+		zb0001Len--
+		zb0001Mask |= 0x800000
+	}
 	// variable map header, size zb0001Len
 	o = msgp.AppendMapHeader(o, zb0001Len)
 
@@ -102,6 +110,16 @@
 			o = append(o, 0xaa, 0x71, 0x75, 0x61, 0x72, 0x61, 0x6e, 0x74, 0x69, 0x6e, 0x65)
 			o = msgp.AppendUint64(o, z.Quarantine)
 		}
+		if (zb0001Mask & 0x400000) == 0 { // if not omitted
+			// string "rollout"
+			o = append(o, 0xa7, 0x72, 0x6f, 0x6c, 0x6c, 0x6f, 0x75, 0x74)
+			o = msgp.AppendUint64(o, z.Rollout)
+		}
+		if (zb0001Mask & 0x800000) == 0 { // if not omitted
+			// string "tenant"
+			o = append(o, 0xa6, 0x74, 0x65, 0x6e, 0x61, 0x6e, 0x74)
+			o = msgp.AppendString(o, z.Tenant)
+		}
 	}
 	return
 }
@@ -292,6 +310,18 @@
 				err = msgp.WrapError(err, "Quarantine")
 				return
 			}
+		case "rollout":
+			z.Rollout, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Rollout")
+				return
+			}
+		case "tenant":
+			z.Tenant, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Tenant")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -310,7 +340,7 @@
 	for za0001 := range z.Fields {
 		s += 1 + msgp.StringPrefixSize + len(z.Fields[za0001].Name) + msgp.StringPrefixSize + len(z.Fields[za0001].Value)
 	}
-	s += 12 + msgp.Int64Size + 11 + msgp.Int64Size + 13 + msgp.Int64Size + 7 + msgp.StringPrefixSize + len(z.Caller) + 9 + msgp.Uint8Size + 11 + msgp.BoolSize + 6 + msgp.Uint8Size + 12 + msgp.BoolSize + 6 + msgp.BoolSize + 12 + msgp.Int64Size + 8 + msgp.Uint8Size + 8 + msgp.Uint64Size + 8 + msgp.Uint64Size + 11 + msgp.Uint64Size
+	s += 12 + msgp.Int64Size + 11 + msgp.Int64Size + 13 + msgp.Int64Size + 7 + msgp.StringPrefixSize + len(z.Caller) + 9 + msgp.Uint8Size + 11 + msgp.BoolSize + 6 + msgp.Uint8Size + 12 + msgp.BoolSize + 6 + msgp.BoolSize + 12 + msgp.Int64Size + 8 + msgp.Uint8Size + 8 + msgp.Uint64Size + 8 + msgp.Uint64Size + 11 + msgp.Uint64Size + 8 + msgp.Uint64Size + 7 + msgp.StringPrefixSize + len(z.Tenant)
 	return
 }
 
@@ -414,13 +444,17 @@
 func (z *Refusal) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(6)
-	var zb0001Mask uint8 /* 6 bits */
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
 	_ = zb0001Mask
 	if z.Repeated == false {
 		zb0001Len--
 		zb0001Mask |= 0x20
 	}
+	if z.SpeedPercent == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -450,6 +484,11 @@
 			o = append(o, 0xa8, 0x72, 0x65, 0x70, 0x65, 0x61, 0x74, 0x65, 0x64)
 			o = msgp.AppendBool(o, z.Repeated)
 		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "speed_percent"
+			o = append(o, 0xad, 0x73, 0x70, 0x65, 0x65, 0x64, 0x5f, 0x70, 0x65, 0x72, 0x63, 0x65, 0x6e, 0x74)
+			o = msgp.AppendInt32(o, z.SpeedPercent)
+		}
 	}
 	return
 }
@@ -516,6 +555,12 @@
 				err = msgp.WrapError(err, "Repeated")
 				return
 			}
+		case "speed_percent":
+			z.SpeedPercent, bts, err = msgp.ReadInt32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "SpeedPercent")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -530,7 +575,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Refusal) Msgsize() (s int) {
-	s = 1 + 7 + msgp.Uint8Size + 13 + msgp.BoolSize + 15 + msgp.Int64Size + 5 + z.Load.Msgsize() + 14 + msgp.Int64Size + 9 + msgp.BoolSize
+	s = 1 + 7 + msgp.Uint8Size + 13 + msgp.BoolSize + 15 + msgp.Int64Size + 5 + z.Load.Msgsize() + 14 + msgp.Int64Size + 9 + msgp.BoolSize + 14 + msgp.Int32Size
 	return
 }
 
@@ -565,35 +610,53 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ReplyHead) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
-	// string "status"
-	o = append(o, 0x86, 0xa6, 0x73, 0x74, 0x61, 0x74, 0x75, 0x73)
-	o = msgp.AppendUint16(o, z.Status)
-	// string "fields"
-	o = append(o, 0xa6, 0x66, 0x69, 0x65, 0x6c, 0x64, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Fields)))
-	for za0001 := range z.Fields {
-		// array header, size 2
-		o = append(o, 0x92)
-		o = msgp.AppendString(o, z.Fields[za0001].Name)
-		o = msgp.AppendString(o, z.Fields[za0001].Value)
+	// check for omitted fields
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
+	_ = zb0001Mask
+	if z.SpeedPercent == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x40
 	}
-	// string "body_length"
-	o = append(o, 0xab, 0x62, 0x6f, 0x64, 0x79, 0x5f, 0x6c, 0x65, 0x6e, 0x67, 0x74, 0x68)
-	o = msgp.AppendInt64(o, z.BodyLength)
-	// string "load"
-	o = append(o, 0xa4, 0x6c, 0x6f, 0x61, 0x64)
-	o, err = z.Load.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Load")
-		return
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "status"
+		o = append(o, 0xa6, 0x73, 0x74, 0x61, 0x74, 0x75, 0x73)
+		o = msgp.AppendUint16(o, z.Status)
+		// string "fields"
+		o = append(o, 0xa6, 0x66, 0x69, 0x65, 0x6c, 0x64, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Fields)))
+		for za0001 := range z.Fields {
+			// array header, size 2
+			o = append(o, 0x92)
+			o = msgp.AppendString(o, z.Fields[za0001].Name)
+			o = msgp.AppendString(o, z.Fields[za0001].Value)
+		}
+		// string "body_length"
+		o = append(o, 0xab, 0x62, 0x6f, 0x64, 0x79, 0x5f, 0x6c, 0x65, 0x6e, 0x67, 0x74, 0x68)
+		o = msgp.AppendInt64(o, z.BodyLength)
+		// string "load"
+		o = append(o, 0xa4, 0x6c, 0x6f, 0x61, 0x64)
+		o, err = z.Load.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Load")
+			return
+		}
+		// string "link_delay_ms"
+		o = append(o, 0xad, 0x6c, 0x69, 0x6e, 0x6b, 0x5f, 0x64, 0x65, 0x6c, 0x61, 0x79, 0x5f, 0x6d, 0x73)
+		o = msgp.AppendInt64(o, z.LinkDelayMS)
+		// string "leaving"
+		o = append(o, 0xa7, 0x6c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
+		o = msgp.AppendBool(o, z.Leaving)
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "speed_percent"
+			o = append(o, 0xad, 0x73, 0x70, 0x65, 0x65, 0x64, 0x5f, 0x70, 0x65, 0x72, 0x63, 0x65, 0x6e, 0x74)
+			o = msgp.AppendInt32(o, z.SpeedPercent)
+		}
 	}
-	// string "link_delay_ms"
-	o = append(o, 0xad, 0x6c, 0x69, 0x6e, 0x6b, 0x5f, 0x64, 0x65, 0x6c, 0x61, 0x79, 0x5f, 0x6d, 0x73)
-	o = msgp.AppendInt64(o, z.LinkDelayMS)
-	// string "leaving"
-	o = append(o, 0xa7, 0x6c, 0x65, 0x61, 0x76, 0x69, 0x6e, 0x67)
-	o = msgp.AppendBool(o, z.Leaving)
 	return
 }
 
@@ -687,6 +750,12 @@
 				err = msgp.WrapError(err, "Leaving")
 				return
 			}
+		case "speed_percent":
+			z.SpeedPercent, bts, err = msgp.ReadInt32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "SpeedPercent")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -705,6 +774,6 @@
 	for za0001 := range z.Fields {
 		s += 1 + msgp.StringPrefixSize + len(z.Fields[za0001].Name) + msgp.StringPrefixSize + len(z.Fields[za0001].Value)
 	}
-	s += 12 + msgp.Int64Size + 5 + z.Load.Msgsize() + 14 + msgp.Int64Size + 8 + msgp.BoolSize
+	s += 12 + msgp.Int64Size + 5 + z.Load.Msgsize() + 14 + msgp.Int64Size + 8 + msgp.BoolSize + 14 + msgp.Int32Size
 	return
 }
--- a/src/wire/member.go
+++ b/src/wire/member.go
@@ -33,6 +33,12 @@
 	Ready       bool           `msg:"ready"`                       // backend server beside it answers and the daemon holds a configuration
 	StartedAt   int64          `msg:"started_at"`                  // milliseconds since the Unix epoch, for the cold start ramp
 	LinkMbps    uint32         `msg:"link_mbps" json:",omitempty"` // of the VM's own link, 0 when unknown
+	Version     string         `msg:"-" json:",omitempty"`         // of the backend server's software, empty when unknown; encoded by MemberDetails, since older builds expect a tuple of this length
+}
+
+// MemberDetails follows the Member in an entry of the registry; older builds ignore it.
+type MemberDetails struct {
+	Version string `msg:"version"`
 }
 
 // RosterRequest asks a peer for what it knows of the members, or tells it what it lacks.
--- a/src/wire/member_gen.go
+++ b/src/wire/member_gen.go
@@ -136,6 +136,58 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z MemberDetails) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "version"
+	o = append(o, 0x81, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+	o = msgp.AppendString(o, z.Version)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *MemberDetails) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "version":
+			z.Version, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z MemberDetails) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Version)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z MemberState) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/src/wire/registry.go
+++ b/src/wire/registry.go
@@ -24,6 +24,7 @@
 
 	ConfigVersion uint64              `msg:"config_version"` // version of the answerer's configuration, 0 if unknown
 	Tombstones    []RegistryTombstone `msg:"tombstones"`
+	Items         []RegistryItem      `msg:"items,omitempty"` // orders and plans of rollouts written after the asker's revision
 }
 
 // RegistryTombstone says which starts of a backend server have announced that they are leaving.
@@ -39,4 +40,13 @@
 	Revision uint64 `msg:"revision"`
 	Deleted  bool   `msg:"deleted"`
 	Member   Member `msg:"member"`
+	Version  string `msg:"version,omitempty"` // Member.Version
+}
+
+// RegistryItem is a key of the store that readers relay as it is.
+type RegistryItem struct {
+	Key      string `msg:"key"`
+	Revision uint64 `msg:"revision"`
+	Value    []byte `msg:"value"`
+	Deleted  bool   `msg:"deleted,omitempty"`
 }
--- a/src/wire/registry_gen.go
+++ b/src/wire/registry_gen.go
@@ -15,22 +15,40 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *RegistryEntry) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "key"
-	o = append(o, 0x84, 0xa3, 0x6b, 0x65, 0x79)
-	o = msgp.AppendString(o, z.Key)
-	// string "revision"
-	o = append(o, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendUint64(o, z.Revision)
-	// string "deleted"
-	o = append(o, 0xa7, 0x64, 0x65, 0x6c, 0x65, 0x74, 0x65, 0x64)
-	o = msgp.AppendBool(o, z.Deleted)
-	// string "member"
-	o = append(o, 0xa6, 0x6d, 0x65, 0x6d, 0x62, 0x65, 0x72)
-	o, err = z.Member.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Member")
-		return
+	// check for omitted fields
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
+	_ = zb0001Mask
+	if z.Version == "" {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "key"
+		o = append(o, 0xa3, 0x6b, 0x65, 0x79)
+		o = msgp.AppendString(o, z.Key)
+		// string "revision"
+		o = append(o, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendUint64(o, z.Revision)
+		// string "deleted"
+		o = append(o, 0xa7, 0x64, 0x65, 0x6c, 0x65, 0x74, 0x65, 0x64)
+		o = msgp.AppendBool(o, z.Deleted)
+		// string "member"
+		o = append(o, 0xa6, 0x6d, 0x65, 0x6d, 0x62, 0x65, 0x72)
+		o, err = z.Member.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Member")
+			return
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "version"
+			o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+			o = msgp.AppendString(o, z.Version)
+		}
 	}
 	return
 }
@@ -77,6 +95,12 @@
 				err = msgp.WrapError(err, "Member")
 				return
 			}
+		case "version":
+			z.Version, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -91,53 +115,188 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *RegistryEntry) Msgsize() (s int) {
-	s = 1 + 4 + msgp.StringPrefixSize + len(z.Key) + 9 + msgp.Uint64Size + 8 + msgp.BoolSize + 7 + z.Member.Msgsize()
+	s = 1 + 4 + msgp.StringPrefixSize + len(z.Key) + 9 + msgp.Uint64Size + 8 + msgp.BoolSize + 7 + z.Member.Msgsize() + 8 + msgp.StringPrefixSize + len(z.Version)
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *RegistryReply) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *RegistryItem) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
-	// string "lost"
-	o = append(o, 0x87, 0xa4, 0x6c, 0x6f, 0x73, 0x74)
-	o = msgp.AppendBool(o, z.Lost)
-	// string "revision"
-	o = append(o, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendUint64(o, z.Revision)
-	// string "config"
-	o = append(o, 0xa6, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67)
-	o = msgp.AppendUint64(o, z.Config)
-	// string "value"
-	o = append(o, 0xa5, 0x76, 0x61, 0x6c, 0x75, 0x65)
-	o = msgp.AppendBytes(o, z.Value)
-	// string "members"
-	o = append(o, 0xa7, 0x6d, 0x65, 0x6d, 0x62, 0x65, 0x72, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
-	for za0001 := range z.Members {
-		o, err = z.Members[za0001].MarshalMsg(o)
+	// check for omitted fields
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
+	_ = zb0001Mask
+	if z.Deleted == false {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "key"
+		o = append(o, 0xa3, 0x6b, 0x65, 0x79)
+		o = msgp.AppendString(o, z.Key)
+		// string "revision"
+		o = append(o, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendUint64(o, z.Revision)
+		// string "value"
+		o = append(o, 0xa5, 0x76, 0x61, 0x6c, 0x75, 0x65)
+		o = msgp.AppendBytes(o, z.Value)
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "deleted"
+			o = append(o, 0xa7, 0x64, 0x65, 0x6c, 0x65, 0x74, 0x65, 0x64)
+			o = msgp.AppendBool(o, z.Deleted)
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RegistryItem) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Members", za0001)
+			err = msgp.WrapError(err)
 			return
 		}
+		switch msgp.UnsafeString(field) {
+		case "key":
+			z.Key, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Key")
+				return
+			}
+		case "revision":
+			z.Revision, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Revision")
+				return
+			}
+		case "value":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Value")
+				return
+			}
+			if zb0002 > zcd01470blimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Value == nil || uint32(cap(z.Value)) < zb0002 {
+				z.Value = make([]byte, zb0002)
+			} else {
+				z.Value = z.Value[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Value, bts[:zb0002])
+			bts = bts[zb0002:]
+		case "deleted":
+			z.Deleted, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Deleted")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
-	// string "config_version"
-	o = append(o, 0xae, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendUint64(o, z.ConfigVersion)
-	// string "tombstones"
-	o = append(o, 0xaa, 0x74, 0x6f, 0x6d, 0x62, 0x73, 0x74, 0x6f, 0x6e, 0x65, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Tombstones)))
-	for za0002 := range z.Tombstones {
-		// map header, size 3
-		// string "instance"
-		o = append(o, 0x83, 0xa8, 0x69, 0x6e, 0x73, 0x74, 0x61, 0x6e, 0x63, 0x65)
-		o = msgp.AppendString(o, z.Tombstones[za0002].Instance)
-		// string "latest_start_ms"
-		o = append(o, 0xaf, 0x6c, 0x61, 0x74, 0x65, 0x73, 0x74, 0x5f, 0x73, 0x74, 0x61, 0x72, 0x74, 0x5f, 0x6d, 0x73)
-		o = msgp.AppendInt64(o, z.Tombstones[za0002].LatestStartMS)
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *RegistryItem) Msgsize() (s int) {
+	s = 1 + 4 + msgp.StringPrefixSize + len(z.Key) + 9 + msgp.Uint64Size + 6 + msgp.BytesPrefixSize + len(z.Value) + 8 + msgp.BoolSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *RegistryReply) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
+	_ = zb0001Mask
+	if z.Items == nil {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "lost"
+		o = append(o, 0xa4, 0x6c, 0x6f, 0x73, 0x74)
+		o = msgp.AppendBool(o, z.Lost)
 		// string "revision"
 		o = append(o, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
-		o = msgp.AppendUint64(o, z.Tombstones[za0002].Revision)
+		o = msgp.AppendUint64(o, z.Revision)
+		// string "config"
+		o = append(o, 0xa6, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67)
+		o = msgp.AppendUint64(o, z.Config)
+		// string "value"
+		o = append(o, 0xa5, 0x76, 0x61, 0x6c, 0x75, 0x65)
+		o = msgp.AppendBytes(o, z.Value)
+		// string "members"
+		o = append(o, 0xa7, 0x6d, 0x65, 0x6d, 0x62, 0x65, 0x72, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
+		for za0001 := range z.Members {
+			o, err = z.Members[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Members", za0001)
+				return
+			}
+		}
+		// string "config_version"
+		o = append(o, 0xae, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendUint64(o, z.ConfigVersion)
+		// string "tombstones"
+		o = append(o, 0xaa, 0x74, 0x6f, 0x6d, 0x62, 0x73, 0x74, 0x6f, 0x6e, 0x65, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Tombstones)))
+		for za0002 := range z.Tombstones {
+			// map header, size 3
+			// string "instance"
+			o = append(o, 0x83, 0xa8, 0x69, 0x6e, 0x73, 0x74, 0x61, 0x6e, 0x63, 0x65)
+			o = msgp.AppendString(o, z.Tombstones[za0002].Instance)
+			// string "latest_start_ms"
+			o = append(o, 0xaf, 0x6c, 0x61, 0x74, 0x65, 0x73, 0x74, 0x5f, 0x73, 0x74, 0x61, 0x72, 0x74, 0x5f, 0x6d, 0x73)
+			o = msgp.AppendInt64(o, z.Tombstones[za0002].LatestStartMS)
+			// string "revision"
+			o = append(o, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+			o = msgp.AppendUint64(o, z.Tombstones[za0002].Revision)
+		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "items"
+			o = append(o, 0xa5, 0x69, 0x74, 0x65, 0x6d, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Items)))
+			for za0003 := range z.Items {
+				o, err = z.Items[za0003].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Items", za0003)
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -287,6 +446,29 @@
 					}
 				}
 			}
+		case "items":
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Items")
+				return
+			}
+			if zb0006 > zcd01470blimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Items) >= int(zb0006) {
+				z.Items = (z.Items)[:zb0006]
+			} else {
+				z.Items = make([]RegistryItem, zb0006)
+			}
+			for za0003 := range z.Items {
+				bts, err = z.Items[za0003].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Items", za0003)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -309,6 +491,10 @@
 	for za0002 := range z.Tombstones {
 		s += 1 + 9 + msgp.StringPrefixSize + len(z.Tombstones[za0002].Instance) + 16 + msgp.Int64Size + 9 + msgp.Uint64Size
 	}
+	s += 6 + msgp.ArrayHeaderSize
+	for za0003 := range z.Items {
+		s += z.Items[za0003].Msgsize()
+	}
 	return
 }
 
