registry: orders and records of rollouts are kept and relayed

Keys under Keys.RolloutPrefix and Keys.PlanPrefix are kept like the configuration, relayed by readers, sent to peers on a query, and known to a starting agent. Follower.KeepItem decides whether a record stays when the store comes back from an older copy; OnRestoreItem then asks for it to be written again. Without these prefixes nothing changes.

--- a/src/registry/action.go
+++ b/src/registry/action.go
@@ -11,6 +11,17 @@
 // ApplyConfig delivers a configuration that is newer than the previous one.
 type ApplyConfig struct{ Value []byte }
 
+// DeliverItem delivers an order or a record of a rollout that is newer than the previous one of its
+// key, or its deletion.
+type DeliverItem struct{ Item Item }
+
+// RestoreItem reports a record that the store, having come back from an older copy, has lost or
+// holds in an earlier state. It is to be written again.
+type RestoreItem struct {
+	Item          Item   // as known
+	StoreRevision uint64 // of the key in the store, 0 if the store lacks it
+}
+
 // Announce requests that this agent's entry be written, because the store lacks it.
 type Announce struct{}
 
@@ -26,6 +37,8 @@
 
 func (PublishMembers) isAction() {}
 func (ApplyConfig) isAction()    {}
+func (DeliverItem) isAction()    {}
+func (RestoreItem) isAction()    {}
 func (Announce) isAction()       {}
 func (ProbeMember) isAction()    {}
 func (QueryPeer) isAction()      {}
--- a/src/registry/core.go
+++ b/src/registry/core.go
@@ -30,7 +30,14 @@
 	// nil, revisions alone order configurations.
 	ConfigVersion func(value []byte) uint64
 
+	// KeepItem reports whether a known record of a rollout stays when a store that came back from an
+	// older copy shows another value, nil if it lacks the key; it must be false for orders. If nil,
+	// revisions alone order the records.
+	KeepItem func(key string, known, shown []byte) bool
+
 	entries       map[string]*entry
+	items         itemSet
+	peerReplied   bool              // a peer has answered a query
 	removed       map[string]uint64 // revisions at which the entries of removed members were deleted, by key
 	revision      uint64            // store revision that the members reflect
 	config        Item
@@ -46,6 +53,7 @@
 	if c.entries == nil {
 		c.entries = map[string]*entry{}
 		c.removed = map[string]uint64{}
+		c.items.keep = c.KeepItem
 	}
 	switch e := e.(type) {
 	case Listed:
@@ -106,6 +114,13 @@
 	return c.tombstones.latestStart(instance), c.start.isDone(now) && !c.tombstones.unreadable[instance]
 }
 
+// KnowsItems reports whether the orders and records of rollouts are known: the store has been listed
+// and peers have been asked, since a store that came back from an older copy may lack one, or a peer
+// has answered while the store does not.
+func (c *Core) KnowsItems(now time.Time) bool {
+	return c.start.isDone(now) || c.start.askedAt.IsZero() && c.peerReplied
+}
+
 // isWithoutEra reports whether a revision is a number of the store alone.
 func isWithoutEra(revision uint64) bool {
 	era, number := SplitRevision(revision)
@@ -134,6 +149,7 @@
 		tombstonesAfter = 0
 	}
 	out.Tombstones = c.tombstones.after(tombstonesAfter)
+	out.Items = c.items.after(tombstonesAfter)
 	if isWithoutEra(r.After) && !isWithoutEra(c.revision) {
 		out.Lost = true // an agent of an older build, which does not know eras, is to read the store itself
 	}
@@ -174,6 +190,7 @@
 	if membersChanged {
 		out = append(out, PublishMembers{})
 	}
+	out = append(out, c.items.missing(present, c.revision)...)
 	if !present[c.EntryKey] {
 		out = append(out, Announce{})
 	}
@@ -187,6 +204,8 @@
 		switch {
 		case i.Key == c.Keys.Config:
 			out = append(out, c.applyConfig(i)...)
+		case c.Keys.isItem(i.Key):
+			out = append(out, c.items.apply(i)...)
 		case strings.HasPrefix(i.Key, c.Keys.TombstonePrefix):
 			c.tombstones.addItem(strings.TrimPrefix(i.Key, c.Keys.TombstonePrefix), i)
 		case strings.HasPrefix(i.Key, c.Keys.MemberPrefix):
@@ -339,11 +358,17 @@
 	for _, t := range r.Tombstones {
 		c.tombstones.add(t)
 	}
+	for _, i := range r.Items {
+		if c.Keys.isItem(i.Key) {
+			out = append(out, c.items.applyPeer(Item{Key: i.Key, Value: i.Value, Revision: i.Revision, Deleted: i.Deleted}, e.Authoritative)...)
+		}
+	}
+	c.peerReplied = true
 	if e.Authoritative {
 		c.revision = max(c.revision, r.Revision)
 	}
 	if len(r.Value) > 0 {
-		out = c.applyConfig(Item{Key: c.Keys.Config, Value: r.Value, Revision: r.Config})
+		out = append(out, c.applyConfig(Item{Key: c.Keys.Config, Value: r.Value, Revision: r.Config})...)
 	}
 	membersChanged := false
 	for _, m := range r.Members {
--- a/src/registry/follower.go
+++ b/src/registry/follower.go
@@ -34,12 +34,15 @@
 	Domain   string // failure domain of this agent
 	// MaxTransferTime is the time that the largest answer takes over this agent's link, which counts as slow above 300 ms (relistTimeout). It is added to the timeouts of listings and of queries to peers, and a third of it to those of watches and of the listing after a first failure.
 	MaxTransferTime time.Duration
-	Exchanger       link.Exchanger       // sends registry requests to other members
-	ConfigVersion   func([]byte) uint64  // see Core.ConfigVersion
-	OnConfig        func(value []byte)   // called with each newer configuration; concurrent calls may arrive out of order, so it must ignore an older one
-	OnMembers       func()               // called when the result of Members may have changed
-	OnEntryMissing  func()               // called when the store lacks this agent's entry
-	SuspendedFor    func() time.Duration // returns how long the VM was suspended since the last call; nil disables the check
+	Exchanger       link.Exchanger                             // sends registry requests to other members
+	ConfigVersion   func([]byte) uint64                        // see Core.ConfigVersion
+	OnConfig        func(value []byte)                         // called with each newer configuration; concurrent calls may arrive out of order, so it must ignore an older one
+	KeepItem        func(key string, known, shown []byte) bool // see Core.KeepItem; nil if there are no rollouts
+	OnItem          func(Item)                                 // called with each newer order or record of a rollout, also with its deletion; concurrent calls may arrive out of order, so it must ignore an older revision; nil if there are no rollouts
+	OnRestoreItem   func(known Item, storeRevision uint64)     // see RestoreItem; nil if there are no rollouts
+	OnMembers       func()                                     // called when the result of Members may have changed
+	OnEntryMissing  func()                                     // called when the store lacks this agent's entry
+	SuspendedFor    func() time.Duration                       // returns how long the VM was suspended since the last call; nil disables the check
 	Log             logr.Logger
 
 	once          sync.Once
@@ -65,7 +68,7 @@
 
 func (f *Follower) init() {
 	f.once.Do(func() {
-		f.core = Core{Keys: f.Keys, EntryKey: f.EntryKey, ID: f.ID, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), ConfigVersion: f.ConfigVersion}
+		f.core = Core{Keys: f.Keys, EntryKey: f.EntryKey, ID: f.ID, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), ConfigVersion: f.ConfigVersion, KeepItem: f.KeepItem}
 		f.querySlots = make(chan struct{}, maxQueries)
 		f.updated = make(chan struct{})
 		f.failedReaders = map[uint64]time.Time{}
@@ -138,6 +141,14 @@
 			f.OnMembers()
 		case ApplyConfig:
 			f.OnConfig(a.Value)
+		case DeliverItem:
+			if f.OnItem != nil {
+				f.OnItem(a.Item)
+			}
+		case RestoreItem:
+			if f.OnRestoreItem != nil {
+				f.OnRestoreItem(a.Item, a.StoreRevision)
+			}
 		case Announce:
 			f.OnEntryMissing()
 		case ProbeMember:
@@ -173,6 +184,14 @@
 	}
 }
 
+// KnowsItems reports whether the orders and records of rollouts are known; see Core.KnowsItems.
+func (f *Follower) KnowsItems() bool {
+	f.init()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.core.KnowsItems(time.Now())
+}
+
 // Members returns the known members, this agent among them once its entry is known, ordered by key. A member whose entry is missing stays until it fails a probe, unless it was leaving.
 func (f *Follower) Members() []wire.Member {
 	f.init()
