--- /dev/null
+++ b/src/rollout/finding.go
@@ -0,0 +1,17 @@
+package rollout
+
+// Finding is what the evidence says of a version.
+type Finding struct {
+	Bad        bool
+	Undecided  bool    // not bad, but suspect: wait for more evidence before more requests go to it
+	Slow       bool    // the answers judged are slow ones, not failures
+	Route      string  // with the strongest evidence, "*" for all routes together
+	Answers    int     // of the new version on the route since the evidence began to point to it
+	Failures   int     // or slow answers among them
+	OldShare   float64 // share of failures or slow answers of the old versions at the same time
+	Servers    int     // new servers with enough evidence
+	BadServers int     // among them, those that point to a bad version
+	Evidence   float64 // log-likelihood ratio; the version is bad from Limit on
+	Limit      float64
+	Total      int // answers of the new version judged since the order, on all routes
+}
