--- a/src/registry/item_set.go
+++ b/src/registry/item_set.go
@@ -46,22 +46,18 @@
 	return []Action{DeliverItem{Item: i}}
 }
 
-// applyPeer applies an item of a peer. One of the same revision but another value was kept by one
-// of the two against a restored store.
+// applyPeer applies an item of a peer. The peer may have kept a value against a restored store that
+// shows an earlier one, which this agent took as its first.
 func (s *itemSet) applyPeer(i Item, authoritative bool) []Action {
 	old, ok := s.known[i.Key]
-	if i.Deleted && !authoritative {
+	switch {
+	case i.Deleted && !authoritative:
 		return nil
-	}
-	if ok && s.keep != nil && !old.Deleted && !i.Deleted && string(old.Value) != string(i.Value) {
-		switch {
-		case s.keep(i.Key, old.Value, i.Value):
-			return nil
-		case s.keep(i.Key, i.Value, old.Value):
-			i.Revision = max(i.Revision, old.Revision)
-			s.known[i.Key] = i
-			return []Action{DeliverItem{Item: i}, RestoreItem{Item: i, StoreRevision: old.Revision}}
-		}
+	case ok && i.Revision <= old.Revision && !old.Deleted && !i.Deleted && s.keep != nil && s.keep(i.Key, i.Value, old.Value):
+		shown := old.Revision
+		i.Revision = shown
+		s.known[i.Key] = i
+		return []Action{DeliverItem{Item: i}, RestoreItem{Item: i, StoreRevision: shown}}
 	}
 	return s.apply(i)
 }
