dispatch: the version is chosen before the server

A call to a service under a rollout order first gets a version from rollout.Limiter, then a server among those of that version, in the canary stage among the canary set. A retry after a refusal by a gate goes to the other version: an old server that refuses follows a later record. Medians and ejections are kept by version, so that a new version that answers otherwise is no outlier. Refusal reason version, which older builds are told as limit. Without an order there is one map lookup a call.

--- a/src/booking/quarantine.go
+++ b/src/booking/quarantine.go
@@ -30,7 +30,7 @@
 	switch r {
 	case wire.ReasonCrashed, wire.ReasonProtocol:
 		return wire.ReasonCut
-	case wire.ReasonQuarantined:
+	case wire.ReasonQuarantined, wire.ReasonVersion:
 		return wire.ReasonLimit
 	}
 	return r
--- a/src/dispatch/action.go
+++ b/src/dispatch/action.go
@@ -15,7 +15,9 @@
 	Attempt int           `json:"attempt"` // from 1
 	Member  uint64        `json:"member"`
 	Service string        `json:"service"`
-	Timeout time.Duration `json:"timeout_ns"` // of this attempt
+	Timeout time.Duration `json:"timeout_ns"`        // of this attempt
+	Rollout uint64        `json:"rollout,omitempty"` // ID of the order that the service is under, 0 for none
+	New     bool          `json:"new,omitempty"`     // the member has the version that the order names
 	Reason  ChoiceReason  `json:"reason"`
 	Backlog time.Duration `json:"-"`               // time until a slot is free at the member: its last reported backlog less the time since
 	LoadAge time.Duration `json:"-"`               // time since the member last reported its load, 0 if it never has
--- a/src/dispatch/arrival.go
+++ b/src/dispatch/arrival.go
@@ -28,6 +28,7 @@
 		return c.refuseCall(cs, wire.ReasonNotReady, c.Settings.NotReadyRetryAfter)
 	}
 	cs.service = serviceName
+	c.selectVersion(now, cs, serviceName)
 	ch, ok := c.chooseServer(now, cs.policy, serviceName, cs)
 	if !ok {
 		return c.refuseCall(cs, wire.ReasonNotReady, c.Settings.NotReadyRetryAfter)
@@ -62,6 +63,6 @@
 	cs.final = cs.final || cs.isLastChance() || !c.hasCandidate(cs.policy, c.services[ch.server.Service], cs)
 	return []Action{
 		SetTimer{Call: cs.id, Attempt: n, Timer: TimerAttempt, After: timeout + timerSlack},
-		SendAttempt{Call: cs.id, Attempt: n, Member: ch.server.ID, Service: ch.server.Service, Timeout: timeout, Reason: ch.reason, Backlog: ch.server.backlog(now), LoadAge: loadAge, Final: cs.final, MaxQueueWait: maxQueueWait, Objective: cs.timeToObjective(now)},
+		SendAttempt{Call: cs.id, Attempt: n, Member: ch.server.ID, Service: ch.server.Service, Rollout: cs.rollout, New: ch.server.isNew, Timeout: timeout, Reason: ch.reason, Backlog: ch.server.backlog(now), LoadAge: loadAge, Final: cs.final, MaxQueueWait: maxQueueWait, Objective: cs.timeToObjective(now)},
 	}
 }
--- a/src/dispatch/attempt.go
+++ b/src/dispatch/attempt.go
@@ -55,11 +55,16 @@
 	if !c.body.isComplete() {
 		head.TimeoutMS = uploadTimeout.Milliseconds()
 	}
+	head.Rollout = s.Rollout
 	if s.Objective != 0 {
 		head.ObjectiveMS = cmp.Or(s.Objective.Milliseconds(), -1) // 0 would mean no objective
 	}
 	c.countAttempt(s)
-	c.log().Info("dispatch", "request_id", head.TraceID, "service", s.Service, "to", s.Member, "attempt", s.Attempt, "reason", string(s.Reason),
+	log := c.log()
+	if s.Rollout != 0 {
+		log = log.WithValues("rollout", s.Rollout, "to_version", a.member.Version, "to_new", s.New)
+	}
+	log.Info("dispatch", "request_id", head.TraceID, "service", s.Service, "to", s.Member, "attempt", s.Attempt, "reason", string(s.Reason),
 		"wait_ms", s.Backlog.Milliseconds(), "load_age_ms", s.LoadAge.Milliseconds(), "timeout_ms", head.TimeoutMS, "objective_ms", head.ObjectiveMS, "patience_ms", head.PatienceMS, "final", s.Final)
 	if err := c.proxy.pool.Go(func() { a.run(head) }); err != nil {
 		a.deliver(link.Refused{Refusal: wire.Refusal{Reason: wire.ReasonLimit, RetryAfterMS: 1000}})
--- a/src/dispatch/attempt_result.go
+++ b/src/dispatch/attempt_result.go
@@ -73,6 +73,7 @@
 		cs.mayHaveRun = true
 	} else {
 		cs.notRunCount++
+		c.recordVersionRefusal(cs, a, e.Reason)
 		a.full = e.Reason == wire.ReasonQueueFull
 	}
 	cs.bodyConsumed = cs.bodyConsumed || e.BodyConsumed
@@ -104,8 +105,11 @@
 	if !cs.mayRetry(now) {
 		return nil, false
 	}
+	c.selectVersion(now, cs, cs.service)
 	ch, ok := c.chooseServer(now, cs.policy, cs.service, cs)
 	if !ok && cs.policy.Fallback != "" {
+		c.returnExposure(cs)
+		c.selectVersion(now, cs, cs.policy.Fallback)
 		ch, ok = c.chooseServer(now, cs.policy, cs.policy.Fallback, cs)
 	}
 	if !ok {
--- a/src/dispatch/call_state.go
+++ b/src/dispatch/call_state.go
@@ -35,6 +35,9 @@
 	bodyConsumed   bool            // it cannot be sent again
 	crashes        int             // backend servers that have crashed while they ran it
 	isSuspect      bool            // backend servers crash under the request, so that it is not sent to another one
+	version        versionClass    // of the servers that the next attempt may go to
+	rollout        uint64          // order that the service of the next attempt is under, 0 for none
+	exposes        bool            // the limiter has counted the last attempt for the new version
 	accepted       bool            // an answer is being passed on to the caller
 }
 
@@ -44,6 +47,7 @@
 	backendStart time.Time // Member.StartedAt of the server when the attempt was sent
 	sentAt       time.Time
 	active       bool // it has no result yet, or its answer is still being passed on
+	wrongVersion bool // it was refused by the server's gate
 	full         bool // it was refused as not run, since the wait for a slot was too long for a first choice
 }
 
--- a/src/dispatch/choice.go
+++ b/src/dispatch/choice.go
@@ -86,14 +86,14 @@
 func (c *Core) candidates(p *Policy, svc *service, cs *callState) []*server {
 	out := make([]*server, 0, len(svc.servers))
 	for _, srv := range svc.servers {
-		if c.isCandidate(p, srv, cs) {
+		if c.allowsVersion(srv, cs) && c.isCandidate(p, srv, cs) {
 			out = append(out, srv)
 		}
 	}
 	return out
 }
 
-// hasCandidate reports whether there is a server that may be chosen.
+// hasCandidate reports whether there is a server, of any version, that may be chosen.
 func (c *Core) hasCandidate(p *Policy, svc *service, cs *callState) bool {
 	return slices.ContainsFunc(svc.servers, func(srv *server) bool { return c.isCandidate(p, srv, cs) })
 }
@@ -198,7 +198,7 @@
 }
 
 func (c *Core) cost(now time.Time, svc *service, srv *server) float64 {
-	return srv.cost(now, c.Settings.LoadHalfLife, svc.medianLatency)
+	return srv.cost(now, c.Settings.LoadHalfLife, svc.mediansOf(srv).latency)
 }
 
 func (c *Core) isSaturated(now time.Time, srv *server) bool {
--- a/src/dispatch/core.go
+++ b/src/dispatch/core.go
@@ -20,7 +20,8 @@
 	answerSizes     answerSizes
 	patience        callerPatience
 	leaving         leavingServers
-	splitPositions  map[routeKey]float64 // position of a route's last call in the split by weight, from 0 to 1; for routes with several targets
+	rollouts        map[string]*serviceRollout // services under an order
+	splitPositions  map[routeKey]float64       // position of a route's last call in the split by weight, from 0 to 1; for routes with several targets
 }
 
 // routeKey identifies a route: route names are unique only within a service.
@@ -35,6 +36,8 @@
 	switch e := e.(type) {
 	case TableChanged:
 		c.tableChanged(now, e)
+	case RoutingChanged:
+		c.routingChanged(e)
 	case CallArrived:
 		return c.callArrived(now, e)
 	case AttemptAnswered:
@@ -68,12 +71,15 @@
 		if !ok || srv.State != m.State || srv.Ready != m.Ready {
 			srv.departed = false
 		}
-		srv.Member = m
+		srv.Member, srv.isNew = m, false
 		srv.leaving = c.leaving.contains(m)
 		c.members[m.ID] = srv
 		c.ensureService(services, m.Service).addServer(srv)
 	}
 	c.services = services
+	for name := range c.rollouts {
+		c.applyRollout(name)
+	}
 	c.divideSharedBurst(len(e.Members))
 	for _, svc := range services {
 		svc.limitEjected(now, c.Settings.MaxEjectedShare)
--- a/src/dispatch/event.go
+++ b/src/dispatch/event.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/yuccaport/yuccaport/src/rollout"
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
@@ -18,6 +19,12 @@
 	Members []Member `json:"members"`
 }
 
+// RoutingChanged passes the routing of a service under an order to the core.
+type RoutingChanged struct {
+	Service string          `json:"service"`
+	Routing rollout.Routing `json:"routing"`
+}
+
 // CallArrived reports a new call; the core sends its first attempt or refuses it.
 type CallArrived struct {
 	Call          uint64        `json:"call"`
@@ -71,6 +78,7 @@
 }
 
 func (TableChanged) isEvent()    {}
+func (RoutingChanged) isEvent()  {}
 func (CallArrived) isEvent()     {}
 func (AttemptAnswered) isEvent() {}
 func (AttemptRefused) isEvent()  {}
--- a/src/dispatch/expected_latency.go
+++ b/src/dispatch/expected_latency.go
@@ -69,7 +69,7 @@
 		latency += distanceCost*seconds + otherDomainDelay.Seconds()
 	}
 	latency *= 2 - srv.slowStartShare(now, c.Settings.SlowStart)
-	return latency * (1 + srv.decayedErrorPenalty(now) + srv.latePenalty(now, svc.medianLatency))
+	return latency * (1 + srv.decayedErrorPenalty(now) + srv.latePenalty(now, svc.mediansOf(srv).latency))
 }
 
 // expectedAnswerWait returns how long a call would wait at a server before its service time and transfer: for a slot and, with a large answer from another VM, for the network connection there as far as that is still busy after the service time.
--- a/src/dispatch/member.go
+++ b/src/dispatch/member.go
@@ -19,6 +19,7 @@
 	Age     time.Duration    `json:"age_ns"` // since the daemon's start, by its own clock
 
 	Addr      netip.AddrPort `json:"addr,omitzero"`       // of the daemon, which it keeps over its own restarts
+	Version   string         `json:"version,omitempty"`   // of the backend server's software, empty if unknown
 	StartedAt time.Time      `json:"started_at,omitzero"` // of the backend server or, where its start is not reported, of the daemon; zero if unknown
 }
 
@@ -30,6 +31,6 @@
 	return Member{
 		ID: m.ID, Service: m.Service, Domain: m.Domain, Region: m.Region, Slots: int(m.Slots),
 		State: m.State, Ready: m.Ready, Age: now.Sub(time.UnixMilli(m.StartedAt)),
-		Addr: m.Addr, StartedAt: startedAt,
+		Addr: m.Addr, Version: m.Version, StartedAt: startedAt,
 	}
 }
--- a/src/dispatch/outlier.go
+++ b/src/dispatch/outlier.go
@@ -32,7 +32,7 @@
 	case wire.ReasonNotReady:
 		c.ejectFor(now, svc, srv, "not_ready", notReadyEjection)
 		return
-	case wire.ReasonQueueFull, wire.ReasonLimit, wire.ReasonDeadline, wire.ReasonCancelled, wire.ReasonQuarantined:
+	case wire.ReasonQueueFull, wire.ReasonLimit, wire.ReasonDeadline, wire.ReasonCancelled, wire.ReasonQuarantined, wire.ReasonVersion:
 		return
 	}
 	srv.recordFailure(now)
@@ -67,7 +67,7 @@
 		return
 	}
 	svc.updateMedians(now)
-	median := svc.medianLatency
+	median := svc.mediansOf(srv).latency
 	limit := max(time.Duration(c.Settings.LatencyFactor*float64(median)), median+minLatencyExcess)
 	if srv.meanLatency() > limit && latency > limit {
 		c.eject(now, svc, srv, "latency")
@@ -77,7 +77,10 @@
 // observeUnanswered records an attempt that was cancelled without an answer; it counts as a failure if it had waited much longer than usual.
 func (c *Core) observeUnanswered(now time.Time, srv *server, waited time.Duration) {
 	svc := c.services[srv.Service]
-	if svc == nil || svc.medianLatency == 0 || waited <= lateFactor*svc.medianLatency+latencySlack {
+	if svc == nil {
+		return
+	}
+	if median := svc.mediansOf(srv).latency; median == 0 || waited <= lateFactor*median+latencySlack {
 		return
 	}
 	srv.recordFailure(now)
@@ -92,7 +95,7 @@
 		return
 	}
 	svc.updateMedians(now)
-	if svc.medianErrorRate < maxMedianErrorRate {
+	if svc.mediansOf(srv).errorRate < maxMedianErrorRate {
 		c.eject(now, svc, srv, "errors")
 	}
 }
@@ -113,7 +116,7 @@
 
 // ejectFor ejects a server for a duration; it reports false if the server is ejected already or too many others are.
 func (c *Core) ejectFor(now time.Time, svc *service, srv *server, reason string, duration time.Duration) bool {
-	if svc == nil || srv.isEjected(now) || !svc.mayEject(now, c.Settings.MaxEjectedShare) {
+	if svc == nil || srv.isEjected(now) || !svc.mayEject(now, srv, c.Settings.MaxEjectedShare) {
 		return false
 	}
 	srv.ejectedUntil, srv.ejectionReason, srv.returnedAt = now.Add(duration), reason, now.Add(duration)
--- a/src/dispatch/proxy.go
+++ b/src/dispatch/proxy.go
@@ -19,6 +19,7 @@
 	"github.com/yuccaport/yuccaport/src/link"
 	"github.com/yuccaport/yuccaport/src/problem"
 	"github.com/yuccaport/yuccaport/src/quarantine"
+	"github.com/yuccaport/yuccaport/src/rollout"
 	"github.com/yuccaport/yuccaport/src/trace"
 	"github.com/yuccaport/yuccaport/src/wire"
 	"github.com/yuccaport/yuccaport/src/workers"
@@ -247,6 +248,13 @@
 	return actions
 }
 
+// SetRouting passes the routing of a service under a rollout order to the core, zero when the order
+// has ended. It may be called from any goroutine, also before Run.
+func (p *Proxy) SetRouting(serviceName string, r rollout.Routing) {
+	p.init()
+	p.step(RoutingChanged{Service: serviceName, Routing: r})
+}
+
 // currentTable returns the table in force, nil while there is none; it passes a new table to the core first.
 func (p *Proxy) currentTable() *Table {
 	t := p.Table()
--- a/src/dispatch/remedy.go
+++ b/src/dispatch/remedy.go
@@ -17,6 +17,7 @@
 	wire.ReasonCut:         "look up whether the request ran before repeating it",
 	wire.ReasonCrashed:     "look up whether the request ran before repeating it; see the backend server's own log for its crash",
 	wire.ReasonProtocol:    "look up whether the request ran before repeating it; the agent's log says what the backend server sent",
+	wire.ReasonVersion:     "repeat the request after retry-after; the service is being moved to another version, see the agents' logs of its rollout",
 	wire.ReasonQuarantined: "do not repeat the request unchanged: backend servers crashed while they ran it; its service's operators find the crashes in the agents' logs",
 }
 
--- a/src/dispatch/replay.go
+++ b/src/dispatch/replay.go
@@ -43,6 +43,8 @@
 	switch kind {
 	case trace.Kind(TableChanged{}):
 		return decode[TableChanged](b)
+	case trace.Kind(RoutingChanged{}):
+		return decode[RoutingChanged](b)
 	case trace.Kind(CallArrived{}):
 		return decode[CallArrived](b)
 	case trace.Kind(AttemptAnswered{}):
--- a/src/dispatch/server.go
+++ b/src/dispatch/server.go
@@ -29,6 +29,7 @@
 type server struct {
 	Member
 	startedAt  time.Time
+	isNew      bool            // it has the version to which an order moves the calls of its service
 	departed   bool            // it has refused a call as leaving or replaced, and no table has shown that yet
 	leaving    bool            // it has said in an answer that it is leaving, which is final for this start of it
 	inFlight   int             // attempts of this daemon
--- a/src/dispatch/service.go
+++ b/src/dispatch/service.go
@@ -14,9 +14,24 @@
 	budget            *retryBudget
 	roundRobinCounter int // choices made by a baseline selection
 
-	mediansAt       time.Time
-	medianLatency   time.Duration
-	medianErrorRate float64
+	medians    medians // over the servers, but those of the new version
+	newMedians medians // over the servers of the new version of a service under an order
+}
+
+// medians are the medians over servers of a service. They are kept by version while the service is
+// under an order, as are ejections: a new version that answers otherwise is no outlier.
+type medians struct {
+	at        time.Time
+	latency   time.Duration
+	errorRate float64
+}
+
+// mediansOf returns the medians over the servers of a server's version.
+func (s *service) mediansOf(srv *server) *medians {
+	if srv.isNew {
+		return &s.newMedians
+	}
+	return &s.medians
 }
 
 func (s *service) addServer(srv *server) { s.servers = append(s.servers, srv) }
@@ -33,13 +48,21 @@
 
 // updateMedians recomputes the medians over the servers with enough samples, at most once per medianMaxAge after there is a median latency.
 func (s *service) updateMedians(now time.Time) {
-	if s.medianLatency > 0 && now.Sub(s.mediansAt) < medianMaxAge {
+	s.medians.update(now, s.servers, false)
+	if slices.ContainsFunc(s.servers, func(srv *server) bool { return srv.isNew }) {
+		s.newMedians.update(now, s.servers, true)
+	}
+}
+
+// update recomputes the medians over the servers that are new or not.
+func (m *medians) update(now time.Time, servers []*server, isNew bool) {
+	if m.latency > 0 && now.Sub(m.at) < medianMaxAge {
 		return
 	}
-	s.mediansAt = now
+	m.at = now
 	latencies, errorRates := []time.Duration{}, []float64{}
-	for _, srv := range s.servers {
-		if srv.samples >= minLatencySamples {
+	for _, srv := range servers {
+		if srv.isNew == isNew && srv.samples >= minLatencySamples {
 			latencies = append(latencies, srv.meanLatency())
 			errorRates = append(errorRates, srv.errorRate)
 		}
@@ -49,26 +72,32 @@
 	}
 	slices.Sort(latencies)
 	slices.Sort(errorRates)
-	s.medianLatency = latencies[(len(latencies)-1)/2]
-	s.medianErrorRate = errorRates[(len(errorRates)-1)/2]
+	m.latency = latencies[(len(latencies)-1)/2]
+	m.errorRate = errorRates[(len(errorRates)-1)/2]
 }
 
-// mayEject reports whether one more server can be ejected without exceeding maxEjectedShare of the usable ones.
-func (s *service) mayEject(now time.Time, maxEjectedShare float64) bool {
-	usable, ejected := s.countEjected(now)
+// mayEject reports whether one more server can be ejected without exceeding maxEjectedShare of the usable ones of its version.
+func (s *service) mayEject(now time.Time, srv *server, maxEjectedShare float64) bool {
+	usable, ejected := s.countEjected(now, srv.isNew)
 	return float64(ejected+1) <= maxEjectedShare*float64(usable)
 }
 
-// limitEjected ends ejections, in order of expiry, until at most maxEjectedShare of the usable servers is ejected.
+// limitEjected ends ejections, in order of expiry, until at most maxEjectedShare of the usable servers of each version is ejected.
 func (s *service) limitEjected(now time.Time, maxEjectedShare float64) {
+	for _, isNew := range []bool{false, true} {
+		s.limitEjectedOf(now, isNew, maxEjectedShare)
+	}
+}
+
+func (s *service) limitEjectedOf(now time.Time, isNew bool, maxEjectedShare float64) {
 	for {
-		usable, ejected := s.countEjected(now)
+		usable, ejected := s.countEjected(now, isNew)
 		if float64(ejected) <= maxEjectedShare*float64(usable) {
 			return
 		}
 		var earliest *server
 		for _, srv := range s.servers {
-			if srv.isUsable() && srv.isEjected(now) && (earliest == nil || srv.ejectedUntil.Before(earliest.ejectedUntil)) {
+			if srv.isNew == isNew && srv.isUsable() && srv.isEjected(now) && (earliest == nil || srv.ejectedUntil.Before(earliest.ejectedUntil)) {
 				earliest = srv
 			}
 		}
@@ -76,10 +105,10 @@
 	}
 }
 
-// countEjected returns the number of usable servers and how many of them are ejected.
-func (s *service) countEjected(now time.Time) (usable, ejected int) {
+// countEjected returns the number of usable servers that are new or not, and how many of them are ejected.
+func (s *service) countEjected(now time.Time, isNew bool) (usable, ejected int) {
 	for _, srv := range s.servers {
-		if !srv.isUsable() {
+		if srv.isNew != isNew || !srv.isUsable() {
 			continue
 		}
 		usable++
--- a/src/dispatch/settings.go
+++ b/src/dispatch/settings.go
@@ -29,9 +29,10 @@
 	LatencyFactor      float64       `json:"latency_factor,omitempty"` // multiple of the service's median latency beyond which a member is an outlier
 	MaxCalls           int           `json:"max_calls,omitempty"`      // maximum number of attempts at one daemon that wait for the head of an answer or read a short answer; the recording of payments' outcomes counts too
 	LinkRate           float64       `json:"link_rate,omitempty"`      // of a VM's network link in bytes per second, 0 to ignore transfer times
+	ExposureShare      float64       `json:"exposure_share,omitempty"` // of the calls to a service under a rollout order that a bad version may get at most
 }
 
-// WithDefaults returns the settings with defaults for zero fields; SharedRetryBurst and LinkRate have none.
+// WithDefaults returns the settings with defaults for zero fields; SharedRetryBurst, LinkRate and ExposureShare have none.
 func (s Settings) WithDefaults() Settings {
 	setDefault(&s.Selection, SelectTwoChoices)
 	setDefault(&s.Timeout, 2*time.Second)
--- a/src/wire/call.go
+++ b/src/wire/call.go
@@ -80,6 +80,7 @@
 	ReasonCrashed     // the backend server crashed while it ran the call
 	ReasonProtocol    // the backend server sent no answer in the protocol
 	ReasonQuarantined // several backend servers have crashed while they ran the same request
+	ReasonVersion     // a rollout allows no call to the version of the backend server
 )
 
 // Refusal ends a call without a whole answer.
--- a/src/wire/reason_name.go
+++ b/src/wire/reason_name.go
@@ -17,6 +17,7 @@
 	ReasonCrashed:     "crashed",
 	ReasonProtocol:    "protocol",
 	ReasonQuarantined: "quarantined",
+	ReasonVersion:     "version",
 }
 
 // String returns a reason as log lines, metrics and answers show it.
