--- /dev/null
+++ b/src/rollout/baseline.go
@@ -0,0 +1,128 @@
+package rollout
+
+import "slices"
+
+const (
+	baselineDecay   = 0.7  // factor per period on what the old servers have shown, once there is enough of it
+	minShareSamples = 30   // answers from which on a share of failures is used
+	minDurations    = 50   // durations from which on slowness is judged
+	slowQuantile    = 0.98 // of the old servers' durations; see slowLimit
+	slowFactor      = 3    // multiple of the old servers' median below which no answer counts as slow
+)
+
+// baseline is what the old servers have shown on one route, lately and in each of the last two
+// periods.
+type baseline struct {
+	recent tallySums
+	last   [2]tallySums // the last period first
+}
+
+// tallySums are the weighted counts of a routeTally with cut calls left out.
+type tallySums struct {
+	answers   [2]float64
+	failures  [2]float64
+	durations [2][durationClasses]float64
+}
+
+func (s *tallySums) add(t *routeTally) {
+	for class := range 2 {
+		s.answers[class] += float64(t.answers[class])
+		s.failures[class] += float64(t.failures[class])
+		for k := range durationClasses {
+			s.durations[class][k] += float64(t.durations[class][k])
+		}
+	}
+}
+
+func (s *tallySums) scale(f float64) {
+	for class := range 2 {
+		s.answers[class] *= f
+		s.failures[class] *= f
+		for k := range durationClasses {
+			s.durations[class][k] *= f
+		}
+	}
+}
+
+// endPeriod takes in the counts of a period. What is known decays only while there is more, so that
+// it stays once no old server answers any more.
+func (b *baseline) endPeriod(t *routeTally) {
+	var sums tallySums
+	sums.add(t)
+	b.last[1], b.last[0] = b.last[0], sums
+	if total := sums.answers[0] + sums.answers[1]; total > 0 && b.recent.answers[0]+b.recent.answers[1] > 10*minDurations {
+		b.recent.scale(baselineDecay)
+	}
+	b.recent.add(t)
+}
+
+// failureShare returns the old servers' share of failures: the largest of the recent one and those
+// of the last periods, since a disturbance that hits all versions may reach the new servers' reports
+// first. highOnly counts only answers at high load, if there are enough.
+func (b *baseline) failureShare(highOnly bool) float64 {
+	share := 0.0
+	for _, s := range []*tallySums{&b.recent, &b.last[0], &b.last[1]} {
+		n, f := s.answers[1], s.failures[1]
+		if !highOnly || n < minShareSamples {
+			n, f = n+s.answers[0], f+s.failures[0]
+		}
+		if n >= minShareSamples {
+			share = max(share, f/n)
+		}
+	}
+	return share
+}
+
+// slowLimit returns the duration class up to which an answer is not slow: the slowQuantile of the
+// old servers' durations at that load, or slowFactor times their median if that is longer; ok is
+// false if too little is known.
+//
+// The quantile is over all old servers together, so a server that is merely among the slower ones
+// has few slow answers: if a share of the servers had more than x of their answers above the
+// quantile, the share would be at most (1-slowQuantile)/x. The factor covers routes whose durations
+// vary little.
+func (b *baseline) slowLimit(class int) (limit int, ok bool) {
+	durations := b.recent.durations[class]
+	if sum(durations[:]) < minDurations {
+		for k := range durations {
+			durations[k] += b.recent.durations[1-class][k]
+		}
+	}
+	total := sum(durations[:])
+	if total < minDurations {
+		return 0, false
+	}
+	return max(quantile(durations[:], slowQuantile*total), quantile(durations[:], total/2)+durationClassRatio(slowFactor)), true
+}
+
+// slowShare returns the old servers' share of slow answers.
+func (b *baseline) slowShare(limits [2]int) float64 {
+	share := 0.0
+	for _, s := range []*tallySums{&b.recent, &b.last[0], &b.last[1]} {
+		n, slow := 0.0, 0.0
+		for class := range 2 {
+			n += sum(s.durations[class][:])
+			slow += sum(s.durations[class][min(limits[class]+1, durationClasses):])
+		}
+		if n >= minDurations {
+			share = max(share, slow/n)
+		}
+	}
+	return share
+}
+
+func sum(counts []float64) float64 {
+	total := 0.0
+	for _, n := range counts {
+		total += n
+	}
+	return total
+}
+
+// quantile returns the first class up to which at least n are counted.
+func quantile(counts []float64, n float64) int {
+	return max(0, slices.IndexFunc(counts, func(count float64) bool {
+		n -= count
+		return n <= 0
+	}))
+}
--- a/src/rollout/coordinators.go
+++ b/src/rollout/coordinators.go
@@ -8,7 +8,7 @@
 	"github.com/zeebo/xxh3"
 )
 
-const coordinatorCount = 3
+const coordinatorCount = 3 // one acts, two stand by in other failure domains
 
 // Candidate is a live member that may coordinate a rollout.
 type Candidate struct {
--- a/src/rollout/event.go
+++ b/src/rollout/event.go
@@ -18,7 +18,9 @@
 	Err      error
 }
 
-// RecordSeen reports the service's record as a peer or a watch of the store shows it.
+// RecordSeen reports the service's record as a peer or a watch of the store shows it, also if it is
+// older than one seen before. A zero Plan says that the store has no record at that revision, as one
+// restored from an older copy may.
 type RecordSeen struct {
 	Plan     Plan
 	Revision uint64
--- a/src/rollout/finding.go
+++ b/src/rollout/finding.go
@@ -1,5 +1,7 @@
 package rollout
 
+import "fmt"
+
 // Finding is what the evidence says of a version.
 type Finding struct {
 	Bad        bool
@@ -15,3 +17,16 @@
 	Limit      float64
 	Total      int // answers of the new version judged since the order, on all routes
 }
+
+// String returns the figures of the finding for logs and records.
+func (f Finding) String() string {
+	what := "failures"
+	if f.Slow {
+		what = "slow answers"
+	}
+	if f.Answers == 0 {
+		return fmt.Sprintf("no evidence against the version in %d answers", f.Total)
+	}
+	return fmt.Sprintf("%d %s among %d answers on route %q (old servers: share %.3f), %d of %d servers bad, evidence %.1f of %.1f, %d answers in all",
+		f.Failures, what, f.Answers, f.Route, f.OldShare, f.BadServers, f.Servers, f.Evidence, f.Limit, f.Total)
+}
--- a/src/rollout/judge.go
+++ b/src/rollout/judge.go
@@ -1,18 +1,190 @@
 package rollout
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
-// Judge decides from the reports of all servers of a service whether the target version is bad.
+// judgePeriod is the time over which reports are gathered before they are compared. It is two report
+// intervals, so that a disturbance of all versions shows in the old servers' reports as well.
+const judgePeriod = 400 * time.Millisecond
+
+// allRoutes is the route of the test over all routes together.
+const allRoutes = "*"
+
+// kind is a kind of bad answer that is tested for by itself.
+type kind uint8
+
+const (
+	kindFailure     kind = iota
+	kindLoadFailure      // failures at high load
+	kindSlow
+	kindCount
+)
+
+// Judge decides from the reports of all servers of a service whether the target version is bad. See
+// docs/design/rollout.md for the test and its error rates.
 type Judge struct {
 	TargetVersion string
+
+	servers   map[uint64]*serverReports
+	baselines map[string]*baseline // by route
+	strata    map[string]*[kindCount]stratum
+	oldShares map[string]*[kindCount]float64 // at the end of the last period
+	periodEnd time.Time
+	total     int
+	news      int // servers of the target version that have answered
+	finding   Finding
 }
 
 // Add takes in a report.
-func (j *Judge) Add(now time.Time, r wire.RolloutReport) {}
+func (j *Judge) Add(now time.Time, r wire.RolloutReport) {
+	if j.servers == nil {
+		j.servers, j.baselines = map[uint64]*serverReports{}, map[string]*baseline{}
+		j.strata, j.oldShares = map[string]*[kindCount]stratum{}, map[string]*[kindCount]float64{}
+		j.periodEnd = now.Add(judgePeriod)
+	}
+	s := j.servers[r.Member]
+	if s == nil {
+		s = &serverReports{version: r.Version, routes: map[string]routeTally{}, period: map[string]*routeTally{}}
+		j.servers[r.Member] = s
+	}
+	if s.version == r.Version {
+		s.add(r)
+	}
+}
+
+// Find evaluates the evidence, once each judgePeriod.
+func (j *Judge) Find(now time.Time) Finding {
+	if j.servers == nil || now.Before(j.periodEnd) {
+		return j.finding
+	}
+	j.periodEnd = now.Add(judgePeriod)
+	j.endBaselines()
+	j.addNew()
+	j.finding = j.worst()
+	j.finding.Total = j.total
+	for _, s := range j.servers {
+		clear(s.period)
+	}
+	return j.finding
+}
+
+// endBaselines takes the old servers' counts of the period into the baselines.
+func (j *Judge) endBaselines() {
+	sums := map[string]*routeTally{allRoutes: {}}
+	for _, s := range j.servers {
+		for route, t := range s.period {
+			if sums[route] == nil {
+				sums[route] = &routeTally{}
+			}
+			if s.version != j.TargetVersion {
+				sums[route].add(t)
+				sums[allRoutes].add(t)
+			}
+		}
+	}
+	for route := range j.baselines {
+		if sums[route] == nil {
+			sums[route] = &routeTally{}
+		}
+	}
+	for route, t := range sums {
+		if j.baselines[route] == nil {
+			j.baselines[route] = &baseline{}
+		}
+		j.baselines[route].endPeriod(t)
+	}
+}
+
+// addNew takes the new servers' counts of the period into the tests.
+func (j *Judge) addNew() {
+	j.news = 0
+	for _, id := range slices.Sorted(maps.Keys(j.servers)) {
+		s := j.servers[id]
+		if s.version != j.TargetVersion {
+			continue
+		}
+		if len(s.routes) > 0 {
+			j.news++
+		}
+		for _, route := range slices.Sorted(maps.Keys(s.period)) {
+			t := s.period[route]
+			j.total += int(t.answers[0] + t.answers[1])
+			b := j.baselines[route]
+			if n := b.recent.answers[0] + b.recent.answers[1]; n < minShareSamples {
+				b = j.baselines[allRoutes]
+			}
+			j.test(id, route, kindFailure, int(t.answers[0]+t.answers[1]), int(t.failures[0]+t.failures[1]), b.failureShare(false))
+			j.test(id, route, kindLoadFailure, int(t.answers[1]), int(t.failures[1]), b.failureShare(true))
+			if n, slow, oldShare, ok := j.slowAnswers(route, t); ok {
+				j.test(id, route, kindSlow, n, slow, oldShare)
+			}
+		}
+	}
+}
+
+// test adds to the test of a route and to that of all routes. Both use the old servers' share on that
+// route, so the mix of routes does not matter.
+func (j *Judge) test(server uint64, route string, k kind, answers, bad int, oldShare float64) {
+	for _, name := range []string{route, allRoutes} {
+		if j.strata[name] == nil {
+			j.strata[name], j.oldShares[name] = &[kindCount]stratum{}, &[kindCount]float64{}
+		}
+		j.strata[name][k].add(server, answers, bad, oldShare)
+		j.oldShares[name][k] = oldShare
+	}
+}
 
-// Find evaluates the evidence.
-func (j *Judge) Find(now time.Time) Finding { return Finding{} }
+// slowAnswers returns how many of a server's answers of the period are slow. Calls that were cut are
+// counted only if they had already run long enough to be slow.
+func (j *Judge) slowAnswers(route string, t *routeTally) (answers, slow int, oldShare float64, ok bool) {
+	var limits [2]int
+	for class := range 2 {
+		if limits[class], ok = j.baselines[route].slowLimit(class); !ok {
+			return 0, 0, 0, false
+		}
+		for k, n := range t.durations[class] {
+			answers += int(n)
+			if k > limits[class] {
+				slow += int(n)
+			}
+		}
+	}
+	for k, n := range t.cut {
+		if k > max(limits[0], limits[1]) {
+			answers, slow = answers+int(n), slow+int(n)
+		}
+	}
+	return answers, slow, j.baselines[route].slowShare(limits), true
+}
+
+// worst returns the finding with the strongest evidence: a bad one before a suspect one before the
+// rest.
+func (j *Judge) worst() Finding {
+	worst := Finding{Limit: evidenceLimit}
+	for _, route := range slices.Sorted(maps.Keys(j.strata)) {
+		for k := range kindCount {
+			f := j.strata[route][k].find(j.news == 1)
+			f.Route, f.Slow, f.OldShare = route, k == kindSlow, j.oldShares[route][k]
+			if cmp.Or(cmp.Compare(rank(f), rank(worst)), cmp.Compare(f.Evidence, worst.Evidence)) > 0 {
+				worst = f
+			}
+		}
+	}
+	return worst
+}
+
+func rank(f Finding) int {
+	switch {
+	case f.Bad:
+		return 2
+	case f.Undecided:
+		return 1
+	}
+	return 0
+}
--- a/src/rollout/routing.go
+++ b/src/rollout/routing.go
@@ -34,5 +34,7 @@
 	return r.Stage != StageCompleted && (r.Stage != StageDrainOld || r.Stopped)
 }
 
-// UsesCanarySet reports whether the new version's requests go to the canary set only.
-func (r Routing) UsesCanarySet() bool { return r.Stage == StageCanary }
+// UsesCanarySet reports whether the new version's requests go only to some of its servers, see CanarySet.
+func (r Routing) UsesCanarySet() bool {
+	return r.Stage == StageCanary || r.Stage == StageShift && r.Share < 1
+}
--- /dev/null
+++ b/src/rollout/stratum.go
@@ -0,0 +1,86 @@
+package rollout
+
+import "math"
+
+const (
+	// Additional shares of bad answers, beyond those of the old servers, between which the test
+	// decides: up to tolerableShare a version is good, from badShare on it is bad. Between the two
+	// either finding may come.
+	tolerableShare = 0.10
+	badShare       = 0.30
+
+	errorRate         = 0.001 // accepted by the sequential test
+	maxOldShare       = 0.9   // beyond it, no version can be told from the old one
+	minServerAnswers  = 4     // from which on a server counts as one with evidence; below it, one failure or none decides
+	badServers        = 0.7   // share of the servers with evidence that must point to a bad version
+	maxServerEvidence = 0.6   // of evidenceLimit that a single server can add, so that it takes two
+	suspectEvidence   = 0.5   // of evidenceLimit from which on a version is suspect
+)
+
+// evidenceLimit is the log-likelihood ratio from which on a version is bad.
+var evidenceLimit = math.Log(1 / errorRate)
+
+// stratum is a sequential test (cumulative sum of log-likelihood ratios) of one kind of bad answer on
+// one route.
+//
+// The sum starts again whenever it falls to zero, so that a version that was good for long and then
+// turns bad is found as fast as one that was bad from the start.
+type stratum struct {
+	servers map[uint64]*serverEvidence // since the sum last was zero
+}
+
+// serverEvidence is what one server adds to a stratum.
+type serverEvidence struct {
+	answers, bad int
+	ratio        float64 // log-likelihood ratio
+}
+
+// add takes in the answers of a server, some of them bad, with the old servers' share of bad answers
+// at the same time.
+func (s *stratum) add(server uint64, answers, bad int, oldShare float64) {
+	if answers == 0 {
+		return
+	}
+	if s.servers == nil {
+		s.servers = map[uint64]*serverEvidence{}
+	}
+	e := s.servers[server]
+	if e == nil {
+		e = &serverEvidence{}
+		s.servers[server] = e
+	}
+	oldShare = min(oldShare, maxOldShare)
+	good, worse := oldShare+tolerableShare*(1-oldShare), oldShare+badShare*(1-oldShare)
+	e.answers += answers
+	e.bad += bad
+	e.ratio += float64(bad)*math.Log(worse/good) + float64(answers-bad)*math.Log((1-worse)/(1-good))
+}
+
+// find returns the finding and starts again if the evidence has fallen to zero. single says that
+// there is only one server of the version.
+func (s *stratum) find(single bool) Finding {
+	f := Finding{Limit: evidenceLimit}
+	for _, e := range s.servers {
+		ratio := e.ratio
+		if !single {
+			ratio = min(ratio, maxServerEvidence*evidenceLimit)
+		}
+		f.Evidence += ratio
+		f.Answers += e.answers
+		f.Failures += e.bad
+		if e.answers >= minServerAnswers {
+			f.Servers++
+			if e.ratio > 0 {
+				f.BadServers++
+			}
+		}
+	}
+	if f.Evidence <= 0 {
+		clear(s.servers)
+		return Finding{Limit: evidenceLimit}
+	}
+	enough := float64(f.BadServers) >= badServers*float64(f.Servers) && (f.BadServers >= 2 || single && f.BadServers == 1)
+	f.Bad = enough && f.Evidence >= evidenceLimit
+	f.Undecided = !f.Bad && enough && f.Evidence >= suspectEvidence*evidenceLimit
+	return f
+}
--- a/src/wire/rollout.go
+++ b/src/wire/rollout.go
@@ -16,6 +16,8 @@
 	Step       uint32  `msg:"step"`       // number of the record, from 1
 	ElapsedMS  int64   `msg:"elapsed_ms"` // from the order to this record
 	Reason     string  `msg:"reason"`     // why this record was written
+
+	Earlier []uint64 `msg:"earlier,omitempty"` // IDs of the service's earlier orders, the latest last
 }
 
 // RolloutReport is what the daemon beside a backend server reports to the coordinators of a rollout.
--- a/src/wire/rollout_gen.go
+++ b/src/wire/rollout_gen.go
@@ -15,37 +15,58 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *RolloutPlan) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 10
-	// string "order"
-	o = append(o, 0x8a, 0xa5, 0x6f, 0x72, 0x64, 0x65, 0x72)
-	o = msgp.AppendUint64(o, z.Order)
-	// string "service"
-	o = append(o, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
-	o = msgp.AppendString(o, z.Service)
-	// string "version"
-	o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendString(o, z.Version)
-	// string "revision"
-	o = append(o, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendUint64(o, z.Revision)
-	// string "duration_ms"
-	o = append(o, 0xab, 0x64, 0x75, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x5f, 0x6d, 0x73)
-	o = msgp.AppendInt64(o, z.DurationMS)
-	// string "stage"
-	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x67, 0x65)
-	o = msgp.AppendUint8(o, z.Stage)
-	// string "share"
-	o = append(o, 0xa5, 0x73, 0x68, 0x61, 0x72, 0x65)
-	o = msgp.AppendFloat64(o, z.Share)
-	// string "step"
-	o = append(o, 0xa4, 0x73, 0x74, 0x65, 0x70)
-	o = msgp.AppendUint32(o, z.Step)
-	// string "elapsed_ms"
-	o = append(o, 0xaa, 0x65, 0x6c, 0x61, 0x70, 0x73, 0x65, 0x64, 0x5f, 0x6d, 0x73)
-	o = msgp.AppendInt64(o, z.ElapsedMS)
-	// string "reason"
-	o = append(o, 0xa6, 0x72, 0x65, 0x61, 0x73, 0x6f, 0x6e)
-	o = msgp.AppendString(o, z.Reason)
+	// check for omitted fields
+	zb0001Len := uint32(11)
+	var zb0001Mask uint16 /* 11 bits */
+	_ = zb0001Mask
+	if z.Earlier == nil {
+		zb0001Len--
+		zb0001Mask |= 0x400
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "order"
+		o = append(o, 0xa5, 0x6f, 0x72, 0x64, 0x65, 0x72)
+		o = msgp.AppendUint64(o, z.Order)
+		// string "service"
+		o = append(o, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+		o = msgp.AppendString(o, z.Service)
+		// string "version"
+		o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendString(o, z.Version)
+		// string "revision"
+		o = append(o, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendUint64(o, z.Revision)
+		// string "duration_ms"
+		o = append(o, 0xab, 0x64, 0x75, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x5f, 0x6d, 0x73)
+		o = msgp.AppendInt64(o, z.DurationMS)
+		// string "stage"
+		o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x67, 0x65)
+		o = msgp.AppendUint8(o, z.Stage)
+		// string "share"
+		o = append(o, 0xa5, 0x73, 0x68, 0x61, 0x72, 0x65)
+		o = msgp.AppendFloat64(o, z.Share)
+		// string "step"
+		o = append(o, 0xa4, 0x73, 0x74, 0x65, 0x70)
+		o = msgp.AppendUint32(o, z.Step)
+		// string "elapsed_ms"
+		o = append(o, 0xaa, 0x65, 0x6c, 0x61, 0x70, 0x73, 0x65, 0x64, 0x5f, 0x6d, 0x73)
+		o = msgp.AppendInt64(o, z.ElapsedMS)
+		// string "reason"
+		o = append(o, 0xa6, 0x72, 0x65, 0x61, 0x73, 0x6f, 0x6e)
+		o = msgp.AppendString(o, z.Reason)
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
+			// string "earlier"
+			o = append(o, 0xa7, 0x65, 0x61, 0x72, 0x6c, 0x69, 0x65, 0x72)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Earlier)))
+			for za0001 := range z.Earlier {
+				o = msgp.AppendUint64(o, z.Earlier[za0001])
+			}
+		}
+	}
 	return
 }
 
@@ -127,6 +148,29 @@
 				err = msgp.WrapError(err, "Reason")
 				return
 			}
+		case "earlier":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Earlier")
+				return
+			}
+			if zb0002 > zb94856cdlimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Earlier) >= int(zb0002) {
+				z.Earlier = (z.Earlier)[:zb0002]
+			} else {
+				z.Earlier = make([]uint64, zb0002)
+			}
+			for za0001 := range z.Earlier {
+				z.Earlier[za0001], bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Earlier", za0001)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -141,7 +185,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *RolloutPlan) Msgsize() (s int) {
-	s = 1 + 6 + msgp.Uint64Size + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.StringPrefixSize + len(z.Version) + 9 + msgp.Uint64Size + 12 + msgp.Int64Size + 6 + msgp.Uint8Size + 6 + msgp.Float64Size + 5 + msgp.Uint32Size + 11 + msgp.Int64Size + 7 + msgp.StringPrefixSize + len(z.Reason)
+	s = 1 + 6 + msgp.Uint64Size + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.StringPrefixSize + len(z.Version) + 9 + msgp.Uint64Size + 12 + msgp.Int64Size + 6 + msgp.Uint8Size + 6 + msgp.Float64Size + 5 + msgp.Uint32Size + 11 + msgp.Int64Size + 7 + msgp.StringPrefixSize + len(z.Reason) + 8 + msgp.ArrayHeaderSize + (len(z.Earlier) * (msgp.Uint64Size))
 	return
 }
 
