--- a/src/rollout/coordinator.go
+++ b/src/rollout/coordinator.go
@@ -22,7 +22,7 @@
 type Coordinator struct {
 	Service string
 
-	rank     int
+	turn     int   // rank among the coordinators, from 1; 0 for none
 	order    Order // the one being carried out, zero if there is none
 	next     Order // to be carried out once the current one is settled, zero if there is none
 	started  time.Time
@@ -31,9 +31,10 @@
 	plan     Plan     // latest record of the service, zero if there is none
 	revision uint64   // of plan
 
-	withdrawn  bool
-	stopped    bool // of order
+	withdrawn  Order // the last order that was withdrawn
+	stopped    bool  // of order
 	stopReason string
+	hasWritten bool // this coordinator has asked for a record of order to be written
 
 	store   storeState
 	wanted  Plan // record that this coordinator wants to write
@@ -101,7 +102,7 @@
 	case ServersChanged:
 		c.servers = e.Servers
 	case RankChanged:
-		c.rank = e.Rank
+		c.turn = max(0, e.Rank+1)
 	case Tick:
 		out = c.tick(now)
 	}
@@ -166,7 +167,7 @@
 	reply := wire.RolloutReply{Order: c.id(), ElapsedMS: c.elapsed(now).Milliseconds(), Stopped: c.stopped}
 	if c.hasRecord() {
 		reply.Stage, reply.Share, reply.Step = uint8(c.plan.Stage), c.plan.Share, uint32(c.plan.Step)
-		reply.Permit = c.rank >= 0 && c.isActive() && !c.stopped
+		reply.Permit = c.turn > 0 && c.isActive() && !c.stopped
 	}
 	return reply
 }
@@ -201,7 +202,7 @@
 		return nil
 	}
 	c.watchServers(now)
-	if c.judge == nil || !c.isActive() || c.rank < 0 {
+	if c.judge == nil || !c.isActive() || c.turn == 0 {
 		return nil
 	}
 	c.finding = c.judge.Find(now)
--- a/src/rollout/coordinator_order.go
+++ b/src/rollout/coordinator_order.go
@@ -32,7 +32,7 @@
 		c.addEarlier(c.plan.ID)
 	}
 	c.order, c.next, c.started = o, Order{}, now
-	c.withdrawn, c.stopped, c.stopReason = false, false, ""
+	c.stopped, c.stopReason, c.hasWritten = false, "", false
 	c.maxReady, c.missingAt, c.noOldAt = 0, time.Time{}, time.Time{}
 	c.reports, c.judge, c.finding = nil, &Judge{TargetVersion: o.TargetVersion}, Finding{}
 	c.wanted, c.since = Plan{}, time.Time{}
@@ -55,17 +55,18 @@
 	era, _ := registry.SplitRevision(revision)
 	c.next = Order{}
 	switch {
-	case c.id() == 0 || c.withdrawn || c.hasRecord() && c.plan.Stage.IsSettled():
+	case c.id() == 0 || c.withdrawn == c.order || c.hasRecord() && c.plan.Stage.IsSettled():
 		return nil
 	case era != current:
 		return []Action{c.log("rollout order missing in the restored store, going on", "")}
-	case !c.hasRecord() && c.pending == nil && c.store.known:
+	}
+	c.withdrawn = c.order
+	if !c.hasRecord() && !c.hasWritten {
 		out := []Action{c.log("rollout order withdrawn before it started", "")}
 		c.addEarlier(c.id())
 		c.order = Order{}
 		return out
 	}
-	c.withdrawn = true
 	return append([]Action{c.log("rollout order withdrawn", "")}, c.stop("order withdrawn", true)...)
 }
 
--- a/src/rollout/coordinator_record.go
+++ b/src/rollout/coordinator_record.go
@@ -78,6 +78,9 @@
 		c.started = started
 	}
 	out = append(out, c.log("rollout "+p.Stage.String(), p.Reason))
+	if p.Order == c.withdrawn {
+		out = append(out, c.stop("order withdrawn", false)...) // written by another coordinator before it knew
+	}
 	if p.Stage.IsSettled() && c.next != (Order{}) && !p.covers(c.next) {
 		out = append(out, c.start(now, c.next)...)
 	}
@@ -86,7 +89,7 @@
 
 // act reads or writes the store if the record has to change and it is this coordinator's turn.
 func (c *Coordinator) act(now time.Time) []Action {
-	if c.rank < 0 || c.pending != nil || c.reading {
+	if c.turn == 0 || c.pending != nil || c.reading {
 		return nil
 	}
 	wanted, ok := c.wantedRecord(now)
@@ -98,7 +101,7 @@
 		c.since = now
 	}
 	c.wanted = wanted
-	if now.Before(c.since.Add(time.Duration(c.rank) * rankDelay)) {
+	if now.Before(c.since.Add(time.Duration(c.turn-1) * rankDelay)) {
 		return nil
 	}
 	if !c.store.known {
@@ -112,7 +115,7 @@
 	if writesStatus(wanted) || c.store.statusRevision == 0 || c.store.behind {
 		w.Status = status(wanted.Stage)
 	}
-	c.pending = &w
+	c.pending, c.hasWritten = &w, true
 	return []Action{w}
 }
 
