agent, booking: rollouts wired

Booking asks the gate before admission and again after an upload, counts calls from before the gate, and adds the outcome of each run to the evidence. While the service is under an order its log lines name the version of the backend server. An agent is ready once it knows the orders and records that its peers know. Settings [rollout].

--- a/src/agent/agent.go
+++ b/src/agent/agent.go
@@ -18,6 +18,7 @@
 	"github.com/yuccaport/yuccaport/src/link"
 	"github.com/yuccaport/yuccaport/src/quarantine"
 	"github.com/yuccaport/yuccaport/src/registry"
+	"github.com/yuccaport/yuccaport/src/rollout"
 	"github.com/yuccaport/yuccaport/src/roster"
 	"github.com/yuccaport/yuccaport/src/settings"
 	"github.com/yuccaport/yuccaport/src/wire"
@@ -34,6 +35,8 @@
 	Headers      header.Names                        // zero for header.Default
 	DecodeConfig func(value []byte) (*Config, error) // decodes the store's configuration value
 
+	Rollouts *RolloutFormat // required if Keys.RolloutPrefix is set
+
 	ConfigVersion func(value []byte) uint64 // version of the store's configuration value, 0 if it cannot be read; if nil, the store's revisions alone order configurations
 
 	CallerListener    net.Listener
@@ -52,6 +55,7 @@
 	pool            *link.Pool
 	booking         *booking.Server
 	quarantine      *quarantine.Node
+	rollout         *rollout.Node // nil without Keys.RolloutPrefix
 	proxy           *dispatch.Proxy
 	follower        *registry.Follower
 	announcer       *registry.Announcer
@@ -126,6 +130,7 @@
 	if a.Keys.ProbePrefix != "" {
 		a.quarantine.Claimer = &quarantine.RegistryClaimer{Store: a.Store, Prefix: a.Keys.ProbePrefix}
 	}
+	a.buildRollout()
 	a.booking.Quarantine, a.proxy.Quarantine = a.quarantine, a.quarantine
 	a.pool.OnPeer = a.follower.OfferPeer
 }
@@ -142,7 +147,7 @@
 
 func (a *Agent) dispatchSettings() dispatch.Settings {
 	b := a.Settings.RetryBudget
-	return dispatch.Settings{RetryShare: b.Share * usedBudgetShare, SharedRetryBurst: b.Reserve * usedBudgetShare, SlowStart: slowStartTime, NotReadyRetryAfter: notReadyRetryAfter, LinkRate: linkRate(a.Settings)}
+	return dispatch.Settings{RetryShare: b.Share * usedBudgetShare, SharedRetryBurst: b.Reserve * usedBudgetShare, SlowStart: slowStartTime, NotReadyRetryAfter: notReadyRetryAfter, LinkRate: linkRate(a.Settings), ExposureShare: a.Settings.Rollout.WithDefaults().ExposureShare}
 }
 
 // linkRate returns the speed of the VM's link in bytes per second.
@@ -165,7 +170,7 @@
 	s := a.Settings
 	m := wire.Member{
 		ID: a.id, Addr: link.AddrOf(a.LinkListener.Addr()), Service: s.Service, Domain: s.Domain, Region: s.Region,
-		LinkMbps: uint32(s.LinkMbps), Slots: uint16(a.slotsLocked()), Ready: a.backend.Instance() != "" && a.booking.Healthy(),
+		LinkMbps: uint32(s.LinkMbps), Slots: uint16(a.slotsLocked()), Ready: a.backend.Instance() != "" && a.booking.Healthy() && a.knowsRollouts(),
 	}
 	m.Version = a.backend.Version()
 	if startedAt := a.backend.StartedAt(); !startedAt.IsZero() {
--- a/src/agent/backend.go
+++ b/src/agent/backend.go
@@ -25,6 +25,7 @@
 		a.Log.Info("heartbeat not accepted", "verdict", string(verdict), "instance", h.Instance, "service", h.Service, "sequence", h.Sequence, "born", h.StartedAt.UnixMilli(), "leaving", h.Leaving)
 		return verdict, nil
 	}
+	a.setRolloutBackend()
 	leaving := a.backend.Leaving()
 	newIncarnation := h.Instance != oldInstance || !h.StartedAt.Equal(oldStartedAt)
 	if newIncarnation {
--- a/src/agent/message_handler.go
+++ b/src/agent/message_handler.go
@@ -10,7 +10,7 @@
 // messageHandler handles the control messages of other agents.
 type messageHandler struct{ agent *Agent }
 
-// ServeMessage answers a peer's registry request or quarantine report and rejects every other kind
+// ServeMessage answers a peer's registry request, quarantine report or rollout report and rejects every other kind
 // of message.
 func (m messageHandler) ServeMessage(ctx context.Context, from link.Peer, kind link.MessageKind, payload []byte) ([]byte, error) {
 	switch kind {
@@ -18,6 +18,10 @@
 		return m.agent.follower.ServeMessage(ctx, from, kind, payload)
 	case link.KindQuarantine:
 		return m.agent.quarantine.ServeMessage(ctx, from, kind, payload)
+	case link.KindRollout:
+		if m.agent.rollout != nil {
+			return m.agent.rollout.ServeMessage(ctx, from, kind, payload)
+		}
 	}
 	return nil, problem.New(problem.Protocol, from.Addr.String(), "unknown kind of message", "run the same version on all agents")
 }
--- /dev/null
+++ b/src/agent/rollout.go
@@ -0,0 +1,32 @@
+package agent
+
+import (
+	"github.com/yuccaport/yuccaport/src/rollout"
+)
+
+// buildRollout creates the rollout node, if there are keys for rollouts, and connects it with the
+// other components.
+func (a *Agent) buildRollout() {
+	if a.Keys.RolloutPrefix == "" {
+		return
+	}
+	n := &rollout.Node{
+		Self: a.id, Service: a.Settings.Service, Members: a.follower.Members, Exchanger: a.pool, Store: a.Store, Keys: a.Keys,
+		StatusPrefix: a.Rollouts.StatusPrefix, DecodeOrder: a.Rollouts.DecodeOrder, EncodeStatus: a.Rollouts.EncodeStatus,
+		InFlight: a.booking.Calls, KnowsItems: a.follower.KnowsItems, OnRouting: a.proxy.SetRouting,
+		Log: a.Log.WithName("rollout"), Metrics: a.Metrics,
+	}
+	a.rollout, a.booking.Rollout = n, n
+	a.follower.KeepItem, a.follower.OnItem, a.follower.OnRestoreItem = n.KeepItem, n.HandleItem, n.RestoreItem
+}
+
+// knowsRollouts reports whether the orders and records of rollouts are known, before which a backend
+// server might run calls that a rollout forbids.
+func (a *Agent) knowsRollouts() bool { return a.rollout == nil || a.follower.KnowsItems() }
+
+// setRolloutBackend tells the rollout node of the last heartbeat; the caller must hold a.backendMu.
+func (a *Agent) setRolloutBackend() {
+	if a.rollout != nil {
+		a.rollout.SetBackend(a.backend.Version(), a.backend.ColdStartEnd())
+	}
+}
--- a/src/agent/run.go
+++ b/src/agent/run.go
@@ -45,6 +45,9 @@
 	goRun(&backgroundGroup, backgroundCtx, a.follower.Run)
 	goRun(&backgroundGroup, backgroundCtx, a.announcer.Run)
 	goRun(&backgroundGroup, backgroundCtx, a.quarantine.Run)
+	if a.rollout != nil {
+		goRun(&backgroundGroup, backgroundCtx, a.rollout.Run)
+	}
 	goRun(&backgroundGroup, backgroundCtx, a.watchBackend)
 	goRun(&backgroundGroup, backgroundCtx, a.watchSettings)
 	goRun(&backgroundGroup, backgroundCtx, func(ctx context.Context) error { return serveHTTP(ctx, a.ReadyListener, a.ReadyHandler) })
--- a/src/agent/settings.go
+++ b/src/agent/settings.go
@@ -24,6 +24,7 @@
 	Backend     Backend           `toml:"backend"`
 	Store       Store             `toml:"store"`
 	RetryBudget RetryBudget       `toml:"retry_budget"`
+	Rollout     RolloutSettings   `toml:"rollout"`
 }
 
 // Listen holds the addresses that the agent listens on.
@@ -97,7 +98,7 @@
 			return settingsError(file, key, d, "set it to a time above zero, such as 2s")
 		}
 	}
-	return nil
+	return s.Rollout.validate(file)
 }
 
 func settingsError(file, key string, value any, remedy string) error {
--- a/src/booking/answer.go
+++ b/src/booking/answer.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/yuccaport/yuccaport/src/rollout"
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
@@ -73,6 +74,7 @@
 // forwardBuffered releases the slot, then forwards an answer that has been read completely.
 func (x *exchange) forwardBuffered(detach func() bool, length int64, body []byte) {
 	endsWithConnection := !x.hasNoBody() && x.resp.Header.ContentLength() == -2
+	x.recordOutcome(x.answerOutcome())
 	x.finish(detach, !endsWithConnection, ResultAnswered)
 	x.s.recordCallOutcome(true)
 	w, err := x.in.Reply(x.replyHead(length))
@@ -98,14 +100,16 @@
 	fromBackend, err := x.copyBody(w, x.answerBody())
 	switch {
 	case err == nil && w.Close() == nil:
+		x.recordOutcome(x.answerOutcome())
 		x.finish(detach, length >= 0 || x.resp.Header.ContentLength() == -1, ResultAnswered)
 		x.countAnswered()
 	case fromBackend:
 		x.s.counters.truncated.Inc()
-		x.s.detectCrash(x, err)
+		x.recordOutcome(failureOutcome(x.s.detectCrash(x, err)))
 		x.refuse(wire.Refusal{Reason: wire.ReasonCut, MayHaveRun: true})
 		x.awaitBackendClose(detach)
 	default:
+		x.recordOutcome(rollout.OutcomeCut)
 		x.in.Refuse(wire.Refusal{Reason: wire.ReasonCut, MayHaveRun: true}) // the caller's side failed: neither counted nor logged
 		x.awaitBackendClose(detach)
 	}
@@ -148,7 +152,7 @@
 // countAnswered counts and logs an answer that was forwarded completely.
 func (x *exchange) countAnswered() {
 	x.s.counters.answered.Inc()
-	if log := x.s.callLog(); log.Enabled() {
+	if log := x.s.rolloutLog(x.s.callLog()); log.Enabled() {
 		log.Info("answered", "request_id", x.head.TraceID, "route", x.head.Route, "attempt", x.head.Attempt, "instance", x.instance, "status", x.resp.StatusCode(),
 			"waited_ms", x.admitted.Sub(x.arrived).Milliseconds(), "took_ms", x.s.Now().Sub(x.admitted).Milliseconds())
 	}
--- a/src/booking/crash.go
+++ b/src/booking/crash.go
@@ -22,6 +22,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.runs[x] = struct{}{}
+	x.load = float64(len(s.runs)) / float64(max(1, s.core.Slots))
 }
 
 // endRun records that the backend server no longer runs the request of x.
--- a/src/booking/exchange.go
+++ b/src/booking/exchange.go
@@ -38,9 +38,10 @@
 	admitted time.Time
 
 	conn           *conn
-	instance       string // the only instance that may run it, empty for any
-	notice         notice // of its answer
-	skippedAnswers int    // number of answers to other requests that were skipped
+	instance       string  // the only instance that may run it, empty for any
+	notice         notice  // of its answer
+	load           float64 // share of the slots in use when it began to run, itself included
+	skippedAnswers int     // number of answers to other requests that were skipped
 	token          string
 	cancelled      chan struct{} // closed when the call is cancelled before its answer is complete
 	uploadDone     chan error    // result of a request body that is written while the answer is awaited; nil for none
@@ -174,6 +175,7 @@
 		r.Reason = wire.ReasonProtocol
 		x.s.logProtocolError(x, err)
 	}
+	x.recordOutcome(x.refusalOutcome(r))
 	x.s.Log.V(1).Info("exchange with the backend server failed", "reason", err.Error(), "request_id", x.head.TraceID)
 	if r.Reason != wire.ReasonCancelled {
 		x.s.recordCallOutcome(false)
--- a/src/booking/server.go
+++ b/src/booking/server.go
@@ -15,6 +15,7 @@
 	"github.com/yuccaport/yuccaport/src/header"
 	"github.com/yuccaport/yuccaport/src/link"
 	"github.com/yuccaport/yuccaport/src/quarantine"
+	"github.com/yuccaport/yuccaport/src/rollout"
 	"github.com/yuccaport/yuccaport/src/settings"
 	"github.com/yuccaport/yuccaport/src/trace"
 	"github.com/yuccaport/yuccaport/src/wire"
@@ -41,6 +42,7 @@
 	OutboundDelay  func() (inTime, all time.Duration) // time that the network connection of this VM needs for the bodies that wait to be sent: those in time for their objective, and all; nil for zero
 	LinkRate       float64                            // bytes per second of the network connection of this VM, 0 to ignore the time that answers take on it
 	Quarantine     *quarantine.Node                   // keeps requests away that crash backend servers; nil for none
+	Rollout        *rollout.Node                      // decides which calls may run while the service is under a rollout order, and gets the outcome of each run; nil for none
 	OnLeaving      func(instance string)              // called when the answers of an instance begin to say that it is leaving; nil for no call
 	Now            func() time.Time                   // nil for time.Now
 	Log            logr.Logger                        // zero for no logging
@@ -55,7 +57,8 @@
 	bodyBuffer      bodyBuffer
 	counters        *counters
 	lastCall        atomic.Uint64
-	reportedHealth  HealthState // last state reported by a heartbeat (guarded by mu) or, without heartbeats, by a probe (accessed only by Run)
+	calls           atomic.Int64 // calls that ServeCall has not ended
+	reportedHealth  HealthState  // last state reported by a heartbeat (guarded by mu) or, without heartbeats, by a probe (accessed only by Run)
 
 	mu       sync.Mutex
 	core     Core
@@ -189,6 +192,11 @@
 		s.refuse(in, h, wire.Refusal{Reason: wire.ReasonWrongMember})
 		return
 	}
+	s.calls.Add(1) // before the gate, so that a server which reports no calls after its gate has closed runs none
+	defer s.calls.Add(-1)
+	if !s.passesGate(in, h) {
+		return
+	}
 	arrived := s.Now()
 	if h.Content != 0 {
 		s.Quarantine.Compare(in.Peer(), h.Quarantine)
@@ -203,6 +211,9 @@
 		return
 	}
 	defer release()
+	if !s.passesGate(in, h) { // again, since the body may have taken long
+		return
+	}
 	call := s.lastCall.Add(1)
 	if r, admitted := s.admit(ctx, call, h, s.isRemote(in), s.Now().Sub(arrived)); !admitted {
 		s.refuse(in, h, r)
@@ -248,7 +259,7 @@
 	r.Load, r.LinkDelayMS = s.loadFor(h)
 	in.Refuse(r)
 	s.counters.countRefusal(r.Reason)
-	if log := s.callLog(); log.Enabled() {
+	if log := s.rolloutLog(s.callLog()); log.Enabled() {
 		log.Info("refused", "request_id", h.TraceID, "route", h.Route, "attempt", h.Attempt, "reason", r.Reason.String(), "may_have_run", r.MayHaveRun,
 			"priority", h.Priority, "objective_ms", h.ObjectiveMS, "timeout_ms", h.TimeoutMS, "patience_ms", h.PatienceMS, "final", h.Final,
 			"free", r.Load.Free, "backlog_ms", r.Load.Backlog, "retry_after_ms", r.RetryAfterMS)
--- a/src/command/agent.go
+++ b/src/command/agent.go
@@ -66,7 +66,7 @@
 // openAgent opens the listeners that settings name.
 func openAgent(s agent.Settings, log logr.Logger) (*agent.Agent, error) {
 	a := &agent.Agent{
-		Settings: s, Store: &platform.Store{Addr: s.Store.Addr, Log: log.WithName("store")}, Keys: platform.Keys, Headers: platform.Headers, DecodeConfig: platform.DecodeConfig, ConfigVersion: platform.ConfigVersion, Log: log,
+		Settings: s, Store: &platform.Store{Addr: s.Store.Addr, Log: log.WithName("store")}, Keys: platform.Keys, Rollouts: &agent.RolloutFormat{StatusPrefix: platform.RolloutStatusPrefix, DecodeOrder: platform.DecodeRolloutOrder, EncodeStatus: platform.EncodeRolloutStatus}, Headers: platform.Headers, DecodeConfig: platform.DecodeConfig, ConfigVersion: platform.ConfigVersion, Log: log,
 	}
 	a.ReadyHandler = platform.NewReadyHandler(a.IsReady)
 	a.HeartbeatHandler = platform.NewHeartbeatHandler(a)
--- a/src/dispatch/service_rollout.go
+++ b/src/dispatch/service_rollout.go
@@ -41,7 +41,8 @@
 	}
 }
 
-// applyRollout marks the servers of the new version of a service and chooses its canary set.
+// applyRollout marks the servers of the new version of a service and chooses those that get requests before all are
+// shifted.
 func (c *Core) applyRollout(serviceName string) {
 	svc, ro := c.services[serviceName], c.rollouts[serviceName]
 	if svc == nil || ro == nil {
@@ -54,7 +55,7 @@
 	}
 	ro.canary = rollout.CanarySet{}
 	if ro.routing.UsesCanarySet() {
-		ro.canary = rollout.NewCanarySet(ro.routing.Order, ro.routing.TargetVersion, c.Settings.ExposureShare, servers)
+		ro.canary = ro.routing.CanarySet(c.Settings.ExposureShare, servers)
 	}
 }
 
--- a/src/rollout/guard.go
+++ b/src/rollout/guard.go
@@ -18,8 +18,16 @@
 	tally   *Tally
 	order   uint64 // of tally
 	routing Routing
+
+	coldUntil time.Time                // the backend server is slow until then
+	timeouts  map[string]time.Duration // longest timeout of a call, by route
 }
 
+const (
+	maxTimeoutRoutes  = 64
+	routeTimeoutShare = 0.9 // of the longest timeout seen on a route, from which on a timeout counts as the route's own
+)
+
 func (g *guard) update(r Routing) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -37,10 +45,23 @@
 	g.gate.Stop(order)
 }
 
-func (g *guard) setVersion(version string) {
+func (g *guard) setBackend(version string, coldUntil time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.gate.Version, g.known, g.coldUntil = version, true, coldUntil
+}
+
+// isRouteTimeout reports whether a timeout is the longest that the route's calls have, and not a
+// caller's shorter deadline.
+func (g *guard) isRouteTimeout(route string, timeout time.Duration) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.gate.Version, g.known = version, true
+	if g.timeouts == nil || len(g.timeouts) > maxTimeoutRoutes {
+		g.timeouts = map[string]time.Duration{}
+	}
+	longest := max(g.timeouts[route], timeout)
+	g.timeouts[route] = longest
+	return float64(timeout) >= routeTimeoutShare*float64(longest)
 }
 
 func (g *guard) permit(reportSent time.Time, order uint64) {
@@ -64,6 +85,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.tally != nil && g.routing.IsActive() {
+		s.Cold = now.Add(-s.Duration).Before(g.coldUntil)
 		g.tally.Add(now, s)
 	}
 }
@@ -78,8 +100,19 @@
 	}
 }
 
-// SetVersion tells the version of the own backend server, from its heartbeat.
-func (n *Node) SetVersion(version string) { n.guard.setVersion(version) }
+// SetBackend tells the version of the own backend server and the end of its cold start, from its
+// heartbeat.
+func (n *Node) SetBackend(version string, coldUntil time.Time) {
+	n.guard.setBackend(version, coldUntil)
+}
+
+// Version returns the version of the own backend server, empty if it is unknown.
+func (n *Node) Version() string { return n.guard.version() }
+
+// IsRouteTimeout reports whether a timeout is that of a route, and not a caller's shorter deadline.
+func (n *Node) IsRouteTimeout(route string, timeout time.Duration) bool {
+	return n.Guards() && n.guard.isRouteTimeout(route, timeout)
+}
 
 // Guards reports whether the service of the own backend server is under an order, so that Admit and
 // Add are to be called.
@@ -97,7 +130,7 @@
 	return a
 }
 
-// Add adds the run of a call at the own backend server to the evidence.
+// Add adds the run of a call at the own backend server to the evidence; it sets the sample's Cold.
 func (n *Node) Add(s Sample) {
 	if !n.Guards() {
 		return
--- a/src/rollout/items.go
+++ b/src/rollout/items.go
@@ -23,10 +23,7 @@
 	if err != nil {
 		return true
 	}
-	if k.Order.Same(s.Order) {
-		return k.Supersedes(0, s, 0)
-	}
-	return k.Order.Revision > s.Order.Revision
+	return k.Supersedes(0, s, 0)
 }
 
 // HandleItem takes in the state of an order or a record. Older ones of the same key are ignored.
@@ -53,18 +50,8 @@
 		return
 	}
 	s.orderRevision = i.Revision
-	isPast := !i.Deleted && err == nil && s.isPast(order)
-	switch {
-	case isPast || err != nil:
-	case i.Deleted:
-		s.order = Order{}
-	default:
-		s.setOrder(order)
-	}
 	n.mu.Unlock()
 	switch {
-	case isPast:
-		n.Log.Info("rollout: order ignored", "reason", "a later order had replaced it before the store came back from an older copy", "service", service, "target_version", order.TargetVersion)
 	case err != nil:
 		n.step(service, OrderInvalid{Revision: i.Revision, Err: err})
 	case i.Deleted:
@@ -84,12 +71,16 @@
 		s.planRevision = i.Revision
 	}
 	n.mu.Unlock()
-	if !isNew || i.Deleted {
+	switch {
+	case !isNew:
+		return
+	case i.Deleted:
+		n.step(service, RecordSeen{Revision: i.Revision})
 		return
 	}
 	p, err := DecodePlan(i.Value)
 	if err != nil {
-		n.Log.Error(err, "rollout: record not read", "service", service, "revision", i.Revision)
+		n.Log.Error(err, "rollout record not read", "service", service, "revision", i.Revision)
 		return
 	}
 	n.step(service, RecordSeen{Plan: p, Revision: i.Revision})
--- a/src/rollout/messages.go
+++ b/src/rollout/messages.go
@@ -14,7 +14,7 @@
 	members := n.Members()
 	n.mu.Lock()
 	s := n.services[n.Service]
-	if s == nil || !s.isActive() || s.routing.Order == 0 {
+	if s == nil || !s.routing.IsActive() {
 		n.mu.Unlock()
 		return
 	}
@@ -80,7 +80,7 @@
 		_, err = reply.UnmarshalMsg(b)
 	}
 	if err != nil {
-		n.Log.V(1).Info("rollout: no answer of a member", "member", m.ID, "reason", err.Error())
+		n.Log.V(1).Info("rollout no answer of a member", "member", m.ID, "reason", err.Error())
 	}
 	return reply, err == nil
 }
@@ -111,7 +111,7 @@
 	if !known {
 		return wire.RolloutReply{}
 	}
-	if r.Version != "" {
+	if isStopMessage := r.Stopped && r.Version == "" && len(r.Routes) == 0; !isStopMessage {
 		n.step(r.Service, ReportReceived{Report: r})
 	}
 	n.mu.Lock()
@@ -146,7 +146,7 @@
 	n.mu.Lock()
 	s := n.services[service]
 	order := s.stopped
-	repeat := order != 0 && order == s.orderID() && !s.routing.Stopped && s.routing.IsActive()
+	repeat := order != 0 && order == s.orderID() && !s.routing.Stopped && s.isActive()
 	n.mu.Unlock()
 	if repeat {
 		n.step(service, StopReceived{Order: order, Reason: "told by a member"})
@@ -177,5 +177,5 @@
 			}
 		})
 	}
-	n.Log.Info("rollout: new version stopped", "reason", stop.Reason, "service", service, "order", stop.Order, "members", sent)
+	n.Log.Info("rollout new version stopped", "reason", stop.Reason, "service", service, "order", stop.Order, "members", sent)
 }
--- a/src/rollout/node.go
+++ b/src/rollout/node.go
@@ -35,22 +35,21 @@
 // may be called concurrently; Run must be called at most once. Without an order it sends no message,
 // makes no store call and allocates nothing on the path of a call.
 type Node struct {
-	Self          uint64               // member ID of this agent
-	Service       string               // of the agent's own backend server
-	Members       func() []wire.Member // all agents, this one included or not
-	Exchanger     link.Exchanger
-	Store         registry.Store
-	Keys          registry.Keys
-	StatusPrefix  string // of the keys of the status records, followed by the service
-	DecodeOrder   func(service string, value []byte) (Order, error)
-	EncodeStatus  func(state, targetVersion string) []byte
-	ExposureShare float64
-	InFlight      func() int                            // calls that run or wait at the backend server, and those that the gate has just admitted
-	KnowsItems    func() bool                           // orders and records are known as far as peers know them; the agent does not coordinate before; nil for always
-	OnRouting     func(service string, routing Routing) // called with each change of a service's routing, in order; must not call the node; nil for no call
-	Log           logr.Logger                           // zero for no logging
-	Metrics       *metrics.Set                          // nil for a new set
-	Now           func() time.Time                      // must count suspension; nil for clock.NowWithSuspension
+	Self         uint64               // member ID of this agent
+	Service      string               // of the agent's own backend server
+	Members      func() []wire.Member // all agents, this one included or not
+	Exchanger    link.Exchanger
+	Store        registry.Store
+	Keys         registry.Keys
+	StatusPrefix string // of the keys of the status records, followed by the service
+	DecodeOrder  func(service string, value []byte) (Order, error)
+	EncodeStatus func(state, targetVersion string) []byte
+	InFlight     func() int                            // calls that run or wait at the backend server, and those that the gate has just admitted
+	KnowsItems   func() bool                           // orders and records are known as far as peers know them; the agent does not coordinate before; nil for always
+	OnRouting    func(service string, routing Routing) // called with each change of a service's routing, in order; must not call the node; nil for no call
+	Log          logr.Logger                           // zero for no logging
+	Metrics      *metrics.Set                          // nil for a new set
+	Now          func() time.Time                      // must count suspension; nil for clock.NowWithSuspension
 
 	once     sync.Once
 	pool     workers.Pool
@@ -247,7 +246,7 @@
 func (n *Node) ensureLocked(service string) *serviceState {
 	s := n.services[service]
 	if s == nil {
-		s = &serviceState{name: service, rank: noRank, coordinator: Coordinator{Service: service, ExposureShare: n.ExposureShare}}
+		s = &serviceState{name: service, rank: noRank, coordinator: Coordinator{Service: service}}
 		n.services[service] = s
 	}
 	return s
--- a/src/rollout/node_log.go
+++ b/src/rollout/node_log.go
@@ -10,5 +10,5 @@
 		fields = append(fields, "bad", f.Bad, "undecided", f.Undecided, "slow", f.Slow, "route", f.Route, "answers", f.Answers, "failures", f.Failures, "old_share", f.OldShare,
 			"servers", f.Servers, "bad_servers", f.BadServers, "evidence", f.Evidence, "limit", f.Limit, "total", f.Total)
 	}
-	n.Log.Info("rollout: "+l.Message, fields...)
+	n.Log.Info(l.Message, fields...)
 }
--- a/src/rollout/records.go
+++ b/src/rollout/records.go
@@ -69,11 +69,11 @@
 	revision, err := n.commit(service, w)
 	switch {
 	case err == nil:
-		n.Log.Info("rollout: record written", "reason", w.Plan.Reason, "service", service, "target_version", w.Plan.Order.TargetVersion, "stage", w.Plan.Stage.String(),
+		n.Log.Info("rollout record written", "reason", w.Plan.Reason, "service", service, "target_version", w.Plan.Order.TargetVersion, "stage", w.Plan.Stage.String(),
 			"share", w.Plan.Share, "step", w.Plan.Step, "status", w.Status, "elapsed_ms", w.Plan.Elapsed.Milliseconds(), "revision", revision)
 		n.step(service, WriteDone{Revision: revision})
 	case errors.Is(err, problem.Conflict):
-		n.Log.Info("rollout: record not written", "reason", "another coordinator has written, or the store came back from an older copy", "service", service, "stage", w.Plan.Stage.String(), "step", w.Plan.Step)
+		n.Log.Info("rollout record not written", "reason", "another coordinator has written, or the store came back from an older copy", "service", service, "stage", w.Plan.Stage.String(), "step", w.Plan.Step)
 		n.step(service, WriteConflict{})
 	default:
 		n.storeFailed("write", service, err)
@@ -114,7 +114,7 @@
 
 // storeFailed logs a failed call to the store and pauses before the next.
 func (n *Node) storeFailed(what, service string, err error) {
-	n.Log.Info("rollout: store call failed", "what", what, "service", service, "reason", err.Error())
+	n.Log.Info("rollout store call failed", "what", what, "service", service, "reason", err.Error())
 	clock.Sleep(n.ctx, storeRetryTime/2+rand.N(storeRetryTime/2))
 }
 
@@ -152,6 +152,6 @@
 	if err != nil {
 		return false, err
 	}
-	n.Log.Info("rollout: record written again", "reason", "the store came back from an older copy", "service", service, "target_version", p.Order.TargetVersion, "stage", p.Stage.String(), "step", p.Step, "status", status, "revision", revision)
+	n.Log.Info("rollout record written again", "reason", "the store came back from an older copy", "service", service, "target_version", p.Order.TargetVersion, "stage", p.Stage.String(), "step", p.Step, "status", status, "revision", revision)
 	return true, nil
 }
