--- a/src/agent/agent_test.go
+++ b/src/agent/agent_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -41,6 +42,7 @@
 	calls       atomic.Int64 // calls executed
 	serviceTime atomic.Int64 // nanoseconds
 	leaving     atomic.Bool  // its answers say that it is leaving
+	failShare   atomic.Int64 // percent of the calls that it answers with 500
 	limit       atomic.Int64 // calls a second that its answers name, 0 for none
 
 	mu         sync.Mutex
@@ -71,6 +73,9 @@
 	if b.leaving.Load() {
 		ctx.Response.Header.Set("X-Leaving", "1")
 	}
+	if rand.Int64N(100) < b.failShare.Load() {
+		ctx.SetStatusCode(http.StatusInternalServerError)
+	}
 	ctx.Response.Header.Set("X-Proof", "s-"+b.instance)
 	ctx.Response.Header.SetBytesV("X-Call-Id", ctx.Request.Header.Peek("X-Call-Id"))
 	ctx.SetBodyString("by " + b.instance)
@@ -101,6 +106,11 @@
 }
 
 func startVM(c *qt.C, store registry.Store, name string, b *backend) *vm {
+	return startVMWith(c, store, name, b, func(*agent.Agent) {})
+}
+
+// startVMWith starts a VM whose agent change has changed before it is built.
+func startVMWith(c *qt.C, store registry.Store, name string, b *backend, change func(*agent.Agent)) *vm {
 	v := &vm{backend: b, done: make(chan error, 1)}
 	callers := listen(c)
 	v.callerAddr = callers.Addr().String()
@@ -114,6 +124,7 @@
 		Store: store, Keys: testKeys, Headers: headerNames, DecodeConfig: decodeConfig, Log: logr.Discard(),
 		CallerListener: callers, LinkListener: listen(c), ReadyListener: listen(c), HeartbeatListener: listen(c), ReadyHandler: noHandler, HeartbeatHandler: noHandler,
 	}
+	change(v.Agent)
 	v.Build()
 	var ctx context.Context
 	ctx, v.cancel = context.WithCancel(context.Background())
