--- a/src/agent/settings_test.go
+++ b/src/agent/settings_test.go
@@ -47,6 +47,10 @@
 		"no memory limit": {"memory_mb = 284", "", `.*memory_mb is "0".*`},
 		"no minimum TTL":  {`min_ttl = "1000ms"`, "", `.*store.min_ttl is "0s".*`},
 		"no stop grace":   {`stop_grace = "6s"`, "", `.*stop_grace is "0s".*`},
+		"rollout":         {"[retry_budget]", "[rollout]\nexposure_share = 0.1\nexposure_slack = 50\nrollback = \"5000ms\"\n[retry_budget]", ""},
+		"no rollout keys": {"[retry_budget]", "[rollout]\n[retry_budget]", ""},
+		"exposure share":  {"[retry_budget]", "[rollout]\nexposure_share = 1.5\n[retry_budget]", `.*rollout.exposure_share is "1.5".*`},
+		"rollback time":   {"[retry_budget]", "[rollout]\nrollback = \"1s\"\n[retry_budget]", `.*rollout.rollback is "1s".*at least 2.5s.*`},
 		"unknown key":     {"memory_mb = 284", "memory_kb = 3", `settings: a.toml:7: unknown key "memory_kb".*`},
 		"not TOML":        {validSettings, "{", `settings: a.toml.*`},
 	}
--- a/src/clock/pauses_test.go
+++ b/src/clock/pauses_test.go
@@ -14,6 +14,15 @@
 	}
 }
 
+// A time by NowWithSuspension must go on while the VM is suspended: permits by a clock that stands
+// still would hold after it.
+func TestNowWithSuspension(t *testing.T) {
+	before := NowWithSuspension()
+	aheadAtStart -= 3 * time.Second // as if the VM had been suspended
+	defer func() { aheadAtStart += 3 * time.Second }()
+	qt.Assert(t, NowWithSuspension().Sub(before) >= 3*time.Second-time.Millisecond, qt.IsTrue)
+}
+
 func TestASuspensionIsToldOnce(t *testing.T) {
 	var p Pauses
 	p.Since()
--- a/src/rollout/node_counters.go
+++ b/src/rollout/node_counters.go
@@ -17,11 +17,18 @@
 	OutcomeAnswered: "answered", OutcomeFailed: "failed", OutcomeHung: "hung", OutcomeCrashed: "crashed", OutcomeCut: "cut",
 }
 
+// runLabels identifies a counter of runs.
+type runLabels struct {
+	version string
+	outcome Outcome
+}
+
 // nodeCounters holds the metrics of a node, with a bounded number of label values.
 type nodeCounters struct {
 	set *metrics.Set
 
 	mu       sync.Mutex
+	runs     map[runLabels]*metrics.Counter
 	stages   map[string]Routing
 	versions map[string]bool
 }
@@ -60,17 +67,26 @@
 		return
 	}
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n := c.runs[runLabels{version, o}]; n != nil {
+		n.Inc()
+		return
+	}
 	if c.versions == nil {
-		c.versions = map[string]bool{}
+		c.versions, c.runs = map[string]bool{}, map[runLabels]*metrics.Counter{}
 	}
+	labels := runLabels{version, o}
 	if !c.versions[version] {
 		if len(c.versions) >= maxLabelVersions {
 			version = otherLabel
 		}
 		c.versions[version] = true
 	}
-	c.mu.Unlock()
-	c.set.GetOrCreateCounter(fmt.Sprintf(`yuccaport_rollout_runs_total{service=%q,version=%q,outcome=%q}`, service, version, name)).Inc()
+	n := c.set.GetOrCreateCounter(fmt.Sprintf(`yuccaport_rollout_runs_total{service=%q,version=%q,outcome=%q}`, service, version, name))
+	if len(c.runs) < 2*maxLabelVersions*len(outcomeNames) {
+		c.runs[labels] = n
+	}
+	n.Inc()
 }
 
 // refused counts a call that the gate has refused.
