registry: time since the store's last answer, and whether peers were asked at the start

An agent that decides by keys needs both: it must not admit by the configuration of a store that came back from an older copy before its peers were asked, and with strict revocation not after a time without news. The time counts suspensions and begins with the call that was answered, so that a frozen process does not take an old answer for a new one.

--- a/src/registry/follower.go
+++ b/src/registry/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -57,6 +58,9 @@
 	failedReaders map[uint64]time.Time // time of the last failure, by member ID
 	readerID      uint64               // reader that is watched, 0 for the store itself
 	lostReaderID  uint64               // reader whose last answer was that it has lost the store, 0 for none
+	callBeganAt   time.Duration        // since the system's start
+	newsAt        atomic.Int64         // value of callBeganAt for the last call with an answer, 0 for none
+	askedPeers    atomic.Bool          // last result of HasAskedPeers, once that stays true
 
 	compressMu         sync.Mutex
 	compressedRevision uint64
@@ -125,6 +129,9 @@
 
 // step passes an event to the core and carries out the resulting actions.
 func (f *Follower) step(e Event) {
+	if _, ok := e.(StoreAnswered); ok {
+		f.newsAt.Store(int64(f.callBeganAt))
+	}
 	f.mu.Lock()
 	actions := f.core.Step(time.Now(), e)
 	if _, ok := e.(Tick); !ok {
