dispatch, booking: requests are admitted by their tenant's key

Where the configuration holds tenants, the key is looked up after the route is found and before the body is read, in the table in force at that moment. The key and the caller's own tenant field are not passed on, on public routes neither; the server gets the tenant's name, whose priority precedes the route's. The name takes the place of the key in the content hash, which leaves the process. A Quota is asked behind the lookup and gets its credit back when no server has run the request.

The test of docs/DOCUMENT.md listed every exported field as a key; a field marked with a hyphen is none, and a document that holds public is refused as before, which a new case checks.

--- a/src/booking/answer.go
+++ b/src/booking/answer.go
@@ -148,7 +148,7 @@
 // countAnswered counts and logs an answer that was forwarded completely.
 func (x *exchange) countAnswered() {
 	x.s.counters.answered.Inc()
-	if log := x.s.callLog(); log.Enabled() {
+	if log := x.s.callLog(x.head.Tenant); log.Enabled() {
 		log.Info("answered", "request_id", x.head.TraceID, "route", x.head.Route, "attempt", x.head.Attempt, "instance", x.instance, "status", x.resp.StatusCode(),
 			"waited_ms", x.admitted.Sub(x.arrived).Milliseconds(), "took_ms", x.s.Now().Sub(x.admitted).Milliseconds())
 	}
--- a/src/booking/quarantine.go
+++ b/src/booking/quarantine.go
@@ -15,7 +15,7 @@
 	if h.Content != 0 || h.BodyLength != 0 {
 		return h.Content
 	}
-	r := quarantine.Request{Method: h.Method, Host: h.Host, Target: h.URI}
+	r := quarantine.Request{Method: h.Method, Host: h.Host, Target: h.URI, Authorization: h.Tenant}
 	for _, f := range h.Fields {
 		if strings.EqualFold(f.Name, fasthttp.HeaderAuthorization) {
 			r.Authorization = f.Value
--- a/src/booking/request.go
+++ b/src/booking/request.go
@@ -55,9 +55,13 @@
 	h.SetMethod(x.head.Method)
 	h.SetRequestURI(x.head.URI)
 	for _, f := range x.head.Fields {
-		if !isReserved(f.Name) && !x.s.Headers.Replaces(f.Name) {
-			h.Add(f.Name, f.Value)
+		if isReserved(f.Name) || x.s.Headers.Replaces(f.Name) || x.head.Tenant != "" && x.s.Headers.IsTenant(f.Name) {
+			continue
 		}
+		h.Add(f.Name, f.Value)
+	}
+	if name := x.s.Headers.Tenant; name != "" && x.head.Tenant != "" {
+		h.Set(name, x.head.Tenant)
 	}
 	h.SetHost(x.host())
 	if x.token != "" {
--- a/src/booking/server.go
+++ b/src/booking/server.go
@@ -248,19 +248,23 @@
 	r.Load, r.LinkDelayMS = s.loadFor(h)
 	in.Refuse(r)
 	s.counters.countRefusal(r.Reason)
-	if log := s.callLog(); log.Enabled() {
+	if log := s.callLog(h.Tenant); log.Enabled() {
 		log.Info("refused", "request_id", h.TraceID, "route", h.Route, "attempt", h.Attempt, "reason", r.Reason.String(), "may_have_run", r.MayHaveRun,
 			"priority", h.Priority, "objective_ms", h.ObjectiveMS, "timeout_ms", h.TimeoutMS, "patience_ms", h.PatienceMS, "final", h.Final,
 			"free", r.Load.Free, "backlog_ms", r.Load.Backlog, "retry_after_ms", r.RetryAfterMS)
 	}
 }
 
-// callLog returns the logger for per-call lines: at the default level with heartbeats, otherwise at verbosity 1.
-func (s *Server) callLog() logr.Logger {
-	if s.UsesHeartbeats {
-		return s.Log
+// callLog returns the logger for per-call lines, with the tenant's name if there is one: at the default level with heartbeats, otherwise at verbosity 1.
+func (s *Server) callLog(tenant string) logr.Logger {
+	log := s.Log
+	if !s.UsesHeartbeats {
+		log = log.V(1)
 	}
-	return s.Log.V(1)
+	if tenant != "" && log.Enabled() {
+		log = log.WithValues("tenant", tenant)
+	}
+	return log
 }
 
 // Drain starts a drain, as DrainAfter does, with the grace period of the current document, at most maxDrainGrace.
--- a/src/dispatch/attempt.go
+++ b/src/dispatch/attempt.go
@@ -47,6 +47,7 @@
 	a.ctx, a.cancel = context.WithCancel(c.baseCtx)
 	a.requestBody = c.body.newReader()
 	c.attempts[s.Attempt] = a
+	c.mayHaveRun = true
 	head := c.head
 	head.Target, head.Service, head.Attempt, head.Final = s.Member, s.Service, uint8(s.Attempt), s.Final
 	head.TimeoutMS = max(1, s.Timeout.Milliseconds())
--- a/src/dispatch/call.go
+++ b/src/dispatch/call.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/yuccaport/yuccaport/src/quarantine"
+	"github.com/yuccaport/yuccaport/src/tenants"
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
@@ -28,7 +29,9 @@
 	policy    *Policy
 	body      *requestBody
 	parent    Parent
-	payment   *payment // nil for none
+	payment   *payment        // nil for none
+	tenant    *tenants.Tenant // nil for none
+	tenantLog *logr.Logger    // with the tenant's name; created on first use
 	head      wire.CallHead
 	start     time.Time
 	deadline  time.Time
@@ -43,6 +46,7 @@
 	detectsDisconnect bool // a background read of the caller's connection has been started
 	ended             bool // answered, refused or aborted
 	streaming         bool // the answer's body outlives run
+	mayHaveRun        bool // an attempt has been sent and is not proven not to have run
 }
 
 // callTimer is a timer of a call. It is restarted with the same delay while the request body is still arriving.
@@ -94,7 +98,7 @@
 	return c.objective.Sub(c.proxy.Now())
 }
 
-// cleanUp ends the background read of the caller's connection, drops the attempts whose answers were not accepted and releases the request body.
+// cleanUp ends the background read of the caller's connection, drops the attempts whose answers were not accepted, returns the credit of a call that has not run and releases the request body.
 //
 // If the body has not arrived completely, the connection is closed after the answer.
 func (c *call) cleanUp() {
@@ -106,6 +110,9 @@
 			a.drop()
 		}
 	}
+	if !c.mayHaveRun {
+		c.proxy.returnCredit(c.tenant)
+	}
 	if !c.streaming {
 		c.cancel()
 	}
@@ -134,14 +141,22 @@
 	}
 }
 
-// log returns the logger for calls of this route.
+// log returns the logger for calls of this route, and of this tenant if there is one.
 func (c *call) log() logr.Logger {
-	return c.match.tableRoute.logger(c.proxy.Log, c.match.Table.Version)
+	if c.tenant == nil {
+		return c.match.tableRoute.logger(c.proxy.Log, c.match.Table.Version)
+	}
+	if c.tenantLog == nil {
+		log := c.match.tableRoute.logger(c.proxy.Log, c.match.Table.Version).WithValues("tenant", c.tenant.Name)
+		c.tenantLog = &log
+	}
+	return *c.tenantLog
 }
 
 // refuse ends the call without an answer from a backend server; the caller receives the refusal.
 func (c *call) refuse(a RefuseCall) {
 	c.ended = true
+	c.mayHaveRun = a.MayHaveRun
 	if a.MayHaveRun {
 		c.proxy.counters.mayHaveRun.Inc()
 		c.payment.abandon()
--- a/src/dispatch/counters.go
+++ b/src/dispatch/counters.go
@@ -1,16 +1,30 @@
 package dispatch
 
-import "github.com/VictoriaMetrics/metrics"
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/yuccaport/yuccaport/src/tenants"
+)
 
 // counters are the proxy's metrics.
 type counters struct {
 	calls, answers, notRun, mayHaveRun, noRoute, callsAborted, answersTruncated *metrics.Counter
-	attempts, retries, hedges                                                   *metrics.Counter   // retries are the attempts after the first, hedged requests included
+	attempts, retries, hedges                                                   *metrics.Counter // retries are the attempts after the first, hedged requests included
+	unauthorized                                                                map[tenants.Verdict]*metrics.Counter
 	answerSeconds                                                               *metrics.Histogram // from the start of a call until its answer is accepted
 }
 
 func newCounters(s *metrics.Set) *counters {
+	unauthorized := map[tenants.Verdict]*metrics.Counter{}
+	for _, v := range tenants.Verdicts {
+		if v != tenants.VerdictAccepted {
+			unauthorized[v] = s.NewCounter(fmt.Sprintf("yuccaport_dispatch_unauthorized_total{reason=%q}", v))
+		}
+	}
 	return &counters{
+		unauthorized:     unauthorized,
 		calls:            s.NewCounter("yuccaport_dispatch_calls_total"),
 		answers:          s.NewCounter("yuccaport_dispatch_answers_total"),
 		notRun:           s.NewCounter("yuccaport_dispatch_refused_not_run_total"),
--- a/src/dispatch/proxy.go
+++ b/src/dispatch/proxy.go
@@ -51,6 +51,8 @@
 	LookupParent func(token string) (Parent, bool) // returns the call that a backend server is running, by the token that it sends in Yuccaport-Parent; nil if calls have no parents
 	Deposits     Deposits                          // nil to refuse payments
 	Quarantine   *quarantine.Node                  // keeps requests away that crash backend servers; nil for none
+	Quota        Quota                             // limits the requests of tenants; nil for no limits
+	KeysOutdated func() bool                       // reports whether the keys in force are too old to admit requests by them; nil if they never are
 	Headers      header.Names                      // zero for header.Default
 	Limits       func() Limits                     // bounds on callers' requests, nil for the defaults
 	Settings     Settings                          // of the core
@@ -217,6 +219,7 @@
 		MaxRequestBodySize:           preReadBodySize,
 		ErrorHandler:                 p.handleReadError,
 		Logger:                       httpServerLog{p.Log},
+		SecureErrorLogMessage:        true, // its errors would hold the header, and with it a tenant's key
 		ConnState:                    markIdle,
 	}
 	return p.httpServer
--- a/src/dispatch/serve.go
+++ b/src/dispatch/serve.go
@@ -9,7 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/yuccaport/yuccaport/src/quarantine"
+	"github.com/yuccaport/yuccaport/src/tenants"
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
@@ -76,7 +76,7 @@
 		status, reason = fasthttp.StatusRequestTimeout, "header_timeout"
 	}
 	p.counters.notRun.Inc()
-	p.Log.Info("rejected", "reason", reason, "status", status, "cause", err.Error())
+	p.Log.Info("rejected", "reason", reason, "status", status, "cause", readErrorText(err))
 	ctx.SetConnectionClose()
 	writeProxyAnswer(ctx, status, outcomeNotRun, refusalBody{Reason: reason, Remedy: "send the whole header of a well-formed request in time"})
 }
@@ -116,17 +116,23 @@
 		})
 		return
 	}
+	tenant, ok := p.identify(ctx, conn, m)
+	if !ok || !p.takeCredit(ctx, conn, m, tenant) {
+		return
+	}
 	body, err := readBody(ctx, conn, p.limits().BodyBytes)
 	if errors.Is(err, errBodyTooLarge) {
+		p.returnCredit(tenant)
 		p.rejectBody(ctx)
 		return
 	}
 	if err != nil {
+		p.returnCredit(tenant)
 		ctx.SetConnectionClose()
 		writeProxyAnswer(ctx, fasthttp.StatusBadRequest, outcomeNotRun, refusalBody{Reason: "request_body", Remedy: "send the whole body, of at most " + strconv.Itoa(defaultBodyBytes) + " bytes"})
 		return
 	}
-	p.newCall(ctx, conn, m, body).run()
+	p.newCall(ctx, conn, m, tenant, body).run()
 }
 
 // refuse answers a request that was not sent to any member.
@@ -148,11 +154,11 @@
 }
 
 // newCall prepares the call of a request; its deadline is the earliest of the route's, the caller's and the parent's.
-func (p *Proxy) newCall(ctx *fasthttp.RequestCtx, conn *callerConn, m *Match, body *requestBody) *call {
+func (p *Proxy) newCall(ctx *fasthttp.RequestCtx, conn *callerConn, m *Match, tenant *tenants.Tenant, body *requestBody) *call {
 	method := string(ctx.Method())
 	id := p.lastCallID.Add(1)
 	c := &call{
-		proxy: p, id: id, ctx: ctx, conn: conn, match: m, body: body,
+		proxy: p, id: id, ctx: ctx, conn: conn, match: m, tenant: tenant, body: body,
 		policy: m.policy(method), start: p.Now(),
 		results: make(chan int, maxTotalAttempts), disconnected: make(chan struct{}, 1),
 	}
@@ -171,14 +177,17 @@
 	c.head = wire.CallHead{
 		Caller:  p.callerService(),
 		TraceID: c.traceID(), Route: m.Route.Name, Method: method,
-		Host: string(ctx.Host()), URI: string(ctx.RequestURI()), Fields: p.requestFields(&ctx.Request.Header),
+		Host: string(ctx.Host()), URI: string(ctx.RequestURI()), Fields: p.requestFields(&ctx.Request.Header, m.Table.Tenants != nil),
 		BodyLength: body.length(), Priority: m.Route.Priority.Rank(), Idempotent: c.policy.Idempotent,
 		Depth: c.parent.Depth, RetryLayer: c.mayRetryAfterRun(), Version: m.Table.Version,
 	}
-	c.head.Content = quarantine.Request{
-		Method: method, Host: c.head.Host, Target: c.head.URI, Authorization: string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)),
-		BodyStart: body.start(), BodyLength: c.head.BodyLength,
-	}.Content()
+	if tenant != nil {
+		c.head.Tenant = tenant.Name
+		if tenant.Priority != nil {
+			c.head.Priority = *tenant.Priority
+		}
+	}
+	c.head.Content = c.contentOf()
 	return c
 }
 
--- a/src/dispatch/table.go
+++ b/src/dispatch/table.go
@@ -15,12 +15,14 @@
 	"github.com/yuccaport/yuccaport/src/ledger"
 	"github.com/yuccaport/yuccaport/src/problem"
 	"github.com/yuccaport/yuccaport/src/roster"
+	"github.com/yuccaport/yuccaport/src/tenants"
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
 // Table is the routing table of one configuration version and one roster view; it is immutable.
 type Table struct {
 	Version uint64
+	Tenants *tenants.Directory // of the configuration, nil if it holds none; set before the first use
 
 	hosts   map[string][]*tableRoute // by lower-case host, in the order of compareRoutes; shared by all tables of one configuration
 	members map[string][]wire.Member
@@ -75,7 +77,7 @@
 
 // WithMembers returns a table of the same configuration with the members of another roster view.
 func (t *Table) WithMembers(view *roster.View) *Table {
-	out := &Table{Version: t.Version, hosts: t.hosts, members: make(map[string][]wire.Member, len(t.members)), byID: make(map[uint64]wire.Member, len(t.byID))}
+	out := &Table{Version: t.Version, Tenants: t.Tenants, hosts: t.hosts, members: make(map[string][]wire.Member, len(t.members)), byID: make(map[uint64]wire.Member, len(t.byID))}
 	for name := range t.members {
 		out.addMembers(name, view)
 	}
--- a/src/document/document_page_test.go
+++ b/src/document/document_page_test.go
@@ -24,7 +24,7 @@
 	var out []string
 	for i := range t.NumField() {
 		f := t.Field(i)
-		if !f.IsExported() {
+		if !f.IsExported() || f.Tag.Get("toml") == "-" { // "-" marks a field that is no key
 			continue
 		}
 		key := prefix + f.Tag.Get("toml")
--- a/src/document/document_test.go
+++ b/src/document/document_test.go
@@ -25,6 +25,7 @@
 	const head = "service = \"bookings\"\n"
 	tests := map[string]struct{ data, want string }{
 		"unknown key":         {head + "[[route]]\nprefx = \"/\"\n", `.*f\.toml:3: route\.prefx: unknown key; remove it.*`},
+		"key of agents alone": {head + "[[route]]\npublic = true\n", `.*f\.toml:3: route\.public: unknown key; remove it.*`},
 		"bad duration":        {head + "drain_grace = \"2 s\"\n", `.*f\.toml:2: drain_grace: cannot be read.*`},
 		"no service":          {"", `.*f\.toml:1: service: "" is not a service name.*`},
 		"timeout too long":    {head + "[[route]]\n[[route]]\nprefix=\"/b\"\ntimeout = \"9s\"\ndeadline = \"3s\"\n", `.*f\.toml:5: route\[1\]\.timeout: 9s is longer than the deadline 3s; .*`},
--- a/src/document/route.go
+++ b/src/document/route.go
@@ -17,6 +17,7 @@
 	Hedge       Hedge    `toml:"hedge"`
 	MaxInFlight int      `toml:"max_in_flight"` // maximum number of the route's calls in flight at one daemon, 0 for no limit
 	Locality    Locality `toml:"locality"`
+	Public      bool     `toml:"-"` // needs no tenant's key where the configuration holds tenants; only in an agent's configuration
 }
 
 // Target is a service with its share of a route's requests.
--- a/src/header/names.go
+++ b/src/header/names.go
@@ -23,6 +23,12 @@
 	return strings.EqualFold(name, n.Deadline) || (n.Caller != "" && (strings.EqualFold(name, n.Caller) || strings.EqualFold(name, n.Expect)))
 }
 
+// IsTenant tells whether a header field names the caller's tenant. The daemons set it where the
+// configuration holds tenants, and pass it on unchanged elsewhere.
+func (n Names) IsTenant(name string) bool {
+	return n.Tenant != "" && strings.EqualFold(name, n.Tenant)
+}
+
 // Default returns the names of yuccaport's own interface. Backend servers there say by their health
 // endpoint that they are leaving.
 func Default() Names {
