--- a/src/agent/agent.go
+++ b/src/agent/agent.go
@@ -122,6 +122,7 @@
 		Settings: a.dispatchSettings(), Grace: s.StopGrace.Std(), StartTimeout: startTimeout, Log: a.Log.WithName("dispatch"), Metrics: a.Metrics,
 	}
 	a.buildRegistry()
+	a.proxy.KeysOutdated = (&keyAge{revocation: s.Revocation, follower: a.follower, log: a.Log.WithName("tenants")}).isOutdated
 	a.quarantine = &quarantine.Node{Self: a.id, Members: a.follower.Members, Exchanger: a.pool, Log: a.Log.WithName("quarantine"), Metrics: a.Metrics}
 	if a.Keys.ProbePrefix != "" {
 		a.quarantine.Claimer = &quarantine.RegistryClaimer{Store: a.Store, Prefix: a.Keys.ProbePrefix}
@@ -185,5 +186,8 @@
 	return settings.DefaultSlots
 }
 
-// IsReady reports whether the agent has a configuration in force and is not stopping, so that the platform may route clients to it. It is independent of wire.Member.Ready, which reports whether the backend server can serve calls.
-func (a *Agent) IsReady() bool { return a.serving.Load() != nil && !a.stopping.Load() }
+// IsReady reports whether the agent has a configuration in force, has asked peers for a newer one if that holds tenants, and is not stopping, so that the platform may route clients to it. It is independent of wire.Member.Ready, which reports whether the backend server can serve calls.
+func (a *Agent) IsReady() bool {
+	s := a.serving.Load()
+	return s != nil && !a.stopping.Load() && (s.table.Tenants == nil || a.follower.HasAskedPeers())
+}
--- a/src/agent/agent_test.go
+++ b/src/agent/agent_test.go
@@ -100,7 +100,7 @@
 	return b
 }
 
-func startVM(c *qt.C, store registry.Store, name string, b *backend) *vm {
+func startVM(c *qt.C, store registry.Store, name string, b *backend, options ...func(*agent.Agent)) *vm {
 	v := &vm{backend: b, done: make(chan error, 1)}
 	callers := listen(c)
 	v.callerAddr = callers.Addr().String()
@@ -114,6 +114,9 @@
 		Store: store, Keys: testKeys, Headers: headerNames, DecodeConfig: decodeConfig, Log: logr.Discard(),
 		CallerListener: callers, LinkListener: listen(c), ReadyListener: listen(c), HeartbeatListener: listen(c), ReadyHandler: noHandler, HeartbeatHandler: noHandler,
 	}
+	for _, o := range options {
+		o(v.Agent)
+	}
 	v.Build()
 	var ctx context.Context
 	ctx, v.cancel = context.WithCancel(context.Background())
--- a/src/agent/config.go
+++ b/src/agent/config.go
@@ -6,6 +6,7 @@
 	"github.com/yuccaport/yuccaport/src/dispatch"
 	"github.com/yuccaport/yuccaport/src/document"
 	"github.com/yuccaport/yuccaport/src/ledger"
+	"github.com/yuccaport/yuccaport/src/tenants"
 )
 
 const (
@@ -20,6 +21,7 @@
 	Routes      []Route
 	Limits      dispatch.Limits   // of callers' requests and connections
 	Connections map[string]int    // maximum connections to one backend server, by service; must have an entry for each service that a route points at; 0 keeps the current maximum
+	Tenants     []tenants.Tenant  // empty to admit callers without a key; the agent keeps no key in force in clear
 	HealthPaths map[string]string // path of the health endpoint, by service; if missing or empty, the current path stays
 }
 
--- a/src/agent/serving_state.go
+++ b/src/agent/serving_state.go
@@ -5,6 +5,7 @@
 	"github.com/yuccaport/yuccaport/src/document"
 	"github.com/yuccaport/yuccaport/src/ledger"
 	"github.com/yuccaport/yuccaport/src/roster"
+	"github.com/yuccaport/yuccaport/src/tenants"
 )
 
 // servingState holds the configuration and routing table in force. It is immutable.
@@ -61,12 +62,17 @@
 		a.Log.Error(err, "configuration rejected", "version", c.Version, "in_force", currentVersion)
 		return
 	}
-	routes := len(c.Routes)
-	c.Routes = nil // the snapshot holds them
+	t.Tenants, err = tenants.NewDirectory(c.Tenants)
+	if err != nil {
+		a.Log.Error(err, "configuration rejected", "version", c.Version, "in_force", currentVersion)
+		return
+	}
+	routes, tenantCount := len(c.Routes), len(c.Tenants)
+	c.Routes, c.Tenants = nil, nil // the snapshot and the directory hold them
 	a.serving.Store(&servingState{config: c, snapshot: s, table: t})
 	a.booking.ConfigureBackend(c.Connections[a.Settings.Service], c.HealthPaths[a.Settings.Service])
 	a.wakeBackendCheck()
-	a.Log.Info("version in force", "version", c.Version, "before", currentVersion, "routes", routes)
+	a.Log.Info("version in force", "version", c.Version, "before", currentVersion, "routes", routes, "tenants", tenantCount)
 }
 
 // updateMembers rebuilds the routing table for a changed set of members.
--- a/src/agent/settings.go
+++ b/src/agent/settings.go
@@ -24,6 +24,7 @@
 	Backend     Backend           `toml:"backend"`
 	Store       Store             `toml:"store"`
 	RetryBudget RetryBudget       `toml:"retry_budget"`
+	Revocation  Revocation        `toml:"revocation"`
 }
 
 // Listen holds the addresses that the agent listens on.
@@ -52,6 +53,12 @@
 	Reserve float64 `toml:"reserve"` // retries and hedged requests allowed in a burst, divided equally among the agents; 0 for the default of dispatch at each agent
 }
 
+// Revocation bounds how long an agent that cannot learn of newer configurations accepts tenants' keys.
+type Revocation struct {
+	Time   settings.Duration `toml:"time"`   // without news from the store or from a reader of it
+	Strict bool              `toml:"strict"` // refuse requests that need a key after Time; otherwise the keys in force stay accepted
+}
+
 // LoadSettings reads and validates a settings file; errors are of kind problem.Settings.
 func LoadSettings(file string) (Settings, error) {
 	b, err := os.ReadFile(file)
@@ -97,6 +104,9 @@
 			return settingsError(file, key, d, "set it to a time above zero, such as 2s")
 		}
 	}
+	if d := s.Revocation.Time.Std(); d < 0 || d == 0 && s.Revocation.Strict {
+		return settingsError(file, "revocation.time", d, "set it to a time above zero, such as 5s, or leave out the section revocation")
+	}
 	return nil
 }
 
--- a/src/agent/settings_test.go
+++ b/src/agent/settings_test.go
@@ -48,6 +48,9 @@
 		"no minimum TTL":  {`min_ttl = "1000ms"`, "", `.*store.min_ttl is "0s".*`},
 		"no stop grace":   {`stop_grace = "6s"`, "", `.*stop_grace is "0s".*`},
 		"unknown key":     {"memory_mb = 284", "memory_kb = 3", `settings: a.toml:7: unknown key "memory_kb".*`},
+		"revocation":      {"reserve = 60", "reserve = 60\n[revocation]\ntime = \"5000ms\"\nstrict = true", ""},
+		"strict, no time": {"reserve = 60", "reserve = 60\n[revocation]\nstrict = true", `.*revocation.time is "0s".*leave out the section revocation`},
+		"time below zero": {"reserve = 60", "reserve = 60\n[revocation]\ntime = \"-5s\"", `.*revocation.time is "-5s".*`},
 		"not TOML":        {validSettings, "{", `settings: a.toml.*`},
 	}
 	for name, tc := range tests {
