booking: a key or forged tenant from a daemon that knows no tenants yet is not passed on

A caller's daemon that is behind by a version, or of an earlier build, forwards Authorization and the caller's tenant field. The agent next to the server removes both where its configuration holds tenants.

--- a/src/agent/tenant_test.go
+++ b/src/agent/tenant_test.go
@@ -117,7 +117,9 @@
 	}
 
 	store.Put(testKeys.Config, []byte("2 /a/ s3cr3t-4 s3cr3t-4"))
-	eventually(c, "the version is rejected", func() bool { return strings.Count(log.String(), `"msg":"configuration rejected","version":2,"in_force":1`) == 2 })
+	eventually(c, "the version is rejected", func() bool {
+		return strings.Count(log.String(), `"msg":"configuration rejected","version":2,"in_force":1`) == 2
+	})
 	c.Check(log.String(), qt.Contains, `tenants \"t1\" and \"t2\": hold the same key`)
 	c.Check(conns[0].get(c, "s3cr3t-1"), qt.Equals, 200)
 
--- a/src/booking/request.go
+++ b/src/booking/request.go
@@ -54,8 +54,9 @@
 	req.UseHostHeader = true
 	h.SetMethod(x.head.Method)
 	h.SetRequestURI(x.head.URI)
+	hasTenants := x.head.Tenant != "" || x.s.HasTenants != nil && x.s.HasTenants()
 	for _, f := range x.head.Fields {
-		if isReserved(f.Name) || x.s.Headers.Replaces(f.Name) || x.head.Tenant != "" && x.s.Headers.IsTenant(f.Name) {
+		if isReserved(f.Name) || x.s.Headers.Replaces(f.Name) || hasTenants && x.s.isTenantField(f.Name) {
 			continue
 		}
 		h.Add(f.Name, f.Value)
@@ -77,6 +78,12 @@
 	}
 }
 
+// isTenantField reports whether a header field holds a tenant's key or name. The caller's daemon does
+// not pass them on, unless it is of an earlier build or does not know yet that there are tenants.
+func (s *Server) isTenantField(name string) bool {
+	return strings.EqualFold(name, fasthttp.HeaderAuthorization) || s.Headers.IsTenant(name)
+}
+
 func (x *exchange) host() string {
 	if x.head.Host != "" {
 		return x.head.Host
--- a/src/booking/server.go
+++ b/src/booking/server.go
@@ -41,6 +41,7 @@
 	OutboundDelay  func() (inTime, all time.Duration) // time that the network connection of this VM needs for the bodies that wait to be sent: those in time for their objective, and all; nil for zero
 	LinkRate       float64                            // bytes per second of the network connection of this VM, 0 to ignore the time that answers take on it
 	Quarantine     *quarantine.Node                   // keeps requests away that crash backend servers; nil for none
+	HasTenants     func() bool                        // reports whether the configuration holds tenants; nil for never
 	OnLeaving      func(instance string)              // called when the answers of an instance begin to say that it is leaving; nil for no call
 	Now            func() time.Time                   // nil for time.Now
 	Log            logr.Logger                        // zero for no logging
