--- a/src/agent/agent_test.go
+++ b/src/agent/agent_test.go
@@ -105,12 +105,7 @@
 	return b
 }
 
-func startVM(c *qt.C, store registry.Store, name string, b *backend) *vm {
-	return startVMWith(c, store, name, b, func(*agent.Agent) {})
-}
-
-// startVMWith starts a VM whose agent change has changed before it is built.
-func startVMWith(c *qt.C, store registry.Store, name string, b *backend, change func(*agent.Agent)) *vm {
+func startVM(c *qt.C, store registry.Store, name string, b *backend, options ...func(*agent.Agent)) *vm {
 	v := &vm{backend: b, done: make(chan error, 1)}
 	callers := listen(c)
 	v.callerAddr = callers.Addr().String()
@@ -124,7 +119,9 @@
 		Store: store, Keys: testKeys, Headers: headerNames, DecodeConfig: decodeConfig, Log: logr.Discard(),
 		CallerListener: callers, LinkListener: listen(c), ReadyListener: listen(c), HeartbeatListener: listen(c), ReadyHandler: noHandler, HeartbeatHandler: noHandler,
 	}
-	change(v.Agent)
+	for _, o := range options {
+		o(v.Agent)
+	}
 	v.Build()
 	var ctx context.Context
 	ctx, v.cancel = context.WithCancel(context.Background())
--- a/src/agent/rollout_test.go
+++ b/src/agent/rollout_test.go
@@ -106,7 +106,7 @@
 	b.serviceTime.Store(int64(10 * time.Millisecond))
 	view := f.store.View()
 	f.views = append(f.views, view)
-	v := startVMWith(f.c, view, instance, b, func(a *agent.Agent) {
+	v := startVM(f.c, view, instance, b, func(a *agent.Agent) {
 		a.Keys.RolloutPrefix, a.Keys.PlanPrefix, a.Rollouts = "mesh/order/", "mesh/plan/", rolloutFormat
 		a.Log = logr.New(funcr.New(func(prefix, args string) {
 			if strings.Contains(args, `"msg"="rollout `) {
--- a/src/agent/settings_test.go
+++ b/src/agent/settings_test.go
@@ -52,6 +52,9 @@
 		"exposure share":  {"[retry_budget]", "[rollout]\nexposure_share = 1.5\n[retry_budget]", `.*rollout.exposure_share is "1.5".*`},
 		"rollback time":   {"[retry_budget]", "[rollout]\nrollback = \"1s\"\n[retry_budget]", `.*rollout.rollback is "1s".*at least 2.5s.*`},
 		"unknown key":     {"memory_mb = 284", "memory_kb = 3", `settings: a.toml:7: unknown key "memory_kb".*`},
+		"revocation":      {"reserve = 60", "reserve = 60\n[revocation]\ntime = \"5000ms\"\nstrict = true", ""},
+		"strict, no time": {"reserve = 60", "reserve = 60\n[revocation]\nstrict = true", `.*revocation.time is "0s".*leave out the section revocation`},
+		"time below zero": {"reserve = 60", "reserve = 60\n[revocation]\ntime = \"-5s\"", `.*revocation.time is "-5s".*`},
 		"not TOML":        {validSettings, "{", `settings: a.toml.*`},
 	}
 	for name, tc := range tests {
--- a/src/booking/rollout.go
+++ b/src/booking/rollout.go
@@ -25,7 +25,7 @@
 		return true
 	}
 	s.refuse(in, h, wire.Refusal{Reason: wire.ReasonVersion})
-	if log := s.rolloutLog(s.callLog()); log.Enabled() {
+	if log := s.rolloutLog(s.callLog(h.Tenant)); log.Enabled() {
 		log.Info("refused by the gate", "request_id", h.TraceID, "reason", string(a), "rollout", h.Rollout)
 	}
 	return false
--- a/src/booking/server.go
+++ b/src/booking/server.go
@@ -43,6 +43,7 @@
 	LinkRate       float64                            // bytes per second of the network connection of this VM, 0 to ignore the time that answers take on it
 	Quarantine     *quarantine.Node                   // keeps requests away that crash backend servers; nil for none
 	Rollout        *rollout.Node                      // decides which calls may run while the service is under a rollout order, and gets the outcome of each run; nil for none
+	HasTenants     func() bool                        // reports whether the configuration holds tenants; nil for never
 	OnLeaving      func(instance string)              // called when the answers of an instance begin to say that it is leaving; nil for no call
 	Now            func() time.Time                   // nil for time.Now
 	Log            logr.Logger                        // zero for no logging
@@ -259,19 +260,23 @@
 	r.Load, r.LinkDelayMS = s.loadFor(h)
 	in.Refuse(r)
 	s.counters.countRefusal(r.Reason)
-	if log := s.rolloutLog(s.callLog()); log.Enabled() {
+	if log := s.rolloutLog(s.callLog(h.Tenant)); log.Enabled() {
 		log.Info("refused", "request_id", h.TraceID, "route", h.Route, "attempt", h.Attempt, "reason", r.Reason.String(), "may_have_run", r.MayHaveRun,
 			"priority", h.Priority, "objective_ms", h.ObjectiveMS, "timeout_ms", h.TimeoutMS, "patience_ms", h.PatienceMS, "final", h.Final,
 			"free", r.Load.Free, "backlog_ms", r.Load.Backlog, "retry_after_ms", r.RetryAfterMS)
 	}
 }
 
-// callLog returns the logger for per-call lines: at the default level with heartbeats, otherwise at verbosity 1.
-func (s *Server) callLog() logr.Logger {
-	if s.UsesHeartbeats {
-		return s.Log
+// callLog returns the logger for per-call lines, with the tenant's name if there is one: at the default level with heartbeats, otherwise at verbosity 1.
+func (s *Server) callLog(tenant string) logr.Logger {
+	log := s.Log
+	if !s.UsesHeartbeats {
+		log = log.V(1)
 	}
-	return s.Log.V(1)
+	if tenant != "" && log.Enabled() {
+		log = log.WithValues("tenant", tenant)
+	}
+	return log
 }
 
 // Drain starts a drain, as DrainAfter does, with the grace period of the current document, at most maxDrainGrace.
