rollout: a canary of at least three servers, and more evidence on rare routes

Change: a canary set of at least three servers; a server counts as good only once the evidence speaks for it; a share of the last periods raises the old servers' share only if it exceeds chance; a rare route gets up to three times its share of the canary; a version that is suspect after the longest wait is rolled back from 0.6 of the limit on.

--- a/src/rollout/baseline.go
+++ b/src/rollout/baseline.go
@@ -1,10 +1,14 @@
 package rollout
 
-import "slices"
+import (
+	"math"
+	"slices"
+)
 
 const (
 	baselineDecay   = 0.7  // factor per period on what the old servers have shown, once there is enough of it
 	minShareSamples = 30   // answers from which on a share of failures is used
+	maxDeviations   = 3    // standard deviations by which a share may exceed the recent one by chance
 	minDurations    = 50   // durations from which on slowness is judged
 	slowQuantile    = 0.98 // of the old servers' durations; see slowLimit
 	slowFactor      = 3    // multiple of the old servers' median below which no answer counts as slow
@@ -56,21 +60,37 @@
 	b.recent.add(t)
 }
 
-// failureShare returns the old servers' share of failures: the largest of the recent one and those
-// of the last periods, since a disturbance that hits all versions may reach the new servers' reports
-// first. highOnly counts only answers at high load, if there are enough.
+// failureShare returns the old servers' share of failures. highOnly counts only answers at high
+// load, if there are enough.
 func (b *baseline) failureShare(highOnly bool) float64 {
-	share := 0.0
-	for _, s := range []*tallySums{&b.recent, &b.last[0], &b.last[1]} {
-		n, f := s.answers[1], s.failures[1]
+	return b.share(minShareSamples, func(s *tallySums) (n, bad float64) {
+		n, bad = s.answers[1], s.failures[1]
 		if !highOnly || n < minShareSamples {
-			n, f = n+s.answers[0], f+s.failures[0]
+			n, bad = n+s.answers[0], bad+s.failures[0]
 		}
-		if n >= minShareSamples {
-			share = max(share, f/n)
+		return n, bad
+	})
+}
+
+// share returns the recent share of bad answers, or that of one of the last periods if it is higher by
+// more than chance: a disturbance that hits all versions may reach the new servers' reports first.
+func (b *baseline) share(minSamples float64, count func(*tallySums) (n, bad float64)) float64 {
+	n, bad := count(&b.recent)
+	if n < minSamples {
+		return 0
+	}
+	recent := bad / n
+	highest := recent
+	for i := range b.last {
+		n, bad := count(&b.last[i])
+		if n < minSamples {
+			continue
+		}
+		if deviation := math.Sqrt(max(recent, 1/n) / n); bad/n > recent+maxDeviations*deviation {
+			highest = max(highest, bad/n)
 		}
 	}
-	return share
+	return highest
 }
 
 // slowLimit returns the duration class up to which an answer is not slow: the slowQuantile of the
@@ -97,18 +117,13 @@
 
 // slowShare returns the old servers' share of slow answers.
 func (b *baseline) slowShare(limits [2]int) float64 {
-	share := 0.0
-	for _, s := range []*tallySums{&b.recent, &b.last[0], &b.last[1]} {
-		n, slow := 0.0, 0.0
+	return b.share(minDurations, func(s *tallySums) (n, bad float64) {
 		for class := range 2 {
 			n += sum(s.durations[class][:])
-			slow += sum(s.durations[class][min(limits[class]+1, durationClasses):])
-		}
-		if n >= minDurations {
-			share = max(share, slow/n)
+			bad += sum(s.durations[class][min(limits[class]+1, durationClasses):])
 		}
-	}
-	return share
+		return n, bad
+	})
 }
 
 func sum(counts []float64) float64 {
--- a/src/rollout/canary_set.go
+++ b/src/rollout/canary_set.go
@@ -6,7 +6,7 @@
 	"slices"
 )
 
-const minCanaryServers = 2 // a single server can be at fault itself
+const minCanaryServers = 3 // one or two can be gray servers of a good version
 
 // CanarySet holds the new servers to which requests go before all are shifted.
 type CanarySet struct{ ids map[uint64]bool }
@@ -14,7 +14,7 @@
 // NewCanarySet returns the canary set of an order in StageCanary: the first ready servers of the
 // target version in an order by hash that spreads them over failure domains, as many as carry the
 // requests that Limiter allows at the load per slot of the other versions' ready servers, and at
-// least two. All members that know the same servers choose the same set.
+// least three. All members that know the same servers choose the same set.
 func NewCanarySet(order uint64, targetVersion string, exposureShare float64, servers []Server) CanarySet {
 	return newCanarySet(order, targetVersion, senderShare*exposureShare, servers)
 }
--- a/src/rollout/coordinator.go
+++ b/src/rollout/coordinator.go
@@ -94,7 +94,9 @@
 		c.pending, c.store.known = nil, false
 		out = []Action{c.log("rollout write unsure, reading the record", "")}
 	case ReportReceived:
-		out = c.reportReceived(now, e.Report)
+		if out = c.reportReceived(now, e.Report); len(out) == 0 {
+			return nil // whether the stage is due is looked at with each Tick
+		}
 	case StopReceived:
 		if e.Order == c.id() {
 			out = c.stop(e.Reason, false)
--- a/src/rollout/coordinator_stage.go
+++ b/src/rollout/coordinator_stage.go
@@ -49,12 +49,16 @@
 	switch {
 	case spent < longest && (isLacking || c.finding.Undecided):
 		return StageNone, 0, ""
-	case c.finding.Undecided && next.share == 1:
-		return StageRolledBack, 0, "still suspect before all requests are shifted: " + c.finding.String()
+	case c.finding.Undecided && c.finding.Evidence >= rejectEvidence*c.finding.Limit:
+		return StageRolledBack, 0, "still suspect after the longest wait: " + c.finding.String()
 	}
 	return next.stage, next.share, c.finding.String()
 }
 
+// rejectEvidence is the share of the limit from which on a version that is still suspect after the
+// longest wait is rolled back.
+const rejectEvidence = 0.6
+
 // minReadySlots is the share of the old servers' slots that the new ones must have ready, for each
 // share of requests shifted. Some servers may be restarting.
 const minReadySlots = 0.75
--- a/src/rollout/finding.go
+++ b/src/rollout/finding.go
@@ -12,7 +12,7 @@
 	Failures   int     // or slow answers among them
 	OldShare   float64 // share of failures or slow answers of the old versions at the same time
 	Servers    int     // new servers with enough evidence
-	BadServers int     // among them, those that point to a bad version
+	BadServers int     // among them, those that do not count as good
 	Evidence   float64 // log-likelihood ratio; the version is bad from Limit on
 	Limit      float64
 	Total      int // answers of the new version judged since the order, on all routes
--- a/src/rollout/limiter.go
+++ b/src/rollout/limiter.go
@@ -11,7 +11,7 @@
 	// the requests that it expects to send until the deadline.
 	shiftShare = 0.9
 
-	rareRouteFactor  = 2   // a route with few requests may send up to this multiple of the common share
+	rareRouteFactor  = 3   // a route with few requests may send up to this multiple of the common share
 	minElapsedShare  = 0.1 // of the duration, from which on a rate of requests is extrapolated
 	maxLimiterRoutes = 64  // counted each by itself
 )
--- a/src/rollout/server_reports.go
+++ b/src/rollout/server_reports.go
@@ -5,26 +5,40 @@
 // serverReports is what a Judge knows of one server.
 type serverReports struct {
 	version string
-	routes  map[string]routeTally  // at the last report
-	period  map[string]*routeTally // counted since the current period began
+	routes  map[string]*reportedRoute
+}
+
+// reportedRoute is what a server has reported of one route.
+type reportedRoute struct {
+	latest routeTally // at the last report
+	period routeTally // counted since the current period began
+	isNew  bool       // period is not empty
 }
 
 // add takes in a report. A report that is behind an earlier one changes nothing.
 func (s *serverReports) add(r wire.RolloutReport) {
-	deltas := map[string]routeTally{}
 	for _, route := range r.Routes {
-		delta, ok := decodeRouteTally(route).minus(s.routes[route.Route])
-		if !ok {
-			return
+		known := s.routes[route.Route]
+		if known == nil {
+			known = &reportedRoute{}
+			s.routes[route.Route] = known
+		}
+		latest := decodeRouteTally(route)
+		if latest == known.latest {
+			continue
+		}
+		if delta, ok := latest.minus(known.latest); ok {
+			known.latest, known.isNew = latest, true
+			known.period.add(&delta)
 		}
-		deltas[route.Route] = delta
 	}
-	for _, route := range r.Routes {
-		s.routes[route.Route] = decodeRouteTally(route)
-		if s.period[route.Route] == nil {
-			s.period[route.Route] = &routeTally{}
+}
+
+// endPeriod starts the next period.
+func (s *serverReports) endPeriod() {
+	for _, known := range s.routes {
+		if known.isNew {
+			known.period, known.isNew = routeTally{}, false
 		}
-		delta := deltas[route.Route]
-		s.period[route.Route].add(&delta)
 	}
 }
--- a/src/rollout/stratum.go
+++ b/src/rollout/stratum.go
@@ -6,15 +6,16 @@
 	// Additional shares of bad answers, beyond those of the old servers, between which the test
 	// decides: up to tolerableShare a version is good, from badShare on it is bad. Between the two
 	// either finding may come.
-	tolerableShare = 0.10
-	badShare       = 0.30
+	tolerableShare = 0.08
+	badShare       = 0.28
 
 	errorRate         = 0.001 // accepted by the sequential test
 	maxOldShare       = 0.9   // beyond it, no version can be told from the old one
 	minServerAnswers  = 4     // from which on a server counts as one with evidence; below it, one failure or none decides
-	badServers        = 0.7   // share of the servers with evidence that must point to a bad version
+	badServers        = 0.7   // share of the servers with evidence that must not count as good in a bad version; more than half would confuse it with a few gray servers in a small canary set
 	maxServerEvidence = 0.6   // of evidenceLimit that a single server can add, so that it takes two
-	suspectEvidence   = 0.5   // of evidenceLimit from which on a version is suspect
+	suspectEvidence   = 0.25  // of evidenceLimit from which on a version is suspect
+	goodServerRatio   = -1.0  // log-likelihood ratio up to which a server counts as good: minServerAnswers without a failure
 )
 
 // evidenceLimit is the log-likelihood ratio from which on a version is bad.
@@ -70,7 +71,7 @@
 		f.Failures += e.bad
 		if e.answers >= minServerAnswers {
 			f.Servers++
-			if e.ratio > 0 {
+			if e.ratio > goodServerRatio {
 				f.BadServers++
 			}
 		}
