rollout: one verdict, whatever is lost between coordinators and the store

Cause: nothing showed that there is exactly one verdict.

A time-out that answers nothing is ignored.

--- a/src/rollout/coordinator.go
+++ b/src/rollout/coordinator.go
@@ -85,14 +85,18 @@
 	case RecordRead:
 		out = c.recordRead(now, e)
 	case ReadFailed:
-		c.reading, c.readAt = false, now.Add(readRetryDelay)
+		if c.reading {
+			c.reading, c.readAt = false, now.Add(readRetryDelay)
+		}
 	case WriteDone:
 		out = c.writeDone(now, e)
 	case WriteConflict:
 		c.pending, c.store.known = nil, false
 	case WriteUnsure:
-		c.pending, c.store.known = nil, false
-		out = []Action{c.log("rollout write unsure, reading the record", "")}
+		if c.pending != nil {
+			c.pending, c.store.known = nil, false
+			out = []Action{c.log("rollout write unsure, reading the record", "")}
+		}
 	case ReportReceived:
 		if out = c.reportReceived(now, e.Report); len(out) == 0 {
 			return nil // whether the stage is due is looked at with each Tick
