--- a/src/rollout/coordinator_stage.go
+++ b/src/rollout/coordinator_stage.go
@@ -12,6 +12,7 @@
 // wantedStage returns the stage that is due, StageNone to leave the record as it is.
 func (c *Coordinator) wantedStage(now time.Time) (stage Stage, share float64, reason string) {
 	ready, _ := c.readySlots(true)
+	old, _ := c.readySlots(false)
 	isMissing := !c.missingAt.IsZero() && now.Sub(c.missingAt) >= graceTime
 	hasNoOld := !c.noOldAt.IsZero() && now.Sub(c.noOldAt) >= graceTime
 	switch {
@@ -19,7 +20,7 @@
 		return StageRolledBack, 0, c.stopReason
 	case !c.hasRecord() && ready > 0 && hasNoOld:
 		return StageCompleted, 1, "there are no servers of another version"
-	case !c.hasRecord() && ready > 0:
+	case !c.hasRecord() && ready > 0 && old > 0:
 		return StageCanary, 0, "order seen"
 	case !c.hasRecord() && c.elapsed(now) >= c.order.Duration && isMissing:
 		return StageRolledBack, 0, "no server of the version was ready before the deadline"
--- a/src/rollout/tally.go
+++ b/src/rollout/tally.go
@@ -18,14 +18,16 @@
 // order. Its counts go up only, so a report that is lost or repeated does no harm.
 type Tally struct {
 	routes  map[string]*routeTally
-	crashed time.Time // when the last crash was counted
+	crashes int       // of the server
+	crashed time.Time // when the last one was first reported
 }
 
 // Add counts a run that ended at the given time.
 //
-// A crash counts as one failure however many calls it ended: the calls share one cause, which may be
-// a single poison request. A cold server that answers too late is not counted, since it is expected
-// to be slow.
+// The first crash of the server counts as one failure however many calls it ended: the calls share
+// one cause, which may be a single poison request. Each call that a further crash ends counts, since
+// a server that crashes again and again is at fault itself. A cold server that answers too late is
+// not counted, since it is expected to be slow.
 func (t *Tally) Add(now time.Time, s Sample) {
 	class := 0
 	if s.Load >= highLoad {
@@ -44,11 +46,13 @@
 		}
 		t.fail(s.Route, class)
 	case OutcomeCrashed:
-		if !t.crashed.IsZero() && now.Sub(t.crashed) < crashWindow {
-			return
+		isFurther := t.crashes > 0 && now.Sub(t.crashed) < crashWindow
+		if !isFurther {
+			t.crashes, t.crashed = t.crashes+1, now
+		}
+		if t.crashes > 1 || !isFurther {
+			t.fail(s.Route, class)
 		}
-		t.crashed = now
-		t.fail(s.Route, class)
 	case OutcomeFailed:
 		t.fail(s.Route, class)
 	case OutcomeCut:
--- a/src/rollout/verdict_test.go
+++ b/src/rollout/verdict_test.go
@@ -215,10 +215,11 @@
 // Guards against a settled order that starts again, or gets another verdict, after the store was
 // restored from a copy taken before its verdict, its first record or its order.
 func TestVerdictSurvivesRestoredStore(t *testing.T) {
-	tests := map[string]struct{ hasRecord, orderAgain bool }{
-		"copy with an earlier record":         {true, false},
-		"copy without a record":               {false, false},
-		"copy without the order, given again": {false, true},
+	tests := map[string]struct{ hasRecord, orderAgain, otherVerdict bool }{
+		"copy with an earlier record":         {hasRecord: true},
+		"copy without a record":               {},
+		"copy without the order, given again": {orderAgain: true},
+		"late write of another verdict":       {hasRecord: true, otherVerdict: true},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -236,6 +237,9 @@
 			if !tc.hasRecord {
 				f.plan, f.revision, f.statusRevision, f.status = Plan{}, 0, 0, ""
 			}
+			if tc.otherVerdict { // its condition held again in the copy
+				f.plan.Stage, f.plan.Step, f.status = StageCompleted, 9, "completed"
+			}
 			seen := registry.JoinRevision(2, copiedRevision)
 			for i := range f.coordinators {
 				f.step(i, RecordSeen{f.plan, seen})
