rollout: coordinators that the store refuses

Members whose entries the store lacks, as it does while it refuses them, are no coordinators while others are listed, and three more members may write what needs no reports: the first record, and the verdict after a stop. Before, a store that refused the three coordinators held up the order. The entry of a starting agent is announced as soon as orders and records are known, without a wait for the next check of the backend server.

--- a/src/agent/run.go
+++ b/src/agent/run.go
@@ -47,6 +47,7 @@
 	goRun(&backgroundGroup, backgroundCtx, a.quarantine.Run)
 	if a.rollout != nil {
 		goRun(&backgroundGroup, backgroundCtx, a.rollout.Run)
+		goRun(&backgroundGroup, backgroundCtx, a.awaitRollouts)
 	}
 	goRun(&backgroundGroup, backgroundCtx, a.watchBackend)
 	goRun(&backgroundGroup, backgroundCtx, a.watchSettings)
--- a/src/dispatch/call_state.go
+++ b/src/dispatch/call_state.go
@@ -37,7 +37,7 @@
 	isSuspect      bool            // backend servers crash under the request, so that it is not sent to another one
 	version        versionClass    // of the servers that the next attempt may go to
 	rollout        uint64          // order that the service of the next attempt is under, 0 for none
-	exposes        bool            // the limiter has counted the last attempt for the new version
+	exposes        *serviceRollout // whose limiter has counted the last attempt for the new version, nil for none
 	accepted       bool            // an answer is being passed on to the caller
 }
 
--- a/src/dispatch/service_rollout.go
+++ b/src/dispatch/service_rollout.go
@@ -87,23 +87,28 @@
 // refusal by a server's gate, by what that server knows: an old server that refuses follows a later
 // record, in which all calls go to the new version.
 func (c *Core) wantsNew(now time.Time, cs *callState, ro *serviceRollout) bool {
-	if len(cs.attempts) == 0 {
-		cs.exposes = ro.limiter.Next(now, cs.policy.Route, ro.routing)
-		return cs.exposes
+	isNew := false
+	switch {
+	case len(cs.attempts) == 0:
+		isNew = ro.limiter.Next(now, cs.policy.Route, ro.routing)
+	case cs.attempts[len(cs.attempts)-1].wrongVersion:
+		return !ro.routing.AllowsOld() || !cs.attempts[len(cs.attempts)-1].server.isNew && ro.routing.AllowsNew()
+	default:
+		isNew = ro.limiter.MayRetryNew(now, cs.policy.Route, ro.routing)
 	}
-	if last := cs.attempts[len(cs.attempts)-1]; last.wrongVersion {
-		return !ro.routing.AllowsOld() || !last.server.isNew && ro.routing.AllowsNew()
+	cs.exposes = nil
+	if isNew {
+		cs.exposes = ro
 	}
-	cs.exposes = ro.limiter.MayRetryNew(now, cs.policy.Route, ro.routing)
-	return cs.exposes
+	return isNew
 }
 
-// returnExposure takes back that the limiter has counted the call's last attempt for the new version.
+// returnExposure takes back that a limiter has counted the call's last attempt for the new version.
 func (c *Core) returnExposure(cs *callState) {
-	if ro := c.rollouts[cs.service]; ro != nil && cs.exposes {
-		ro.limiter.Return(cs.policy.Route)
+	if cs.exposes != nil {
+		cs.exposes.limiter.Return(cs.policy.Route)
 	}
-	cs.exposes = false
+	cs.exposes = nil
 }
 
 // allowsVersion reports whether a server is of the version that the call's next attempt goes to.
--- a/src/rollout/node.go
+++ b/src/rollout/node.go
@@ -35,9 +35,10 @@
 // may be called concurrently; Run must be called at most once. Without an order it sends no message,
 // makes no store call and allocates nothing on the path of a call.
 type Node struct {
-	Self         uint64               // member ID of this agent
-	Service      string               // of the agent's own backend server
-	Members      func() []wire.Member // all agents, this one included or not
+	Self         uint64                 // member ID of this agent
+	Service      string                 // of the agent's own backend server
+	Members      func() []wire.Member   // all agents, this one included or not
+	Unlisted     func() map[uint64]bool // IDs of the members whose entries the store lacks, as it does while it refuses them; nil for none
 	Exchanger    link.Exchanger
 	Store        registry.Store
 	Keys         registry.Keys
@@ -158,7 +159,7 @@
 	servers := serversOf(service, members)
 	n.mu.Lock()
 	s := n.services[service]
-	rank := slices.Index(n.coordinatorsLocked(s, members), n.Self)
+	rank := slices.Index(n.writersLocked(s, members), n.Self)
 	if n.KnowsItems != nil && !n.KnowsItems() {
 		rank = -1
 	}
@@ -175,13 +176,40 @@
 
 // coordinatorsLocked returns the coordinators of a service's order by rank. n.mu must be held.
 func (n *Node) coordinatorsLocked(s *serviceState, members []wire.Member) []uint64 {
-	var candidates []Candidate
+	return Coordinators(s.orderID(), n.candidates(members))
+}
+
+// writersLocked returns the members that write records, by rank: the coordinators and, in case the
+// store refuses all of them, as many further members. These get no reports, so that they can only
+// write what needs none: the first record, and the verdict after a stop. n.mu must be held.
+func (n *Node) writersLocked(s *serviceState, members []wire.Member) []uint64 {
+	candidates := n.candidates(members)
+	coordinators := Coordinators(s.orderID(), candidates)
+	others := slices.DeleteFunc(candidates, func(c Candidate) bool { return slices.Contains(coordinators, c.ID) })
+	return append(coordinators, Coordinators(s.orderID(), others)...)
+}
+
+// candidates returns the live members that the store lists or, if these are too few, all live ones.
+func (n *Node) candidates(members []wire.Member) []Candidate {
+	var unlisted map[uint64]bool
+	if n.Unlisted != nil {
+		unlisted = n.Unlisted()
+	}
+	var listed, all []Candidate
 	for _, m := range members {
-		if m.State == wire.StateAlive {
-			candidates = append(candidates, Candidate{ID: m.ID, Domain: m.Domain})
+		if m.State != wire.StateAlive {
+			continue
+		}
+		c := Candidate{ID: m.ID, Domain: m.Domain}
+		all = append(all, c)
+		if !unlisted[m.ID] {
+			listed = append(listed, c)
 		}
 	}
-	return Coordinators(s.orderID(), candidates)
+	if len(listed) < coordinatorCount {
+		return all
+	}
+	return listed
 }
 
 func serversOf(service string, members []wire.Member) []Server {
