--- a/src/rollout/node_test.go
+++ b/src/rollout/node_test.go
@@ -32,6 +32,7 @@
 
 	mu       sync.Mutex
 	dead     map[uint64]bool
+	unlisted map[uint64]bool
 	messages atomic.Int64
 }
 
@@ -91,6 +92,11 @@
 			},
 			EncodeStatus: func(state, version string) []byte { return []byte(state) },
 			InFlight:     func() int { return 0 },
+			Unlisted: func() map[uint64]bool {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				return f.unlisted
+			},
 		}
 	}
 	for id, node := range f.nodes {
@@ -182,6 +188,33 @@
 	c.Check(verdicts.Load(), qt.Equals, int64(1))
 }
 
+// The store refuses the three coordinators. The order must start all the same, and go on once the
+// store has dropped their entries. Guards against an order without a status and without a verdict.
+func TestNodeStoreRefusesCoordinators(t *testing.T) {
+	c := qt.New(t)
+	refused := map[uint64]bool{}
+	f := newNodeFleet(c, 8, func(f *nodeFleet, id uint64, txn registry.Transaction, apply func() (uint64, error)) (uint64, error) {
+		if refused[id] {
+			return 0, problem.New(problem.Unavailable, "store", "refused", "")
+		}
+		return apply()
+	})
+	var candidates []rollout.Candidate
+	for _, m := range f.members() {
+		candidates = append(candidates, rollout.Candidate{ID: m.ID, Domain: m.Domain})
+	}
+	order := rollout.Order{Service: "s", TargetVersion: "v2", Duration: 3 * time.Second, Revision: 1}
+	for _, id := range rollout.Coordinators(order.ID(), candidates) {
+		refused[id] = true
+	}
+	f.store.Put("mesh/order/s", []byte("v2"))
+	f.await(c, "running", 2*time.Second)
+	f.mu.Lock()
+	f.unlisted = refused
+	f.mu.Unlock()
+	f.await(c, "completed", 5*time.Second)
+}
+
 // Of a write that was applied but not answered, the outcome is read before the next write. Guards
 // against a record that is written twice, and a rollout that ends there.
 func TestNodeLostAnswers(t *testing.T) {
