rollout: compare with the old servers at the same time also when few requests go to them

Change: the last step of the shift is 0.9, not 1; a route's period goes on until the old servers have answered 15 times in it; a version is bad only if three servers, or all, point to it; a stop is told again until the record is settled.

--- a/src/rollout/baseline.go
+++ b/src/rollout/baseline.go
@@ -3,11 +3,12 @@
 import (
 	"math"
 	"slices"
+	"time"
 )
 
 const (
 	baselineDecay   = 0.7  // factor per period on what the old servers have shown, once there is enough of it
-	minShareSamples = 30   // answers from which on a share of failures is used
+	minShareSamples = 30   // answers from which on the recent share of failures is used
 	maxDeviations   = 3    // standard deviations by which a share may exceed the recent one by chance
 	minDurations    = 50   // durations from which on slowness is judged
 	slowQuantile    = 0.98 // of the old servers' durations; see slowLimit
@@ -19,8 +20,13 @@
 type baseline struct {
 	recent tallySums
 	last   [2]tallySums // the last period first
+
+	periodStart time.Time
 }
 
+// answers returns the weighted number of answers known.
+func (b *baseline) answers() float64 { return b.recent.answers[0] + b.recent.answers[1] }
+
 // tallySums are the weighted counts of a routeTally with cut calls left out.
 type tallySums struct {
 	answers   [2]float64
@@ -54,7 +60,7 @@
 	var sums tallySums
 	sums.add(t)
 	b.last[1], b.last[0] = b.last[0], sums
-	if total := sums.answers[0] + sums.answers[1]; total > 0 && b.recent.answers[0]+b.recent.answers[1] > 10*minDurations {
+	if total := sums.answers[0] + sums.answers[1]; total > 0 && b.answers() > 10*minDurations {
 		b.recent.scale(baselineDecay)
 	}
 	b.recent.add(t)
@@ -83,7 +89,7 @@
 	highest := recent
 	for i := range b.last {
 		n, bad := count(&b.last[i])
-		if n < minSamples {
+		if n == 0 {
 			continue
 		}
 		if deviation := math.Sqrt(max(recent, 1/n) / n); bad/n > recent+maxDeviations*deviation {
--- a/src/rollout/coordinator.go
+++ b/src/rollout/coordinator.go
@@ -11,6 +11,7 @@
 	readRetryDelay = 500 * time.Millisecond // after the store has not answered a read
 	maxReportAge   = time.Second            // of reports that say how a server is now
 	maxTickGap     = time.Second            // beyond it, this member was suspended and what it knows is old
+	stopInterval   = 500 * time.Millisecond // between broadcasts of a stop, until the record is settled
 	graceTime      = 2 * time.Second        // for which servers may be missing, for example while they restart
 )
 
@@ -34,7 +35,8 @@
 	withdrawn  Order // the last order that was withdrawn
 	stopped    bool  // of order
 	stopReason string
-	hasWritten bool // this coordinator has asked for a record of order to be written
+	stopTold   time.Time // last broadcast
+	hasWritten bool      // this coordinator has asked for a record of order to be written
 
 	store   storeState
 	wanted  Plan // record that this coordinator wants to write
@@ -77,7 +79,7 @@
 	case OrderSeen:
 		out = c.orderSeen(now, e.Order)
 	case OrderWithdrawn:
-		out = c.orderWithdrawn(e.Revision)
+		out = c.orderWithdrawn(now, e.Revision)
 	case OrderInvalid:
 		out = c.orderInvalid(e)
 	case RecordSeen:
@@ -103,7 +105,7 @@
 		}
 	case StopReceived:
 		if e.Order == c.id() {
-			out = c.stop(e.Reason, false)
+			out = c.stop(now, e.Reason)
 		}
 	case ServersChanged:
 		c.servers = e.Servers
@@ -193,7 +195,7 @@
 		c.judge.Add(now, r)
 	}
 	if r.Stopped {
-		return c.stop("stopped by another coordinator", false)
+		return c.stop(now, "stopped by another coordinator")
 	}
 	return nil
 }
@@ -211,9 +213,13 @@
 	if c.judge == nil || !c.isActive() || c.turn == 0 {
 		return nil
 	}
+	if c.stopped && now.Sub(c.stopTold) >= stopInterval {
+		c.stopTold = now
+		return []Action{BroadcastStop{Order: c.id(), Reason: c.stopReason}}
+	}
 	c.finding = c.judge.Find(now)
 	if c.finding.Bad {
-		return c.stop(c.finding.String(), true)
+		return c.stop(now, c.finding.String())
 	}
 	return nil
 }
@@ -247,13 +253,15 @@
 }
 
 // stop forbids the new version for the rest of the order, so that the verdict will be rolled_back.
-func (c *Coordinator) stop(reason string, broadcast bool) []Action {
+// All coordinators tell it, since the one that told it first may have been cut off.
+func (c *Coordinator) stop(now time.Time, reason string) []Action {
 	if c.stopped || c.hasRecord() && c.plan.Stage.IsSettled() {
 		return nil
 	}
 	c.stopped, c.stopReason = true, reason
 	out := []Action{c.log("rollout stopped", reason)}
-	if broadcast {
+	if c.turn > 0 {
+		c.stopTold = now
 		out = append(out, BroadcastStop{Order: c.id(), Reason: reason})
 	}
 	return out
--- a/src/rollout/coordinator_order.go
+++ b/src/rollout/coordinator_order.go
@@ -50,7 +50,7 @@
 
 // orderWithdrawn rolls a running order back, since nothing allows requests to go to its version any
 // more. A key that is missing in a later era of the store was not withdrawn: the store lost it.
-func (c *Coordinator) orderWithdrawn(revision uint64) []Action {
+func (c *Coordinator) orderWithdrawn(now time.Time, revision uint64) []Action {
 	current, _ := registry.SplitRevision(c.order.Revision)
 	era, _ := registry.SplitRevision(revision)
 	c.next = Order{}
@@ -67,7 +67,7 @@
 		c.order = Order{}
 		return out
 	}
-	return append([]Action{c.log("rollout order withdrawn", "")}, c.stop("order withdrawn", true)...)
+	return append([]Action{c.log("rollout order withdrawn", "")}, c.stop(now, "order withdrawn")...)
 }
 
 // orderInvalid logs an order that cannot be carried out, once.
--- a/src/rollout/coordinator_record.go
+++ b/src/rollout/coordinator_record.go
@@ -79,7 +79,7 @@
 	}
 	out = append(out, c.log("rollout "+p.Stage.String(), p.Reason))
 	if p.Order == c.withdrawn {
-		out = append(out, c.stop("order withdrawn", false)...) // written by another coordinator before it knew
+		out = append(out, c.stop(now, "order withdrawn")...) // written by another coordinator before it knew
 	}
 	if p.Stage.IsSettled() && c.next != (Order{}) && !p.covers(c.next) {
 		out = append(out, c.start(now, c.next)...)
--- a/src/rollout/judge.go
+++ b/src/rollout/judge.go
@@ -13,6 +13,11 @@
 // intervals, so that a disturbance of all versions shows in the old servers' reports as well.
 const judgePeriod = 400 * time.Millisecond
 
+const (
+	minPeriodAnswers = 15              // of the old servers on a route, without which a period goes on: fewer don't show a disturbance reliably
+	maxJudgePeriod   = 2 * time.Second // after which a period ends all the same, since the old servers may have failed altogether
+)
+
 // allRoutes is the route of the test over all routes together.
 const allRoutes = "*"
 
@@ -37,14 +42,15 @@
 	oldShares map[string]*[kindCount]float64 // at the end of the last period
 	periodEnd time.Time
 	total     int
-	news      int // servers of the target version that have answered
+	news      map[uint64]bool // servers of the target version that have answered
 	finding   Finding
 }
 
 // Add takes in a report.
 func (j *Judge) Add(now time.Time, r wire.RolloutReport) {
 	if j.servers == nil {
-		j.servers, j.baselines = map[uint64]*serverReports{}, map[string]*baseline{}
+		j.servers, j.baselines = map[uint64]*serverReports{}, map[string]*baseline{allRoutes: {}}
+		j.news = map[uint64]bool{}
 		j.strata, j.oldShares = map[string]*[kindCount]stratum{}, map[string]*[kindCount]float64{}
 		j.periodEnd = now.Add(judgePeriod)
 	}
@@ -53,9 +59,8 @@
 		s = &serverReports{version: r.Version, routes: map[string]*reportedRoute{}}
 		j.servers[r.Member] = s
 	}
-	if s.version == r.Version {
-		s.add(r)
-	}
+	s.version = r.Version // of the answers since the last report, should it have changed
+	s.add(r)
 }
 
 // Find evaluates the evidence, once each judgePeriod.
@@ -64,64 +69,74 @@
 		return j.finding
 	}
 	j.periodEnd = now.Add(judgePeriod)
-	j.endBaselines()
-	j.addNew()
+	all := &routeTally{}
+	sums := j.oldSums()
+	for route, t := range sums {
+		if j.isComplete(now, route, t) {
+			j.baselines[route].endPeriod(t)
+			all.add(t)
+		}
+	}
+	j.baselines[allRoutes].endPeriod(all)
+	for route, t := range sums {
+		if j.isComplete(now, route, t) {
+			j.testRoute(route)
+			j.baselines[route].periodStart = now
+		}
+	}
 	j.finding = j.worst()
 	j.finding.Total = j.total
-	for _, s := range j.servers {
-		s.endPeriod()
-	}
 	return j.finding
 }
 
-// endBaselines takes the old servers' counts of the period into the baselines.
-func (j *Judge) endBaselines() {
-	sums := map[string]*routeTally{allRoutes: {}}
+// oldSums returns the old servers' counts of the period for each known route.
+func (j *Judge) oldSums() map[string]*routeTally {
+	sums := map[string]*routeTally{}
 	for _, s := range j.servers {
 		for route, known := range s.routes {
 			if sums[route] == nil {
 				sums[route] = &routeTally{}
 			}
+			if j.baselines[route] == nil {
+				j.baselines[route] = &baseline{}
+			}
 			if s.version != j.TargetVersion && known.isNew {
 				sums[route].add(&known.period)
-				sums[allRoutes].add(&known.period)
 			}
 		}
 	}
-	for route, t := range sums {
-		if j.baselines[route] == nil {
-			j.baselines[route] = &baseline{}
-		}
-		j.baselines[route].endPeriod(t)
-	}
+	return sums
+}
+
+// isComplete reports whether a route's period can be judged: the old servers have answered often
+// enough in it to be compared with. This keeps a disturbance of all servers from being taken for a
+// bad version once few requests go to the old ones.
+func (j *Judge) isComplete(now time.Time, route string, old *routeTally) bool {
+	b := j.baselines[route]
+	return old.total() >= minPeriodAnswers || b.answers() == 0 || now.Sub(b.periodStart) >= maxJudgePeriod
 }
 
-// addNew takes the new servers' counts of the period into the tests.
-func (j *Judge) addNew() {
-	j.news = 0
+// testRoute takes the new servers' counts of a route's period into the tests.
+func (j *Judge) testRoute(route string) {
+	b := j.baselines[route]
+	if b.answers() < minShareSamples {
+		b = j.baselines[allRoutes]
+	}
 	for id, s := range j.servers {
-		if s.version != j.TargetVersion {
+		known := s.routes[route]
+		if known == nil || !known.isNew || s.version != j.TargetVersion {
+			s.endPeriod(route)
 			continue
 		}
-		if len(s.routes) > 0 {
-			j.news++
-		}
-		for route, known := range s.routes {
-			if !known.isNew {
-				continue
-			}
-			t := &known.period
-			j.total += int(t.answers[0] + t.answers[1])
-			b := j.baselines[route]
-			if n := b.recent.answers[0] + b.recent.answers[1]; n < minShareSamples {
-				b = j.baselines[allRoutes]
-			}
-			j.test(id, route, kindFailure, int(t.answers[0]+t.answers[1]), int(t.failures[0]+t.failures[1]), b.failureShare(false))
-			j.test(id, route, kindLoadFailure, int(t.answers[1]), int(t.failures[1]), b.failureShare(true))
-			if n, slow, oldShare, ok := j.slowAnswers(route, t); ok {
-				j.test(id, route, kindSlow, n, slow, oldShare)
-			}
+		t := &known.period
+		j.total += t.total()
+		j.news[id] = true
+		j.test(id, route, kindFailure, t.total(), int(t.failures[0]+t.failures[1]), b.failureShare(false))
+		j.test(id, route, kindLoadFailure, int(t.answers[1]), int(t.failures[1]), b.failureShare(true))
+		if n, slow, oldShare, ok := j.slowAnswers(route, t); ok {
+			j.test(id, route, kindSlow, n, slow, oldShare)
 		}
+		s.endPeriod(route)
 	}
 }
 
@@ -166,7 +181,7 @@
 	worst := Finding{Limit: evidenceLimit}
 	for _, route := range slices.Sorted(maps.Keys(j.strata)) {
 		for k := range kindCount {
-			f := j.strata[route][k].find(j.news == 1)
+			f := j.strata[route][k].find(len(j.news))
 			f.Route, f.Slow, f.OldShare = route, k == kindSlow, j.oldShares[route][k]
 			if cmp.Or(cmp.Compare(rank(f), rank(worst)), cmp.Compare(f.Evidence, worst.Evidence)) > 0 {
 				worst = f
--- a/src/rollout/limiter.go
+++ b/src/rollout/limiter.go
@@ -7,7 +7,7 @@
 	// shift and requests that are counted at the new version more than once, as repeats are.
 	senderShare = 0.8
 
-	// shiftShare is the part of the exposure that a sender uses before all requests are shifted, of
+	// shiftShare is the part of the exposure that a sender uses before the last step of the shift, of
 	// the requests that it expects to send until the deadline.
 	shiftShare = 0.9
 
@@ -60,8 +60,8 @@
 	case r.Stage == StageCanary:
 		return l.allowsCanary(counts)
 	}
-	l.credit = min(1, l.credit+r.Share)
-	if l.credit < 1 || r.Share < 1 && float64(l.news+1) > shiftShare*l.ExposureShare*l.expectedSends(now, r) {
+	l.credit = min(2, l.credit+r.Share) // more than 1, so that a fraction is carried over
+	if l.credit < 1 || r.Share < finalShare && float64(l.news+1) > shiftShare*l.ExposureShare*l.expectedSends(now, r) {
 		return false
 	}
 	l.credit--
--- a/src/rollout/patterns_test.go
+++ b/src/rollout/patterns_test.go
@@ -39,7 +39,7 @@
 	"none":  func(m *model) {},
 	"noise": func(m *model) { m.noise = true },
 	"burst": func(m *model) {
-		from := time.Duration(m.rand.IntN(8)) * time.Second
+		from := time.Duration(m.rand.IntN(12)) * time.Second
 		m.burst = func(at time.Duration) float64 {
 			if at >= from && at < from+3*time.Second {
 				return 2.5
@@ -62,13 +62,13 @@
 		}
 	},
 	"failing inner calls": func(m *model) {
-		from := 1000 + m.rand.IntN(6000)
+		from := 1000 + m.rand.IntN(11000)
 		m.fails = func(m *model, s *modelServer, route int) bool {
 			return route == 1 && m.ms >= from && m.ms < from+2500 && m.rand.Float64() < 0.5
 		}
 	},
 	"slow domain": func(m *model) {
-		from := 1000 + m.rand.IntN(6000)
+		from := 1000 + m.rand.IntN(10000)
 		slowness := m.slowness
 		m.slowness = func(m *model, s *modelServer, route int) float64 {
 			f := 1.0
--- a/src/rollout/schedule.go
+++ b/src/rollout/schedule.go
@@ -23,10 +23,14 @@
 	rest  float64 // share of the duration from the start of this step to the verdict
 }
 
+// finalShare is the share of the last step of StageShift. The rest stays with the old servers, since
+// without their answers at the same time a disturbance of all servers looks like a bad version.
+const finalShare = 0.9
+
 var steps = []step{
 	{StageShift, 0.25, 0.07, 0.22},
 	{StageShift, 0.5, 0.06, 0.15},
-	{StageShift, 1, 0.05, 0.09},
+	{StageShift, finalShare, 0.05, 0.09},
 	{StageDrainOld, 1, 0, 0.04},
 }
 
--- a/src/rollout/server_reports.go
+++ b/src/rollout/server_reports.go
@@ -34,11 +34,12 @@
 	}
 }
 
-// endPeriod starts the next period.
-func (s *serverReports) endPeriod() {
-	for _, known := range s.routes {
-		if known.isNew {
-			known.period, known.isNew = routeTally{}, false
-		}
+// endPeriod starts the next period of a route.
+func (s *serverReports) endPeriod(route string) {
+	if known := s.routes[route]; known != nil && known.isNew {
+		known.period, known.isNew = routeTally{}, false
 	}
 }
+
+// total returns the number of answers counted.
+func (t *routeTally) total() int { return int(t.answers[0] + t.answers[1]) }
--- a/src/rollout/stratum.go
+++ b/src/rollout/stratum.go
@@ -13,6 +13,7 @@
 	maxOldShare       = 0.9   // beyond it, no version can be told from the old one
 	minServerAnswers  = 4     // from which on a server counts as one with evidence; below it, one failure or none decides
 	badServers        = 0.7   // share of the servers with evidence that must not count as good in a bad version; more than half would confuse it with a few gray servers in a small canary set
+	minBadServers     = 3     // of them, or all if there are fewer; two of three are gray servers of a good version too often
 	maxServerEvidence = 0.6   // of evidenceLimit that a single server can add, so that it takes two
 	suspectEvidence   = 0.25  // of evidenceLimit from which on a version is suspect
 	goodServerRatio   = -1.0  // log-likelihood ratio up to which a server counts as good: minServerAnswers without a failure
@@ -57,13 +58,13 @@
 	e.ratio += float64(bad)*math.Log(worse/good) + float64(answers-bad)*math.Log((1-worse)/(1-good))
 }
 
-// find returns the finding and starts again if the evidence has fallen to zero. single says that
-// there is only one server of the version.
-func (s *stratum) find(single bool) Finding {
+// find returns the finding and starts again if the evidence has fallen to zero. servers is the number
+// of servers of the version that have answered at all.
+func (s *stratum) find(servers int) Finding {
 	f := Finding{Limit: evidenceLimit}
 	for _, e := range s.servers {
 		ratio := e.ratio
-		if !single {
+		if servers > 1 {
 			ratio = min(ratio, maxServerEvidence*evidenceLimit)
 		}
 		f.Evidence += ratio
@@ -80,7 +81,7 @@
 		clear(s.servers)
 		return Finding{Limit: evidenceLimit}
 	}
-	enough := float64(f.BadServers) >= badServers*float64(f.Servers) && (f.BadServers >= 2 || single && f.BadServers == 1)
+	enough := float64(f.BadServers) >= badServers*float64(f.Servers) && f.BadServers >= min(servers, minBadServers)
 	f.Bad = enough && f.Evidence >= evidenceLimit
 	f.Undecided = !f.Bad && enough && f.Evidence >= suspectEvidence*evidenceLimit
 	return f
