rollout: three servers for a verdict; no evidence while most requests move

Change: the period in which most requests move is left out; a server adds at most 0.45 of the limit (0.6 of two servers); a server has evidence from six answers on.

--- a/src/rollout/coordinator_record.go
+++ b/src/rollout/coordinator_record.go
@@ -71,6 +71,9 @@
 		}
 		out = c.start(now, p.Order)
 	}
+	if p.Stage == StageDrainOld || p.Stage == StageShift && p.Share >= finalShare {
+		c.judge.Skip(now)
+	}
 	c.order, c.next = p.Order, waiting
 	c.plan, c.revision = p, revision
 	c.addEarlier(p.Earlier...)
--- a/src/rollout/judge.go
+++ b/src/rollout/judge.go
@@ -41,9 +41,11 @@
 	strata    map[string]*[kindCount]stratum
 	oldShares map[string]*[kindCount]float64 // at the end of the last period
 	periodEnd time.Time
-	total     int
-	news      map[uint64]bool // servers of the target version that have answered
-	finding   Finding
+
+	isSkipping bool // the current period is left out
+	total      int
+	news       map[uint64]bool // servers of the target version that have answered
+	finding    Finding
 }
 
 // Add takes in a report.
@@ -69,6 +71,15 @@
 		return j.finding
 	}
 	j.periodEnd = now.Add(judgePeriod)
+	if j.isSkipping {
+		j.isSkipping = false
+		for _, s := range j.servers {
+			for route := range s.routes {
+				s.endPeriod(route)
+			}
+		}
+		return j.finding
+	}
 	all := &routeTally{}
 	sums := j.oldSums()
 	for route, t := range sums {
@@ -89,6 +100,11 @@
 	return j.finding
 }
 
+// Skip leaves the current period out of the evidence. Call it when most requests have just moved to the new
+// servers: within one period the old ones then have answered earlier than the new ones, so that a
+// disturbance of all servers that begins meanwhile seems to be the new version's.
+func (j *Judge) Skip(now time.Time) { j.isSkipping, j.periodEnd = true, now.Add(judgePeriod) }
+
 // oldSums returns the old servers' counts of the period for each known route.
 func (j *Judge) oldSums() map[string]*routeTally {
 	sums := map[string]*routeTally{}
--- a/src/rollout/stratum.go
+++ b/src/rollout/stratum.go
@@ -9,14 +9,13 @@
 	tolerableShare = 0.08
 	badShare       = 0.28
 
-	errorRate         = 0.001 // accepted by the sequential test
-	maxOldShare       = 0.9   // beyond it, no version can be told from the old one
-	minServerAnswers  = 4     // from which on a server counts as one with evidence; below it, one failure or none decides
-	badServers        = 0.7   // share of the servers with evidence that must not count as good in a bad version; more than half would confuse it with a few gray servers in a small canary set
-	minBadServers     = 3     // of them, or all if there are fewer; two of three are gray servers of a good version too often
-	maxServerEvidence = 0.6   // of evidenceLimit that a single server can add, so that it takes two
-	suspectEvidence   = 0.25  // of evidenceLimit from which on a version is suspect
-	goodServerRatio   = -1.0  // log-likelihood ratio up to which a server counts as good: minServerAnswers without a failure
+	errorRate        = 0.001 // accepted by the sequential test
+	maxOldShare      = 0.9   // beyond it, no version can be told from the old one
+	minServerAnswers = 6     // from which on a server counts as one with evidence
+	badServers       = 0.7   // share of the servers with evidence that must not count as good in a bad version; more than half would confuse it with a few gray servers in a small canary set
+	minBadServers    = 3     // of them, or all if there are fewer; two of three are gray servers of a good version too often
+	suspectEvidence  = 0.25  // of evidenceLimit from which on a version is suspect
+	goodServerRatio  = -1.0  // log-likelihood ratio up to which a server counts as good; minServerAnswers without a failure are enough
 )
 
 // evidenceLimit is the log-likelihood ratio from which on a version is bad.
@@ -65,7 +64,7 @@
 	for _, e := range s.servers {
 		ratio := e.ratio
 		if servers > 1 {
-			ratio = min(ratio, maxServerEvidence*evidenceLimit)
+			ratio = min(ratio, serverEvidenceLimit(servers))
 		}
 		f.Evidence += ratio
 		f.Answers += e.answers
@@ -86,3 +85,12 @@
 	f.Undecided = !f.Bad && enough && f.Evidence >= suspectEvidence*evidenceLimit
 	return f
 }
+
+// serverEvidenceLimit is the most that one server can add to the evidence, so that it takes three
+// servers, or two if there are no more.
+func serverEvidenceLimit(servers int) float64 {
+	if servers == 2 {
+		return 0.6 * evidenceLimit
+	}
+	return 0.45 * evidenceLimit
+}
