--- a/src/rollout/coordinator_record.go
+++ b/src/rollout/coordinator_record.go
@@ -71,6 +71,9 @@
 		}
 		out = c.start(now, p.Order)
 	}
+	if p.Stage == StageDrainOld || p.Stage == StageShift && p.Share >= finalShare {
+		c.judge.Skip(now)
+	}
 	c.order, c.next = p.Order, waiting
 	c.plan, c.revision = p, revision
 	c.addEarlier(p.Earlier...)
@@ -79,7 +82,7 @@
 	}
 	out = append(out, c.log("rollout "+p.Stage.String(), p.Reason))
 	if p.Order == c.withdrawn {
-		out = append(out, c.stop("order withdrawn", false)...) // written by another coordinator before it knew
+		out = append(out, c.stop(now, "order withdrawn")...) // written by another coordinator before it knew
 	}
 	if p.Stage.IsSettled() && c.next != (Order{}) && !p.covers(c.next) {
 		out = append(out, c.start(now, c.next)...)
