--- a/src/rollout/baseline.go
+++ b/src/rollout/baseline.go
@@ -1,10 +1,15 @@
 package rollout
 
-import "slices"
+import (
+	"math"
+	"slices"
+	"time"
+)
 
 const (
 	baselineDecay   = 0.7  // factor per period on what the old servers have shown, once there is enough of it
-	minShareSamples = 30   // answers from which on a share of failures is used
+	minShareSamples = 30   // answers from which on the recent share of failures is used
+	maxDeviations   = 3    // standard deviations by which a share may exceed the recent one by chance
 	minDurations    = 50   // durations from which on slowness is judged
 	slowQuantile    = 0.98 // of the old servers' durations; see slowLimit
 	slowFactor      = 3    // multiple of the old servers' median below which no answer counts as slow
@@ -15,8 +20,13 @@
 type baseline struct {
 	recent tallySums
 	last   [2]tallySums // the last period first
+
+	periodStart time.Time
 }
 
+// answers returns the weighted number of answers known.
+func (b *baseline) answers() float64 { return b.recent.answers[0] + b.recent.answers[1] }
+
 // tallySums are the weighted counts of a routeTally with cut calls left out.
 type tallySums struct {
 	answers   [2]float64
@@ -50,27 +60,43 @@
 	var sums tallySums
 	sums.add(t)
 	b.last[1], b.last[0] = b.last[0], sums
-	if total := sums.answers[0] + sums.answers[1]; total > 0 && b.recent.answers[0]+b.recent.answers[1] > 10*minDurations {
+	if total := sums.answers[0] + sums.answers[1]; total > 0 && b.answers() > 10*minDurations {
 		b.recent.scale(baselineDecay)
 	}
 	b.recent.add(t)
 }
 
-// failureShare returns the old servers' share of failures: the largest of the recent one and those
-// of the last periods, since a disturbance that hits all versions may reach the new servers' reports
-// first. highOnly counts only answers at high load, if there are enough.
+// failureShare returns the old servers' share of failures. highOnly counts only answers at high
+// load, if there are enough.
 func (b *baseline) failureShare(highOnly bool) float64 {
-	share := 0.0
-	for _, s := range []*tallySums{&b.recent, &b.last[0], &b.last[1]} {
-		n, f := s.answers[1], s.failures[1]
+	return b.share(minShareSamples, func(s *tallySums) (n, bad float64) {
+		n, bad = s.answers[1], s.failures[1]
 		if !highOnly || n < minShareSamples {
-			n, f = n+s.answers[0], f+s.failures[0]
+			n, bad = n+s.answers[0], bad+s.failures[0]
 		}
-		if n >= minShareSamples {
-			share = max(share, f/n)
+		return n, bad
+	})
+}
+
+// share returns the recent share of bad answers, or that of one of the last periods if it is higher by
+// more than chance: a disturbance that hits all versions may reach the new servers' reports first.
+func (b *baseline) share(minSamples float64, count func(*tallySums) (n, bad float64)) float64 {
+	n, bad := count(&b.recent)
+	if n < minSamples {
+		return 0
+	}
+	recent := bad / n
+	highest := recent
+	for i := range b.last {
+		n, bad := count(&b.last[i])
+		if n == 0 {
+			continue
+		}
+		if deviation := math.Sqrt(max(recent, 1/n) / n); bad/n > recent+maxDeviations*deviation {
+			highest = max(highest, bad/n)
 		}
 	}
-	return share
+	return highest
 }
 
 // slowLimit returns the duration class up to which an answer is not slow: the slowQuantile of the
@@ -97,18 +123,13 @@
 
 // slowShare returns the old servers' share of slow answers.
 func (b *baseline) slowShare(limits [2]int) float64 {
-	share := 0.0
-	for _, s := range []*tallySums{&b.recent, &b.last[0], &b.last[1]} {
-		n, slow := 0.0, 0.0
+	return b.share(minDurations, func(s *tallySums) (n, bad float64) {
 		for class := range 2 {
 			n += sum(s.durations[class][:])
-			slow += sum(s.durations[class][min(limits[class]+1, durationClasses):])
+			bad += sum(s.durations[class][min(limits[class]+1, durationClasses):])
 		}
-		if n >= minDurations {
-			share = max(share, slow/n)
-		}
-	}
-	return share
+		return n, bad
+	})
 }
 
 func sum(counts []float64) float64 {
--- a/src/rollout/coordinator_stage.go
+++ b/src/rollout/coordinator_stage.go
@@ -12,6 +12,7 @@
 // wantedStage returns the stage that is due, StageNone to leave the record as it is.
 func (c *Coordinator) wantedStage(now time.Time) (stage Stage, share float64, reason string) {
 	ready, _ := c.readySlots(true)
+	old, _ := c.readySlots(false)
 	isMissing := !c.missingAt.IsZero() && now.Sub(c.missingAt) >= graceTime
 	hasNoOld := !c.noOldAt.IsZero() && now.Sub(c.noOldAt) >= graceTime
 	switch {
@@ -19,7 +20,7 @@
 		return StageRolledBack, 0, c.stopReason
 	case !c.hasRecord() && ready > 0 && hasNoOld:
 		return StageCompleted, 1, "there are no servers of another version"
-	case !c.hasRecord() && ready > 0:
+	case !c.hasRecord() && ready > 0 && old > 0:
 		return StageCanary, 0, "order seen"
 	case !c.hasRecord() && c.elapsed(now) >= c.order.Duration && isMissing:
 		return StageRolledBack, 0, "no server of the version was ready before the deadline"
@@ -49,12 +50,16 @@
 	switch {
 	case spent < longest && (isLacking || c.finding.Undecided):
 		return StageNone, 0, ""
-	case c.finding.Undecided && next.share == 1:
-		return StageRolledBack, 0, "still suspect before all requests are shifted: " + c.finding.String()
+	case c.finding.Undecided && c.finding.Evidence >= rejectEvidence*c.finding.Limit:
+		return StageRolledBack, 0, "still suspect after the longest wait: " + c.finding.String()
 	}
 	return next.stage, next.share, c.finding.String()
 }
 
+// rejectEvidence is the share of the limit from which on a version that is still suspect after the
+// longest wait is rolled back.
+const rejectEvidence = 0.6
+
 // minReadySlots is the share of the old servers' slots that the new ones must have ready, for each
 // share of requests shifted. Some servers may be restarting.
 const minReadySlots = 0.75
