--- /dev/null
+++ b/src/tenants/allocator.go
@@ -0,0 +1,309 @@
+package tenants
+
+import (
+	"maps"
+	"math"
+	"time"
+
+	"github.com/yuccaport/yuccaport/src/wire"
+)
+
+const (
+	reserveShare  = 1.0 / 3                // of the depth, kept for agents that have no credit
+	stockTime     = 1.5                    // leases whose demand an agent's stock is to cover
+	minExpected   = 0.1                    // requests expected, below which an agent needs no stock
+	shareInterval = 25 * time.Millisecond  // between two counts of the agents that delegate
+	unknownRetry  = 100 * time.Millisecond // told to agents of which a tenant is not known here
+	maxRetry      = 5 * time.Second
+)
+
+// Allocator is the granter's core: it issues credit to the agents that follow it. Each of N members
+// owns 1/N of all limits and delegates it to the granter that it follows, so the granters of a
+// partition divide the limits between them. It does no I/O and is not safe for concurrent use.
+type Allocator struct {
+	Quota Quota
+
+	version       uint64
+	pools         map[uint32]*pool
+	borrowers     map[uint64]*borrower
+	count         memberCount
+	ownMembers    int // last count told by SetMembers
+	share         float64
+	joined        float64 // share of the members that follow, delegating or not
+	delegating    int
+	sharedAt      time.Time
+	minoritySince time.Time // since when less than a majority has delegated
+}
+
+// Configure sets the limits of a configuration version; an older version than the current one is
+// ignored. Limits without a rate are left out.
+func (a *Allocator) Configure(version uint64, limits map[string]Limit) {
+	if version < a.version {
+		return
+	}
+	a.version = version
+	byHash := map[uint32]Limit{}
+	for name, l := range limits {
+		if l.RatePerSecond <= 0 {
+			continue
+		}
+		h := tenantHash(name)
+		if other, ok := byHash[h]; ok && other.RatePerSecond < l.RatePerSecond {
+			l = other
+		}
+		byHash[h] = l
+	}
+	if a.pools == nil {
+		a.pools = map[uint32]*pool{}
+	}
+	maps.DeleteFunc(a.pools, func(h uint32, _ *pool) bool { _, ok := byHash[h]; return !ok })
+	for h, l := range byHash {
+		p := a.pools[h]
+		if p == nil {
+			p = &pool{}
+			for _, b := range a.borrowers {
+				if loan := b.loans[h]; loan != nil {
+					p.outstanding += loan.outstanding()
+				}
+			}
+			a.pools[h] = p
+		}
+		p.limit, p.depth = l, a.Quota.depth(l)
+		p.trim(a.share)
+	}
+}
+
+// SetMembers sets the number of members that this agent knows.
+func (a *Allocator) SetMembers(now time.Time, n int) {
+	a.ownMembers = n
+	a.updateShare(now)
+}
+
+// IsFollowed reports whether any agent other than self follows this granter.
+func (a *Allocator) IsFollowed(self uint64) bool {
+	n := len(a.borrowers)
+	if a.borrowers[self] != nil {
+		n--
+	}
+	return n > 0
+}
+
+// Report processes an agent's report and returns the answer.
+func (a *Allocator) Report(now time.Time, from uint64, r *wire.TenantReport) wire.TenantGrants {
+	if a.borrowers == nil {
+		a.borrowers = map[uint64]*borrower{}
+	}
+	a.expire(now)
+	answer := wire.TenantGrants{Clock: now.UnixNano(), Version: a.version}
+	if r.Session == 0 {
+		return answer
+	}
+	b := a.borrowers[from]
+	if b != nil && r.Seq <= b.seq {
+		return answer // was overtaken by a later report
+	}
+	if b != nil && b.session != r.Session {
+		a.remove(from)
+		b = nil
+	}
+	if r.Release {
+		a.remove(from)
+		a.updateShare(now)
+		return answer
+	}
+	if b == nil {
+		if !r.Start {
+			answer.Reset = true
+			return answer
+		}
+		b = &borrower{session: r.Session, loans: map[uint32]*loan{}}
+		a.borrowers[from] = b
+		a.updateShare(now)
+	}
+	wasDelegating := now.Before(b.delegatesUntil)
+	lease := min(time.Duration(r.LeaseMS)*time.Millisecond, leaseReports*maxReportInterval)
+	b.seq, b.members = r.Seq, int(r.Members)
+	b.expiresAt = now.Add(lease + clockMargin)
+	if echo := time.Unix(0, r.Echo); r.Delegates && r.Echo != 0 && !echo.After(now) {
+		if until := echo.Add(lease - clockMargin); until.After(b.delegatesUntil) {
+			b.delegatesUntil = until
+		}
+	}
+	received := r.Echo == b.answeredAt
+	if !wasDelegating && now.Before(b.delegatesUntil) {
+		a.updateShare(now)
+	}
+	a.takeOver(now, b, r, &answer)
+	a.answerLoans(now, b, r, received, lease, &answer)
+	b.answeredAt = answer.Clock
+	return answer
+}
+
+// takeOver updates an agent's loans from its report.
+func (a *Allocator) takeOver(now time.Time, b *borrower, r *wire.TenantReport, answer *wire.TenantGrants) {
+	for _, c := range r.Credits {
+		l := b.loans[c.Tenant]
+		if l == nil {
+			l = &loan{issued: c.Issued, at: now}
+			b.loans[c.Tenant] = l
+			if p := a.pools[c.Tenant]; p != nil {
+				p.outstanding += c.Issued
+			}
+		}
+		before, returned := l.outstanding(), l.returned
+		l.update(now, c)
+		p := a.pools[c.Tenant]
+		if p == nil {
+			if c.Waiting > 0 {
+				answer.Grants = append(answer.Grants, wire.TenantGrant{Tenant: c.Tenant, Issued: l.issued, RetryMS: unknownRetry.Milliseconds()})
+			}
+			continue
+		}
+		p.refill(now, a.share)
+		p.outstanding += l.outstanding() - before
+		p.level += float64(max(0, l.returned-returned))
+		p.trim(a.share)
+	}
+}
+
+// answerLoans issues credit by demand and adds what the agent has to know.
+func (a *Allocator) answerLoans(now time.Time, b *borrower, r *wire.TenantReport, received bool, lease time.Duration, answer *wire.TenantGrants) {
+	waiting := map[uint32]int64{}
+	for _, c := range r.Credits {
+		if c.Waiting > 0 {
+			waiting[c.Tenant] = c.Waiting
+		}
+	}
+	for h, l := range b.loans {
+		p := a.pools[h]
+		if p == nil {
+			continue
+		}
+		p.refill(now, a.share)
+		l.decay(now)
+		issued := l.issued
+		g := wire.TenantGrant{Tenant: h}
+		got := int64(0)
+		if n := waiting[h]; n > 0 {
+			got = p.take(n)
+			l.issued += got
+			p.outstanding += got
+			if got < n {
+				g.RetryMS = a.retry(p).Milliseconds()
+			}
+		}
+		g.Return = a.balance(p, l, got, lease)
+		g.Issued = l.issued
+		if !received || l.issued != issued || g.Return > 0 || g.RetryMS > 0 {
+			answer.Grants = append(answer.Grants, g)
+		}
+	}
+}
+
+// balance raises an agent's stock towards what its demand needs, or returns what it is to give back.
+// Used is credit for requests that wait.
+func (a *Allocator) balance(p *pool, l *loan, used int64, lease time.Duration) int64 {
+	reserve := p.depth * a.share * reserveShare
+	held := l.outstanding() - used
+	next := stockFor(l.rate * lease.Seconds() / leaseReports * 1.2) // until the next report
+	target := next
+	if p.level > reserve {
+		target = max(target, stockFor(l.rate*lease.Seconds()*stockTime))
+	}
+	excess := p.excess(held, a.joined)
+	switch {
+	case excess > 0:
+		return excess
+	case held < (target+1)/2:
+		n := target - held
+		if p.level > reserve {
+			n = min(n, int64(p.level-reserve)+1)
+		}
+		n = p.take(n)
+		l.issued += n
+		p.outstanding += n
+	case held > 2*target+1:
+		return held - target - 1
+	case p.level < reserve && held > next+min(next, 1):
+		return held - next - min(next, 1)
+	}
+	return 0
+}
+
+// stockFor returns the whole credits to hold for an expected number of requests.
+func stockFor(expected float64) int64 {
+	if expected < minExpected {
+		return 0
+	}
+	return int64(math.Ceil(expected))
+}
+
+// retry returns the time until there may be credit.
+func (a *Allocator) retry(p *pool) time.Duration {
+	rate := p.limit.RatePerSecond * a.share
+	if rate <= 0 {
+		return maxRetry
+	}
+	return min(max(time.Millisecond, time.Duration((1-p.level)/rate*float64(time.Second))), maxRetry)
+}
+
+// expire removes the agents whose credit has expired.
+func (a *Allocator) expire(now time.Time) {
+	if now.Sub(a.sharedAt) < shareInterval {
+		return
+	}
+	for id, b := range a.borrowers {
+		if !now.Before(b.expiresAt) {
+			a.remove(id)
+		}
+	}
+	a.updateShare(now)
+}
+
+// remove ends an agent's session; its credit is no longer outstanding.
+func (a *Allocator) remove(id uint64) {
+	b := a.borrowers[id]
+	if b == nil {
+		return
+	}
+	for h, l := range b.loans {
+		if p := a.pools[h]; p != nil {
+			p.outstanding -= l.outstanding()
+		}
+	}
+	delete(a.borrowers, id)
+}
+
+// updateShare counts the agents that delegate. Credit created until now counts by the lower of the
+// shares before and after.
+func (a *Allocator) updateShare(now time.Time) {
+	delegating, members := 0, a.ownMembers
+	for _, b := range a.borrowers {
+		if now.Before(b.delegatesUntil) {
+			delegating++
+		}
+		members = max(members, b.members)
+	}
+	n := a.count.update(now, members)
+	share := min(1, float64(delegating)/float64(n))
+	a.joined = min(1, float64(len(a.borrowers))/float64(n))
+	if 2*delegating > n {
+		a.minoritySince = time.Time{}
+	} else if a.minoritySince.IsZero() {
+		a.minoritySince = now
+	}
+	if !a.minoritySince.IsZero() && now.Sub(a.minoritySince) > isolationTime-2*leaseTime(n) {
+		share *= isolatedShare
+		a.joined *= isolatedShare
+	}
+	if share != a.share {
+		for _, p := range a.pools {
+			p.refill(now, min(share, a.share))
+		}
+		a.share = share
+	}
+	a.delegating, a.sharedAt = delegating, now
+}
+
+// Delegating returns the number of members that delegate to this granter.
+func (a *Allocator) Delegating() int { return a.delegating }
--- /dev/null
+++ b/src/tenants/pool.go
@@ -0,0 +1,48 @@
+package tenants
+
+import (
+	"math"
+	"time"
+)
+
+// pool is the credit of one tenant at a granter. Level and outstanding together do not exceed the
+// depth of the limit times the share of the members that delegate to the granter.
+type pool struct {
+	limit       Limit
+	depth       float64
+	level       float64 // not issued
+	outstanding int64   // issued and not known to be spent or returned
+	updatedAt   time.Time
+}
+
+// refill adds the credit created since the last update.
+func (p *pool) refill(now time.Time, share float64) {
+	if d := now.Sub(p.updatedAt); d > 0 {
+		if !p.updatedAt.IsZero() {
+			p.level += d.Seconds() * p.limit.RatePerSecond * share
+		}
+		p.updatedAt = now
+	}
+	p.trim(share)
+}
+
+// trim removes credit beyond the depth.
+func (p *pool) trim(share float64) {
+	p.level = max(0, min(p.level, p.depth*share-float64(p.outstanding)))
+}
+
+// take returns up to n whole credits from the level.
+func (p *pool) take(n int64) int64 {
+	n = max(0, min(n, int64(math.Floor(p.level))))
+	p.level -= float64(n)
+	return n
+}
+
+// excess returns how much of one agent's credit exceeds its part of what may exist.
+func (p *pool) excess(held int64, share float64) int64 {
+	allowed := p.depth * share
+	if held <= 0 || float64(p.outstanding) <= allowed {
+		return 0
+	}
+	return int64(math.Ceil(float64(held) * (1 - allowed/float64(p.outstanding))))
+}
--- /dev/null
+++ b/src/tenants/selector.go
@@ -0,0 +1,88 @@
+package tenants
+
+import (
+	"encoding/binary"
+	"math/bits"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/yuccaport/yuccaport/src/wire"
+)
+
+const (
+	firstRetry = 2 * time.Second // until a member that has not answered is tried again
+	lastRetry  = 32 * time.Second
+)
+
+// Selector chooses the granter among the members by rendezvous hashing: the members with the fastest
+// links first, then by the hash of their IDs. It is not safe for concurrent use.
+type Selector struct {
+	failures map[uint64]failure
+}
+
+// failure records that a member has not answered.
+type failure struct {
+	retryAt time.Time
+	delay   time.Duration
+}
+
+// Best returns the granter that this agent should follow, and false for none.
+func (s *Selector) Best(now time.Time, members []wire.Member) (wire.Member, bool) {
+	var best wire.Member
+	found := false
+	for i := range members {
+		m := &members[i]
+		if m.State == wire.StateLeaving || m.State == wire.StateDead || now.Before(s.failures[m.ID].retryAt) {
+			continue
+		}
+		if !found || isBetter(m, &best) {
+			best, found = *m, true
+		}
+	}
+	return best, found
+}
+
+// Failed records that a member has not answered.
+func (s *Selector) Failed(now time.Time, id uint64) {
+	if s.failures == nil {
+		s.failures = map[uint64]failure{}
+	}
+	f := s.failures[id]
+	if now.Before(f.retryAt) {
+		return
+	}
+	f.delay = min(max(2*f.delay, firstRetry), lastRetry)
+	f.retryAt = now.Add(f.delay)
+	s.failures[id] = f
+}
+
+// Answered records that a member has answered.
+func (s *Selector) Answered(id uint64) { delete(s.failures, id) }
+
+// Retain forgets members that are gone.
+func (s *Selector) Retain(members []wire.Member) {
+	if len(s.failures) <= len(members) {
+		return
+	}
+	known := map[uint64]failure{}
+	for i := range members {
+		if f, ok := s.failures[members[i].ID]; ok {
+			known[members[i].ID] = f
+		}
+	}
+	s.failures = known
+}
+
+func isBetter(a, b *wire.Member) bool {
+	if x, y := bits.Len32(a.LinkMbps), bits.Len32(b.LinkMbps); x != y {
+		return x > y
+	}
+	return rank(a.ID) > rank(b.ID)
+}
+
+func rank(id uint64) uint64 {
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], id)
+	return xxh3.Hash(b[:])
+}
