--- a/src/quotamodel/fleet.go
+++ b/src/quotamodel/fleet.go
@@ -32,14 +32,15 @@
 	Served                    map[int]int // reports by position of the granter
 	Tallies                   map[string]*Tally
 
-	rand    *rand.Rand
-	now     time.Time
-	seq     int
-	events  eventHeap
-	agents  []*agent
-	side    []int // of the partition, by position
-	version uint64
-	lastID  uint64
+	Pend, Low map[string]int
+	rand      *rand.Rand
+	now       time.Time
+	seq       int
+	events    eventHeap
+	agents    []*agent
+	side      []int // of the partition, by position
+	version   uint64
+	lastID    uint64
 }
 
 // Build starts all agents.
@@ -61,6 +62,7 @@
 
 // ResetCounts sets the counts of messages to zero.
 func (f *Fleet) ResetCounts() {
+	f.Pend, f.Low = map[string]int{}, map[string]int{}
 	f.Messages, f.Bytes, f.FarBytes, f.Served = 0, 0, 0, map[int]int{}
 }
 
@@ -268,3 +270,20 @@
 	}
 	return d
 }
+
+// Granter returns the position that has served the most reports in the last 450 ms.
+func (f *Fleet) Granter() int {
+	served := f.Served
+	f.Served = map[int]int{}
+	f.Run(450 * time.Millisecond)
+	best := 0
+	for position, n := range f.Served {
+		if n > f.Served[best] {
+			best = position
+		}
+	}
+	for position, n := range served {
+		f.Served[position] += n
+	}
+	return best
+}
--- a/src/quotamodel/fleet_test.go
+++ b/src/quotamodel/fleet_test.go
@@ -104,3 +104,133 @@
 		qt.Check(t, worst < 0.02, qt.IsTrue)
 	}
 }
+
+// Guards against refusals below the limit while all callers of two domains move to the others and
+// back, each 3 s.
+func TestCallersMove(t *testing.T) {
+	const d = 12 * time.Second
+	var start time.Time
+	f := newFleet(80, d, nil, func(f *Fleet, r *rand.Rand) int {
+		if start.IsZero() {
+			start = f.Now().Add(warmUp)
+		}
+		p := r.IntN(80)
+		if s := f.Now().Sub(start); s > 0 && int(s/(3*time.Second))%2 == 0 {
+			p = p/2*2 + 1
+		}
+		return p
+	})
+	f.Run(d)
+	all, worst := report(t, "callers move", f, d)
+	qt.Check(t, all < 0.01, qt.IsTrue)
+	qt.Check(t, worst < 0.05, qt.IsTrue)
+}
+
+// Guards against refusals below the limit while a twelfth of the agents is cut off from the others,
+// each alone, for 8 s.
+func TestTwelfthPartitioned(t *testing.T) {
+	for name, alone := range map[string]bool{"each alone": true, "together": false} {
+		t.Run(name, func(t *testing.T) {
+			const d = 20 * time.Second
+			f := newFleet(80, d, nil, nil)
+			f.Partition(func(i int) int {
+				switch {
+				case i%12 != 0:
+					return 0
+				case alone:
+					return i + 1
+				}
+				return 1
+			}, true)
+			f.Run(8 * time.Second)
+			f.Heal()
+			f.Run(d - 8*time.Second)
+			all, worst := report(t, "partition, "+name, f, d)
+			qt.Check(t, all < 0.01, qt.IsTrue)
+			qt.Check(t, worst < 0.1, qt.IsTrue)
+		})
+	}
+}
+
+// Guards against refusals below the limit while agents restart, the granter among them.
+func TestAgentsRestart(t *testing.T) {
+	const d = 20 * time.Second
+	f := newFleet(80, d, nil, nil)
+	for i := range 40 {
+		f.At(time.Duration(i)*400*time.Millisecond, func() { f.Restart(i * 2) })
+	}
+	granter := f.Granter()
+	f.At(5*time.Second, func() { f.Restart(granter) })
+	f.Run(d)
+	all, worst := report(t, "restarts", f, d)
+	qt.Check(t, all < 0.01, qt.IsTrue)
+	qt.Check(t, worst < 0.1, qt.IsTrue)
+}
+
+// Guards against a granter's death that refuses more than a few requests.
+func TestGranterKilled(t *testing.T) {
+	const d = 20 * time.Second
+	f := newFleet(80, d, nil, nil)
+	f.Kill(f.Granter())
+	f.Run(d)
+	all, _ := report(t, "granter killed", f, d)
+	qt.Check(t, all < 0.01, qt.IsTrue)
+}
+
+// Guards against a greedy tenant that takes from the others, and against an excess of its own.
+func TestGreedyTenant(t *testing.T) {
+	for _, greed := range []float64{7.5, 20} {
+		const d = 10 * time.Second
+		const greedy = 2
+		var start time.Time
+		f := newFleet(80, d, func(f *Fleet, rank int) float64 {
+			if start.IsZero() {
+				start = f.Now().Add(warmUp)
+			}
+			if rank == greedy && f.Now().After(start) {
+				return greed
+			}
+			return 1
+		}, nil)
+		f.Run(d)
+		report(t, fmt.Sprintf("greedy x%v", greed), f, d)
+		refused, asked := 0, 0
+		for i := range tenantCount {
+			tally := f.Tallies[Name(i)]
+			if i != greedy {
+				refused, asked = refused+tally.Refused, asked+tally.Asked
+				continue
+			}
+			limit := f.Limits[Name(i)]
+			t.Logf("greedy: asked %d admitted %d of at most %.0f by rate and burst", tally.Asked, tally.Asked-tally.Refused, limit.RatePerSecond*d.Seconds()+limit.Burst)
+			qt.Check(t, float64(tally.Asked-tally.Refused) > 0.95*limit.RatePerSecond*d.Seconds(), qt.IsTrue, qt.Commentf("what the limit allows is used"))
+			qt.Check(t, float64(tally.Most(quota.Window, time.Time{})) <= Bound(quota, limit), qt.IsTrue)
+		}
+		qt.Check(t, float64(refused)/float64(asked) < 0.002, qt.IsTrue)
+	}
+}
+
+// Guards against a share that follows demand late: all requests of the largest tenant move to one
+// agent at once.
+func TestShareFollowsDemand(t *testing.T) {
+	const d = 5 * time.Second
+	var start time.Time
+	f := newFleet(80, d, nil, func(f *Fleet, r *rand.Rand) int {
+		if start.IsZero() {
+			start = f.Now().Add(warmUp)
+		}
+		if f.Now().After(start) {
+			return 3
+		}
+		return r.IntN(80)
+	})
+	f.Run(d)
+	report(t, "all to one agent", f, d)
+	tally := f.Tallies[Name(0)]
+	last := time.Duration(0)
+	for _, at := range tally.RefusedAt {
+		last = max(last, at.Sub(start))
+	}
+	t.Logf("largest tenant: refused %d of %d, the last after %s", tally.Refused, tally.Asked, last)
+	qt.Check(t, last < 500*time.Millisecond, qt.IsTrue)
+}
--- a/src/tenants/allocator.go
+++ b/src/tenants/allocator.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	reserveShare  = 1.0 / 3                // of the depth, kept for agents that have no credit
-	stockTime     = 1.5                    // leases whose demand an agent's stock is to cover
+	spreadFactor  = 1.25                   // of the reserve, above which agents get a credit without any demand
+	stockTime     = 2.2                    // leases whose demand an agent's stock is to cover: about the time without a granter when one is lost
 	minExpected   = 0.1                    // requests expected, below which an agent needs no stock
 	shareInterval = 25 * time.Millisecond  // between two counts of the agents that delegate
 	unknownRetry  = 100 * time.Millisecond // told to agents of which a tenant is not known here
@@ -23,16 +23,15 @@
 type Allocator struct {
 	Quota Quota
 
-	version       uint64
-	pools         map[uint32]*pool
-	borrowers     map[uint64]*borrower
-	count         memberCount
-	ownMembers    int // last count told by SetMembers
-	share         float64
-	joined        float64 // share of the members that follow, delegating or not
-	delegating    int
-	sharedAt      time.Time
-	minoritySince time.Time // since when less than a majority has delegated
+	version    uint64
+	pools      map[uint32]*pool
+	borrowers  map[uint64]*borrower
+	count      memberCount
+	listed     int // members that this agent knows
+	share      float64
+	joined     float64 // share of the members that follow, delegating or not
+	delegating int
+	sharedAt   time.Time
 }
 
 // Configure sets the limits of a configuration version; an older version than the current one is
@@ -73,9 +72,13 @@
 	}
 }
 
-// SetMembers sets the number of members that this agent knows.
-func (a *Allocator) SetMembers(now time.Time, n int) {
-	a.ownMembers = n
+// SetMembers sets the number of members that this agent knows, and the number by which the granters
+// that it has followed have divided the limits.
+func (a *Allocator) SetMembers(now time.Time, listed, known int) {
+	a.listed = listed
+	if len(a.borrowers) == 0 {
+		a.count = memberCount{n: known}
+	}
 	a.updateShare(now)
 }
 
@@ -116,13 +119,14 @@
 			answer.Reset = true
 			return answer
 		}
+		a.count.n = max(a.count.n, int(r.Members))
 		b = &borrower{session: r.Session, loans: map[uint32]*loan{}}
 		a.borrowers[from] = b
 		a.updateShare(now)
 	}
 	wasDelegating := now.Before(b.delegatesUntil)
-	lease := min(time.Duration(r.LeaseMS)*time.Millisecond, leaseReports*maxReportInterval)
-	b.seq, b.members = r.Seq, int(r.Members)
+	lease := min(time.Duration(r.LeaseMS)*time.Millisecond, leaseTime(math.MaxInt32))
+	b.seq = r.Seq
 	b.expiresAt = now.Add(lease + clockMargin)
 	if echo := time.Unix(0, r.Echo); r.Delegates && r.Echo != 0 && !echo.After(now) {
 		if until := echo.Add(lease - clockMargin); until.After(b.delegatesUntil) {
@@ -136,6 +140,7 @@
 	a.takeOver(now, b, r, &answer)
 	a.answerLoans(now, b, r, received, lease, &answer)
 	b.answeredAt = answer.Clock
+	answer.Members = a.majority()
 	return answer
 }
 
@@ -174,12 +179,16 @@
 			waiting[c.Tenant] = c.Waiting
 		}
 	}
-	for h, l := range b.loans {
-		p := a.pools[h]
-		if p == nil {
-			continue
-		}
+	for h, p := range a.pools {
 		p.refill(now, a.share)
+		l := b.loans[h]
+		if l == nil {
+			if p.level <= p.reserve(a.share)*spreadFactor {
+				continue
+			}
+			l = &loan{at: now}
+			b.loans[h] = l
+		}
 		l.decay(now)
 		issued := l.issued
 		g := wire.TenantGrant{Tenant: h}
@@ -203,13 +212,16 @@
 // balance raises an agent's stock towards what its demand needs, or returns what it is to give back.
 // Used is credit for requests that wait.
 func (a *Allocator) balance(p *pool, l *loan, used int64, lease time.Duration) int64 {
-	reserve := p.depth * a.share * reserveShare
+	reserve := p.reserve(a.share)
 	held := l.outstanding() - used
 	next := stockFor(l.rate * lease.Seconds() / leaseReports * 1.2) // until the next report
 	target := next
 	if p.level > reserve {
 		target = max(target, stockFor(l.rate*lease.Seconds()*stockTime))
 	}
+	if p.level > reserve*spreadFactor {
+		target = max(target, 1)
+	}
 	excess := p.excess(held, a.joined)
 	switch {
 	case excess > 0:
@@ -224,7 +236,7 @@
 		p.outstanding += n
 	case held > 2*target+1:
 		return held - target - 1
-	case p.level < reserve && held > next+min(next, 1):
+	case p.level < reserve*0.8 && held > next+min(next, 1):
 		return held - next - min(next, 1)
 	}
 	return 0
@@ -277,25 +289,16 @@
 // updateShare counts the agents that delegate. Credit created until now counts by the lower of the
 // shares before and after.
 func (a *Allocator) updateShare(now time.Time) {
-	delegating, members := 0, a.ownMembers
+	delegating := 0
 	for _, b := range a.borrowers {
 		if now.Before(b.delegatesUntil) {
 			delegating++
 		}
-		members = max(members, b.members)
 	}
-	n := a.count.update(now, members)
-	share := min(1, float64(delegating)/float64(n))
+	n := a.count.update(now, a.listed, len(a.borrowers))
+	others := float64(len(a.borrowers)-delegating) * a.Quota.fixedPart()
+	share := min(1, (float64(delegating)+others)/float64(n))
 	a.joined = min(1, float64(len(a.borrowers))/float64(n))
-	if 2*delegating > n {
-		a.minoritySince = time.Time{}
-	} else if a.minoritySince.IsZero() {
-		a.minoritySince = now
-	}
-	if !a.minoritySince.IsZero() && now.Sub(a.minoritySince) > isolationTime-2*leaseTime(n) {
-		share *= isolatedShare
-		a.joined *= isolatedShare
-	}
 	if share != a.share {
 		for _, p := range a.pools {
 			p.refill(now, min(share, a.share))
@@ -305,5 +308,13 @@
 	a.delegating, a.sharedAt = delegating, now
 }
 
+// majority returns the number of members if a majority of them follows, otherwise 0.
+func (a *Allocator) majority() uint32 {
+	if 2*len(a.borrowers) <= a.count.n {
+		return 0
+	}
+	return uint32(a.count.n)
+}
+
 // Delegating returns the number of members that delegate to this granter.
 func (a *Allocator) Delegating() int { return a.delegating }
--- a/src/tenants/borrower.go
+++ b/src/tenants/borrower.go
@@ -6,7 +6,6 @@
 type borrower struct {
 	session        uint64
 	seq            uint64    // of the last report
-	members        int       // that the agent knows
 	answeredAt     int64     // TenantGrants.Clock of the last answer
 	expiresAt      time.Time // when its credit can no longer be used
 	delegatesUntil time.Time
--- a/src/tenants/core.go
+++ b/src/tenants/core.go
@@ -23,7 +23,11 @@
 	granter     wire.Member // that the agent follows or has followed last
 	members     int
 	isReporting bool   // a report to the granter is in flight
-	probed      uint64 // member that is asked whether it answers, 0 for none
+	majority    uint64 // granter that a majority follows as far as this agent knows, 0 for none
+	isAsked     bool   // any member has been asked for it, so that this agent may be the granter itself
+	nextProbe   uint64 // position of the member asked next, from a random one
+	probeAt     time.Time
+	probed      uint64 // member that is asked, 0 for none
 	confirmed   uint64 // member that has answered last when it was asked
 	isCutOff    bool   // the last member asked has not answered
 	isUrgent    bool
@@ -33,6 +37,7 @@
 func (c *Core) init() {
 	if !c.isStarted {
 		c.isStarted = true
+		c.nextProbe = c.NewSession() / 2
 		c.share.Quota, c.allocator.Quota, c.share.NewSession = c.Quota, c.Quota, c.NewSession
 	}
 }
@@ -49,7 +54,7 @@
 // returns the time until there will be credit.
 func (c *Core) Take(now time.Time, tenant string, isRepeated bool) (Admission, time.Duration) {
 	v, retryAfter := c.share.Take(now, tenant, isRepeated)
-	c.isUrgent = c.isUrgent || v == AdmittedLow || v == Pending
+	c.isUrgent = c.isUrgent || v == AdmittedLow || v == Pending && !(isRepeated && c.isReporting)
 	return v, retryAfter
 }
 
@@ -78,7 +83,14 @@
 // Receive answers a report of an agent that follows this one.
 func (c *Core) Receive(now time.Time, from uint64, r *wire.TenantReport) wire.TenantGrants {
 	c.init()
-	return c.allocator.Report(now, from, r)
+	g := c.allocator.Report(now, from, r)
+	if c.allocator.majority() > 0 {
+		c.majority = c.Self
+	} else if c.majority == c.Self {
+		c.majority = 0
+	}
+	g.Granter = c.majority
+	return g
 }
 
 // Step processes an event and returns the actions to carry out.
@@ -97,41 +109,74 @@
 
 func (c *Core) due(now time.Time, members []wire.Member) []Action {
 	c.setMembers(now, members)
-	best, ok := c.selector.Best(now, members)
-	if !ok {
-		best = wire.Member{ID: c.Self}
-	}
+	target := c.target(now, members)
+	followed := c.share.Follows(now)
 	var out []Action
-	if best.ID != c.Self && best.ID != c.confirmed && best.ID != c.share.Follows(now) && c.probed == 0 {
-		c.probed = best.ID
-		out = append(out, Send{To: best, Report: wire.TenantReport{Members: uint32(c.members)}})
+	if c.probed == 0 && c.majority == 0 && !now.Before(c.probeAt) {
+		if m, ok := c.probe(target, followed, members); ok {
+			c.probed, c.probeAt = m.ID, now.Add(reportInterval(c.members))
+			out = append(out, Send{To: m, Report: wire.TenantReport{Members: uint32(c.members)}})
+		}
 	}
-	isConfirmed := best.ID == c.Self || best.ID == c.confirmed
+	isConfirmed := target.ID == c.majority || target.ID == c.confirmed || target.ID == c.Self && c.isAsked
 	if c.share.CanFollow(now) {
 		switch {
 		case isConfirmed:
-			c.follow(now, best)
-		case c.isCutOff:
+			c.follow(now, target)
+		case c.isCutOff || len(members) == 0:
 			c.follow(now, wire.Member{ID: c.Self})
 		}
 	}
-	followed := c.share.Follows(now)
+	followed = c.share.Follows(now)
 	if followed == 0 || c.isReporting {
 		return out
 	}
-	release := isConfirmed && followed != best.ID && !c.share.IsFailing()
+	release := isConfirmed && followed != target.ID && !c.share.IsFailing()
 	if !release && !c.isUrgent && now.Before(c.reportAt) {
 		return out
 	}
 	if followed == c.Self {
 		c.reportToSelf(now, release)
-		if release {
-			c.follow(now, best)
-		} else {
+		if !release {
 			return out
 		}
+		c.follow(now, target)
+		release = false
+	}
+	return append(out, c.report(now, release))
+}
+
+// target returns the granter that the agent should follow: the one that a majority follows, as far
+// as it answers, otherwise the best member. So a better member that starts takes nothing over.
+func (c *Core) target(now time.Time, members []wire.Member) wire.Member {
+	if c.majority == c.Self && c.allocator.majority() > 0 {
+		return wire.Member{ID: c.Self}
+	}
+	if m, ok := c.selector.Find(now, members, c.majority); ok {
+		return m
+	}
+	c.majority = 0
+	if best, ok := c.selector.Best(now, members); ok {
+		return best
+	}
+	return wire.Member{ID: c.Self}
+}
+
+// probe returns the member to ask for the granter that a majority follows: the target, or any
+// member if this agent is or follows the target.
+func (c *Core) probe(target wire.Member, followed uint64, members []wire.Member) (wire.Member, bool) {
+	if target.ID != c.Self && target.ID != followed && target.ID != c.confirmed {
+		return target, true
+	}
+	for range len(members) {
+		c.nextProbe++
+		m := members[int(c.nextProbe%uint64(len(members)))]
+		if m.ID != c.Self && m.ID != followed {
+			return m, true
+		}
 	}
-	return append(out, c.report(now, release && followed != c.Self))
+	c.isAsked = true
+	return wire.Member{}, false
 }
 
 // setMembers counts the members, this agent included.
@@ -146,8 +191,8 @@
 	if c.members == 0 {
 		c.share.Start(now, n)
 	}
-	c.members = c.share.SetMembers(now, n)
-	c.allocator.SetMembers(now, c.members)
+	c.members = c.share.SetMembers(n)
+	c.allocator.SetMembers(now, n, c.members)
 	c.selector.Retain(members)
 }
 
@@ -160,14 +205,14 @@
 // report returns the next report to the granter.
 func (c *Core) report(now time.Time, release bool) Action {
 	c.isReporting, c.isUrgent = true, false
-	c.reportAt = now.Add(reportInterval(c.members))
+	c.reportAt = c.share.NextReport(now)
 	return Send{To: c.granter, Report: c.share.Report(now, release)}
 }
 
 // reportToSelf reports to this agent's own allocator.
 func (c *Core) reportToSelf(now time.Time, release bool) {
 	c.isUrgent = false
-	c.reportAt = now.Add(reportInterval(c.members))
+	c.reportAt = c.share.NextReport(now)
 	isAlone := !c.allocator.IsFollowed(c.Self)
 	r := c.share.Report(now, release)
 	g := c.allocator.Report(now, c.Self, &r)
@@ -183,12 +228,18 @@
 
 func (c *Core) answered(now time.Time, e Answered) {
 	c.selector.Answered(e.To.ID)
+	if e.Grants.Granter != 0 {
+		c.majority = e.Grants.Granter
+	}
 	if e.Report.Session == 0 {
-		c.probed, c.confirmed, c.isCutOff = 0, e.To.ID, false
+		c.probed, c.confirmed, c.isCutOff, c.isAsked = 0, e.To.ID, false, true
 		c.reportAt = now
 		return
 	}
 	c.isReporting = false
+	if e.Grants.Granter == 0 && c.majority == e.To.ID {
+		c.majority = 0
+	}
 	if e.Report.Release {
 		c.share.Released(now, false)
 		c.reportAt = now
@@ -205,8 +256,11 @@
 	if e.To.ID == c.confirmed {
 		c.confirmed = 0
 	}
+	if e.To.ID == c.majority {
+		c.majority = 0
+	}
 	if e.Report.Session == 0 {
-		c.probed, c.isCutOff = 0, true
+		c.probed, c.probeAt, c.isCutOff, c.isAsked = 0, now, true, true
 		return
 	}
 	c.isReporting = false
--- a/src/tenants/pool.go
+++ b/src/tenants/pool.go
@@ -5,6 +5,11 @@
 	"time"
 )
 
+const (
+	reserveShare = 0.2 // of the depth, kept for agents that have no credit
+	minReserve   = 8   // credits, but not over half of the depth: a small tenant's requests come at random
+)
+
 // pool is the credit of one tenant at a granter. Level and outstanding together do not exceed the
 // depth of the limit times the share of the members that delegate to the granter.
 type pool struct {
@@ -31,6 +36,12 @@
 	p.level = max(0, min(p.level, p.depth*share-float64(p.outstanding)))
 }
 
+// reserve returns the level that is kept for agents that have no credit.
+func (p *pool) reserve(share float64) float64 {
+	depth := p.depth * share
+	return max(reserveShare*depth, min(minReserve, depth/2))
+}
+
 // take returns up to n whole credits from the level.
 func (p *pool) take(n int64) int64 {
 	n = max(0, min(n, int64(math.Floor(p.level))))
--- a/src/tenants/quota.go
+++ b/src/tenants/quota.go
@@ -4,12 +4,12 @@
 
 // The tolerance of a Quota is divided between credit that may exist at once, which keeps requests
 // below the limit from being refused, and a reserve for what the sum cannot count: members that do
-// not know of each other, the fixed part of agents that reach no granter, and requests that arrive
+// not know of each other, the fixed part of agents that do not delegate, and requests that arrive
 // at a server later than they were admitted.
 const (
-	overDepthShare  = 0.6
-	slackDepthShare = 0.75
-	isolatedShare   = 0.04 // of the limits, for all agents together that have followed a minority for long
+	reserveOverShare = 0.5 // of Over, not used for credit
+	slackDepthShare  = 0.85
+	fixedShare       = 0.1 // of Over: the part of the limits that all agents that do not delegate may use together
 )
 
 // Quota states how a tenant's limit binds: in any Window, a tenant's requests must not exceed
@@ -22,5 +22,10 @@
 
 // depth returns the credit that may exist at once, at all agents and granters together.
 func (q Quota) depth(l Limit) float64 {
-	return max(1, l.Burst*(1+q.Over)+overDepthShare*q.Over*l.RatePerSecond*q.Window.Seconds()+slackDepthShare*q.Slack)
+	reserve := reserveOverShare * q.Over
+	return max(1, l.Burst*(1+q.Over)/(1+reserve)+(q.Over-reserve)*l.RatePerSecond*q.Window.Seconds()+slackDepthShare*q.Slack)
 }
+
+// fixedPart returns the part of the limits that an agent may use without delegating, as a share of
+// one member's part.
+func (q Quota) fixedPart() float64 { return fixedShare * q.Over }
--- a/src/tenants/selector.go
+++ b/src/tenants/selector.go
@@ -27,20 +27,37 @@
 	delay   time.Duration
 }
 
-// Best returns the granter that this agent should follow, and false for none.
+// Find returns the member with an ID if it may be the granter, and false otherwise.
+func (s *Selector) Find(now time.Time, members []wire.Member, id uint64) (wire.Member, bool) {
+	if id == 0 {
+		return wire.Member{}, false
+	}
+	for i := range members {
+		if members[i].ID == id {
+			return members[i], s.mayGrant(now, &members[i])
+		}
+	}
+	return wire.Member{}, false
+}
+
+// Best returns the best member that may be the granter, and false for none.
 func (s *Selector) Best(now time.Time, members []wire.Member) (wire.Member, bool) {
-	var best wire.Member
-	found := false
+	var best *wire.Member
 	for i := range members {
 		m := &members[i]
-		if m.State == wire.StateLeaving || m.State == wire.StateDead || now.Before(s.failures[m.ID].retryAt) {
-			continue
-		}
-		if !found || isBetter(m, &best) {
-			best, found = *m, true
+		if s.mayGrant(now, m) && (best == nil || isBetter(m, best)) {
+			best = m
 		}
 	}
-	return best, found
+	if best == nil {
+		return wire.Member{}, false
+	}
+	return *best, true
+}
+
+// mayGrant reports whether a member stays and has not failed to answer lately.
+func (s *Selector) mayGrant(now time.Time, m *wire.Member) bool {
+	return m.State != wire.StateLeaving && m.State != wire.StateDead && !now.Before(s.failures[m.ID].retryAt)
 }
 
 // Failed records that a member has not answered.
--- a/src/tenants/share.go
+++ b/src/tenants/share.go
@@ -21,7 +21,8 @@
 	version uint64
 	byName  map[string]*credit
 	byHash  map[uint32]*credit
-	members memberCount
+	members int // by which the limits are divided, as far as known
+	listed  int // members that this agent knows
 
 	granter        uint64 // 0 for none
 	session        uint64
@@ -29,17 +30,20 @@
 	hasAnswer      bool // in this session
 	hasDelegated   bool // in this session
 	echo           int64
+	echoAt         time.Time // when the answer with echo was received
 	isFailing      bool      // the last report was not answered
 	validUntil     time.Time // of the credit, once hasAnswer
 	committedUntil time.Time // until then the agent's part is at a granter's disposal
+	lastMajority   time.Time // when a granter with a majority was last followed; from isolationTime on the others may no longer count this agent
 	delegateFrom   time.Time // until then an earlier granter may have lent out the agent's part
 }
 
 // Start begins the agent's run: an earlier process at the same address may have delegated its part a
 // moment ago.
 func (s *Share) Start(now time.Time, members int) {
-	n := s.members.update(now, members)
-	s.delegateFrom = now.Add(leaseTime(n) + guardTime(n))
+	s.SetMembers(members)
+	s.lastMajority = now
+	s.delegateFrom = now.Add(leaseTime(s.members) + guardTime(s.members))
 }
 
 // Configure sets the limits of a configuration version; an older version than the current one is
@@ -76,8 +80,13 @@
 	s.byName, s.byHash = byName, byHash
 }
 
-// SetMembers sets the number of members that the agent knows and returns the number that counts.
-func (s *Share) SetMembers(now time.Time, n int) int { return s.members.update(now, n) }
+// SetMembers sets the number of members that the agent knows and returns the number by which the
+// limits are divided. That falls only with the word of a granter that a majority follows.
+func (s *Share) SetMembers(listed int) int {
+	s.listed = listed
+	s.members = max(1, s.members, listed)
+	return s.members
+}
 
 // Take decides about a request; isRepeated is true if it has been Pending before. With Limited, it
 // returns the time until there will be credit.
@@ -99,7 +108,7 @@
 		}
 		return Admitted, 0
 	case now.Before(c.deniedUntil):
-		return Limited, max(c.refuse(now, s.members.n), c.deniedUntil.Sub(now))
+		return Limited, max(c.refuse(now, s.members), c.deniedUntil.Sub(now))
 	}
 	return Pending, 0
 }
@@ -110,7 +119,7 @@
 	if c == nil {
 		return 0
 	}
-	return c.refuse(now, max(1, s.members.n))
+	return c.refuse(now, s.members)
 }
 
 // Wait changes the number of requests of a tenant that wait for credit.
@@ -144,11 +153,11 @@
 // endSession keeps of each credit what the agent's own part of the limit may hold.
 func (s *Share) endSession(committedUntil time.Time) {
 	for _, c := range s.byHash {
-		c.held = max(0, min(c.held, int64(math.Floor(c.depth/float64(max(1, s.members.n))))))
+		c.held = max(0, min(c.held, int64(math.Floor(c.depth/float64(s.members)))))
 	}
 	if s.hasDelegated {
 		s.committedUntil = committedUntil
-		s.delegateFrom = committedUntil.Add(guardTime(s.members.n))
+		s.delegateFrom = committedUntil.Add(guardTime(s.members))
 	}
 	s.granter, s.session, s.hasAnswer, s.hasDelegated, s.echo, s.isFailing = 0, 0, false, false, 0, false
 }
@@ -189,15 +198,19 @@
 // Report returns the report to send to the granter now.
 func (s *Share) Report(now time.Time, release bool) wire.TenantReport {
 	s.seq++
-	n := max(1, s.members.n)
+	n := s.members
 	r := wire.TenantReport{
 		Session: s.session, Seq: s.seq, Echo: s.echo, Version: s.version, Members: uint32(n),
 		LeaseMS: uint32(leaseTime(n).Milliseconds()), Start: !s.hasAnswer, Release: release,
-		Delegates: s.hasAnswer && !s.isFailing && !release && !now.Before(s.delegateFrom),
+		Delegates: s.hasAnswer && !s.isFailing && !release && !now.Before(s.delegateFrom) &&
+			now.Before(s.lastMajority.Add(isolationTime-2*leaseTime(n))),
 	}
 	if r.Delegates {
 		s.hasDelegated = true
-		s.committedUntil = now.Add(leaseTime(n))
+		// The delegation counts at the granter from the answer that the report echoes.
+		if until := s.echoAt.Add(leaseTime(n)); until.After(s.committedUntil) {
+			s.committedUntil = until
+		}
 	}
 	for _, c := range s.byHash {
 		if c.isDirty || (!s.hasAnswer && c.held != 0) {
@@ -208,6 +221,16 @@
 	return r
 }
 
+// NextReport returns when the next report is due: after an interval, or as soon as the agent may
+// delegate.
+func (s *Share) NextReport(now time.Time) time.Time {
+	at := now.Add(reportInterval(s.members))
+	if now.Before(s.delegateFrom) && s.delegateFrom.Before(at) {
+		return s.delegateFrom
+	}
+	return at
+}
+
 // Failed processes that a report was not answered.
 func (s *Share) Failed(r *wire.TenantReport) {
 	for _, t := range r.Credits {
@@ -234,9 +257,15 @@
 		s.endSession(s.committedUntil)
 		return
 	}
-	n := max(1, s.members.n)
+	n := s.members
 	s.hasAnswer, s.isFailing, s.echo = true, false, g.Clock
-	s.validUntil = sentAt.Add(time.Duration(r.LeaseMS) * time.Millisecond)
+	lease := time.Duration(r.LeaseMS) * time.Millisecond
+	s.validUntil = sentAt.Add(lease)
+	s.echoAt = now
+	if g.Members > 0 {
+		s.lastMajority = sentAt
+		s.members = max(int(g.Members), s.listed)
+	}
 	if !now.Before(s.validUntil) {
 		s.expire(now)
 		return
--- a/src/tenants/timing.go
+++ b/src/tenants/timing.go
@@ -3,11 +3,12 @@
 import "time"
 
 const (
-	minReportInterval = 400 * time.Millisecond
+	minReportInterval = 300 * time.Millisecond
 	maxReportInterval = 1200 * time.Millisecond
-	reportSpacing     = 2500 * time.Microsecond // between reports at a granter with more than 160 agents
-	leaseReports      = 3                       // reports within the time of a lease, so that one may be lost
+	reportSpacing     = 2500 * time.Microsecond // between reports at a granter with more than 120 agents
+	leaseReports      = 2.5                     // intervals within a lease: a delegation counts from the answer before the report that renews it
 	isolationTime     = 10 * time.Second        // for which members that are gone still count, since they may use their part of the limits
+	shrinkTime        = 60 * time.Second        // see memberCount
 	clockMargin       = 50 * time.Millisecond   // by which a granter ends delegations early and keeps credit late
 )
 
@@ -17,7 +18,9 @@
 }
 
 // leaseTime returns the time for which credit and delegations are valid.
-func leaseTime(members int) time.Duration { return leaseReports * reportInterval(members) }
+func leaseTime(members int) time.Duration {
+	return time.Duration(leaseReports * float64(reportInterval(members)))
+}
 
 // guardTime returns the time after the end of a delegation at which the earlier granter can no
 // longer have lent out the agent's part: each other agent has been told to return it, or its
--- a/src/wire/tenant.go
+++ b/src/wire/tenant.go
@@ -12,7 +12,7 @@
 	Seq       uint64         `msg:"q"`           // grows with each report of the agent
 	Echo      int64          `msg:"e,omitempty"` // TenantGrants.Clock of the last answer in this session, 0 for none
 	Version   uint64         `msg:"v,omitempty"` // of the agent's configuration
-	Members   uint32         `msg:"n"`           // number of members that the agent knows
+	Members   uint32         `msg:"n"`           // number of members by which the limits are divided, as the agent knows it
 	LeaseMS   uint32         `msg:"l"`           // time for which credit and delegation are valid
 	Start     bool           `msg:"b,omitempty"` // no report of this session has been answered
 	Delegates bool           `msg:"d,omitempty"` // the agent's part of all limits is at the granter's disposal
@@ -34,6 +34,8 @@
 type TenantGrants struct {
 	Clock   int64         `msg:"e"`           // granter's clock in nanoseconds
 	Version uint64        `msg:"v,omitempty"` // of the granter's configuration
+	Members uint32        `msg:"n,omitempty"` // number of members by which the limits are divided, 0 unless a majority of them follows the granter
+	Granter uint64        `msg:"f,omitempty"` // that a majority follows as far as the answerer knows, 0 for none
 	Reset   bool          `msg:"x,omitempty"` // the granter does not know the session
 	Grants  []TenantGrant `msg:"g,omitempty"`
 }
--- a/src/wire/tenant_gen.go
+++ b/src/wire/tenant_gen.go
@@ -136,21 +136,29 @@
 func (z *TenantGrants) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(4)
-	var zb0001Mask uint8 /* 4 bits */
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
 	_ = zb0001Mask
 	if z.Version == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x2
 	}
-	if z.Reset == false {
+	if z.Members == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x4
 	}
-	if z.Grants == nil {
+	if z.Granter == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x8
 	}
+	if z.Reset == false {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	if z.Grants == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -165,11 +173,21 @@
 			o = msgp.AppendUint64(o, z.Version)
 		}
 		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "n"
+			o = append(o, 0xa1, 0x6e)
+			o = msgp.AppendUint32(o, z.Members)
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "f"
+			o = append(o, 0xa1, 0x66)
+			o = msgp.AppendUint64(o, z.Granter)
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
 			// string "x"
 			o = append(o, 0xa1, 0x78)
 			o = msgp.AppendBool(o, z.Reset)
 		}
-		if (zb0001Mask & 0x8) == 0 { // if not omitted
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
 			// string "g"
 			o = append(o, 0xa1, 0x67)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Grants)))
@@ -219,6 +237,18 @@
 				err = msgp.WrapError(err, "Version")
 				return
 			}
+		case "n":
+			z.Members, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Members")
+				return
+			}
+		case "f":
+			z.Granter, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Granter")
+				return
+			}
 		case "x":
 			z.Reset, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -262,7 +292,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *TenantGrants) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint32Size + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Grants {
 		s += z.Grants[za0001].Msgsize()
 	}
