--- a/src/quotamodel/agent.go
+++ b/src/quotamodel/agent.go
@@ -72,11 +72,7 @@
 func (a *agent) take(r *request) {
 	f := a.fleet
 	v, retryAfter := a.core.Take(f.now, r.tenant, false)
-	if v == tenants.AdmittedLow {
-		f.Low[r.tenant]++
-	}
 	if v == tenants.Pending {
-		f.Pend[r.tenant]++
 		a.waiting = append(a.waiting, r)
 		a.core.Wait(r.tenant, 1)
 		f.at(f.now.Add(f.MaxWait), func() { a.do(func() { a.giveUp(r) }) })
--- a/src/quotamodel/fleet.go
+++ b/src/quotamodel/fleet.go
@@ -32,15 +32,14 @@
 	Served                    map[int]int // reports by position of the granter
 	Tallies                   map[string]*Tally
 
-	Pend, Low map[string]int
-	rand      *rand.Rand
-	now       time.Time
-	seq       int
-	events    eventHeap
-	agents    []*agent
-	side      []int // of the partition, by position
-	version   uint64
-	lastID    uint64
+	rand    *rand.Rand
+	now     time.Time
+	seq     int
+	events  eventHeap
+	agents  []*agent
+	side    []int // of the partition, by position
+	version uint64
+	lastID  uint64
 }
 
 // Build starts all agents.
@@ -62,7 +61,6 @@
 
 // ResetCounts sets the counts of messages to zero.
 func (f *Fleet) ResetCounts() {
-	f.Pend, f.Low = map[string]int{}, map[string]int{}
 	f.Messages, f.Bytes, f.FarBytes, f.Served = 0, 0, 0, map[int]int{}
 }
 
