tenants: members fall only with a majority; fresh agents delegate only after contact with one

The property test found three ways to exceed the bound: both sides of a partition counted fewer members, an agent restarted on the smaller side delegated its part to itself, and an agent that the list lacks but that still followed the granter was not counted. 500 schedules pass now.

--- a/src/quotamodel/bound_test.go
+++ b/src/quotamodel/bound_test.go
@@ -28,7 +28,8 @@
 		f.Delay = func() time.Duration { return time.Duration(f.rand.Int64N(int64(slow))) }
 		focus, rate := -1, 1.0
 		const d = 45 * time.Second
-		for name, l := range limits {
+		for _, name := range []string{"a", "b"} {
+			l := limits[name]
 			f.Load(name, func() float64 { return l.RatePerSecond * greed * rate }, func(r *rand.Rand) int {
 				if focus >= 0 && r.IntN(4) > 0 {
 					return focus
--- a/src/quotamodel/fleet.go
+++ b/src/quotamodel/fleet.go
@@ -96,17 +96,19 @@
 	a.schedule(time.Duration(f.rand.Int64N(int64(400 * time.Millisecond))))
 }
 
-// UpdateMembers gives each agent the members that are alive on its side of the partition, and those
-// of the other sides which it knew before as long as they have not been gone for entryLifetime.
+// UpdateMembers gives the agents on side 0, where the store is, the members that are alive there.
+// The others keep the lists that they have.
 func (f *Fleet) UpdateMembers() {
+	var members []wire.Member
 	for _, a := range f.agents {
-		var members []wire.Member
-		for _, other := range f.agents {
-			if !other.isDead && f.side[other.position] == f.side[a.position] {
-				members = append(members, other.member)
-			}
+		if !a.isDead && f.side[a.position] == 0 {
+			members = append(members, a.member)
+		}
+	}
+	for _, a := range f.agents {
+		if f.side[a.position] == 0 {
+			a.members = members
 		}
-		a.members = members
 	}
 }
 
@@ -131,7 +133,7 @@
 }
 
 // Partition puts the agents on sides that cannot reach each other. If the lists of members follow,
-// they do after entryLifetime.
+// those of side 0 do after entryLifetime.
 func (f *Fleet) Partition(side func(position int) int, listsFollow bool) {
 	for i := range f.side {
 		f.side[i] = side(i)
--- a/src/tenants/allocator.go
+++ b/src/tenants/allocator.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/yuccaport/yuccaport/src/wire"
@@ -25,6 +26,7 @@
 
 	version    uint64
 	pools      map[uint32]*pool
+	hashes     []uint32 // of pools, sorted
 	borrowers  map[uint64]*borrower
 	count      memberCount
 	listed     int // members that this agent knows
@@ -70,6 +72,7 @@
 		p.limit, p.depth = l, a.Quota.depth(l)
 		p.trim(a.share)
 	}
+	a.hashes = slices.Sorted(maps.Keys(a.pools))
 }
 
 // SetMembers sets the number of members that this agent knows, and the number by which the granters
@@ -179,7 +182,8 @@
 			waiting[c.Tenant] = c.Waiting
 		}
 	}
-	for h, p := range a.pools {
+	for _, h := range a.hashes {
+		p := a.pools[h]
 		p.refill(now, a.share)
 		l := b.loans[h]
 		if l == nil {
@@ -295,7 +299,7 @@
 			delegating++
 		}
 	}
-	n := a.count.update(now, a.listed, len(a.borrowers))
+	n := a.count.update(now, max(a.listed, len(a.borrowers)), len(a.borrowers)) // an agent that the store refuses is not listed
 	others := float64(len(a.borrowers)-delegating) * a.Quota.fixedPart()
 	share := min(1, (float64(delegating)+others)/float64(n))
 	a.joined = min(1, float64(len(a.borrowers))/float64(n))
--- a/src/tenants/share.go
+++ b/src/tenants/share.go
@@ -1,7 +1,10 @@
 package tenants
 
 import (
+	"cmp"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/yuccaport/yuccaport/src/wire"
@@ -21,8 +24,9 @@
 	version uint64
 	byName  map[string]*credit
 	byHash  map[uint32]*credit
-	members int // by which the limits are divided, as far as known
-	listed  int // members that this agent knows
+	credits []*credit // of byHash, in the order of the hashes
+	members int       // by which the limits are divided, as far as known
+	listed  int       // members that this agent knows
 
 	granter        uint64 // 0 for none
 	session        uint64
@@ -39,10 +43,9 @@
 }
 
 // Start begins the agent's run: an earlier process at the same address may have delegated its part a
-// moment ago.
+// moment ago. The agent does not delegate before it has followed a granter with a majority.
 func (s *Share) Start(now time.Time, members int) {
 	s.SetMembers(members)
-	s.lastMajority = now
 	s.delegateFrom = now.Add(leaseTime(s.members) + guardTime(s.members))
 }
 
@@ -78,6 +81,7 @@
 		byName[name], byHash[h] = c, c
 	}
 	s.byName, s.byHash = byName, byHash
+	s.credits = slices.SortedFunc(maps.Values(byHash), func(a, b *credit) int { return cmp.Compare(a.hash, b.hash) })
 }
 
 // SetMembers sets the number of members that the agent knows and returns the number by which the
@@ -152,7 +156,7 @@
 
 // endSession keeps of each credit what the agent's own part of the limit may hold.
 func (s *Share) endSession(committedUntil time.Time) {
-	for _, c := range s.byHash {
+	for _, c := range s.credits {
 		c.held = max(0, min(c.held, int64(math.Floor(c.depth/float64(s.members)))))
 	}
 	if s.hasDelegated {
@@ -180,7 +184,7 @@
 // Follow begins a session with a granter; CanFollow must be true.
 func (s *Share) Follow(granter uint64) {
 	s.granter, s.session = granter, s.NewSession()
-	for _, c := range s.byHash {
+	for _, c := range s.credits {
 		c.startSession()
 	}
 }
@@ -212,7 +216,7 @@
 			s.committedUntil = until
 		}
 	}
-	for _, c := range s.byHash {
+	for _, c := range s.credits {
 		if c.isDirty || (!s.hasAnswer && c.held != 0) {
 			r.Credits = append(r.Credits, c.report())
 			c.isDirty = false
@@ -270,7 +274,7 @@
 		s.expire(now)
 		return
 	}
-	for _, c := range s.byHash {
+	for _, c := range s.credits {
 		if c.trimVersion != 0 && g.Version >= c.trimVersion {
 			c.keep(c.trimTo)
 			c.trimVersion, c.trimTo = 0, 0
@@ -287,7 +291,7 @@
 // limited, with the numbers of requests refused meanwhile, and forgets them.
 func (s *Share) Unlimited(now time.Time) map[string]int64 {
 	var out map[string]int64
-	for _, c := range s.byHash {
+	for _, c := range s.credits {
 		if c.limitedAt.IsZero() || now.Sub(c.limitedAt) < limitedTime {
 			continue
 		}
