registry: a rejected configuration does not hide the one before it

The store holds the newest version only. If all agents reject it, for two tenants with one key or since it cannot be decoded, an agent that started later found nothing it could use: its peers passed on the rejected version too. An agent now goes back to the version before, in what it asks for and passes on, and remembers the rejected one.

--- a/src/agent/serving_state.go
+++ b/src/agent/serving_state.go
@@ -44,6 +44,7 @@
 	c, err := a.DecodeConfig(value)
 	if err != nil {
 		a.Log.Error(err, "configuration rejected")
+		a.follower.RejectConfig(value)
 		return
 	}
 	a.tableMu.Lock()
@@ -60,11 +61,13 @@
 	t, err := dispatch.NewTable(s, a.memberView)
 	if err != nil {
 		a.Log.Error(err, "configuration rejected", "version", c.Version, "in_force", currentVersion)
+		a.follower.RejectConfig(value)
 		return
 	}
 	t.Tenants, err = tenants.NewDirectory(c.Tenants)
 	if err != nil {
 		a.Log.Error(err, "configuration rejected", "version", c.Version, "in_force", currentVersion)
+		a.follower.RejectConfig(value)
 		return
 	}
 	routes, tenantCount := len(c.Routes), len(c.Tenants)
--- a/src/registry/core.go
+++ b/src/registry/core.go
@@ -35,6 +35,7 @@
 	revision      uint64            // store revision that the members reflect
 	config        Item
 	configVersion uint64 // of config, 0 if unknown
+	rejection     rejection
 	tombstones    tombstoneSet
 	start         startQuery
 	storeLostAt   time.Time // zero while the store answers
@@ -75,6 +76,8 @@
 		return c.applyProbeResult(e)
 	case PeerSeen:
 		return c.queryFirstPeer(now, e.Member)
+	case ConfigRejected:
+		c.rejectConfig(e.Value)
 	case Tick:
 		return append(c.probeMissing(now), c.queryPeerIfDue(now)...)
 	}
@@ -205,7 +208,7 @@
 // applyConfig keeps a configuration that is newer: by version or, of those whose versions are equal
 // or unknown, by revision.
 func (c *Core) applyConfig(i Item) []Action {
-	if i.Deleted {
+	if i.Deleted || c.rejection.matches(i) {
 		return nil
 	}
 	version := uint64(0)
@@ -220,6 +223,7 @@
 	case i.Revision <= c.config.Revision:
 		return nil
 	}
+	c.rejection.previous, c.rejection.previousVersion = c.config, c.configVersion
 	c.config, c.configVersion = i, version
 	return []Action{ApplyConfig{Value: i.Value}}
 }
--- a/src/registry/event.go
+++ b/src/registry/event.go
@@ -43,6 +43,11 @@
 	Member wire.Member // with its ID and address only
 }
 
+// ConfigRejected reports that the configuration of an ApplyConfig action cannot be used.
+type ConfigRejected struct {
+	Value []byte
+}
+
 // Tick reports that time has passed.
 type Tick struct{}
 
@@ -54,4 +59,5 @@
 func (StartQueryEnded) isEvent() {}
 func (MemberProbed) isEvent()    {}
 func (PeerSeen) isEvent()        {}
+func (ConfigRejected) isEvent()  {}
 func (Tick) isEvent()            {}
