--- a/src/dispatch/call.go
+++ b/src/dispatch/call.go
@@ -31,7 +31,7 @@
 	parent    Parent
 	payment   *payment        // nil for none
 	tenant    *tenants.Tenant // nil for none
-	tenantLog *logr.Logger    // with the tenant's name; created on first use
+	tenantLog logr.Logger     // with the tenant's name; created on first use
 	head      wire.CallHead
 	start     time.Time
 	deadline  time.Time
@@ -143,14 +143,15 @@
 
 // log returns the logger for calls of this route, and of this tenant if there is one.
 func (c *call) log() logr.Logger {
-	if c.tenant == nil {
-		return c.match.tableRoute.logger(c.proxy.Log, c.match.Table.Version)
+	if c.tenantLog.GetSink() != nil {
+		return c.tenantLog
 	}
-	if c.tenantLog == nil {
-		log := c.match.tableRoute.logger(c.proxy.Log, c.match.Table.Version).WithValues("tenant", c.tenant.Name)
-		c.tenantLog = &log
+	log := c.match.tableRoute.logger(c.proxy.Log, c.match.Table.Version)
+	if c.tenant == nil || !log.Enabled() {
+		return log
 	}
-	return *c.tenantLog
+	c.tenantLog = log.WithValues("tenant", c.tenant.Name)
+	return c.tenantLog
 }
 
 // refuse ends the call without an answer from a backend server; the caller receives the refusal.
