--- a/src/agent/agent.go
+++ b/src/agent/agent.go
@@ -20,6 +20,7 @@
 	"github.com/yuccaport/yuccaport/src/registry"
 	"github.com/yuccaport/yuccaport/src/roster"
 	"github.com/yuccaport/yuccaport/src/settings"
+	"github.com/yuccaport/yuccaport/src/tenants"
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
@@ -52,6 +53,7 @@
 	pool            *link.Pool
 	booking         *booking.Server
 	quarantine      *quarantine.Node
+	quota           *tenants.Node
 	proxy           *dispatch.Proxy
 	follower        *registry.Follower
 	announcer       *registry.Announcer
@@ -116,16 +118,23 @@
 		Grace: s.StopGrace.Std(), Limits: link.Limits{PingInterval: linkPingInterval + a.transferTime(assumedQueuedBytes)/4, HandshakeTimeout: linkHelloTimeout + a.transferTime(assumedQueuedBytes), Bandwidth: linkRate(s)}, Log: a.Log.WithName("link"), Metrics: a.Metrics,
 	}
 	a.booking.OnLeaving = a.handleLeavingAnswer
+	a.booking.HasTenants = func() bool { t := a.table(); return t != nil && t.Tenants != nil }
 	a.booking.InboundDelay, a.booking.OutboundDelay, a.booking.LinkRate = a.pool.InboundDelay, a.pool.OutboundDelay, linkRate(s)
 	a.proxy = &dispatch.Proxy{
 		Listener: a.CallerListener, Self: a.member, Table: a.table, Transport: a.pool, Headers: a.Headers, Limits: a.limits,
 		Settings: a.dispatchSettings(), Grace: s.StopGrace.Std(), StartTimeout: startTimeout, Log: a.Log.WithName("dispatch"), Metrics: a.Metrics,
 	}
 	a.buildRegistry()
+	a.proxy.KeysOutdated = (&keyAge{revocation: s.Revocation, follower: a.follower, log: a.Log.WithName("tenants")}).isOutdated
 	a.quarantine = &quarantine.Node{Self: a.id, Members: a.follower.Members, Exchanger: a.pool, Log: a.Log.WithName("quarantine"), Metrics: a.Metrics}
 	if a.Keys.ProbePrefix != "" {
 		a.quarantine.Claimer = &quarantine.RegistryClaimer{Store: a.Store, Prefix: a.Keys.ProbePrefix}
 	}
+	a.quota = &tenants.Node{
+		Self: a.id, Members: a.follower.Members, Exchanger: a.pool, Log: a.Log.WithName("tenants"), Metrics: a.Metrics,
+		Quota: tenants.Quota{Window: s.Quota.Window.Std(), Over: s.Quota.Over, Slack: s.Quota.Slack},
+	}
+	a.proxy.Quota = a.quota
 	a.booking.Quarantine, a.proxy.Quarantine = a.quarantine, a.quarantine
 	a.pool.OnPeer = a.follower.OfferPeer
 }
@@ -185,5 +194,8 @@
 	return settings.DefaultSlots
 }
 
-// IsReady reports whether the agent has a configuration in force and is not stopping, so that the platform may route clients to it. It is independent of wire.Member.Ready, which reports whether the backend server can serve calls.
-func (a *Agent) IsReady() bool { return a.serving.Load() != nil && !a.stopping.Load() }
+// IsReady reports whether the agent has a configuration in force, has asked peers for a newer one if that holds tenants, and is not stopping, so that the platform may route clients to it. It is independent of wire.Member.Ready, which reports whether the backend server can serve calls.
+func (a *Agent) IsReady() bool {
+	s := a.serving.Load()
+	return s != nil && !a.stopping.Load() && (s.table.Tenants == nil || a.follower.HasAskedPeers())
+}
--- a/src/agent/serving_state.go
+++ b/src/agent/serving_state.go
@@ -5,6 +5,7 @@
 	"github.com/yuccaport/yuccaport/src/document"
 	"github.com/yuccaport/yuccaport/src/ledger"
 	"github.com/yuccaport/yuccaport/src/roster"
+	"github.com/yuccaport/yuccaport/src/tenants"
 )
 
 // servingState holds the configuration and routing table in force. It is immutable.
@@ -43,6 +44,7 @@
 	c, err := a.DecodeConfig(value)
 	if err != nil {
 		a.Log.Error(err, "configuration rejected")
+		a.follower.RejectConfig(value)
 		return
 	}
 	a.tableMu.Lock()
@@ -59,14 +61,22 @@
 	t, err := dispatch.NewTable(s, a.memberView)
 	if err != nil {
 		a.Log.Error(err, "configuration rejected", "version", c.Version, "in_force", currentVersion)
+		a.follower.RejectConfig(value)
 		return
 	}
-	routes := len(c.Routes)
-	c.Routes = nil // the snapshot holds them
+	t.Tenants, err = tenants.NewDirectory(c.Tenants)
+	if err != nil {
+		a.Log.Error(err, "configuration rejected", "version", c.Version, "in_force", currentVersion)
+		a.follower.RejectConfig(value)
+		return
+	}
+	routes, tenantCount := len(c.Routes), len(c.Tenants)
+	c.Routes, c.Tenants = nil, nil // the snapshot and the directory hold them
+	a.quota.Configure(c.Version, tenantLimits(t.Tenants))
 	a.serving.Store(&servingState{config: c, snapshot: s, table: t})
 	a.booking.ConfigureBackend(c.Connections[a.Settings.Service], c.HealthPaths[a.Settings.Service])
 	a.wakeBackendCheck()
-	a.Log.Info("version in force", "version", c.Version, "before", currentVersion, "routes", routes)
+	a.Log.Info("version in force", "version", c.Version, "before", currentVersion, "routes", routes, "tenants", tenantCount)
 }
 
 // updateMembers rebuilds the routing table for a changed set of members.
@@ -81,3 +91,12 @@
 	}
 	a.serving.Store(&servingState{config: s.config, snapshot: s.snapshot, table: s.table.WithMembers(a.memberView)})
 }
+
+// tenantLimits returns the limits of a directory's tenants.
+func tenantLimits(d *tenants.Directory) map[string]tenants.Limit {
+	limits := map[string]tenants.Limit{}
+	for _, t := range d.Tenants() {
+		limits[t.Name] = tenants.Limit{RatePerSecond: t.RatePerSec, Burst: t.Burst}
+	}
+	return limits
+}
--- a/src/tenants/node.go
+++ b/src/tenants/node.go
@@ -29,7 +29,7 @@
 	Quota     Quota
 	Log       logr.Logger
 	Metrics   *metrics.Set     // nil for a new set
-	Now       func() time.Time // of a clock that counts suspension, nil for clock.Boot
+	Now       func() time.Time // of a clock that counts suspension, nil for that of the VM
 
 	once sync.Once
 	pool workers.Pool
@@ -42,10 +42,13 @@
 	counts   tenantCounts
 }
 
+// bootTime returns the time on the VM's clock that counts suspension.
+func bootTime() time.Time { return time.Unix(0, 0).Add(clock.SinceBoot()) }
+
 func (n *Node) init() {
 	n.once.Do(func() {
 		if n.Now == nil {
-			n.Now = clock.Boot
+			n.Now = bootTime
 		}
 		if n.Metrics == nil {
 			n.Metrics = metrics.NewSet()
--- a/src/tenants/node_test.go
+++ b/src/tenants/node_test.go
@@ -14,7 +14,6 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr/funcr"
 
-	"github.com/yuccaport/yuccaport/src/clock"
 	"github.com/yuccaport/yuccaport/src/link"
 	"github.com/yuccaport/yuccaport/src/wire"
 )
@@ -179,14 +178,14 @@
 func BenchmarkTake(b *testing.B) {
 	for name, rate := range map[string]float64{"admitted": 1e12, "limited": 1e-6} {
 		b.Run(name, func(b *testing.B) {
-			n := &Node{Self: 1, Members: func() []wire.Member { return nil }, Now: clock.Boot}
+			n := &Node{Self: 1, Members: func() []wire.Member { return nil }}
 			n.Configure(1, map[string]Limit{"acme": {RatePerSecond: rate}})
 			c := n.core.share.byName["acme"]
 			if rate > 1 {
 				c.held = 1 << 60
 				n.core.share.granter = 1
 			} else {
-				c.deniedUntil = clock.Boot().Add(time.Hour)
+				c.deniedUntil = bootTime().Add(time.Hour)
 			}
 			ctx, now := context.Background(), time.Now()
 			b.ReportAllocs()
