--- a/src/agent/agent.go
+++ b/src/agent/agent.go
@@ -21,6 +21,7 @@
 	"github.com/yuccaport/yuccaport/src/rollout"
 	"github.com/yuccaport/yuccaport/src/roster"
 	"github.com/yuccaport/yuccaport/src/settings"
+	"github.com/yuccaport/yuccaport/src/tenants"
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
@@ -56,6 +57,7 @@
 	booking         *booking.Server
 	quarantine      *quarantine.Node
 	rollout         *rollout.Node // nil without Keys.RolloutPrefix
+	quota           *tenants.Node
 	proxy           *dispatch.Proxy
 	follower        *registry.Follower
 	announcer       *registry.Announcer
@@ -133,6 +135,11 @@
 		a.quarantine.Claimer = &quarantine.RegistryClaimer{Store: a.Store, Prefix: a.Keys.ProbePrefix}
 	}
 	a.buildRollout()
+	a.quota = &tenants.Node{
+		Self: a.id, Members: a.follower.Members, Exchanger: a.pool, Log: a.Log.WithName("tenants"), Metrics: a.Metrics,
+		Quota: tenants.Quota{Window: s.Quota.Window.Std(), Over: s.Quota.Over, Slack: s.Quota.Slack},
+	}
+	a.proxy.Quota = a.quota
 	a.booking.Quarantine, a.proxy.Quarantine = a.quarantine, a.quarantine
 	a.pool.OnPeer = a.follower.OfferPeer
 }
--- a/src/agent/run.go
+++ b/src/agent/run.go
@@ -49,6 +49,7 @@
 		goRun(&backgroundGroup, backgroundCtx, a.rollout.Run)
 		goRun(&backgroundGroup, backgroundCtx, a.awaitRollouts)
 	}
+	goRun(&backgroundGroup, backgroundCtx, a.quota.Run)
 	goRun(&backgroundGroup, backgroundCtx, a.watchBackend)
 	goRun(&backgroundGroup, backgroundCtx, a.watchSettings)
 	goRun(&backgroundGroup, backgroundCtx, func(ctx context.Context) error { return serveHTTP(ctx, a.ReadyListener, a.ReadyHandler) })
--- a/src/agent/settings.go
+++ b/src/agent/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"os"
 	"time"
@@ -26,6 +27,7 @@
 	RetryBudget RetryBudget       `toml:"retry_budget"`
 	Rollout     RolloutSettings   `toml:"rollout"`
 	Revocation  Revocation        `toml:"revocation"`
+	Quota       Quota             `toml:"quota"`
 }
 
 // Listen holds the addresses that the agent listens on.
@@ -60,6 +62,13 @@
 	Strict bool              `toml:"strict"` // refuse requests that need a key after Time; otherwise the keys in force stay accepted
 }
 
+// Quota states how strictly tenants' limits bind: in any Window, a tenant's requests must not exceed (rate x Window + burst) x (1 + Over) + Slack, over all agents.
+type Quota struct {
+	Window settings.Duration `toml:"window"`
+	Over   float64           `toml:"over"`
+	Slack  float64           `toml:"slack"`
+}
+
 // LoadSettings reads and validates a settings file; errors are of kind problem.Settings.
 func LoadSettings(file string) (Settings, error) {
 	b, err := os.ReadFile(file)
@@ -108,6 +117,14 @@
 	if d := s.Revocation.Time.Std(); d < 0 || d == 0 && s.Revocation.Strict {
 		return settingsError(file, "revocation.time", d, "set it to a time above zero, such as 5s, or leave out the section revocation")
 	}
+	for key, value := range map[string]float64{"quota.window": s.Quota.Window.Std().Seconds(), "quota.over": s.Quota.Over, "quota.slack": s.Quota.Slack} {
+		if !(value >= 0) || math.IsInf(value, 1) {
+			return settingsError(file, key, value, "set it to a number of 0 or above, or leave out the section quota")
+		}
+	}
+	if s.Quota.Window.Std() == 0 && (s.Quota.Over != 0 || s.Quota.Slack != 0) {
+		return settingsError(file, "quota.window", s.Quota.Window.Std(), "set it to a time above zero, such as 5s, or leave out the section quota")
+	}
 	return s.Rollout.validate(file)
 }
 
--- a/src/agent/settings_test.go
+++ b/src/agent/settings_test.go
@@ -55,6 +55,9 @@
 		"revocation":      {"reserve = 60", "reserve = 60\n[revocation]\ntime = \"5000ms\"\nstrict = true", ""},
 		"strict, no time": {"reserve = 60", "reserve = 60\n[revocation]\nstrict = true", `.*revocation.time is "0s".*leave out the section revocation`},
 		"time below zero": {"reserve = 60", "reserve = 60\n[revocation]\ntime = \"-5s\"", `.*revocation.time is "-5s".*`},
+		"quota":           {"reserve = 60", "reserve = 60\n[quota]\nwindow = \"5s\"\nover = 0.1\nslack = 20", ""},
+		"quota, no time":  {"reserve = 60", "reserve = 60\n[quota]\nslack = 20", `.*quota.window is "0s".*leave out the section quota`},
+		"quota below 0":   {"reserve = 60", "reserve = 60\n[quota]\nwindow = \"5s\"\nover = -0.1", `.*quota.over is "-0.1".*`},
 		"not TOML":        {validSettings, "{", `settings: a.toml.*`},
 	}
 	for name, tc := range tests {
