registry: configurations as deltas; agents that the store refuses find one that it serves

An agent with a slow link that skipped two readers listed the store, as did all others, and where the store refused it, it asked one random member each half second.

Change: a reply holds what differs from the asker's configuration, by digest, or parts of the whole, which other holders serve too. A newer version replaces a transfer under way. A reply names the member that reads the store (source); an agent whose readers and store fail asks three members at once, which answer as soon as they have a source or a newer version, and follows one that reads the store. An agent with a slow link skips up to four readers before it turns to the store. A log line and histograms say where the time of a configuration went.

--- a/src/registry/follower.go
+++ b/src/registry/follower.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 
 	"github.com/yuccaport/yuccaport/src/clock"
@@ -41,6 +42,7 @@
 	OnEntryMissing  func()               // called when the store lacks this agent's entry
 	SuspendedFor    func() time.Duration // returns how long the VM was suspended since the last call; nil disables the check
 	Log             logr.Logger
+	Metrics         *metrics.Set // nil for a new set
 
 	once          sync.Once
 	querySlots    chan struct{}
@@ -58,9 +60,17 @@
 	readerID      uint64               // reader that is watched, 0 for the store itself
 	lostReaderID  uint64               // reader whose last answer was that it has lost the store, 0 for none
 
-	compressMu         sync.Mutex
-	compressedRevision uint64
-	compressedConfig   []byte // configuration at compressedRevision
+	substitute  substitute
+	newBuilds   map[uint64]bool // members that answer with parts, by ID; guarded by mu, as are the fields below
+	sourceID    uint64          // see wire.RegistryReply.Source
+	waiting     int             // requests of members that wait here
+	holdersOf   uint64          // digest of the configuration of holders
+	holders     []uint64        // members that have the newest configuration
+	receipts    map[uint64]receipt
+	cutOffSince time.Time // zero while the store or a reader answers
+
+	history        configHistory
+	receiptMetrics receiptMetrics
 }
 
 func (f *Follower) init() {
@@ -69,6 +79,11 @@
 		f.querySlots = make(chan struct{}, maxQueries)
 		f.updated = make(chan struct{})
 		f.failedReaders = map[uint64]time.Time{}
+		f.newBuilds = map[uint64]bool{}
+		if f.Metrics == nil {
+			f.Metrics = metrics.NewSet()
+		}
+		f.receiptMetrics = newReceiptMetrics(f.Metrics)
 	})
 }
 
@@ -99,7 +114,12 @@
 			delay = min(baseRetryDelay<<min(max(0, failures-1), 4), maxRetryDelay)
 		}
 		failures++
-		clock.Sleep(ctx, delay/2+rand.N(delay/2))
+		delay = delay/2 + rand.N(delay/2)
+		if f.isLost() {
+			f.searchSource(ctx, delay)
+		} else {
+			clock.Sleep(ctx, delay)
+		}
 	}
 	return nil
 }
@@ -126,18 +146,26 @@
 // step passes an event to the core and carries out the resulting actions.
 func (f *Follower) step(e Event) {
 	f.mu.Lock()
-	actions := f.core.Step(time.Now(), e)
+	now := time.Now()
+	actions := f.core.Step(now, e)
+	if _, ok := e.(StoreLost); ok {
+		f.sourceID = 0
+	}
 	if _, ok := e.(Tick); !ok {
-		close(f.updated)
-		f.updated = make(chan struct{})
+		f.notifyLocked()
 	}
+	revision, version := f.core.Config()
+	how := f.takeReceipt(revision, now)
 	f.mu.Unlock()
 	for _, a := range actions {
 		switch a := a.(type) {
 		case PublishMembers:
 			f.OnMembers()
 		case ApplyConfig:
+			f.history.add(a.Value)
+			began := time.Now()
 			f.OnConfig(a.Value)
+			f.noteInForce(version, how, time.Since(began))
 		case Announce:
 			f.OnEntryMissing()
 		case ProbeMember:
--- a/src/registry/queries.go
+++ b/src/registry/queries.go
@@ -6,7 +6,6 @@
 	"math"
 
 	"github.com/yuccaport/yuccaport/src/link"
-	"github.com/yuccaport/yuccaport/src/pack"
 	"github.com/yuccaport/yuccaport/src/problem"
 	"github.com/yuccaport/yuccaport/src/wire"
 )
@@ -36,7 +35,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 	defer cancel()
 	config, version := f.config()
-	_, err := f.exchange(ctx, m, wire.RegistryRequest{Config: config, ConfigVersion: version, After: math.MaxUint64}) // no entries in the reply
+	_, err := f.exchange(ctx, m, wire.RegistryRequest{Config: config, ConfigVersion: version, After: math.MaxUint64}, 0) // no entries in the reply
 	f.Log.Info("probed member whose entry is missing", "member", m.ID, "addr", m.Addr.String(), "alive", err == nil, "reason", "entry missing from the store")
 	f.step(MemberProbed{MemberID: m.ID, Alive: err == nil || errors.Is(err, problem.Busy)})
 }
@@ -50,7 +49,7 @@
 	if start {
 		req.After = math.MaxUint64 // no entries in the reply
 	}
-	r, err := f.exchange(ctx, m, req)
+	r, err := f.exchange(ctx, m, req, 0)
 	if err == nil {
 		f.step(PeerReplied{Reply: r})
 	} else {
@@ -61,8 +60,8 @@
 	}
 }
 
-// exchange sends a registry request to a member and returns the reply with its configuration decompressed.
-func (f *Follower) exchange(ctx context.Context, m wire.Member, req wire.RegistryRequest) (wire.RegistryReply, error) {
+// send sends a registry request to a member and returns the reply with its configuration still encoded.
+func (f *Follower) send(ctx context.Context, m wire.Member, req wire.RegistryRequest) (wire.RegistryReply, error) {
 	var r wire.RegistryReply
 	payload, err := req.MarshalMsg(nil)
 	if err != nil {
@@ -72,10 +71,9 @@
 	if err != nil {
 		return r, err
 	}
-	if _, err = r.UnmarshalMsg(b); err != nil || len(r.Value) == 0 {
-		return r, err
+	if _, err = r.UnmarshalMsg(b); err == nil && (r.Source != 0 || r.Digest != 0) {
+		f.noteNewBuild(m.ID)
 	}
-	r.Value, err = pack.Unpack(r.Value)
 	return r, err
 }
 
--- a/src/registry/serve.go
+++ b/src/registry/serve.go
@@ -5,32 +5,37 @@
 	"time"
 
 	"github.com/yuccaport/yuccaport/src/link"
-	"github.com/yuccaport/yuccaport/src/pack"
 	"github.com/yuccaport/yuccaport/src/problem"
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
 // ServeMessage answers a message of kind link.KindRegistry: payload is a wire.RegistryRequest, the result a wire.RegistryReply, both in msgpack. It waits up to the request's WaitMS for an update. The error is of kind problem.Protocol if payload is malformed.
-func (f *Follower) ServeMessage(ctx context.Context, _ link.Peer, _ link.MessageKind, payload []byte) ([]byte, error) {
+func (f *Follower) ServeMessage(ctx context.Context, from link.Peer, _ link.MessageKind, payload []byte) ([]byte, error) {
 	f.init()
 	var req wire.RegistryRequest
 	if _, err := req.UnmarshalMsg(payload); err != nil {
 		return nil, problem.Wrap(problem.Protocol, err, "registry request", "not msgpack", "run the same version on both daemons")
 	}
-	reply := f.awaitUpdates(ctx, req)
+	if req.Parts {
+		f.noteNewBuild(from.ID)
+		f.noteHolder(from.ID, req.Digest)
+	}
+	reply := f.awaitUpdates(ctx, from.ID, req)
 	if len(reply.Value) > 0 {
-		reply.Value = f.compressConfig(reply.Config, reply.Value)
+		f.encodeConfig(from.ID, req, &reply)
 	}
 	return reply.MarshalMsg(nil)
 }
 
 // awaitUpdates replies as soon as there is an update for the request, or when the wait that it allows has passed.
-func (f *Follower) awaitUpdates(ctx context.Context, req wire.RegistryRequest) wire.RegistryReply {
+func (f *Follower) awaitUpdates(ctx context.Context, asker uint64, req wire.RegistryRequest) wire.RegistryReply {
 	timeout := time.NewTimer(time.Duration(req.WaitMS) * time.Millisecond)
 	defer timeout.Stop()
+	f.addWaiting(1)
+	defer f.addWaiting(-1)
 	for {
 		f.mu.Lock()
-		hasUpdates, updated := f.core.HasUpdates(req), f.updated
+		hasUpdates, updated := f.hasUpdates(asker, req), f.updated
 		f.mu.Unlock()
 		if hasUpdates || req.WaitMS <= 0 {
 			return f.reply(req)
@@ -45,18 +50,50 @@
 	}
 }
 
+// hasUpdates reports whether a request can be answered now; the caller must hold f.mu.
+func (f *Follower) hasUpdates(asker uint64, req wire.RegistryRequest) bool {
+	if req.Search {
+		source := f.sourceFor(req)
+		return f.core.hasNewerConfig(req) || source != 0 && source != asker
+	}
+	return f.core.HasUpdates(req)
+}
+
 func (f *Follower) reply(req wire.RegistryRequest) wire.RegistryReply {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.core.Reply(req)
+	r := f.core.Reply(req)
+	r.Source = f.sourceFor(req)
+	return r
 }
 
-// compressConfig returns the compressed configuration, which is cached for all peers until its revision changes.
-func (f *Follower) compressConfig(revision uint64, value []byte) []byte {
-	f.compressMu.Lock()
-	defer f.compressMu.Unlock()
-	if f.compressedRevision != revision {
-		f.compressedRevision, f.compressedConfig = revision, pack.Pack(value)
+// sourceFor returns the source that a reply names, 0 to a search if this agent reads the store but
+// serves many members already; the caller must hold f.mu.
+func (f *Follower) sourceFor(req wire.RegistryRequest) uint64 {
+	if req.Search && f.sourceID == f.ID && f.waiting > maxWaiting {
+		return 0
 	}
-	return f.compressedConfig
+	return f.sourceID
+}
+
+func (f *Follower) addWaiting(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.waiting += n
+}
+
+// setSource records the member that reads the store and through which this agent follows it.
+func (f *Follower) setSource(id uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.sourceID != id {
+		f.sourceID = id
+		f.notifyLocked()
+	}
+}
+
+// notifyLocked wakes the requests that wait for an update; the caller must hold f.mu.
+func (f *Follower) notifyLocked() {
+	close(f.updated)
+	f.updated = make(chan struct{})
 }
--- a/src/registry/source.go
+++ b/src/registry/source.go
@@ -11,6 +11,8 @@
 	readerWait       = 700 * time.Millisecond // longest wait of a reader for changes before it replies without any
 	readerRetryDelay = 3 * time.Second        // before a failed reader is used again
 	peerTimeout      = 500 * time.Millisecond // for a peer's answer, beyond the time that a request lets it wait
+	answerTimeout    = 300 * time.Millisecond // the same for a first reply of a build that sends configurations in parts, so that it is short
+	maxSkipped       = 4                      // readers skipped one after the other by an agent with a slow link before it watches the store; where the store refuses half of the agents, one in sixteen groups has no reader among five
 )
 
 // source is what the agent watches for changes: the store itself or a reader.
@@ -26,6 +28,10 @@
 	members := f.core.Members()
 	f.mu.Unlock()
 	src := source{}
+	if f.hasSubstitute() {
+		src.reader = f.substitute.member
+		return f.noteSwitch(src)
+	}
 	failedRecently := func(m wire.Member) bool { return time.Since(f.failedReaders[m.ID]) < readerRetryDelay }
 	m, ok := selectReader(members, f.EntryKey, f.Domain, f.Keys, func(m wire.Member) bool {
 		if failedRecently(m) {
@@ -36,9 +42,18 @@
 	if !ok {
 		f.lostReaderID = 0 // this agent is a reader, or knows none
 	}
-	if ok && !failedRecently(m) && src.recentFailures <= 1 { // after two failed readers, the store itself is watched
+	maxFailures := 1 // after two failed readers, the store itself is watched
+	if f.hasSlowLink() {
+		maxFailures = maxSkipped
+	}
+	if ok && !failedRecently(m) && src.recentFailures <= maxFailures {
 		src.reader = m
 	}
+	return f.noteSwitch(src)
+}
+
+// noteSwitch logs a change of the source.
+func (f *Follower) noteSwitch(src source) source {
 	if src.switched = src.reader.ID != f.readerID; src.switched {
 		f.Log.Info("watch source changed", "through", src.reader.ID, "before", f.readerID, "passed_over", src.recentFailures, "reason", "readers or their links changed, or a reader failed")
 		f.readerID = src.reader.ID
@@ -57,33 +72,81 @@
 	return era < current
 }
 
-// watchReader waits for changes at a reader. A reader that does not answer, is in an earlier era of the store, or reports that it has lost the store or not yet listed it, is skipped for readerRetryDelay,
+// watchReader waits for changes at a reader. A reader that does not answer, is in an earlier era of the store, follows it through this agent, or reports that it has lost the store or not yet listed it, is skipped for readerRetryDelay,
 // or until the store has failed at this agent as well.
 func (f *Follower) watchReader(ctx context.Context, src source) error {
 	wait := readerWait
-	if src.switched && src.recentFailures > 0 {
+	if src.switched {
 		wait = 0 // check at once whether this reader answers
 	}
+	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, wait+peerTimeout+f.MaxTransferTime/3)
 	defer cancel()
 	m := src.reader
+	firstTimeout := time.Duration(0)
+	if f.isNewBuild(m.ID) {
+		firstTimeout = wait + answerTimeout
+	}
 	config, version := f.config()
-	r, err := f.exchange(ctx, m, wire.RegistryRequest{Config: config, ConfigVersion: version, After: f.watchRevision, WaitMS: wait.Milliseconds()})
+	r, err := f.exchange(ctx, m, wire.RegistryRequest{Config: config, ConfigVersion: version, After: f.watchRevision, WaitMS: wait.Milliseconds()}, firstTimeout)
 	f.lostReaderID = 0
 	behind := err == nil && f.isOfEarlierEra(r.Revision)
+	loop := err == nil && r.Source == f.ID
+	isSubstitute := m.ID == f.substitute.member.ID
 	if err == nil && r.Lost {
 		f.lostReaderID = m.ID
 	}
-	if err != nil || r.Lost || behind {
+	if err != nil || r.Lost || behind || loop || isSubstitute && r.Source != m.ID {
 		if len(f.failedReaders) > maxQueries { // keeps the map small
 			clear(f.failedReaders)
 		}
 		f.failedReaders[m.ID] = time.Now()
-		f.Log.Info("skipping reader", "member", m.ID, "lost", r.Lost, "behind", behind, "failed", err != nil)
+		if isSubstitute {
+			f.substitute = substitute{}
+		}
+		since := time.Now()
+		if err != nil { // it has not answered in the time that it may wait for changes
+			since = began.Add(min(wait, since.Sub(began)))
+		}
+		f.noteCutOff(since)
+		f.Log.Info("skipping reader", "member", m.ID, "lost", r.Lost, "behind", behind, "loop", loop, "substitute", isSubstitute, "failed", err != nil)
 		return nil // the next call reads the store or another reader at once
 	}
 	f.watchRevision = max(f.watchRevision, r.Revision)
+	f.listed = f.listed || f.hasListedOnce() // with a substitute: what it reports continues from watchRevision
 	f.step(StoreAnswered{})
 	f.step(PeerReplied{Reply: r, Authoritative: true})
+	f.setSource(r.Source)
+	f.endCutOff()
 	return nil
 }
+
+// hasListedOnce reports whether this agent has listed the store since its start.
+func (f *Follower) hasListedOnce() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.core.start.askedAt.IsZero()
+}
+
+// isLost reports whether the store and the readers count as lost.
+func (f *Follower) isLost() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.core.storeLostAt.IsZero()
+}
+
+// noteNewBuild records that a member sends and reads configurations in parts.
+func (f *Follower) noteNewBuild(id uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.newBuilds) > maxRemoved { // keeps the map small
+		clear(f.newBuilds)
+	}
+	f.newBuilds[id] = true
+}
+
+func (f *Follower) isNewBuild(id uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.newBuilds[id]
+}
--- a/src/registry/store_watch.go
+++ b/src/registry/store_watch.go
@@ -20,7 +20,7 @@
 
 // followOnce makes one call: a listing, or a watch from where the last call ended. firstRetry is set if exactly one call has failed since the last success. A failed reader and HistoryGone are not errors: the next call is made at once.
 func (f *Follower) followOnce(ctx context.Context, firstRetry bool) error {
-	if !f.listed {
+	if !f.listed && f.substitute.member.ID == 0 {
 		return f.list(ctx, firstRetry)
 	}
 	src := f.chooseSource()
@@ -41,16 +41,21 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	began := time.Now()
 	items, revision, err := f.Store.List(callCtx, f.Keys.WatchPrefix)
 	f.listed = err == nil
 	if err != nil {
+		f.noteCutOff(began)
 		return err
 	}
+	f.noteStoreReceipt(items, began)
 	f.logNewEra(revision)
 	f.watchRevision = revision
 	f.logStoreRecovered("listed", revision)
 	f.step(StoreAnswered{})
 	f.step(Listed{Items: items, Revision: revision})
+	f.setSource(f.ID)
+	f.endCutOff()
 	return nil
 }
 
@@ -61,6 +66,7 @@
 	items, revision, err := f.Store.Watch(callCtx, f.Keys.WatchPrefix, f.watchRevision, watchWait)
 	if err != nil {
 		f.listed = false
+		f.noteCutOff(time.Now())
 		if errors.Is(err, HistoryGone) {
 			f.Log.Info("watch history gone", "reason", "dropped by the store", "after", f.watchRevision)
 			return nil
@@ -68,11 +74,15 @@
 		return err
 	}
 	f.step(StoreAnswered{})
+	f.setSource(f.ID)
 	if len(items) == 0 {
+		f.endCutOff()
 		return nil // a watch without changes does not confirm a newer revision than the one it began from
 	}
 	f.watchRevision = max(f.watchRevision, revision)
+	f.noteStoreReceipt(items, time.Now()) // when the store sent the change is not known
 	f.step(Changed{Items: items, Revision: f.watchRevision})
+	f.endCutOff()
 	f.coalesce(ctx)
 	return nil
 }
--- a/src/registry/suspension.go
+++ b/src/registry/suspension.go
@@ -16,7 +16,7 @@
 	}
 	ctx, f.cancelCall = context.WithCancel(ctx)
 	if f.suspended {
-		f.suspended, f.listed = false, false
+		f.suspended, f.listed, f.substitute = false, false, substitute{}
 	}
 	return ctx
 }
--- a/src/wire/registry.go
+++ b/src/wire/registry.go
@@ -12,6 +12,13 @@
 
 	ConfigVersion uint64 `msg:"config_version"` // version of the asker's configuration, 0 if unknown; goes before Config
 	Start         bool   `msg:"start"`          // the asker has just started and wants all tombstones
+
+	// Older builds ignore the fields below and answer with the whole configuration.
+	Parts  bool   `msg:"parts,omitempty"`  // the asker reads deltas, and configurations in parts
+	Digest uint64 `msg:"digest,omitempty"` // of the asker's configuration, 0 for none; a delta may be from it
+	Want   uint64 `msg:"want,omitempty"`   // digest of the configuration of which the asker has the first Offset bytes, 0 for none
+	Offset uint32 `msg:"offset,omitempty"` // in the encoded configuration
+	Search bool   `msg:"search,omitempty"` // the asker is cut off from the store, and waits for a newer configuration or for a Source
 }
 
 // RegistryReply is what a daemon knows of the registry.
@@ -25,6 +32,12 @@
 	ConfigVersion uint64              `msg:"config_version"` // version of the answerer's configuration, 0 if unknown
 	Tombstones    []RegistryTombstone `msg:"tombstones"`
 	Items         []RegistryItem      `msg:"items,omitempty"` // orders and plans of rollouts written after the asker's revision
+
+	Source  uint64   `msg:"source,omitempty"`          // member that reads the store and through which the answerer follows it, itself if it reads the store, 0 for none or unknown
+	Digest  uint64   `msg:"digest,omitempty"`          // of the configuration in Value, once decoded; only if the asker reads parts
+	Base    uint64   `msg:"base,omitempty"`            // digest of the configuration from which Value is a delta, 0 for none
+	Size    uint32   `msg:"size,omitempty"`            // bytes of the encoded configuration, of which Value is a part
+	Holders []uint64 `msg:"holders,omitempty,limit=8"` // members that have asked the answerer with the same configuration
 }
 
 // RegistryTombstone says which starts of a backend server have announced that they are leaving.
--- a/src/wire/registry_gen.go
+++ b/src/wire/registry_gen.go
@@ -233,13 +233,33 @@
 func (z *RegistryReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(8)
-	var zb0001Mask uint8 /* 8 bits */
+	zb0001Len := uint32(13)
+	var zb0001Mask uint16 /* 13 bits */
 	_ = zb0001Mask
 	if z.Items == nil {
 		zb0001Len--
 		zb0001Mask |= 0x80
 	}
+	if z.Source == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x100
+	}
+	if z.Digest == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x200
+	}
+	if z.Base == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x400
+	}
+	if z.Size == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x800
+	}
+	if z.Holders == nil {
+		zb0001Len--
+		zb0001Mask |= 0x1000
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -297,6 +317,34 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// string "source"
+			o = append(o, 0xa6, 0x73, 0x6f, 0x75, 0x72, 0x63, 0x65)
+			o = msgp.AppendUint64(o, z.Source)
+		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "digest"
+			o = append(o, 0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
+			o = msgp.AppendUint64(o, z.Digest)
+		}
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
+			// string "base"
+			o = append(o, 0xa4, 0x62, 0x61, 0x73, 0x65)
+			o = msgp.AppendUint64(o, z.Base)
+		}
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
+			// string "size"
+			o = append(o, 0xa4, 0x73, 0x69, 0x7a, 0x65)
+			o = msgp.AppendUint32(o, z.Size)
+		}
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
+			// string "holders"
+			o = append(o, 0xa7, 0x68, 0x6f, 0x6c, 0x64, 0x65, 0x72, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Holders)))
+			for za0004 := range z.Holders {
+				o = msgp.AppendUint64(o, z.Holders[za0004])
+			}
+		}
 	}
 	return
 }
@@ -469,6 +517,53 @@
 					return
 				}
 			}
+		case "source":
+			z.Source, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Source")
+				return
+			}
+		case "digest":
+			z.Digest, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Digest")
+				return
+			}
+		case "base":
+			z.Base, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Base")
+				return
+			}
+		case "size":
+			z.Size, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Size")
+				return
+			}
+		case "holders":
+			var zb0007 uint32
+			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Holders")
+				return
+			}
+			if zb0007 > 8 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Holders) >= int(zb0007) {
+				z.Holders = (z.Holders)[:zb0007]
+			} else {
+				z.Holders = make([]uint64, zb0007)
+			}
+			for za0004 := range z.Holders {
+				z.Holders[za0004], bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Holders", za0004)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -495,28 +590,83 @@
 	for za0003 := range z.Items {
 		s += z.Items[za0003].Msgsize()
 	}
+	s += 7 + msgp.Uint64Size + 7 + msgp.Uint64Size + 5 + msgp.Uint64Size + 5 + msgp.Uint32Size + 8 + msgp.ArrayHeaderSize + (len(z.Holders) * (msgp.Uint64Size))
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *RegistryRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
-	// string "config"
-	o = append(o, 0x85, 0xa6, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67)
-	o = msgp.AppendUint64(o, z.Config)
-	// string "after"
-	o = append(o, 0xa5, 0x61, 0x66, 0x74, 0x65, 0x72)
-	o = msgp.AppendUint64(o, z.After)
-	// string "wait_ms"
-	o = append(o, 0xa7, 0x77, 0x61, 0x69, 0x74, 0x5f, 0x6d, 0x73)
-	o = msgp.AppendInt64(o, z.WaitMS)
-	// string "config_version"
-	o = append(o, 0xae, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendUint64(o, z.ConfigVersion)
-	// string "start"
-	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x72, 0x74)
-	o = msgp.AppendBool(o, z.Start)
+	// check for omitted fields
+	zb0001Len := uint32(10)
+	var zb0001Mask uint16 /* 10 bits */
+	_ = zb0001Mask
+	if z.Parts == false {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	if z.Digest == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
+	if z.Want == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
+	if z.Offset == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x100
+	}
+	if z.Search == false {
+		zb0001Len--
+		zb0001Mask |= 0x200
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "config"
+		o = append(o, 0xa6, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67)
+		o = msgp.AppendUint64(o, z.Config)
+		// string "after"
+		o = append(o, 0xa5, 0x61, 0x66, 0x74, 0x65, 0x72)
+		o = msgp.AppendUint64(o, z.After)
+		// string "wait_ms"
+		o = append(o, 0xa7, 0x77, 0x61, 0x69, 0x74, 0x5f, 0x6d, 0x73)
+		o = msgp.AppendInt64(o, z.WaitMS)
+		// string "config_version"
+		o = append(o, 0xae, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendUint64(o, z.ConfigVersion)
+		// string "start"
+		o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x72, 0x74)
+		o = msgp.AppendBool(o, z.Start)
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "parts"
+			o = append(o, 0xa5, 0x70, 0x61, 0x72, 0x74, 0x73)
+			o = msgp.AppendBool(o, z.Parts)
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "digest"
+			o = append(o, 0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
+			o = msgp.AppendUint64(o, z.Digest)
+		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "want"
+			o = append(o, 0xa4, 0x77, 0x61, 0x6e, 0x74)
+			o = msgp.AppendUint64(o, z.Want)
+		}
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// string "offset"
+			o = append(o, 0xa6, 0x6f, 0x66, 0x66, 0x73, 0x65, 0x74)
+			o = msgp.AppendUint32(o, z.Offset)
+		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "search"
+			o = append(o, 0xa6, 0x73, 0x65, 0x61, 0x72, 0x63, 0x68)
+			o = msgp.AppendBool(o, z.Search)
+		}
+	}
 	return
 }
 
@@ -568,6 +718,36 @@
 				err = msgp.WrapError(err, "Start")
 				return
 			}
+		case "parts":
+			z.Parts, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Parts")
+				return
+			}
+		case "digest":
+			z.Digest, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Digest")
+				return
+			}
+		case "want":
+			z.Want, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Want")
+				return
+			}
+		case "offset":
+			z.Offset, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Offset")
+				return
+			}
+		case "search":
+			z.Search, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Search")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -582,7 +762,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *RegistryRequest) Msgsize() (s int) {
-	s = 1 + 7 + msgp.Uint64Size + 6 + msgp.Uint64Size + 8 + msgp.Int64Size + 15 + msgp.Uint64Size + 6 + msgp.BoolSize
+	s = 1 + 7 + msgp.Uint64Size + 6 + msgp.Uint64Size + 8 + msgp.Int64Size + 15 + msgp.Uint64Size + 6 + msgp.BoolSize + 6 + msgp.BoolSize + 7 + msgp.Uint64Size + 5 + msgp.Uint64Size + 7 + msgp.Uint32Size + 7 + msgp.BoolSize
 	return
 }
 
