link: large messages leave at the rate of the network connection; registry: a reader that has just started is waited for

Cause: frames of large messages were charged to the send limiter but did not wait for it, so that the answers to several peers filled the buffers of a thin network connection and small frames waited behind them.

Change: a long frame of a message waits for the limiter, before all bodies. A reader is asked without a wait only if it, or another one, has failed before.

TestPropagationFigures, run with -figures, measures the spread of versions at 73, 295 and 1,000 agents.

--- a/src/link/message.go
+++ b/src/link/message.go
@@ -66,7 +66,7 @@
 	// sendFragments does not watch ctx; without this, an expired message could keep a draining link open.
 	stop := context.AfterFunc(ctx, func() { c.removeExchange(id) })
 	defer stop()
-	flow := c.queue.newSendFlow()
+	flow := c.queue.newMessageFlow()
 	if err := c.sendFragments(flow, payload, func(p []byte, last bool) []byte {
 		return appendFrame(nil, wire.FrameMessage, &wire.MessageFrame{ID: id, Kind: uint8(kind), Last: last, Payload: p})
 	}); err != nil {
@@ -184,7 +184,7 @@
 		c.sendControl(wire.FrameAnswer, &wire.AnswerFrame{ID: id, Failure: failure, Last: true, Payload: payload})
 		return
 	}
-	_ = c.sendFragments(c.queue.newSendFlow(), payload, func(p []byte, last bool) []byte {
+	_ = c.sendFragments(c.queue.newMessageFlow(), payload, func(p []byte, last bool) []byte {
 		return appendFrame(nil, wire.FrameAnswer, &wire.AnswerFrame{ID: id, Failure: failure, Last: last, Payload: p})
 	})
 }
--- a/src/link/send_flow.go
+++ b/src/link/send_flow.go
@@ -16,12 +16,19 @@
 
 	priority  uint8     // of the call, 0 is the most urgent
 	objective time.Time // of the call, zero for none
+	message   bool      // of a message or its answer, which precedes all bodies: a configuration must not wait behind them on a link that they fill
 	long      bool      // the body is sent as the limiter grants; false for one known to be short and for messages
 	unsent    int64     // bytes announced to the limiter and not granted; guarded by its mutex
 	ended     bool      // guarded by the limiter's mutex
 }
 
-// newSendFlow returns the flow of a message.
+// newMessageFlow returns the flow of a message or its answer.
+func (q *sendQueue) newMessageFlow() *sendFlow {
+	f := q.newSendFlow()
+	f.message = true
+	return f
+}
+
 func (q *sendQueue) newSendFlow() *sendFlow {
 	f := &sendFlow{credit: initialWindow}
 	f.ready.L = &q.mu
@@ -49,6 +56,9 @@
 
 // precedes reports whether a body is to be sent before another one.
 func (f *sendFlow) precedes(other *sendFlow, now time.Time) bool {
+	if f.message != other.message {
+		return f.message
+	}
 	if late, otherLate := f.isLate(now), other.isLate(now); late != otherLate {
 		return otherLate
 	}
--- a/src/link/send_queue.go
+++ b/src/link/send_queue.go
@@ -219,7 +219,7 @@
 	return b[:0]
 }
 
-// sendMessage queues one frame of a control message or of its answer, a short one with the urgent frames unless urgentHighWater is reached, any other as bulk data. It waits until the previous bulk frame of f is taken. Messages need no credit.
+// sendMessage queues one frame of a control message or of its answer, a short one with the urgent frames unless urgentHighWater is reached, any other as bulk data. It waits until the previous bulk frame of f is taken and, with a long frame, for the limiter: frames of several large answers would otherwise fill the buffers of the network connection, and small frames wait behind them there. Messages need no credit.
 func (q *sendQueue) sendMessage(f *sendFlow, frame []byte) error {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -229,7 +229,16 @@
 	if err := q.sendError(f); err != nil {
 		return err
 	}
-	q.limiter.charge(len(frame))
+	if len(frame) > maxUrgentPayload {
+		q.mu.Unlock()
+		q.limiter.acquire(f, len(frame))
+		q.mu.Lock()
+		if err := q.sendError(f); err != nil {
+			return err
+		}
+	} else {
+		q.limiter.charge(len(frame))
+	}
 	if len(frame) <= maxUrgentPayload && len(q.urgent) < urgentHighWater {
 		q.urgent = append(q.urgent, frame...)
 		q.urgentQueued += uint64(len(frame))
--- a/src/registry/propagation_test.go
+++ b/src/registry/propagation_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"encoding/binary"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -83,7 +85,7 @@
 		p.views, p.inForce = append(p.views, view), append(p.inForce, map[uint64]time.Time{})
 		m := entry(i)
 		f := &registry.Follower{
-			Store: slowStore{view, p.slowNetwork, i}, Keys: testKeys, EntryKey: memberKey(m.Addr), ID: m.ID, Domain: m.Domain,
+			Store: slowStore{view, p.slowNetwork, i, &atomic.Int64{}}, Keys: testKeys, EntryKey: memberKey(m.Addr), ID: m.ID, Domain: m.Domain,
 			MaxTransferTime: time.Duration(float64(1<<20) / linkRate * float64(time.Second)),
 			Exchanger:       exchanger{p.slowNetwork, i}, ConfigVersion: documentVersion,
 			OnMembers: func() {}, OnEntryMissing: func() {}, Log: logr.Discard(),
@@ -132,7 +134,8 @@
 // one, for all versions and domains, and what the versions cost.
 type result struct {
 	delays           []time.Duration
-	calls, bytes     float64 // per version: calls to the store, and bytes over the link with the most
+	last             time.Duration // of the last agent of all, after the version was written
+	calls, bytes     float64       // per version: calls to the store, and bytes over the link with the most
 	missing, regress int
 }
 
@@ -140,8 +143,10 @@
 func (p *propagation) publish(versions, zones int) (r result) {
 	first, calls := uint64(2), p.calls()
 	p.resetBytes()
+	written := map[uint64]time.Time{}
 	for v := first; v < first+uint64(versions); v++ {
 		p.store.Put(testKeys.Config, newDocument(v))
+		written[v] = time.Now()
 		time.Sleep(time.Second)
 	}
 	time.Sleep(4 * time.Second)
@@ -153,6 +158,7 @@
 			for i := zone; i < len(p.inForce); i += zones {
 				if at, ok := p.inForce[i][v]; ok {
 					times = append(times, at)
+					r.last = max(r.last, at.Sub(written[v]))
 				} else {
 					r.missing++
 				}
@@ -197,6 +203,65 @@
 	}
 }
 
+// figures makes TestPropagationFigures run, which takes minutes.
+var figures = flag.Bool("figures", false, "print the figures of docs/CAPACITY.md")
+
+// The figures of docs/CAPACITY.md: each fault at each size. It checks only that no version is lost.
+func TestPropagationFigures(t *testing.T) {
+	if !*figures {
+		t.Skip("run with -figures")
+	}
+	refuseAll := func(p *propagation, but int) {
+		for i, v := range p.views {
+			if i != but {
+				v.Set(func() { v.Fail = problem.New(problem.Unavailable, "store", "refused", "wait") })
+			}
+		}
+	}
+	faults := []struct {
+		name  string
+		start func(p *propagation, zones int)
+	}{
+		{"up", func(*propagation, int) {}},
+		{"refuses half", func(p *propagation, zones int) { p.refuseHalf(zones) }},
+		{"serves one agent only", func(p *propagation, _ int) { refuseAll(p, len(p.views)-1) }},
+		{"slow by 0.4 s", func(p *propagation, _ int) { p.storeSlow.Store(int64(400 * time.Millisecond)) }},
+		{"forgets its history each second", func(p *propagation, _ int) {
+			p.wg.Go(func() {
+				for range 10 {
+					p.forgotten.Add(1)
+					time.Sleep(time.Second)
+				}
+			})
+		}},
+		{"down for 3 of 8 s", func(p *propagation, _ int) {
+			p.wg.Go(func() {
+				time.Sleep(2500 * time.Millisecond)
+				refuseAll(p, -1)
+				time.Sleep(3 * time.Second)
+				for _, v := range p.views {
+					v.Set(func() { v.Fail = nil })
+				}
+			})
+		}},
+	}
+	for _, size := range []struct{ agents, zones int }{{73, 3}, {295, 3}, {1000, 10}} {
+		for _, fault := range faults {
+			t.Run(fmt.Sprintf("%d/%s", size.agents, fault.name), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					p := startPropagation(size.agents, size.zones)
+					defer p.stop()
+					fault.start(p, size.zones)
+					r := p.publish(8, size.zones)
+					t.Logf("| %d | %s | %d | %d | %d | %.0f | %.1f |", size.agents, fault.name, r.delays[len(r.delays)/2].Milliseconds(), r.delays[len(r.delays)-1].Milliseconds(), r.last.Milliseconds(), r.bytes/1000, r.calls)
+					qt.Check(t, r.missing, qt.Equals, 0)
+					qt.Check(t, r.regress, qt.Equals, 0)
+				})
+			})
+		}
+	}
+}
+
 func (p *propagation) stop() {
 	p.cancel()
 	p.wg.Wait()
--- a/src/registry/search.go
+++ b/src/registry/search.go
@@ -133,7 +133,9 @@
 	case <-f.substitute.storeBack:
 		f.Log.Info("substitute for the store left", "member", f.substitute.member.ID, "reason", "the store answers")
 		f.substitute = substitute{}
-		clear(f.failedReaders)
+		for id := range f.failedReaders {
+			f.failedReaders[id] = time.Time{}
+		}
 		return false
 	default:
 	}
--- a/src/registry/slow_network_test.go
+++ b/src/registry/slow_network_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/yuccaport/yuccaport/src/link"
 	"github.com/yuccaport/yuccaport/src/problem"
 	"github.com/yuccaport/yuccaport/src/registry"
+	"github.com/yuccaport/yuccaport/src/wire"
 )
 
 const (
@@ -55,6 +57,10 @@
 type slowNetwork struct {
 	followers []*registry.Follower
 	up, down  []simLink
+	oldBuild  func(agent int) bool // agents of the build without parts, nil for none
+	cutOff    atomic.Int64         // agent without links, 0 for none
+	storeSlow atomic.Int64         // nanoseconds by which each call to the store takes longer
+	forgotten atomic.Int64         // times that the store has forgotten its history
 }
 
 func newSlowNetwork(agents int) *slowNetwork {
@@ -108,6 +114,13 @@
 // Exchange implements link.Exchanger.
 func (e exchanger) Exchange(ctx context.Context, to link.Peer, kind link.MessageKind, payload []byte) ([]byte, error) {
 	peer := int(to.ID) - 1
+	if cut := int(e.cutOff.Load()); cut != 0 && (cut == e.self || cut == peer) {
+		return nil, problem.New(problem.Unavailable, "link", "cut", "wait")
+	}
+	isOld := e.oldBuild != nil && (e.oldBuild(e.self) || e.oldBuild(peer))
+	if isOld {
+		payload = asOldRequest(payload)
+	}
 	if err := e.transfer(ctx, e.self, peer, len(payload)+40); err != nil {
 		return nil, err
 	}
@@ -115,18 +128,43 @@
 	if err != nil {
 		return nil, err
 	}
+	if isOld {
+		answer = asOldReply(answer)
+	}
 	return answer, e.transfer(ctx, peer, e.self, len(answer)+40)
 }
 
+// asOldRequest returns a request as the build without parts sends and reads it.
+func asOldRequest(payload []byte) []byte {
+	var req wire.RegistryRequest
+	_, _ = req.UnmarshalMsg(payload)
+	b, _ := (&wire.RegistryRequest{Config: req.Config, After: req.After, WaitMS: req.WaitMS, ConfigVersion: req.ConfigVersion, Start: req.Start}).MarshalMsg(nil)
+	return b
+}
+
+// asOldReply does the same for a reply.
+func asOldReply(answer []byte) []byte {
+	var r wire.RegistryReply
+	_, _ = r.UnmarshalMsg(answer)
+	r.Source, r.Digest, r.Base, r.Size, r.Holders = 0, 0, 0, 0, nil
+	b, _ := r.MarshalMsg(nil)
+	return b
+}
+
 // slowStore is the store behind an agent's link.
 type slowStore struct {
 	registry.Store
 	network *slowNetwork
 	self    int
+	known   *atomic.Int64 // times that the agent has been told that the history is forgotten
 }
 
+// receive waits until the items of an answer have passed the agent's link.
 func (s slowStore) receive(ctx context.Context, items []registry.Item) error {
 	n := 0
+	if err := sleepUntil(ctx, time.Now().Add(time.Duration(s.network.storeSlow.Load()))); err != nil {
+		return err
+	}
 	for _, i := range items {
 		n += len(i.Key) + len(i.Value)
 	}
@@ -144,6 +182,9 @@
 
 // Watch implements registry.Store.
 func (s slowStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]registry.Item, uint64, error) {
+	if n := s.network.forgotten.Load(); s.known.Swap(n) < n {
+		return nil, 0, problem.New(registry.HistoryGone, "store", "no changes after this revision", "list again")
+	}
 	items, revision, err := s.Store.Watch(ctx, prefix, after, wait)
 	if e := s.receive(ctx, items); err == nil {
 		err = e
--- a/src/registry/source.go
+++ b/src/registry/source.go
@@ -76,7 +76,9 @@
 // or until the store has failed at this agent as well.
 func (f *Follower) watchReader(ctx context.Context, src source) error {
 	wait := readerWait
-	if src.switched {
+	_, hasFailed := f.failedReaders[src.reader.ID]
+	isSubstitute := src.reader.ID == f.substitute.member.ID
+	if src.switched && (src.recentFailures > 0 || hasFailed || isSubstitute) {
 		wait = 0 // check at once whether this reader answers
 	}
 	began := time.Now()
@@ -92,7 +94,6 @@
 	f.lostReaderID = 0
 	behind := err == nil && f.isOfEarlierEra(r.Revision)
 	loop := err == nil && r.Source == f.ID
-	isSubstitute := m.ID == f.substitute.member.ID
 	if err == nil && r.Lost {
 		f.lostReaderID = m.ID
 	}
