registry: tests of transfers in parts, silent readers and agents of the build before

The time limit of a whole exchange with a build that sends parts is longer, since each part has its own.

--- a/src/link/send_message_test.go
+++ b/src/link/send_message_test.go
@@ -44,7 +44,9 @@
 				messagesEnded = max(messagesEnded, time.Since(start))
 			})
 		}
-		wg.Go(func() { sendBodies(l, answers*size, map[string]*sendFlow{"body": {objective: time.Now().Add(time.Minute)}}) })
+		wg.Go(func() {
+			sendBodies(l, answers*size, map[string]*sendFlow{"body": {objective: time.Now().Add(time.Minute)}})
+		})
 		wg.Wait()
 		frames := float64(answers * (size + chunkSize - 1) / chunkSize * chunkSize)
 		c.Check(messagesEnded <= l.duration(int64(frames))+100*time.Millisecond, qt.IsTrue, qt.Commentf("%s", messagesEnded))
--- a/src/registry/propagation_test.go
+++ b/src/registry/propagation_test.go
@@ -54,18 +54,19 @@
 // propagation is one run of the simulation: followers with links of linkRate on the clock of a synctest bubble.
 type propagation struct {
 	*slowNetwork
-	store    *standin.RegistryStore
-	views    []*standin.RegistryStore
-	cancel   context.CancelFunc
-	wg       sync.WaitGroup
-	mu       sync.Mutex
-	inForce  []map[uint64]time.Time // by agent and version
-	highest  []uint64
-	backward int // configurations put in force after a newer one
+	store     *standin.RegistryStore
+	views     []*standin.RegistryStore
+	cancel    context.CancelFunc
+	wg        sync.WaitGroup
+	mu        sync.Mutex
+	inForce   []map[uint64]time.Time // by agent and version
+	highest   []uint64
+	delivered [][]uint64 // versions by agent, in the order in which they were put in force
+	backward  int        // configurations put in force after a newer one
 }
 
 func startPropagation(agents, zones int) *propagation {
-	p := &propagation{store: standin.NewRegistryStore(), slowNetwork: newSlowNetwork(agents), highest: make([]uint64, agents)}
+	p := &propagation{store: standin.NewRegistryStore(), slowNetwork: newSlowNetwork(agents), highest: make([]uint64, agents), delivered: make([][]uint64, agents)}
 	var ctx context.Context
 	ctx, p.cancel = context.WithCancel(context.Background())
 	entry := func(i int) wire.Member {
@@ -104,6 +105,7 @@
 func (p *propagation) applied(agent int, version uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.delivered[agent] = append(p.delivered[agent], version)
 	if version < p.highest[agent] {
 		p.backward++
 		return
@@ -181,11 +183,14 @@
 // queries of the agents that the store refuses, took seconds.
 func TestPropagationSlowLinks(t *testing.T) {
 	tests := map[string]struct {
-		fault func(p *propagation)
-		limit time.Duration
+		fault   func(p *propagation)
+		limit   time.Duration // after the first agent of the failure domain
+		written time.Duration // after the version was written, if not 0
 	}{
-		"store up":           {func(*propagation) {}, 250 * time.Millisecond},
-		"store refuses half": {func(p *propagation) { p.refuseHalf(1) }, time.Second},
+		"store up":                               {func(*propagation) {}, 250 * time.Millisecond, 0},
+		"store refuses half":                     {func(p *propagation) { p.refuseHalf(1) }, time.Second, 0},
+		"silent reader":                          {func(p *propagation) { p.silent.Store(1) }, 2 * time.Second, 2 * time.Second},
+		"half of the agents of the build before": {func(p *propagation) { p.oldBuilds.Store(true) }, 2 * time.Second, 2 * time.Second},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -194,10 +199,11 @@
 				defer p.stop()
 				tc.fault(p)
 				r := p.publish(8, 1)
-				t.Logf("last agent after the first one: %v; %.1f store calls and %.0f bytes on the busiest link per version", r.delays, r.calls, r.bytes)
+				t.Logf("last agent after the first one: %v, after the write: %s; %.1f store calls and %.0f bytes on the busiest link per version", r.delays, r.last, r.calls, r.bytes)
 				qt.Check(t, r.missing, qt.Equals, 0)
 				qt.Check(t, r.regress, qt.Equals, 0)
 				qt.Check(t, r.delays[len(r.delays)-1] <= tc.limit, qt.IsTrue)
+				qt.Check(t, tc.written == 0 || r.last <= tc.written, qt.IsTrue)
 			})
 		})
 	}
--- a/src/registry/search.go
+++ b/src/registry/search.go
@@ -111,7 +111,7 @@
 
 // searchAt asks a member, which waits until it has a source or a newer configuration.
 func (f *Follower) searchAt(ctx context.Context, m wire.Member) searchAnswer {
-	ctx, cancel := context.WithTimeout(ctx, readerWait+peerTimeout+f.MaxTransferTime/3)
+	ctx, cancel := context.WithTimeout(ctx, readerWait+peerTimeout+f.MaxTransferTime)
 	defer cancel()
 	config, version := f.config()
 	req := wire.RegistryRequest{Config: config, ConfigVersion: version, After: math.MaxUint64, WaitMS: readerWait.Milliseconds(), Search: true}
--- a/src/registry/slow_network_test.go
+++ b/src/registry/slow_network_test.go
@@ -57,10 +57,12 @@
 type slowNetwork struct {
 	followers []*registry.Follower
 	up, down  []simLink
-	oldBuild  func(agent int) bool // agents of the build without parts, nil for none
-	cutOff    atomic.Int64         // agent without links, 0 for none
-	storeSlow atomic.Int64         // nanoseconds by which each call to the store takes longer
-	forgotten atomic.Int64         // times that the store has forgotten its history
+	oldBuilds atomic.Bool                                                                      // every second agent is of the build without parts
+	cutOff    atomic.Int64                                                                     // agent without links, 0 for none
+	silent    atomic.Int64                                                                     // agent that answers nothing, counted from 1; 0 for none
+	onReply   atomic.Pointer[func(asker int, req wire.RegistryRequest, r *wire.RegistryReply)] // changes replies; nil for none
+	storeSlow atomic.Int64                                                                     // nanoseconds by which each call to the store takes longer
+	forgotten atomic.Int64                                                                     // times that the store has forgotten its history
 }
 
 func newSlowNetwork(agents int) *slowNetwork {
@@ -117,7 +119,10 @@
 	if cut := int(e.cutOff.Load()); cut != 0 && (cut == e.self || cut == peer) {
 		return nil, problem.New(problem.Unavailable, "link", "cut", "wait")
 	}
-	isOld := e.oldBuild != nil && (e.oldBuild(e.self) || e.oldBuild(peer))
+	if int(e.silent.Load()) == peer+1 {
+		return nil, sleepUntil(ctx, time.Now().Add(time.Hour))
+	}
+	isOld := e.oldBuilds.Load() && (e.self%2 == 1 || peer%2 == 1)
 	if isOld {
 		payload = asOldRequest(payload)
 	}
@@ -131,7 +136,18 @@
 	if isOld {
 		answer = asOldReply(answer)
 	}
-	return answer, e.transfer(ctx, peer, e.self, len(answer)+40)
+	if err := e.transfer(ctx, peer, e.self, len(answer)+40); err != nil {
+		return nil, err
+	}
+	if onReply := e.onReply.Load(); onReply != nil {
+		var req wire.RegistryRequest
+		var r wire.RegistryReply
+		_, _ = req.UnmarshalMsg(payload)
+		_, _ = r.UnmarshalMsg(answer)
+		(*onReply)(e.self, req, &r)
+		return r.MarshalMsg(nil)
+	}
+	return answer, nil
 }
 
 // asOldRequest returns a request as the build without parts sends and reads it.
--- a/src/registry/source.go
+++ b/src/registry/source.go
@@ -82,13 +82,13 @@
 		wait = 0 // check at once whether this reader answers
 	}
 	began := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, wait+peerTimeout+f.MaxTransferTime/3)
-	defer cancel()
 	m := src.reader
-	firstTimeout := time.Duration(0)
-	if f.isNewBuild(m.ID) {
-		firstTimeout = wait + answerTimeout
+	timeout, firstTimeout := wait+peerTimeout+f.MaxTransferTime/3, time.Duration(0)
+	if f.isNewBuild(m.ID) { // each part has a timeout of its own
+		timeout, firstTimeout = wait+peerTimeout+f.MaxTransferTime, wait+answerTimeout
 	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	config, version := f.config()
 	r, err := f.exchange(ctx, m, wire.RegistryRequest{Config: config, ConfigVersion: version, After: f.watchRevision, WaitMS: wait.Milliseconds()}, firstTimeout)
 	f.lostReaderID = 0
