--- a/src/registry/follower.go
+++ b/src/registry/follower.go
@@ -84,6 +84,7 @@
 			f.Metrics = metrics.NewSet()
 		}
 		f.receiptMetrics = newReceiptMetrics(f.Metrics)
+		f.newGauges()
 	})
 }
 
--- a/src/registry/receipt.go
+++ b/src/registry/receipt.go
@@ -29,6 +29,22 @@
 	return receiptMetrics{cutOff: seconds("cut_off"), transfer: seconds("transfer"), unpack: seconds("unpack"), apply: seconds("apply")}
 }
 
+// newGauges adds the version of the newest configuration, and the time without an answer of the store or a reader.
+func (f *Follower) newGauges() {
+	f.Metrics.GetOrCreateGauge("yuccaport_registry_config_version", func() float64 {
+		_, version := f.config()
+		return float64(version)
+	})
+	f.Metrics.GetOrCreateGauge("yuccaport_registry_cut_off_seconds", func() float64 {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if f.cutOffSince.IsZero() {
+			return 0
+		}
+		return time.Since(f.cutOffSince).Seconds()
+	})
+}
+
 // noteReceipt remembers how the configuration of a reply was received, until it is put in force.
 func (f *Follower) noteReceipt(r wire.RegistryReply, how receipt) {
 	f.mu.Lock()
--- a/src/registry/source.go
+++ b/src/registry/source.go
@@ -12,7 +12,7 @@
 	readerRetryDelay = 3 * time.Second        // before a failed reader is used again
 	peerTimeout      = 500 * time.Millisecond // for a peer's answer, beyond the time that a request lets it wait
 	answerTimeout    = 300 * time.Millisecond // the same for a first reply of a build that sends configurations in parts, so that it is short
-	maxSkipped       = 4                      // readers skipped one after the other by an agent with a slow link before it watches the store; where the store refuses half of the agents, one in sixteen groups has no reader among five
+	maxSkipped       = 4                      // readers that an agent with a slow link skips one after the other before it watches the store; where the store refuses half of the agents, it serves one of five with a probability of 31/32
 )
 
 // source is what the agent watches for changes: the store itself or a reader.
@@ -61,7 +61,7 @@
 	return src
 }
 
-// hasSlowLink reports whether this agent's link is too slow to read the store in time when versions follow one another quickly. If so, one failed reader is replaced by another reader; only after a second failure is the store watched. slowLinkShare, which compares links with one another, is independent of it.
+// hasSlowLink reports whether this agent's link is too slow to read the store in time when versions follow one another quickly. If so, a failed reader is replaced by another one, and only after maxSkipped the store is watched. slowLinkShare, which compares links with one another, is independent of it.
 func (f *Follower) hasSlowLink() bool { return f.MaxTransferTime > relistTimeout }
 
 // isOfEarlierEra reports whether a revision is of an earlier era than the last answer of the store
