--- a/src/registry/follower.go
+++ b/src/registry/follower.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 
 	"github.com/yuccaport/yuccaport/src/clock"
@@ -45,6 +46,7 @@
 	OnEntryMissing  func()                                     // called when the store lacks this agent's entry
 	SuspendedFor    func() time.Duration                       // returns how long the VM was suspended since the last call; nil disables the check
 	Log             logr.Logger
+	Metrics         *metrics.Set // nil for a new set
 
 	once          sync.Once
 	querySlots    chan struct{}
@@ -65,9 +67,17 @@
 	newsAt        atomic.Int64         // value of callBeganAt for the last call with an answer, 0 for none
 	askedPeers    atomic.Bool          // last result of HasAskedPeers, once that stays true
 
-	compressMu         sync.Mutex
-	compressedRevision uint64
-	compressedConfig   []byte // configuration at compressedRevision
+	substitute  substitute
+	newBuilds   map[uint64]bool // members that answer with parts, by ID; guarded by mu, as are the fields below
+	sourceID    uint64          // see wire.RegistryReply.Source
+	waiting     int             // requests of members that wait here
+	holdersOf   uint64          // digest of the configuration of holders
+	holders     []uint64        // members that have the newest configuration
+	receipts    map[uint64]receipt
+	cutOffSince time.Time // zero while the store or a reader answers
+
+	history        configHistory
+	receiptMetrics receiptMetrics
 }
 
 func (f *Follower) init() {
@@ -76,6 +86,12 @@
 		f.querySlots = make(chan struct{}, maxQueries)
 		f.updated = make(chan struct{})
 		f.failedReaders = map[uint64]time.Time{}
+		f.newBuilds = map[uint64]bool{}
+		if f.Metrics == nil {
+			f.Metrics = metrics.NewSet()
+		}
+		f.receiptMetrics = newReceiptMetrics(f.Metrics)
+		f.newGauges()
 	})
 }
 
@@ -106,7 +122,12 @@
 			delay = min(baseRetryDelay<<min(max(0, failures-1), 4), maxRetryDelay)
 		}
 		failures++
-		clock.Sleep(ctx, delay/2+rand.N(delay/2))
+		delay = delay/2 + rand.N(delay/2)
+		if f.isLost() {
+			f.searchSource(ctx, delay)
+		} else {
+			clock.Sleep(ctx, delay)
+		}
 	}
 	return nil
 }
@@ -136,18 +157,26 @@
 		f.newsAt.Store(int64(f.callBeganAt))
 	}
 	f.mu.Lock()
-	actions := f.core.Step(time.Now(), e)
+	now := time.Now()
+	actions := f.core.Step(now, e)
+	if _, ok := e.(StoreLost); ok {
+		f.sourceID = 0
+	}
 	if _, ok := e.(Tick); !ok {
-		close(f.updated)
-		f.updated = make(chan struct{})
+		f.notifyLocked()
 	}
+	revision, version := f.core.Config()
+	how := f.takeReceipt(revision, now)
 	f.mu.Unlock()
 	for _, a := range actions {
 		switch a := a.(type) {
 		case PublishMembers:
 			f.OnMembers()
 		case ApplyConfig:
+			f.history.add(a.Value)
+			began := time.Now()
 			f.OnConfig(a.Value)
+			f.noteInForce(version, how, time.Since(began))
 		case DeliverItem:
 			if f.OnItem != nil {
 				f.OnItem(a.Item)
--- a/src/registry/suspension.go
+++ b/src/registry/suspension.go
@@ -19,7 +19,7 @@
 	ctx, f.cancelCall = context.WithCancel(ctx)
 	f.callBeganAt = clock.SinceBoot()
 	if f.suspended {
-		f.suspended, f.listed = false, false
+		f.suspended, f.listed, f.substitute = false, false, substitute{}
 	}
 	return ctx
 }
