booking: current speed of the backend server's VM

Servers on shared machines add a fourth figure to their load header, how long work takes there now in percent of the usual time. It was not read, so learned service times followed the neighbours of the machine and expected waits were wrong by the factor after each change. booking reads the figure from answers and the health path, learns service times at usual speed, uses the current speed for expected waits, and refuses a call whose patience the slowdown exceeds. Without a fourth figure nothing changes.

--- a/src/booking/core.go
+++ b/src/booking/core.go
@@ -34,6 +34,7 @@
 	usage          slotUsage
 	slack          slackTracker
 	rate           callRate
+	speed          vmSpeed
 	health         HealthState
 	drainRequested bool
 	drainStart     time.Time // time from which new calls are refused
@@ -69,6 +70,8 @@
 	case CallLimit:
 		c.rate.apply(now, e, c.serviceTimes.mean)
 		return c.admitQueued(now, c.refuseExpired(now, nil))
+	case Speed:
+		c.speed.tracker.Record(now, e.Percent, &c.speed.memory)
 	case Resume:
 		c.drainRequested = false
 	}
@@ -88,7 +91,7 @@
 
 // Load returns the load for the caller's daemon. Free is the concurrency limit minus the running and the queued calls, or fewer under a limit that the backend server has named, so it may be negative;
 // it is at most 0 while isDraining holds or the backend server is not up. Slots is the number of slots of the backend server.
-// Backlog is the expected wait of a further call and Service the mean service time, both in milliseconds.
+// Backlog is the expected wait of a further call and Service the mean service time at usual speed, both in milliseconds.
 func (c *Core) Load(now time.Time) wire.Load {
 	free := c.limit - len(c.running) - c.queue.size
 	if c.limit == 0 {
@@ -126,7 +129,7 @@
 	if len(c.running) < c.limit || c.limit == 0 {
 		return c.rate.wait(now, n)
 	}
-	return max(c.rate.wait(now, n), c.serviceTimes.mean*time.Duration(n+1)/time.Duration(c.limit))
+	return max(c.rate.wait(now, n), c.atCurrentSpeed(now, c.serviceTimes.mean)*time.Duration(n+1)/time.Duration(c.limit))
 }
 
 // WouldRefuse returns a refusal and true if a call that arrived now would be refused because isDraining holds or the backend server is not up
@@ -136,7 +139,7 @@
 	if r, refused := c.unavailableRefusal(now, e.Call); refused {
 		return r.(Refuse), true
 	}
-	if c.limit == 0 || e.Objective == 0 || c.canStartNow(now, e.Priority) && c.transferTime(e) == 0 {
+	if c.limit == 0 || e.Objective == 0 || c.canStartNow(now, e.Priority) && c.transferTime(e) == 0 && !c.exceedsPatience(now, e, 0) {
 		return Refuse{}, false
 	}
 	_, r, accepted := c.waiterOrRefusal(now, e)
@@ -157,15 +160,15 @@
 		actions = c.admitQueued(now, actions) // the Tick for a queued call may still be to come
 	}
 	if e.Objective > 0 {
-		c.slack.add(now, e.Priority, e.Objective-c.expectedServiceTime(e.Route))
+		c.slack.add(now, e.Priority, e.Objective-c.expectedServiceTime(now, e.Route))
 	}
-	lowServiceTime := c.serviceTimes.routeLow(now, e.Route)
+	lowServiceTime := c.lowServiceTime(now, e.Route)
 	if e.Timeout > 0 && lowServiceTime > e.Timeout {
 		return append(actions, c.newRefusal(now, e.Call, wire.ReasonDeadline))
 	}
 	canStart := c.canStartNow(now, e.Priority)
 	switch {
-	case e.Objective != 0 && (!canStart || c.transferTime(e) > 0):
+	case e.Objective != 0 && (!canStart || c.transferTime(e) > 0 || c.exceedsPatience(now, e, 0)):
 		w, refusal, accepted := c.waiterOrRefusal(now, e)
 		if !accepted {
 			return append(actions, refusal)
@@ -185,7 +188,7 @@
 func (c *Core) newWaiter(now time.Time, e Arrive) waiter {
 	w := waiter{
 		call: e.Call, route: e.Route, priority: e.Priority,
-		serviceTime: c.expectedServiceTime(e.Route), transferTime: c.transferTime(e), reason: wire.ReasonDeadline,
+		serviceTime: c.expectedServiceTime(now, e.Route), transferTime: c.transferTime(e), reason: wire.ReasonDeadline,
 	}
 	if e.Objective != 0 {
 		w.objectiveTime = now.Add(e.Objective - w.transferTime)
@@ -234,8 +237,8 @@
 	switch {
 	case c.queue.size >= c.QueueLimit:
 		return w, Refuse{Call: e.Call, Reason: wire.ReasonQueueFull, RetryAfter: retryAfter(wait)}, false
-	case e.Patience > 0 && wait > e.Patience:
-		return w, Refuse{Call: e.Call, Reason: wire.ReasonQueueFull, RetryAfter: retryAfter(wait)}, false
+	case c.exceedsPatience(now, e, wait):
+		return w, Refuse{Call: e.Call, Reason: wire.ReasonQueueFull, RetryAfter: retryAfter(wait + c.slowdown(now, e.Route))}, false
 	case wait+answerTime <= e.Objective:
 	case !e.Final, waitIfLate+answerTime > time.Duration(maxLateShare*float64(timeLeft)):
 		return w, Refuse{Call: e.Call, Reason: wire.ReasonQueueFull, RetryAfter: retryAfter(waitIfLate)}, false
@@ -255,7 +258,7 @@
 }
 
 func (c *Core) admit(now time.Time, w waiter) Action {
-	r := &runningCall{route: w.route, admitted: now, expected: c.expectedServiceTime(w.route), transferTime: w.transferTime, objectiveTime: w.objectiveTime}
+	r := &runningCall{route: w.route, admitted: now, expected: c.expectedServiceTime(now, w.route), progress: c.speed.tracker.Progress(now), transferTime: w.transferTime, objectiveTime: w.objectiveTime}
 	c.running[w.call] = r
 	c.rate.take(now, w.priority, w.late(now), c.serviceTimes.mean)
 	c.usage.add(now, w.priority, w.late(now), r.expected)
@@ -282,6 +285,7 @@
 		return nil
 	}
 	delete(c.running, e.Call)
+	e.Took = c.speed.tracker.Normal(now, e.Took, r.progress)
 	c.adaptLimit(now, r.route, e)
 	return c.admitQueued(now, c.refuseExpired(now, nil))
 }
--- a/src/booking/event.go
+++ b/src/booking/event.go
@@ -58,6 +58,11 @@
 	NewInstance bool    `json:"new_instance,omitempty"` // another instance, which has named no limit yet
 }
 
+// Speed reports how long work takes on the backend server's VM now, as its load header states.
+type Speed struct {
+	Percent int `json:"percent"` // 100 as usual
+}
+
 // Resume ends a drain started by Drain.
 type Resume struct{}
 
@@ -69,4 +74,5 @@
 func (Drain) isEvent()     {}
 func (Health) isEvent()    {}
 func (CallLimit) isEvent() {}
+func (Speed) isEvent()     {}
 func (Resume) isEvent()    {}
--- a/src/booking/health.go
+++ b/src/booking/health.go
@@ -76,12 +76,12 @@
 }
 
 // updateHealth updates the health from the health endpoint or, with heartbeats, from the last
-// heartbeat; the health endpoint is then queried only to check an unconfirmed limit.
+// heartbeat; the health endpoint is then queried only to check an unconfirmed limit or to refresh the speed.
 func (s *Server) updateHealth(ctx context.Context) {
 	switch {
 	case !s.UsesHeartbeats:
 		s.reportedHealth = s.queryHealth(ctx)
-	case s.needsLimitCheck():
+	case s.needsCheck():
 		checkCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
 		s.CheckHealth(checkCtx)
@@ -94,11 +94,12 @@
 	s.setHealthLocked(s.health.evaluate(s.Now(), s.reportedHealth))
 }
 
-// needsLimitCheck reports whether the limit that the backend server has named is unconfirmed.
-func (s *Server) needsLimitCheck() bool {
+// needsCheck reports whether the limit that the backend server has named is unconfirmed, or the speed of its VM is to be refreshed.
+func (s *Server) needsCheck() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.core.rate.needsCheck(s.Now())
+	now := s.Now()
+	return s.core.rate.needsCheck(now) || s.core.needsSpeedCheck(now)
 }
 
 // setHealthLocked passes the state to the core if it has changed. s.mu must be held.
--- a/src/booking/notice.go
+++ b/src/booking/notice.go
@@ -70,6 +70,7 @@
 	if s.instance != "" && instance != s.instance {
 		return n
 	}
+	s.recordSpeedLocked(h)
 	if invalid != "" {
 		s.logInvalidLimit(instance, invalid)
 		n.limit = s.notices.last.limit
--- a/src/booking/replay.go
+++ b/src/booking/replay.go
@@ -57,6 +57,8 @@
 		return decode[Drain](b)
 	case "call_limit":
 		return decode[CallLimit](b)
+	case "speed":
+		return decode[Speed](b)
 	case "resume":
 		return Resume{}, nil
 	case "health":
--- a/src/booking/request.go
+++ b/src/booking/request.go
@@ -163,7 +163,7 @@
 // replyHead returns the head of the reply to the caller's daemon.
 func (x *exchange) replyHead(length int64) wire.ReplyHead {
 	h := wire.ReplyHead{Status: uint16(x.resp.StatusCode()), BodyLength: length}
-	h.Load, h.LinkDelayMS = x.s.loadFor(x.head)
+	h.Load, h.LinkDelayMS, h.SpeedPercent = x.s.loadFor(x.head)
 	h.Leaving = x.notice.leaving
 	h.Fields = make([]wire.Field, 0, x.resp.Header.Len())
 	for k, v := range x.resp.Header.All() {
--- a/src/booking/server.go
+++ b/src/booking/server.go
@@ -245,7 +245,7 @@
 	if h.Content == 0 {
 		r.Reason = reasonForOlderBuild(r.Reason)
 	}
-	r.Load, r.LinkDelayMS = s.loadFor(h)
+	r.Load, r.LinkDelayMS, r.SpeedPercent = s.loadFor(h)
 	in.Refuse(r)
 	s.counters.countRefusal(r.Reason)
 	if log := s.callLog(); log.Enabled() {
@@ -288,8 +288,8 @@
 	return s.core.Load(s.Now())
 }
 
-// loadFor returns the load for the caller's daemon, and in milliseconds the time for which long answers use the network connection of this VM.
-func (s *Server) loadFor(h wire.CallHead) (wire.Load, int64) {
+// loadFor returns the load for the caller's daemon, in milliseconds the time for which long answers use the network connection of this VM, and the current speed.
+func (s *Server) loadFor(h wire.CallHead) (wire.Load, int64, int32) {
 	e := Arrive{Priority: h.Priority}
 	if s.OutboundDelay != nil {
 		e.LinkDelay, _ = s.OutboundDelay()
@@ -297,7 +297,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.Now()
-	return s.core.LoadFor(now, h.Route, h.Priority), s.core.linkWait(now, e, false).Milliseconds()
+	return s.core.LoadFor(now, h.Route, h.Priority), s.core.linkWait(now, e, false).Milliseconds(), s.core.SpeedPercent(now)
 }
 
 // isRemote reports whether a call comes from another VM.
--- a/src/booking/wait_estimate.go
+++ b/src/booking/wait_estimate.go
@@ -14,6 +14,7 @@
 	route    string
 	admitted time.Time
 	expected time.Duration // expected service time
+	progress time.Duration // of the backend server's VM at admission, see speed.Tracker.Progress
 
 	transferTime  time.Duration // expected time of its answer on the network connection
 	objectiveTime time.Time     // zero for no objective
@@ -24,11 +25,6 @@
 	return !r.objectiveTime.IsZero() && now.After(r.objectiveTime)
 }
 
-// remainingTime returns how much longer the call is expected to hold its slot.
-func (r *runningCall) remainingTime(now time.Time) time.Duration {
-	return max(r.expected-now.Sub(r.admitted), r.expected/minRemainingDivisor)
-}
-
 // slotUsage tracks the expected slot time of the calls of each priority that were admitted recently.
 type slotUsage struct {
 	used     [rankCount]float64 // seconds of slot time of calls that were not late, decaying
@@ -102,13 +98,13 @@
 func (c *Core) remainingWork(now time.Time) time.Duration {
 	var d time.Duration
 	for _, r := range c.running {
-		d += r.remainingTime(now)
+		d += c.remainingTime(now, r)
 	}
 	return d
 }
 
-// expectedServiceTime returns the mean service time of a route, or that of all calls if the route has none.
-func (c *Core) expectedServiceTime(route string) time.Duration {
+// usualServiceTime returns the mean service time of a route at usual speed, or that of all calls if the route has none.
+func (c *Core) usualServiceTime(route string) time.Duration {
 	if d := c.serviceTimes.routeMean(route); d > 0 {
 		return d
 	}
