dispatch: current speed in expected latencies; settings key prefer_domain

Servers on shared machines were chosen by a service time that did not follow their speed. Expected latencies, waits and the check whether an answer is in time use the speed that the last answer or refusal told, weighted by its age as learned for the service, and the outlier checks count latencies at usual speed, so that a slow VM is no gray server.

--- a/src/agent/agent.go
+++ b/src/agent/agent.go
@@ -142,7 +142,7 @@
 
 func (a *Agent) dispatchSettings() dispatch.Settings {
 	b := a.Settings.RetryBudget
-	return dispatch.Settings{RetryShare: b.Share * usedBudgetShare, SharedRetryBurst: b.Reserve * usedBudgetShare, SlowStart: slowStartTime, NotReadyRetryAfter: notReadyRetryAfter, LinkRate: linkRate(a.Settings)}
+	return dispatch.Settings{RetryShare: b.Share * usedBudgetShare, SharedRetryBurst: b.Reserve * usedBudgetShare, SlowStart: slowStartTime, NotReadyRetryAfter: notReadyRetryAfter, LinkRate: linkRate(a.Settings), PreferDomain: a.Settings.Dispatch.PreferDomain}
 }
 
 // linkRate returns the speed of the VM's link in bytes per second.
--- a/src/agent/settings.go
+++ b/src/agent/settings.go
@@ -24,6 +24,7 @@
 	Backend     Backend           `toml:"backend"`
 	Store       Store             `toml:"store"`
 	RetryBudget RetryBudget       `toml:"retry_budget"`
+	Dispatch    Dispatch          `toml:"dispatch"`
 }
 
 // Listen holds the addresses that the agent listens on.
@@ -52,6 +53,11 @@
 	Reserve float64 `toml:"reserve"` // retries and hedged requests allowed in a burst, divided equally among the agents; 0 for the default of dispatch at each agent
 }
 
+// Dispatch configures the selection of backend servers.
+type Dispatch struct {
+	PreferDomain bool `toml:"prefer_domain"` // calls stay in their failure domain while an answer is expected in time there; for deployments where bytes between failure domains are costly
+}
+
 // LoadSettings reads and validates a settings file; errors are of kind problem.Settings.
 func LoadSettings(file string) (Settings, error) {
 	b, err := os.ReadFile(file)
--- a/src/agent/settings_test.go
+++ b/src/agent/settings_test.go
@@ -47,6 +47,8 @@
 		"no memory limit": {"memory_mb = 284", "", `.*memory_mb is "0".*`},
 		"no minimum TTL":  {`min_ttl = "1000ms"`, "", `.*store.min_ttl is "0s".*`},
 		"no stop grace":   {`stop_grace = "6s"`, "", `.*stop_grace is "0s".*`},
+		"prefer_domain":   {"reserve = 60\n", "reserve = 60\n[dispatch]\nprefer_domain = true\n", ""},
+		"no such choice":  {"reserve = 60\n", "reserve = 60\n[dispatch]\nprefer_domain = \"yes\"\n", `settings: a.toml:2[0-9]: .*`},
 		"unknown key":     {"memory_mb = 284", "memory_kb = 3", `settings: a.toml:7: unknown key "memory_kb".*`},
 		"not TOML":        {validSettings, "{", `settings: a.toml.*`},
 	}
--- a/src/booking/core.go
+++ b/src/booking/core.go
@@ -139,7 +139,7 @@
 	if r, refused := c.unavailableRefusal(now, e.Call); refused {
 		return r.(Refuse), true
 	}
-	if c.limit == 0 || e.Objective == 0 || c.canStartNow(now, e.Priority) && c.transferTime(e) == 0 && !c.exceedsPatience(now, e, 0) {
+	if c.limit == 0 || e.Objective == 0 || c.canStartNow(now, e.Priority) && c.transferTime(e) == 0 {
 		return Refuse{}, false
 	}
 	_, r, accepted := c.waiterOrRefusal(now, e)
@@ -168,7 +168,7 @@
 	}
 	canStart := c.canStartNow(now, e.Priority)
 	switch {
-	case e.Objective != 0 && (!canStart || c.transferTime(e) > 0 || c.exceedsPatience(now, e, 0)):
+	case e.Objective != 0 && (!canStart || c.transferTime(e) > 0):
 		w, refusal, accepted := c.waiterOrRefusal(now, e)
 		if !accepted {
 			return append(actions, refusal)
@@ -237,8 +237,8 @@
 	switch {
 	case c.queue.size >= c.QueueLimit:
 		return w, Refuse{Call: e.Call, Reason: wire.ReasonQueueFull, RetryAfter: retryAfter(wait)}, false
-	case c.exceedsPatience(now, e, wait):
-		return w, Refuse{Call: e.Call, Reason: wire.ReasonQueueFull, RetryAfter: retryAfter(wait + c.slowdown(now, e.Route))}, false
+	case e.Patience > 0 && wait > e.Patience:
+		return w, Refuse{Call: e.Call, Reason: wire.ReasonQueueFull, RetryAfter: retryAfter(wait)}, false
 	case wait+answerTime <= e.Objective:
 	case !e.Final, waitIfLate+answerTime > time.Duration(maxLateShare*float64(timeLeft)):
 		return w, Refuse{Call: e.Call, Reason: wire.ReasonQueueFull, RetryAfter: retryAfter(waitIfLate)}, false
--- a/src/booking/speed.go
+++ b/src/booking/speed.go
@@ -17,10 +17,7 @@
 
 // atCurrentSpeed returns how long work that takes the given time at usual speed is expected to take now.
 func (c *Core) atCurrentSpeed(now time.Time, usual time.Duration) time.Duration {
-	if !c.speed.tracker.IsKnown() {
-		return usual
-	}
-	return time.Duration(float64(usual) * c.speed.tracker.Factor(now, &c.speed.memory))
+	return c.speed.tracker.Expected(now, usual, &c.speed.memory)
 }
 
 // expectedServiceTime returns the mean service time of a route at the current speed, or that of all calls if the route has none.
@@ -34,16 +31,6 @@
 	return min(low, c.atCurrentSpeed(now, low))
 }
 
-// slowdown returns how much longer than at usual speed a call of a route is expected to run now, negative if the VM is faster.
-func (c *Core) slowdown(now time.Time, route string) time.Duration {
-	return c.expectedServiceTime(now, route) - c.usualServiceTime(route)
-}
-
-// exceedsPatience reports whether a call with the given expected wait would be answered later here than its sender's patience allows. The sender counts the time by which it expects the VM to be slower than usual as patience, so that this agent, whose report is the newest, refuses the call only for what has changed since.
-func (c *Core) exceedsPatience(now time.Time, e Arrive, wait time.Duration) bool {
-	return e.Patience > 0 && wait+c.slowdown(now, e.Route) > e.Patience
-}
-
 // remainingTime returns how much longer a running call is expected to hold its slot.
 func (c *Core) remainingTime(now time.Time, r *runningCall) time.Duration {
 	if !c.speed.tracker.IsKnown() {
--- a/src/dispatch/action.go
+++ b/src/dispatch/action.go
@@ -11,15 +11,16 @@
 
 // SendAttempt sends the call to a member.
 type SendAttempt struct {
-	Call    uint64        `json:"call"`
-	Attempt int           `json:"attempt"` // from 1
-	Member  uint64        `json:"member"`
-	Service string        `json:"service"`
-	Timeout time.Duration `json:"timeout_ns"` // of this attempt
-	Reason  ChoiceReason  `json:"reason"`
-	Backlog time.Duration `json:"-"`               // time until a slot is free at the member: its last reported backlog less the time since
-	LoadAge time.Duration `json:"-"`               // time since the member last reported its load, 0 if it never has
-	Final   bool          `json:"final,omitempty"` // no other server is expected to answer sooner: the member queues the call even if its answer will miss the objective
+	Call         uint64        `json:"call"`
+	Attempt      int           `json:"attempt"` // from 1
+	Member       uint64        `json:"member"`
+	Service      string        `json:"service"`
+	Timeout      time.Duration `json:"timeout_ns"` // of this attempt
+	Reason       ChoiceReason  `json:"reason"`
+	Backlog      time.Duration `json:"-"`               // time until a slot is free at the member: its last reported backlog less the time since
+	LoadAge      time.Duration `json:"-"`               // time since the member last reported its load, 0 if it never has
+	SpeedPercent int           `json:"-"`               // how long work is expected to take at the member, 100 as usual, 0 if it reports no speed
+	Final        bool          `json:"final,omitempty"` // no other server is expected to answer sooner: the member queues the call even if its answer will miss the objective
 	// MaxQueueWait is the longest time to wait for a slot at the member, 0 for no limit; after it, another server is expected to answer sooner.
 	MaxQueueWait time.Duration `json:"patience_ns,omitempty"`
 	Objective    time.Duration `json:"objective_ns,omitempty"` // time left to answer within the latency objective, which counts from the caller's first attempt; negative after it, 0 for no objective
--- a/src/dispatch/arrival.go
+++ b/src/dispatch/arrival.go
@@ -62,6 +62,6 @@
 	cs.final = cs.final || cs.isLastChance() || !c.hasCandidate(cs.policy, c.services[ch.server.Service], cs)
 	return []Action{
 		SetTimer{Call: cs.id, Attempt: n, Timer: TimerAttempt, After: timeout + timerSlack},
-		SendAttempt{Call: cs.id, Attempt: n, Member: ch.server.ID, Service: ch.server.Service, Timeout: timeout, Reason: ch.reason, Backlog: ch.server.backlog(now), LoadAge: loadAge, Final: cs.final, MaxQueueWait: maxQueueWait, Objective: cs.timeToObjective(now)},
+		SendAttempt{Call: cs.id, Attempt: n, Member: ch.server.ID, Service: ch.server.Service, Timeout: timeout, Reason: ch.reason, Backlog: ch.server.backlog(now), LoadAge: loadAge, SpeedPercent: int(ch.server.speed.Percent(now, ch.server.speedMemory)), Final: cs.final, MaxQueueWait: maxQueueWait, Objective: cs.timeToObjective(now)},
 	}
 }
--- a/src/dispatch/attempt.go
+++ b/src/dispatch/attempt.go
@@ -60,7 +60,7 @@
 	}
 	c.countAttempt(s)
 	c.log().Info("dispatch", "request_id", head.TraceID, "service", s.Service, "to", s.Member, "attempt", s.Attempt, "reason", string(s.Reason),
-		"wait_ms", s.Backlog.Milliseconds(), "load_age_ms", s.LoadAge.Milliseconds(), "timeout_ms", head.TimeoutMS, "objective_ms", head.ObjectiveMS, "patience_ms", head.PatienceMS, "final", s.Final)
+		"wait_ms", s.Backlog.Milliseconds(), "load_age_ms", s.LoadAge.Milliseconds(), "speed_percent", s.SpeedPercent, "timeout_ms", head.TimeoutMS, "objective_ms", head.ObjectiveMS, "patience_ms", head.PatienceMS, "final", s.Final)
 	if err := c.proxy.pool.Go(func() { a.run(head) }); err != nil {
 		a.deliver(link.Refused{Refusal: wire.Refusal{Reason: wire.ReasonLimit, RetryAfterMS: 1000}})
 	}
@@ -122,7 +122,7 @@
 		_ = a.reply.Body.Close()
 		return
 	}
-	a.refusal = &wire.Refusal{Reason: wire.ReasonCut, MayHaveRun: true, Load: a.reply.Head.Load}
+	a.refusal = &wire.Refusal{Reason: wire.ReasonCut, MayHaveRun: true, Load: a.reply.Head.Load, SpeedPercent: a.reply.Head.SpeedPercent}
 }
 
 // drop cancels the attempt; a result that arrives later is closed unread.
--- a/src/dispatch/attempt_result.go
+++ b/src/dispatch/attempt_result.go
@@ -131,7 +131,7 @@
 	if cs.objective.IsZero() {
 		return ch.reason != ChoiceSaturated
 	}
-	serviceTime := ch.server.serviceTimes[cs.policy.Route]
+	serviceTime := ch.server.serviceTime(now, cs.policy.Route)
 	return !now.Add(c.transferTime(ch.server, cs) + c.expectedAnswerWait(now, ch.server, cs, serviceTime) + serviceTime).After(cs.objective)
 }
 
--- a/src/dispatch/call.go
+++ b/src/dispatch/call.go
@@ -170,11 +170,11 @@
 		c.log().Info("attempt failed", "request_id", c.head.TraceID, "attempt", n, "by", a.member.ID, "reason", r.Reason.String(), "may_have_run", r.MayHaveRun, "backlog_ms", r.Load.Backlog)
 		c.perform(c.proxy.step(AttemptRefused{
 			Call: c.id, Attempt: n, Reason: r.Reason, MayHaveRun: r.MayHaveRun, Repeated: r.Repeated,
-			RetryAfter: time.Duration(r.RetryAfterMS) * time.Millisecond, BodyConsumed: c.body.isConsumed(), Load: newLoad(r.Load, r.LinkDelayMS),
+			RetryAfter: time.Duration(r.RetryAfterMS) * time.Millisecond, BodyConsumed: c.body.isConsumed(), Load: newLoad(r.Load, r.LinkDelayMS, r.SpeedPercent),
 		}))
 		return
 	}
-	c.perform(c.proxy.step(AttemptAnswered{Call: c.id, Attempt: n, Status: int(a.reply.Head.Status), Size: a.reply.Head.BodyLength, Load: newLoad(a.reply.Head.Load, a.reply.Head.LinkDelayMS), Leaving: a.reply.Head.Leaving}))
+	c.perform(c.proxy.step(AttemptAnswered{Call: c.id, Attempt: n, Status: int(a.reply.Head.Status), Size: a.reply.Head.BodyLength, Load: newLoad(a.reply.Head.Load, a.reply.Head.LinkDelayMS, a.reply.Head.SpeedPercent), Leaving: a.reply.Head.Leaving}))
 }
 
 // abortCall cancels the call and resets the caller's connection without an answer: the call may have run, and a refusal might state that it has not.
--- a/src/dispatch/core.go
+++ b/src/dispatch/core.go
@@ -19,6 +19,7 @@
 	inFlightByRoute map[routeKey]int // calls in flight of the routes that have any
 	answerSizes     answerSizes
 	patience        callerPatience
+	latencies       []float64 // of expectedLatencies
 	leaving         leavingServers
 	splitPositions  map[routeKey]float64 // position of a route's last call in the split by weight, from 0 to 1; for routes with several targets
 }
--- a/src/dispatch/expected_latency.go
+++ b/src/dispatch/expected_latency.go
@@ -22,11 +22,11 @@
 
 // chooseLowestLatency chooses the server that is expected to answer a call first.
 func (c *Core) chooseLowestLatency(now time.Time, svc *service, servers []*server, cs *callState) choice {
-	defaultServiceTime := medianServiceTime(servers, cs.policy.Route)
+	latencies := c.expectedLatencies(now, svc, servers, cs)
 	var best *server
 	lowest, secondLowest := math.Inf(1), math.Inf(1)
-	for _, srv := range servers {
-		latency := c.expectedLatency(now, svc, srv, cs, defaultServiceTime) * (1 + latencyJitter*c.Rand.Float64())
+	for i, srv := range servers {
+		latency := latencies[i] * (1 + latencyJitter*c.Rand.Float64())
 		switch {
 		case latency < lowest:
 			best, lowest, secondLowest = srv, latency, lowest
@@ -56,6 +56,8 @@
 	if serviceTime == 0 {
 		serviceTime = defaultServiceTime
 	}
+	usualSeconds := serviceTime.Seconds()
+	serviceTime = srv.atCurrentSpeed(now, serviceTime)
 	seconds := serviceTime.Seconds()
 	load := (srv.busySlots(now, c.Settings.LoadHalfLife) + 1) / srv.slotCount()
 	latency := seconds * (1 + highLoadCost*max(0, min(load, 1)-highLoad)/(1-highLoad))
@@ -66,7 +68,7 @@
 		if srv.Region != c.region {
 			distanceCost = otherRegionCost
 		}
-		latency += distanceCost*seconds + otherDomainDelay.Seconds()
+		latency += distanceCost*usualSeconds + otherDomainDelay.Seconds()
 	}
 	latency *= 2 - srv.slowStartShare(now, c.Settings.SlowStart)
 	return latency * (1 + srv.decayedErrorPenalty(now) + srv.latePenalty(now, svc.medianLatency))
@@ -86,7 +88,8 @@
 	if cs.final || cs.objective.IsZero() || ch.margin == 0 || cs.hasLargeBody() && ch.server.ID == c.self || len(cs.attempts) >= boundedWaitAttempts {
 		return 0
 	}
-	return furtherAttemptCost + ch.margin + time.Duration(waitFactor*float64(c.expectedAnswerWait(now, ch.server, cs, ch.server.serviceTimes[cs.policy.Route])))
+	wait := c.expectedAnswerWait(now, ch.server, cs, ch.server.serviceTime(now, cs.policy.Route))
+	return furtherAttemptCost + ch.margin + time.Duration(waitFactor*float64(wait))
 }
 
 // transferTime returns the time to transfer a call's body and its expected answer between this VM and a server's: over both links, unless the server is on this VM.
@@ -117,7 +120,7 @@
 	wait := s.backlog(now)
 	sentSince := max(0, s.inFlight-s.inFlightAtLoad)
 	if excess := s.busySlots(now, expectedWaitHalfLife) + 1 - s.slotCount(); excess > 0 && sentSince > 0 {
-		wait += time.Duration(min(excess, float64(sentSince)) / s.slotCount() * float64(s.serviceTimes[route]))
+		wait += time.Duration(min(excess, float64(sentSince)) / s.slotCount() * float64(s.serviceTime(now, route)))
 	}
 	return wait
 }
--- a/src/dispatch/outlier.go
+++ b/src/dispatch/outlier.go
@@ -62,6 +62,7 @@
 		c.checkErrorRate(now, svc, srv)
 		return
 	}
+	latency = srv.atUsualSpeed(now, latency)
 	srv.recordSuccess(now, latency)
 	if svc == nil || srv.samples < minOutlierSamples {
 		return
--- a/src/dispatch/server.go
+++ b/src/dispatch/server.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/yuccaport/yuccaport/src/speed"
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
@@ -34,10 +35,12 @@
 	inFlight   int             // attempts of this daemon
 	unanswered []*attemptState // attempts without an answer yet, oldest first
 
-	serviceTimes   map[string]time.Duration // as last reported, by route
+	serviceTimes   map[string]time.Duration // at usual speed, as last reported, by route
 	load           Load
 	loadAt         time.Time
 	inFlightAtLoad int // inFlight when the load was reported
+	speed          speed.Tracker
+	speedMemory    *speed.Memory // of the service
 
 	observedAt          time.Time // of the last answer or failure
 	samples             int       // answers and failures recorded
@@ -143,7 +146,7 @@
 	if len(s.unanswered) == 0 || median == 0 {
 		return 0
 	}
-	waited := now.Sub(s.unanswered[0].sentAt)
+	waited := s.atUsualSpeed(now, now.Sub(s.unanswered[0].sentAt))
 	return min(maxLatePenalty, max(0, float64(waited)/float64(lateFactor*median+latencySlack)-1))
 }
 
@@ -185,6 +188,7 @@
 		s.serviceTimes[route] = load.ServiceTime
 	}
 	s.load, s.loadAt, s.inFlightAtLoad = load, now, s.inFlight
+	s.speed.Record(now, load.Speed, s.speedMemory)
 }
 
 // recordSuccess records an answer without a server error.
--- a/src/dispatch/service.go
+++ b/src/dispatch/service.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/yuccaport/yuccaport/src/speed"
 )
 
 // medianMaxAge is the time after which the medians over a service's servers are recomputed.
@@ -17,9 +19,14 @@
 	mediansAt       time.Time
 	medianLatency   time.Duration
 	medianErrorRate float64
+
+	speedMemory speed.Memory // what reports of its servers say of their speed later
 }
 
-func (s *service) addServer(srv *server) { s.servers = append(s.servers, srv) }
+func (s *service) addServer(srv *server) {
+	srv.speedMemory = &s.speedMemory
+	s.servers = append(s.servers, srv)
+}
 
 // hasUsable reports whether any server is usable; a nil service has none.
 func (s *service) hasUsable() bool {
--- a/src/dispatch/settings.go
+++ b/src/dispatch/settings.go
@@ -28,6 +28,7 @@
 	MaxEjectionTime    time.Duration `json:"aside_max_time_ns,omitempty"`
 	LatencyFactor      float64       `json:"latency_factor,omitempty"` // multiple of the service's median latency beyond which a member is an outlier
 	MaxCalls           int           `json:"max_calls,omitempty"`      // maximum number of attempts at one daemon that wait for the head of an answer or read a short answer; the recording of payments' outcomes counts too
+	PreferDomain       bool          `json:"prefer_domain,omitempty"`  // calls with an objective stay in their failure domain while it is expected to answer in time, see otherDomainPenalty
 	LinkRate           float64       `json:"link_rate,omitempty"`      // of a VM's network link in bytes per second, 0 to ignore transfer times
 }
 
--- a/src/fleetmodel/agent.go
+++ b/src/fleetmodel/agent.go
@@ -14,7 +14,10 @@
 	fleet      *Fleet
 	member     dispatch.Member
 	speed      float64 // of its server
-	limit      float64 // that its server names, 0 for none
+	noise      Noise
+	noisy      bool                     // the noise affects its server
+	view       map[uint64]*baselineView // with a baseline, by member
+	limit      float64                  // that its server names, 0 for none
 	tickAt     time.Time
 	admitted   []time.Time // of the calls of its server
 	dispatch   *dispatch.Core
@@ -36,6 +39,10 @@
 	id := f.lastCall
 	a.calls[id] = q
 	now := f.clock.now
+	if f.Baseline != "" {
+		a.sendBaseline(id, 1, nil)
+		return
+	}
 	a.stepDispatch(dispatch.CallArrived{Call: id, Policy: q.route.policy, Remaining: q.deadline.Sub(now), Objective: q.route.Objective})
 }
 
@@ -69,7 +76,11 @@
 	}
 	if q.counted {
 		q.route.result.Attempts++
+		if a.fleet.agent(s.Member).member.Domain != a.member.Domain {
+			q.route.result.Crossed++
+		}
 	}
+	a.countMessage(a.fleet.agent(s.Member), q, q.route.Body)
 	a.fleet.clock.after(a.delayTo(s.Member), func() {
 		in := &inbound{from: a, attempt: s, request: q}
 		a.fleet.agent(s.Member).arrive(in, booking.Arrive{
@@ -83,6 +94,9 @@
 	if member == a.member.ID {
 		return 0
 	}
+	if a.fleet.agent(member).member.Domain != a.member.Domain {
+		return a.fleet.Delay + a.fleet.DomainDelay
+	}
 	return a.fleet.Delay
 }
 
@@ -110,6 +124,11 @@
 		return // refused or answered meanwhile
 	}
 	delete(a.calls, s.Call)
+	if a.fleet.Baseline != "" {
+		a.observeBaseline(s.Member, load)
+		q.answered(a.fleet.clock.now, ok)
+		return
+	}
 	status := 200
 	if !ok {
 		status = 500
--- a/src/fleetmodel/inbound.go
+++ b/src/fleetmodel/inbound.go
@@ -15,6 +15,7 @@
 	attempt    dispatch.SendAttempt
 	request    *request
 	admittedAt time.Time
+	tried      []uint64 // with a baseline: members to which the request was sent
 }
 
 // arrive passes an attempt to the booking core.
@@ -66,7 +67,7 @@
 	if in.request.counted {
 		r.result.Runs++
 	}
-	a.fleet.clock.after(a.fleet.work(r, a.speed), func() {
+	a.spend(a.fleet.work(r, a.speed), func() {
 		if a.inbound[id] != in {
 			return // the server has crashed
 		}
@@ -113,8 +114,10 @@
 	if a.limit > 0 {
 		a.stepBooking(booking.CallLimit{PerSecond: a.limit})
 	}
+	a.reportSpeed()
 	a.stepBooking(booking.Release{Call: id, Result: booking.ResultAnswered, Took: now.Sub(in.admittedAt)})
 	load := a.load(in.request.route)
+	a.countMessage(in.from, in.request, in.request.route.Answer)
 	a.fleet.clock.after(a.delayTo(in.from.member.ID), func() { in.from.receiveAnswer(in.attempt, load, ok) })
 }
 
@@ -128,7 +131,12 @@
 	in := a.inbound[id]
 	delete(a.inbound, id)
 	e.Call, e.Attempt, e.Load = in.attempt.Call, in.attempt.Attempt, a.load(in.request.route)
+	a.countMessage(in.from, in.request, 0)
 	a.fleet.clock.after(a.delayTo(in.from.member.ID), func() {
+		if a.fleet.Baseline != "" {
+			in.from.baselineRefused(in, e)
+			return
+		}
 		if _, ok := in.from.calls[e.Call]; ok {
 			in.from.stepDispatch(e)
 		}
@@ -138,5 +146,5 @@
 // load returns the load that the agent reports with an answer or a refusal.
 func (a *agent) load(r *route) dispatch.Load {
 	l := a.booking.LoadFor(a.fleet.clock.now, r.Name, r.Priority)
-	return dispatch.Load{Free: int(l.Free), Slots: int(l.Slots), Backlog: time.Duration(l.Backlog) * time.Millisecond, ServiceTime: time.Duration(l.Service) * time.Millisecond}
+	return dispatch.Load{Free: int(l.Free), Slots: int(l.Slots), Backlog: time.Duration(l.Backlog) * time.Millisecond, ServiceTime: time.Duration(l.Service) * time.Millisecond, Speed: int(a.booking.SpeedPercent(a.fleet.clock.now))}
 }
--- a/src/fleetmodel/result.go
+++ b/src/fleetmodel/result.go
@@ -10,6 +10,8 @@
 	Held        int // refused after more than half of the time until their deadline
 	Attempts    int // sent to servers
 	Runs        int
+	Crossed     int // attempts sent to another failure domain
+	CrossBytes  int // of their messages
 	Quarantined int // refused because servers had crashed while they ran the same request
 }
 
--- a/src/fleetmodel/route.go
+++ b/src/fleetmodel/route.go
@@ -13,6 +13,8 @@
 	Priority  uint8         // 0 is the most urgent
 	Inner     string        // route of the calls that a run makes, empty for none
 	Calls     int           // number of those calls, made together; the run fails if one of them does
+	Body      int           // bytes of a request
+	Answer    int           // bytes of its answer
 	Repeats   bool          // a caller that is refused comes back once at the time it was told
 	Contents  int           // different requests of the route, 0 if no two are the same
 	Crashes   bool          // each run crashes its server
--- a/src/speed/memory.go
+++ b/src/speed/memory.go
@@ -23,12 +23,11 @@
 	products [ageRanges]float64
 }
 
-// learn records two reports of one machine, as deviations from its mean, and the time between them.
-func (m *Memory) learn(gap time.Duration, before, after float64) {
+// learn records two reports of one machine, as deviations from its mean, and the range of the time between them.
+func (m *Memory) learn(r int, before, after float64) {
 	if m == nil {
 		return
 	}
-	r := ageRange(gap)
 	m.squares[r] = m.squares[r]*memoryDecay + before*before
 	m.products[r] = m.products[r]*memoryDecay + before*after
 }
@@ -48,3 +47,11 @@
 func ageRange(age time.Duration) int {
 	return min(ageRanges-1, bits.Len64(uint64(max(0, age)/shortestAge)))
 }
+
+// shortestOf returns the shortest age of a range.
+func shortestOf(r int) time.Duration {
+	if r == 0 {
+		return 0
+	}
+	return shortestAge << (r - 1)
+}
--- a/src/speed/tracker.go
+++ b/src/speed/tracker.go
@@ -18,6 +18,13 @@
 	period time.Duration // over which the mean was taken, up to meanPeriod
 	work   time.Duration // progress, at usual speed, until the last report
 	began  time.Time     // first report
+
+	earlier [ageRanges]report // for each range of ages, the report that the next one old enough is compared with
+}
+
+type report struct {
+	factor float64
+	at     time.Time
 }
 
 // Record stores a report in percent, 100 as usual and 250 for work that takes 2.5 times as long, and passes the change to m. A report out of range is ignored.
@@ -37,11 +44,26 @@
 	step := min(gap, maxMeanStep)
 	t.period = min(meanPeriod, t.period+step)
 	t.mean += (t.factor - t.mean) * step.Seconds() / t.period.Seconds()
-	m.learn(gap, t.factor-t.mean, f-t.mean)
+	t.compare(now, f, m)
 	t.work += time.Duration(gap.Seconds() * (1/t.factor + 1/f) / 2 * float64(time.Second))
 	t.factor, t.at = f, now
 }
 
+// compare passes to m how a report differs from earlier ones of all ages, so that m knows what a report says some time later even where reports come more often.
+func (t *Tracker) compare(now time.Time, f float64, m *Memory) {
+	for r := range t.earlier {
+		e := &t.earlier[r]
+		gap := now.Sub(e.at)
+		if !e.at.IsZero() && gap < shortestOf(r) {
+			continue
+		}
+		if !e.at.IsZero() && ageRange(gap) == r {
+			m.learn(r, e.factor-t.mean, f-t.mean)
+		}
+		*e = report{f, now}
+	}
+}
+
 // IsKnown reports whether there is a report.
 func (t *Tracker) IsKnown() bool { return t.factor > 0 }
 
@@ -56,6 +78,14 @@
 	return t.mean + (t.factor-t.mean)*m.weight(t.Age(now))
 }
 
+// Expected returns how long work that starts now is expected to take, given its time at usual speed: at the speed expected for the middle of that time, since the speed may change meanwhile.
+func (t *Tracker) Expected(now time.Time, usual time.Duration, m *Memory) time.Duration {
+	if t.factor == 0 {
+		return usual
+	}
+	return time.Duration(float64(usual) * t.Factor(now.Add(usual/2), m))
+}
+
 // Percent returns Factor in percent, 0 without a report.
 func (t *Tracker) Percent(now time.Time, m *Memory) int32 {
 	if t.factor == 0 {
