booking: a reset by a full server is no crash, no failure and not "not run"

A server that resets connections when it is full made its agent report a cut call, which counts as a failure in the choice of servers, and remember the request as a suspect should the instance be replaced soon. If the server sent no byte of an answer, accepts connections, goes on running other calls and runs many, the call is now refused with reason limit, as possibly run, and the limit falls to what the server goes on running, for 2 s. The stand-in can reset when it is full.

--- a/src/booking/conn.go
+++ b/src/booking/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"sync/atomic"
@@ -21,6 +22,7 @@
 	w            *bufio.Writer
 	mayHaveSent  atomic.Bool // a byte of the call may have been sent
 	remoteClosed bool        // the backend server has closed its side or the connection failed
+	wasReset     bool        // a read failed because the backend server has reset the connection; fasthttp returns io.EOF for that
 	lastAnswer   time.Time   // end of the last complete answer
 	answers      int         // complete answers received on it
 	overhead     int         // bytes read since the request or the last bytes of a body
@@ -43,6 +45,7 @@
 	c.overhead += n
 	if n == 0 && err != nil {
 		c.remoteClosed = true
+		c.wasReset = errors.Is(err, syscall.ECONNRESET)
 	}
 	return n, err
 }
--- a/src/booking/core.go
+++ b/src/booking/core.go
@@ -28,6 +28,7 @@
 	limit          int // concurrency limit, between 1 and Slots; 0 before the first event
 	successes      int // answered calls counted towards the next increase of limit
 	lastDecrease   time.Time
+	holdUntil      time.Time // the limit does not rise before, see lowerToAccepted
 	running        map[uint64]*runningCall
 	queue          callQueue
 	serviceTimes   serviceTimeEstimator
@@ -298,17 +299,19 @@
 	c.drainRequested, c.drainStart = true, from
 }
 
-// adaptLimit records the service time of an answered call and adapts the concurrency limit: a shed call lowers it unless FixedLimit is set;
+// adaptLimit records the service time of an answered call and adapts the concurrency limit: a shed call lowers it unless FixedLimit is set, and a reset by a full server to the number of calls that it still runs;
 // once as many calls as the limit have been answered, it rises by one, up to Slots.
 func (c *Core) adaptLimit(now time.Time, route string, e Release) {
 	switch e.Result {
 	case ResultAnswered:
 		c.serviceTimes.add(now, route, e.Took, e.AnswerSize)
 		c.successes++
-		if c.successes >= c.limit && c.limit < c.Slots {
+		if c.successes >= c.limit && c.limit < c.Slots && !now.Before(c.holdUntil) {
 			c.limit++
 			c.successes = 0
 		}
+	case ResultReset:
+		c.lowerToAccepted(now)
 	case ResultShed:
 		if !c.FixedLimit {
 			c.decreaseLimit(now)
--- a/src/booking/counters.go
+++ b/src/booking/counters.go
@@ -17,6 +17,7 @@
 	shed        *metrics.Counter // calls that the backend server refused to run
 	truncated   *metrics.Counter // streamed answers of which a read failed
 	crashes     *metrics.Counter // of the backend server
+	fullResets  *metrics.Counter // connections that it reset because it was full
 	dialed      *metrics.Counter
 	reused      *metrics.Counter
 	reclaimed   *metrics.Counter // slots released after the backend server did not end a cancelled or failed call in time, or before ReleaseCancelled was called
@@ -35,6 +36,7 @@
 		shed:        s.GetOrCreateCounter("yuccaport_booking_calls_shed_total"),
 		truncated:   s.GetOrCreateCounter("yuccaport_booking_answers_cut_total"),
 		crashes:     s.GetOrCreateCounter("yuccaport_booking_backend_crashes_total"),
+		fullResets:  s.GetOrCreateCounter("yuccaport_booking_backend_full_resets_total"),
 		dialed:      s.GetOrCreateCounter("yuccaport_booking_connections_dialed_total"),
 		reused:      s.GetOrCreateCounter("yuccaport_booking_connections_reused_total"),
 		reclaimed:   s.GetOrCreateCounter("yuccaport_booking_slots_reclaimed_total"),
--- a/src/booking/crash.go
+++ b/src/booking/crash.go
@@ -48,18 +48,22 @@
 		return false
 	}
 	s.mu.Lock()
+	x.cutAt = s.Now()
 	known, leaving := x.crashed, s.crashes.left == x.instance && x.instance != "" || s.core.isDraining(s.Now())
 	s.mu.Unlock()
 	if known || leaving {
 		return known
 	}
 	refused := s.pool.isRefused(crashCheckTimeout)
+	isFull := !refused && s.isFullReset(x)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
 	case x.crashed:
 	case refused, x.instance != "" && s.instance != "" && s.instance != x.instance:
 		s.recordCrashLocked(x.instance, nil)
+	case isFull:
+		x.full = true
 	default:
 		s.crashes.cuts = append(s.crashes.cuts, newCutRequest(x))
 		s.crashes.cuts = s.crashes.cuts[max(0, len(s.crashes.cuts)-maxCuts):]
--- a/src/booking/exchange.go
+++ b/src/booking/exchange.go
@@ -46,8 +46,10 @@
 	uploadDone     chan error    // result of a request body that is written while the answer is awaited; nil for none
 	sendErr        error         // result of send
 	resp           *fasthttp.Response
-	released       bool // the slot has been released
-	crashed        bool // the backend server crashed while it ran the request; guarded by s.mu
+	released       bool      // the slot has been released
+	crashed        bool      // the backend server crashed while it ran the request; guarded by s.mu
+	cutAt          time.Time // when the backend server closed the connection, zero if it has not; guarded by s.mu
+	full           bool      // it did so because it is full
 }
 
 // run executes the call and returns when it has ended. The slot is held until the backend server has ended the call or, if the exchange fails, until awaitBackendClose has stopped waiting for that.
@@ -170,12 +172,15 @@
 	case r.Reason != wire.ReasonCut || !r.MayHaveRun:
 	case x.s.detectCrash(x, err):
 		r.Reason, r.Repeated = wire.ReasonCrashed, x.s.Quarantine.IsRepeated(x.content)
+	case x.full:
+		r = x.s.fullRefusal()
+		x.s.countFullReset(x)
 	case isProtocolError(err):
 		r.Reason = wire.ReasonProtocol
 		x.s.logProtocolError(x, err)
 	}
 	x.s.Log.V(1).Info("exchange with the backend server failed", "reason", err.Error(), "request_id", x.head.TraceID)
-	if r.Reason != wire.ReasonCancelled {
+	if r.Reason != wire.ReasonCancelled && !x.full {
 		x.s.recordCallOutcome(false)
 	}
 	x.refuse(r)
@@ -202,6 +207,10 @@
 		}
 	}
 	x.s.pool.drop(c)
+	if x.full {
+		x.release(ResultReset)
+		return
+	}
 	x.release(ResultFailed)
 }
 
--- a/src/fleetmodel/heterogeneous_test.go
+++ b/src/fleetmodel/heterogeneous_test.go
@@ -90,9 +90,9 @@
 		load     float64
 		maxBytes float64 // that cross, as a share of those without the preference
 	}{
-		"balanced demand, near the capacity":            {nil, 0.95, 0.5},
-		"one domain with 1.5 times the demand":          {[]float64{1.5, 1, 1}, 0.95, 0.6},
-		"one domain short of capacity, neighbours idle": {[]float64{4, 1, 1}, 0.7, 0.9},
+		"balanced demand, near the capacity":            {nil, 0.95, 0.2},
+		"one domain with 1.5 times the demand":          {[]float64{1.5, 1, 1}, 0.95, 0.25},
+		"one domain short of capacity, neighbours idle": {[]float64{4, 1, 1}, 0.7, 0.8},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/src/standin/backend.go
+++ b/src/standin/backend.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -55,8 +56,12 @@
 	drained  time.Time // zero when not draining
 	inFlight int
 	requests uint64
+	resets   atomic.Int64
 }
 
+// Resets returns the number of connections that were reset because the server was full.
+func (b *Backend) Resets() int { return int(b.resets.Load()) }
+
 // Run serves until ctx is over; requests in flight then end early. After a crash it serves again at
 // the same address once Downtime has passed.
 func (b *Backend) Run(ctx context.Context) error {
--- a/src/standin/backend_faults.go
+++ b/src/standin/backend_faults.go
@@ -11,5 +11,6 @@
 	CutAnswers        bool    `json:"cut_answers"`         // answers end in the middle of their body
 	RefuseConnections bool    `json:"refuse_connections"`  // new connections are closed at once
 	Limit             float64 `json:"limit"`               // requests a second that the answers name as its limit, 0 for none
+	ResetWhenFull     bool    `json:"reset_when_full"`     // connections beyond the limit, and those of requests beyond the slots, are reset
 	Dead              bool    `json:"dead"`                // nothing runs, every connection is closed
 }
--- a/src/standin/backend_handler.go
+++ b/src/standin/backend_handler.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"math/rand/v2"
+	"net"
 	"strconv"
 	"time"
 
@@ -77,6 +78,13 @@
 		c.Response.Header.Set(HeaderNotRun, "1")
 		return
 	}
+	if f.ResetWhenFull && b.Load().InFlight >= b.Slots {
+		b.resets.Add(1)
+		bc, _ := c.Conn().(*backendConn)
+		c.HijackSetNoResponse(true)
+		c.Hijack(func(net.Conn) { reset(bc.Conn) })
+		return
+	}
 	c.Response.Header.Set(HeaderToken, token)
 	start := time.Now()
 	i, work := b.begin(c, start)
--- a/src/standin/backend_listener.go
+++ b/src/standin/backend_listener.go
@@ -29,6 +29,21 @@
 	}
 }
 
+// isFull reports whether the server has as many connections as it should be given.
+func (l *backendListener) isFull() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Connections > 0 && len(l.conns) >= l.b.Connections
+}
+
+// reset closes a connection so that the other side sees a reset.
+func reset(c net.Conn) {
+	if tc, ok := c.(*net.TCPConn); ok {
+		_ = tc.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 func (l *backendListener) isCrashed() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -47,6 +62,11 @@
 			_ = c.Close()
 			continue
 		}
+		if f.ResetWhenFull && l.isFull() {
+			l.b.resets.Add(1)
+			reset(c)
+			continue
+		}
 		l.b.Runs.connect(l.b.Name, l.b.Connections)
 		bc := &backendConn{Conn: c, b: l.b, listener: l}
 		l.mu.Lock()
