--- a/src/agent/settings.go
+++ b/src/agent/settings.go
@@ -28,6 +28,7 @@
 	Rollout     RolloutSettings   `toml:"rollout"`
 	Revocation  Revocation        `toml:"revocation"`
 	Quota       Quota             `toml:"quota"`
+	Dispatch    Dispatch          `toml:"dispatch"`
 }
 
 // Listen holds the addresses that the agent listens on.
@@ -69,6 +70,11 @@
 	Slack  float64           `toml:"slack"`
 }
 
+// Dispatch configures the selection of backend servers.
+type Dispatch struct {
+	PreferDomain bool `toml:"prefer_domain"` // calls stay in their failure domain while an answer is expected in time there; for deployments where bytes between failure domains are costly
+}
+
 // LoadSettings reads and validates a settings file; errors are of kind problem.Settings.
 func LoadSettings(file string) (Settings, error) {
 	b, err := os.ReadFile(file)
--- a/src/dispatch/attempt_result.go
+++ b/src/dispatch/attempt_result.go
@@ -17,6 +17,7 @@
 		return nil
 	}
 	a.server.removeUnanswered(a)
+	c.sharedVMs = c.sharedVMs || e.Load.Speed > 0
 	a.server.recordLoad(now, cs.policy.Route, e.Load)
 	if e.Leaving {
 		c.leaving.add(now, a.server.Addr, a.backendStart)
@@ -66,6 +67,7 @@
 		return nil
 	}
 	a.end()
+	c.sharedVMs = c.sharedVMs || e.Load.Speed > 0
 	a.server.recordLoad(now, cs.policy.Route, e.Load)
 	c.observeFailure(now, a.server, e.Reason, e.Load)
 	cs.retriesCharged = cs.retriesCharged || e.MayHaveRun || e.Reason == wire.ReasonShed
@@ -135,7 +137,7 @@
 	if cs.objective.IsZero() {
 		return ch.reason != ChoiceSaturated
 	}
-	serviceTime := ch.server.serviceTimes[cs.policy.Route]
+	serviceTime := ch.server.serviceTime(now, cs.policy.Route)
 	return !now.Add(c.transferTime(ch.server, cs) + c.expectedAnswerWait(now, ch.server, cs, serviceTime) + serviceTime).After(cs.objective)
 }
 
--- a/src/dispatch/core.go
+++ b/src/dispatch/core.go
@@ -19,6 +19,8 @@
 	inFlightByRoute map[routeKey]int // calls in flight of the routes that have any
 	answerSizes     answerSizes
 	patience        callerPatience
+	latencies       []float64 // of expectedLatencies
+	sharedVMs       bool      // a backend server has reported the speed of its VM
 	leaving         leavingServers
 	rollouts        map[string]*serviceRollout // services under an order
 	splitPositions  map[routeKey]float64       // position of a route's last call in the split by weight, from 0 to 1; for routes with several targets
--- a/src/dispatch/service.go
+++ b/src/dispatch/service.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/yuccaport/yuccaport/src/speed"
 )
 
 // medianMaxAge is the time after which the medians over a service's servers are recomputed.
@@ -16,6 +18,8 @@
 
 	medians    medians // over the servers, but those of the new version
 	newMedians medians // over the servers of the new version of a service under an order
+
+	speedMemory speed.Memory // what reports of its servers say of their speed later
 }
 
 // medians are the medians over servers of a service. They are kept by version while the service is
@@ -34,7 +38,10 @@
 	return &s.medians
 }
 
-func (s *service) addServer(srv *server) { s.servers = append(s.servers, srv) }
+func (s *service) addServer(srv *server) {
+	srv.speedMemory = &s.speedMemory
+	s.servers = append(s.servers, srv)
+}
 
 // hasUsable reports whether any server is usable; a nil service has none.
 func (s *service) hasUsable() bool {
