--- a/src/agent/agent.go
+++ b/src/agent/agent.go
@@ -18,8 +18,10 @@
 	"github.com/yuccaport/yuccaport/src/link"
 	"github.com/yuccaport/yuccaport/src/quarantine"
 	"github.com/yuccaport/yuccaport/src/registry"
+	"github.com/yuccaport/yuccaport/src/rollout"
 	"github.com/yuccaport/yuccaport/src/roster"
 	"github.com/yuccaport/yuccaport/src/settings"
+	"github.com/yuccaport/yuccaport/src/tenants"
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
@@ -34,6 +36,8 @@
 	Headers      header.Names                        // zero for header.Default
 	DecodeConfig func(value []byte) (*Config, error) // decodes the store's configuration value
 
+	Rollouts *RolloutFormat // required if Keys.RolloutPrefix is set
+
 	ConfigVersion func(value []byte) uint64 // version of the store's configuration value, 0 if it cannot be read; if nil, the store's revisions alone order configurations
 
 	CallerListener    net.Listener
@@ -52,6 +56,8 @@
 	pool            *link.Pool
 	booking         *booking.Server
 	quarantine      *quarantine.Node
+	rollout         *rollout.Node // nil without Keys.RolloutPrefix
+	quota           *tenants.Node
 	proxy           *dispatch.Proxy
 	follower        *registry.Follower
 	announcer       *registry.Announcer
@@ -116,16 +122,24 @@
 		Grace: s.StopGrace.Std(), Limits: link.Limits{PingInterval: linkPingInterval + a.transferTime(assumedQueuedBytes)/4, HandshakeTimeout: linkHelloTimeout + a.transferTime(assumedQueuedBytes), Bandwidth: linkRate(s)}, Log: a.Log.WithName("link"), Metrics: a.Metrics,
 	}
 	a.booking.OnLeaving = a.handleLeavingAnswer
+	a.booking.HasTenants = func() bool { t := a.table(); return t != nil && t.Tenants != nil }
 	a.booking.InboundDelay, a.booking.OutboundDelay, a.booking.LinkRate = a.pool.InboundDelay, a.pool.OutboundDelay, linkRate(s)
 	a.proxy = &dispatch.Proxy{
 		Listener: a.CallerListener, Self: a.member, Table: a.table, Transport: a.pool, Headers: a.Headers, Limits: a.limits,
 		Settings: a.dispatchSettings(), Grace: s.StopGrace.Std(), StartTimeout: startTimeout, Log: a.Log.WithName("dispatch"), Metrics: a.Metrics,
 	}
 	a.buildRegistry()
+	a.proxy.KeysOutdated = (&keyAge{revocation: s.Revocation, follower: a.follower, log: a.Log.WithName("tenants")}).isOutdated
 	a.quarantine = &quarantine.Node{Self: a.id, Members: a.follower.Members, Exchanger: a.pool, Log: a.Log.WithName("quarantine"), Metrics: a.Metrics}
 	if a.Keys.ProbePrefix != "" {
 		a.quarantine.Claimer = &quarantine.RegistryClaimer{Store: a.Store, Prefix: a.Keys.ProbePrefix}
 	}
+	a.buildRollout()
+	a.quota = &tenants.Node{
+		Self: a.id, Members: a.follower.Members, Exchanger: a.pool, Log: a.Log.WithName("tenants"), Metrics: a.Metrics,
+		Quota: tenants.Quota{Window: s.Quota.Window.Std(), Over: s.Quota.Over, Slack: s.Quota.Slack},
+	}
+	a.proxy.Quota = a.quota
 	a.booking.Quarantine, a.proxy.Quarantine = a.quarantine, a.quarantine
 	a.pool.OnPeer = a.follower.OfferPeer
 }
@@ -135,14 +149,14 @@
 	pauses := &clock.Pauses{}
 	a.follower = &registry.Follower{
 		Store: a.Store, Keys: a.Keys, EntryKey: key, ID: a.id, Domain: a.Settings.Domain, MaxTransferTime: a.transferTime(assumedListBytes), Exchanger: a.pool, ConfigVersion: a.ConfigVersion,
-		OnConfig: a.applyConfig, OnMembers: a.updateMembers, OnEntryMissing: func() { a.announcer.MarkEntryMissing() }, SuspendedFor: pauses.Since, Log: a.Log.WithName("registry"),
+		OnConfig: a.applyConfig, OnMembers: a.updateMembers, OnEntryMissing: func() { a.announcer.MarkEntryMissing() }, SuspendedFor: pauses.Since, Log: a.Log.WithName("registry"), Metrics: a.Metrics,
 	}
 	a.announcer = &registry.Announcer{Store: a.Store, Keys: a.Keys, EntryKey: key, MinTTL: a.Settings.Store.MinTTL.Std(), Log: a.Log.WithName("registry")}
 }
 
 func (a *Agent) dispatchSettings() dispatch.Settings {
 	b := a.Settings.RetryBudget
-	return dispatch.Settings{RetryShare: b.Share * usedBudgetShare, SharedRetryBurst: b.Reserve * usedBudgetShare, SlowStart: slowStartTime, NotReadyRetryAfter: notReadyRetryAfter, LinkRate: linkRate(a.Settings)}
+	return dispatch.Settings{RetryShare: b.Share * usedBudgetShare, SharedRetryBurst: b.Reserve * usedBudgetShare, SlowStart: slowStartTime, NotReadyRetryAfter: notReadyRetryAfter, LinkRate: linkRate(a.Settings), PreferDomain: a.Settings.Dispatch.PreferDomain, ExposureShare: a.Settings.Rollout.WithDefaults().ExposureShare}
 }
 
 // linkRate returns the speed of the VM's link in bytes per second.
@@ -165,7 +179,7 @@
 	s := a.Settings
 	m := wire.Member{
 		ID: a.id, Addr: link.AddrOf(a.LinkListener.Addr()), Service: s.Service, Domain: s.Domain, Region: s.Region,
-		LinkMbps: uint32(s.LinkMbps), Slots: uint16(a.slotsLocked()), Ready: a.backend.Instance() != "" && a.booking.Healthy(),
+		LinkMbps: uint32(s.LinkMbps), Slots: uint16(a.slotsLocked()), Ready: a.backend.Instance() != "" && a.booking.Healthy() && a.knowsRollouts(),
 	}
 	m.Version = a.backend.Version()
 	if startedAt := a.backend.StartedAt(); !startedAt.IsZero() {
@@ -185,5 +199,8 @@
 	return settings.DefaultSlots
 }
 
-// IsReady reports whether the agent has a configuration in force and is not stopping, so that the platform may route clients to it. It is independent of wire.Member.Ready, which reports whether the backend server can serve calls.
-func (a *Agent) IsReady() bool { return a.serving.Load() != nil && !a.stopping.Load() }
+// IsReady reports whether the agent has a configuration in force, has asked peers for a newer one if that holds tenants, and is not stopping, so that the platform may route clients to it. It is independent of wire.Member.Ready, which reports whether the backend server can serve calls.
+func (a *Agent) IsReady() bool {
+	s := a.serving.Load()
+	return s != nil && !a.stopping.Load() && (s.table.Tenants == nil || a.follower.HasAskedPeers())
+}
--- a/src/agent/settings.go
+++ b/src/agent/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"os"
 	"time"
@@ -24,6 +25,10 @@
 	Backend     Backend           `toml:"backend"`
 	Store       Store             `toml:"store"`
 	RetryBudget RetryBudget       `toml:"retry_budget"`
+	Rollout     RolloutSettings   `toml:"rollout"`
+	Revocation  Revocation        `toml:"revocation"`
+	Quota       Quota             `toml:"quota"`
+	Dispatch    Dispatch          `toml:"dispatch"`
 }
 
 // Listen holds the addresses that the agent listens on.
@@ -52,6 +57,24 @@
 	Reserve float64 `toml:"reserve"` // retries and hedged requests allowed in a burst, divided equally among the agents; 0 for the default of dispatch at each agent
 }
 
+// Revocation bounds how long an agent that cannot learn of newer configurations accepts tenants' keys.
+type Revocation struct {
+	Time   settings.Duration `toml:"time"`   // without news from the store or from a reader of it
+	Strict bool              `toml:"strict"` // refuse requests that need a key after Time; otherwise the keys in force stay accepted
+}
+
+// Quota states how strictly tenants' limits bind: in any Window, a tenant's requests must not exceed (rate x Window + burst) x (1 + Over) + Slack, over all agents.
+type Quota struct {
+	Window settings.Duration `toml:"window"`
+	Over   float64           `toml:"over"`
+	Slack  float64           `toml:"slack"`
+}
+
+// Dispatch configures the selection of backend servers.
+type Dispatch struct {
+	PreferDomain bool `toml:"prefer_domain"` // calls stay in their failure domain while an answer is expected in time there; for deployments where bytes between failure domains are costly
+}
+
 // LoadSettings reads and validates a settings file; errors are of kind problem.Settings.
 func LoadSettings(file string) (Settings, error) {
 	b, err := os.ReadFile(file)
@@ -97,7 +120,18 @@
 			return settingsError(file, key, d, "set it to a time above zero, such as 2s")
 		}
 	}
-	return nil
+	if d := s.Revocation.Time.Std(); d < 0 || d == 0 && s.Revocation.Strict {
+		return settingsError(file, "revocation.time", d, "set it to a time above zero, such as 5s, or leave out the section revocation")
+	}
+	for key, value := range map[string]float64{"quota.window": s.Quota.Window.Std().Seconds(), "quota.over": s.Quota.Over, "quota.slack": s.Quota.Slack} {
+		if !(value >= 0) || math.IsInf(value, 1) {
+			return settingsError(file, key, value, "set it to a number of 0 or above, or leave out the section quota")
+		}
+	}
+	if s.Quota.Window.Std() == 0 && (s.Quota.Over != 0 || s.Quota.Slack != 0) {
+		return settingsError(file, "quota.window", s.Quota.Window.Std(), "set it to a time above zero, such as 5s, or leave out the section quota")
+	}
+	return s.Rollout.validate(file)
 }
 
 func settingsError(file, key string, value any, remedy string) error {
--- a/src/booking/core.go
+++ b/src/booking/core.go
@@ -28,12 +28,14 @@
 	limit          int // concurrency limit, between 1 and Slots; 0 before the first event
 	successes      int // answered calls counted towards the next increase of limit
 	lastDecrease   time.Time
+	holdUntil      time.Time // the limit does not rise before, see lowerToAccepted
 	running        map[uint64]*runningCall
 	queue          callQueue
 	serviceTimes   serviceTimeEstimator
 	usage          slotUsage
 	slack          slackTracker
 	rate           callRate
+	speed          vmSpeed
 	health         HealthState
 	drainRequested bool
 	drainStart     time.Time // time from which new calls are refused
@@ -69,6 +71,8 @@
 	case CallLimit:
 		c.rate.apply(now, e, c.serviceTimes.mean)
 		return c.admitQueued(now, c.refuseExpired(now, nil))
+	case Speed:
+		c.speed.tracker.Record(now, e.Percent, &c.speed.memory)
 	case Resume:
 		c.drainRequested = false
 	}
@@ -88,7 +92,7 @@
 
 // Load returns the load for the caller's daemon. Free is the concurrency limit minus the running and the queued calls, or fewer under a limit that the backend server has named, so it may be negative;
 // it is at most 0 while isDraining holds or the backend server is not up. Slots is the number of slots of the backend server.
-// Backlog is the expected wait of a further call and Service the mean service time, both in milliseconds.
+// Backlog is the expected wait of a further call and Service the mean service time at usual speed, both in milliseconds.
 func (c *Core) Load(now time.Time) wire.Load {
 	free := c.limit - len(c.running) - c.queue.size
 	if c.limit == 0 {
@@ -126,7 +130,7 @@
 	if len(c.running) < c.limit || c.limit == 0 {
 		return c.rate.wait(now, n)
 	}
-	return max(c.rate.wait(now, n), c.serviceTimes.mean*time.Duration(n+1)/time.Duration(c.limit))
+	return max(c.rate.wait(now, n), c.atCurrentSpeed(now, c.serviceTimes.mean)*time.Duration(n+1)/time.Duration(c.limit))
 }
 
 // WouldRefuse returns a refusal and true if a call that arrived now would be refused because isDraining holds or the backend server is not up
@@ -157,9 +161,9 @@
 		actions = c.admitQueued(now, actions) // the Tick for a queued call may still be to come
 	}
 	if e.Objective > 0 {
-		c.slack.add(now, e.Priority, e.Objective-c.expectedServiceTime(e.Route))
+		c.slack.add(now, e.Priority, e.Objective-c.expectedServiceTime(now, e.Route))
 	}
-	lowServiceTime := c.serviceTimes.routeLow(now, e.Route)
+	lowServiceTime := c.lowServiceTime(now, e.Route)
 	if e.Timeout > 0 && lowServiceTime > e.Timeout {
 		return append(actions, c.newRefusal(now, e.Call, wire.ReasonDeadline))
 	}
@@ -185,7 +189,7 @@
 func (c *Core) newWaiter(now time.Time, e Arrive) waiter {
 	w := waiter{
 		call: e.Call, route: e.Route, priority: e.Priority,
-		serviceTime: c.expectedServiceTime(e.Route), transferTime: c.transferTime(e), reason: wire.ReasonDeadline,
+		serviceTime: c.expectedServiceTime(now, e.Route), transferTime: c.transferTime(e), reason: wire.ReasonDeadline,
 	}
 	if e.Objective != 0 {
 		w.objectiveTime = now.Add(e.Objective - w.transferTime)
@@ -255,7 +259,7 @@
 }
 
 func (c *Core) admit(now time.Time, w waiter) Action {
-	r := &runningCall{route: w.route, admitted: now, expected: c.expectedServiceTime(w.route), transferTime: w.transferTime, objectiveTime: w.objectiveTime}
+	r := &runningCall{route: w.route, admitted: now, expected: c.expectedServiceTime(now, w.route), progress: c.speed.tracker.Progress(now), transferTime: w.transferTime, objectiveTime: w.objectiveTime}
 	c.running[w.call] = r
 	c.rate.take(now, w.priority, w.late(now), c.serviceTimes.mean)
 	c.usage.add(now, w.priority, w.late(now), r.expected)
@@ -282,6 +286,7 @@
 		return nil
 	}
 	delete(c.running, e.Call)
+	e.Took = c.speed.tracker.Normal(now, e.Took, r.progress)
 	c.adaptLimit(now, r.route, e)
 	return c.admitQueued(now, c.refuseExpired(now, nil))
 }
@@ -294,17 +299,19 @@
 	c.drainRequested, c.drainStart = true, from
 }
 
-// adaptLimit records the service time of an answered call and adapts the concurrency limit: a shed call lowers it unless FixedLimit is set;
+// adaptLimit records the service time of an answered call and adapts the concurrency limit: a shed call lowers it unless FixedLimit is set, and a reset by a full server to the number of calls that it still runs;
 // once as many calls as the limit have been answered, it rises by one, up to Slots.
 func (c *Core) adaptLimit(now time.Time, route string, e Release) {
 	switch e.Result {
 	case ResultAnswered:
 		c.serviceTimes.add(now, route, e.Took, e.AnswerSize)
 		c.successes++
-		if c.successes >= c.limit && c.limit < c.Slots {
+		if c.successes >= c.limit && c.limit < c.Slots && !now.Before(c.holdUntil) {
 			c.limit++
 			c.successes = 0
 		}
+	case ResultReset:
+		c.lowerToAccepted(now)
 	case ResultShed:
 		if !c.FixedLimit {
 			c.decreaseLimit(now)
--- a/src/booking/request.go
+++ b/src/booking/request.go
@@ -54,10 +54,15 @@
 	req.UseHostHeader = true
 	h.SetMethod(x.head.Method)
 	h.SetRequestURI(x.head.URI)
+	hasTenants := x.head.Tenant != "" || x.s.HasTenants != nil && x.s.HasTenants()
 	for _, f := range x.head.Fields {
-		if !isReserved(f.Name) && !x.s.Headers.Replaces(f.Name) {
-			h.Add(f.Name, f.Value)
+		if isReserved(f.Name) || x.s.Headers.Replaces(f.Name) || hasTenants && x.s.isTenantField(f.Name) {
+			continue
 		}
+		h.Add(f.Name, f.Value)
+	}
+	if name := x.s.Headers.Tenant; name != "" && x.head.Tenant != "" {
+		h.Set(name, x.head.Tenant)
 	}
 	h.SetHost(x.host())
 	if x.token != "" {
@@ -73,6 +78,12 @@
 	}
 }
 
+// isTenantField reports whether a header field holds a tenant's key or name. The caller's daemon does
+// not pass them on, unless it is of an earlier build or does not know yet that there are tenants.
+func (s *Server) isTenantField(name string) bool {
+	return strings.EqualFold(name, fasthttp.HeaderAuthorization) || s.Headers.IsTenant(name)
+}
+
 func (x *exchange) host() string {
 	if x.head.Host != "" {
 		return x.head.Host
@@ -163,7 +174,7 @@
 // replyHead returns the head of the reply to the caller's daemon.
 func (x *exchange) replyHead(length int64) wire.ReplyHead {
 	h := wire.ReplyHead{Status: uint16(x.resp.StatusCode()), BodyLength: length}
-	h.Load, h.LinkDelayMS = x.s.loadFor(x.head)
+	h.Load, h.LinkDelayMS, h.SpeedPercent = x.s.loadFor(x.head)
 	h.Leaving = x.notice.leaving
 	h.Fields = make([]wire.Field, 0, x.resp.Header.Len())
 	for k, v := range x.resp.Header.All() {
--- a/src/dispatch/attempt.go
+++ b/src/dispatch/attempt.go
@@ -47,6 +47,7 @@
 	a.ctx, a.cancel = context.WithCancel(c.baseCtx)
 	a.requestBody = c.body.newReader()
 	c.attempts[s.Attempt] = a
+	c.mayHaveRun = true
 	head := c.head
 	head.Target, head.Service, head.Attempt, head.Final = s.Member, s.Service, uint8(s.Attempt), s.Final
 	head.TimeoutMS = max(1, s.Timeout.Milliseconds())
@@ -55,12 +56,17 @@
 	if !c.body.isComplete() {
 		head.TimeoutMS = uploadTimeout.Milliseconds()
 	}
+	head.Rollout = s.Rollout
 	if s.Objective != 0 {
 		head.ObjectiveMS = cmp.Or(s.Objective.Milliseconds(), -1) // 0 would mean no objective
 	}
 	c.countAttempt(s)
-	c.log().Info("dispatch", "request_id", head.TraceID, "service", s.Service, "to", s.Member, "attempt", s.Attempt, "reason", string(s.Reason),
-		"wait_ms", s.Backlog.Milliseconds(), "load_age_ms", s.LoadAge.Milliseconds(), "timeout_ms", head.TimeoutMS, "objective_ms", head.ObjectiveMS, "patience_ms", head.PatienceMS, "final", s.Final)
+	log := c.log()
+	if s.Rollout != 0 {
+		log = log.WithValues("rollout", s.Rollout, "to_version", a.member.Version, "to_new", s.New)
+	}
+	log.Info("dispatch", "request_id", head.TraceID, "service", s.Service, "to", s.Member, "attempt", s.Attempt, "reason", string(s.Reason),
+		"wait_ms", s.Backlog.Milliseconds(), "load_age_ms", s.LoadAge.Milliseconds(), "speed_percent", s.SpeedPercent, "timeout_ms", head.TimeoutMS, "objective_ms", head.ObjectiveMS, "patience_ms", head.PatienceMS, "final", s.Final)
 	if err := c.proxy.pool.Go(func() { a.run(head) }); err != nil {
 		a.deliver(link.Refused{Refusal: wire.Refusal{Reason: wire.ReasonLimit, RetryAfterMS: 1000}})
 	}
@@ -122,7 +128,7 @@
 		_ = a.reply.Body.Close()
 		return
 	}
-	a.refusal = &wire.Refusal{Reason: wire.ReasonCut, MayHaveRun: true, Load: a.reply.Head.Load}
+	a.refusal = &wire.Refusal{Reason: wire.ReasonCut, MayHaveRun: true, Load: a.reply.Head.Load, SpeedPercent: a.reply.Head.SpeedPercent}
 }
 
 // drop cancels the attempt; a result that arrives later is closed unread.
--- a/src/dispatch/attempt_result.go
+++ b/src/dispatch/attempt_result.go
@@ -17,6 +17,7 @@
 		return nil
 	}
 	a.server.removeUnanswered(a)
+	c.sharedVMs = c.sharedVMs || e.Load.Speed > 0
 	a.server.recordLoad(now, cs.policy.Route, e.Load)
 	if e.Leaving {
 		c.leaving.add(now, a.server.Addr, a.backendStart)
@@ -66,6 +67,7 @@
 		return nil
 	}
 	a.end()
+	c.sharedVMs = c.sharedVMs || e.Load.Speed > 0
 	a.server.recordLoad(now, cs.policy.Route, e.Load)
 	c.observeFailure(now, a.server, e.Reason, e.Load)
 	cs.retriesCharged = cs.retriesCharged || e.MayHaveRun || e.Reason == wire.ReasonShed
@@ -73,6 +75,7 @@
 		cs.mayHaveRun = true
 	} else {
 		cs.notRunCount++
+		c.recordVersionRefusal(cs, a, e.Reason)
 		a.full = e.Reason == wire.ReasonQueueFull
 	}
 	cs.bodyConsumed = cs.bodyConsumed || e.BodyConsumed
@@ -104,8 +107,11 @@
 	if !cs.mayRetry(now) {
 		return nil, false
 	}
+	c.selectVersion(now, cs, cs.service)
 	ch, ok := c.chooseServer(now, cs.policy, cs.service, cs)
 	if !ok && cs.policy.Fallback != "" {
+		c.returnExposure(cs)
+		c.selectVersion(now, cs, cs.policy.Fallback)
 		ch, ok = c.chooseServer(now, cs.policy, cs.policy.Fallback, cs)
 	}
 	if !ok {
@@ -131,7 +137,7 @@
 	if cs.objective.IsZero() {
 		return ch.reason != ChoiceSaturated
 	}
-	serviceTime := ch.server.serviceTimes[cs.policy.Route]
+	serviceTime := ch.server.serviceTime(now, cs.policy.Route)
 	return !now.Add(c.transferTime(ch.server, cs) + c.expectedAnswerWait(now, ch.server, cs, serviceTime) + serviceTime).After(cs.objective)
 }
 
--- a/src/dispatch/call.go
+++ b/src/dispatch/call.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/yuccaport/yuccaport/src/quarantine"
+	"github.com/yuccaport/yuccaport/src/tenants"
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
@@ -28,7 +29,9 @@
 	policy    *Policy
 	body      *requestBody
 	parent    Parent
-	payment   *payment // nil for none
+	payment   *payment        // nil for none
+	tenant    *tenants.Tenant // nil for none
+	tenantLog logr.Logger     // with the tenant's name; created on first use
 	head      wire.CallHead
 	start     time.Time
 	deadline  time.Time
@@ -43,6 +46,7 @@
 	detectsDisconnect bool // a background read of the caller's connection has been started
 	ended             bool // answered, refused or aborted
 	streaming         bool // the answer's body outlives run
+	mayHaveRun        bool // an attempt has been sent and is not proven not to have run
 }
 
 // callTimer is a timer of a call. It is restarted with the same delay while the request body is still arriving.
@@ -94,7 +98,7 @@
 	return c.objective.Sub(c.proxy.Now())
 }
 
-// cleanUp ends the background read of the caller's connection, drops the attempts whose answers were not accepted and releases the request body.
+// cleanUp ends the background read of the caller's connection, drops the attempts whose answers were not accepted, returns the credit of a call that has not run and releases the request body.
 //
 // If the body has not arrived completely, the connection is closed after the answer.
 func (c *call) cleanUp() {
@@ -106,6 +110,9 @@
 			a.drop()
 		}
 	}
+	if !c.mayHaveRun {
+		c.proxy.returnCredit(c.tenant)
+	}
 	if !c.streaming {
 		c.cancel()
 	}
@@ -134,14 +141,23 @@
 	}
 }
 
-// log returns the logger for calls of this route.
+// log returns the logger for calls of this route, and of this tenant if there is one.
 func (c *call) log() logr.Logger {
-	return c.match.tableRoute.logger(c.proxy.Log, c.match.Table.Version)
+	if c.tenantLog.GetSink() != nil {
+		return c.tenantLog
+	}
+	log := c.match.tableRoute.logger(c.proxy.Log, c.match.Table.Version)
+	if c.tenant == nil || !log.Enabled() {
+		return log
+	}
+	c.tenantLog = log.WithValues("tenant", c.tenant.Name)
+	return c.tenantLog
 }
 
 // refuse ends the call without an answer from a backend server; the caller receives the refusal.
 func (c *call) refuse(a RefuseCall) {
 	c.ended = true
+	c.mayHaveRun = a.MayHaveRun
 	if a.MayHaveRun {
 		c.proxy.counters.mayHaveRun.Inc()
 		c.payment.abandon()
@@ -170,11 +186,11 @@
 		c.log().Info("attempt failed", "request_id", c.head.TraceID, "attempt", n, "by", a.member.ID, "reason", r.Reason.String(), "may_have_run", r.MayHaveRun, "backlog_ms", r.Load.Backlog)
 		c.perform(c.proxy.step(AttemptRefused{
 			Call: c.id, Attempt: n, Reason: r.Reason, MayHaveRun: r.MayHaveRun, Repeated: r.Repeated,
-			RetryAfter: time.Duration(r.RetryAfterMS) * time.Millisecond, BodyConsumed: c.body.isConsumed(), Load: newLoad(r.Load, r.LinkDelayMS),
+			RetryAfter: time.Duration(r.RetryAfterMS) * time.Millisecond, BodyConsumed: c.body.isConsumed(), Load: newLoad(r.Load, r.LinkDelayMS, r.SpeedPercent),
 		}))
 		return
 	}
-	c.perform(c.proxy.step(AttemptAnswered{Call: c.id, Attempt: n, Status: int(a.reply.Head.Status), Size: a.reply.Head.BodyLength, Load: newLoad(a.reply.Head.Load, a.reply.Head.LinkDelayMS), Leaving: a.reply.Head.Leaving}))
+	c.perform(c.proxy.step(AttemptAnswered{Call: c.id, Attempt: n, Status: int(a.reply.Head.Status), Size: a.reply.Head.BodyLength, Load: newLoad(a.reply.Head.Load, a.reply.Head.LinkDelayMS, a.reply.Head.SpeedPercent), Leaving: a.reply.Head.Leaving}))
 }
 
 // abortCall cancels the call and resets the caller's connection without an answer: the call may have run, and a refusal might state that it has not.
--- a/src/dispatch/proxy.go
+++ b/src/dispatch/proxy.go
@@ -19,6 +19,7 @@
 	"github.com/yuccaport/yuccaport/src/link"
 	"github.com/yuccaport/yuccaport/src/problem"
 	"github.com/yuccaport/yuccaport/src/quarantine"
+	"github.com/yuccaport/yuccaport/src/rollout"
 	"github.com/yuccaport/yuccaport/src/trace"
 	"github.com/yuccaport/yuccaport/src/wire"
 	"github.com/yuccaport/yuccaport/src/workers"
@@ -51,6 +52,8 @@
 	LookupParent func(token string) (Parent, bool) // returns the call that a backend server is running, by the token that it sends in Yuccaport-Parent; nil if calls have no parents
 	Deposits     Deposits                          // nil to refuse payments
 	Quarantine   *quarantine.Node                  // keeps requests away that crash backend servers; nil for none
+	Quota        Quota                             // limits the requests of tenants; nil for no limits
+	KeysOutdated func() bool                       // reports whether the keys in force are too old to admit requests by them; nil if they never are
 	Headers      header.Names                      // zero for header.Default
 	Limits       func() Limits                     // bounds on callers' requests, nil for the defaults
 	Settings     Settings                          // of the core
@@ -217,6 +220,7 @@
 		MaxRequestBodySize:           preReadBodySize,
 		ErrorHandler:                 p.handleReadError,
 		Logger:                       httpServerLog{p.Log},
+		SecureErrorLogMessage:        true, // its errors would hold the header, and with it a tenant's key
 		ConnState:                    markIdle,
 	}
 	return p.httpServer
@@ -247,6 +251,13 @@
 	return actions
 }
 
+// SetRouting passes the routing of a service under a rollout order to the core, zero when the order
+// has ended. It may be called from any goroutine, also before Run.
+func (p *Proxy) SetRouting(serviceName string, r rollout.Routing) {
+	p.init()
+	p.step(RoutingChanged{Service: serviceName, Routing: r})
+}
+
 // currentTable returns the table in force, nil while there is none; it passes a new table to the core first.
 func (p *Proxy) currentTable() *Table {
 	t := p.Table()
--- a/src/registry/follower.go
+++ b/src/registry/follower.go
@@ -4,8 +4,10 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 
 	"github.com/yuccaport/yuccaport/src/clock"
@@ -34,13 +36,17 @@
 	Domain   string // failure domain of this agent
 	// MaxTransferTime is the time that the largest answer takes over this agent's link, which counts as slow above 300 ms (relistTimeout). It is added to the timeouts of listings and of queries to peers, and a third of it to those of watches and of the listing after a first failure.
 	MaxTransferTime time.Duration
-	Exchanger       link.Exchanger       // sends registry requests to other members
-	ConfigVersion   func([]byte) uint64  // see Core.ConfigVersion
-	OnConfig        func(value []byte)   // called with each newer configuration; concurrent calls may arrive out of order, so it must ignore an older one
-	OnMembers       func()               // called when the result of Members may have changed
-	OnEntryMissing  func()               // called when the store lacks this agent's entry
-	SuspendedFor    func() time.Duration // returns how long the VM was suspended since the last call; nil disables the check
+	Exchanger       link.Exchanger                             // sends registry requests to other members
+	ConfigVersion   func([]byte) uint64                        // see Core.ConfigVersion
+	OnConfig        func(value []byte)                         // called with each newer configuration; concurrent calls may arrive out of order, so it must ignore an older one
+	KeepItem        func(key string, known, shown []byte) bool // see Core.KeepItem; nil if there are no rollouts
+	OnItem          func(Item)                                 // called with each newer order or record of a rollout, also with its deletion; concurrent calls may arrive out of order, so it must ignore an older revision; nil if there are no rollouts
+	OnRestoreItem   func(known Item, storeRevision uint64)     // see RestoreItem; nil if there are no rollouts
+	OnMembers       func()                                     // called when the result of Members may have changed
+	OnEntryMissing  func()                                     // called when the store lacks this agent's entry
+	SuspendedFor    func() time.Duration                       // returns how long the VM was suspended since the last call; nil disables the check
 	Log             logr.Logger
+	Metrics         *metrics.Set // nil for a new set
 
 	once          sync.Once
 	querySlots    chan struct{}
@@ -57,18 +63,35 @@
 	failedReaders map[uint64]time.Time // time of the last failure, by member ID
 	readerID      uint64               // reader that is watched, 0 for the store itself
 	lostReaderID  uint64               // reader whose last answer was that it has lost the store, 0 for none
+	callBeganAt   time.Duration        // since the system's start
+	newsAt        atomic.Int64         // value of callBeganAt for the last call with an answer, 0 for none
+	askedPeers    atomic.Bool          // last result of HasAskedPeers, once that stays true
 
-	compressMu         sync.Mutex
-	compressedRevision uint64
-	compressedConfig   []byte // configuration at compressedRevision
+	substitute  substitute
+	newBuilds   map[uint64]bool // members that answer with parts, by ID; guarded by mu, as are the fields below
+	sourceID    uint64          // see wire.RegistryReply.Source
+	waiting     int             // requests of members that wait here
+	holdersOf   uint64          // digest of the configuration of holders
+	holders     []uint64        // members that have the newest configuration
+	receipts    map[uint64]receipt
+	cutOffSince time.Time // zero while the store or a reader answers
+
+	history        configHistory
+	receiptMetrics receiptMetrics
 }
 
 func (f *Follower) init() {
 	f.once.Do(func() {
-		f.core = Core{Keys: f.Keys, EntryKey: f.EntryKey, ID: f.ID, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), ConfigVersion: f.ConfigVersion}
+		f.core = Core{Keys: f.Keys, EntryKey: f.EntryKey, ID: f.ID, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), ConfigVersion: f.ConfigVersion, KeepItem: f.KeepItem}
 		f.querySlots = make(chan struct{}, maxQueries)
 		f.updated = make(chan struct{})
 		f.failedReaders = map[uint64]time.Time{}
+		f.newBuilds = map[uint64]bool{}
+		if f.Metrics == nil {
+			f.Metrics = metrics.NewSet()
+		}
+		f.receiptMetrics = newReceiptMetrics(f.Metrics)
+		f.newGauges()
 	})
 }
 
@@ -99,7 +122,12 @@
 			delay = min(baseRetryDelay<<min(max(0, failures-1), 4), maxRetryDelay)
 		}
 		failures++
-		clock.Sleep(ctx, delay/2+rand.N(delay/2))
+		delay = delay/2 + rand.N(delay/2)
+		if f.isLost() {
+			f.searchSource(ctx, delay)
+		} else {
+			clock.Sleep(ctx, delay)
+		}
 	}
 	return nil
 }
@@ -125,19 +153,38 @@
 
 // step passes an event to the core and carries out the resulting actions.
 func (f *Follower) step(e Event) {
+	if _, ok := e.(StoreAnswered); ok {
+		f.newsAt.Store(int64(f.callBeganAt))
+	}
 	f.mu.Lock()
-	actions := f.core.Step(time.Now(), e)
+	now := time.Now()
+	actions := f.core.Step(now, e)
+	if _, ok := e.(StoreLost); ok {
+		f.sourceID = 0
+	}
 	if _, ok := e.(Tick); !ok {
-		close(f.updated)
-		f.updated = make(chan struct{})
+		f.notifyLocked()
 	}
+	revision, version := f.core.Config()
+	how := f.takeReceipt(revision, now)
 	f.mu.Unlock()
 	for _, a := range actions {
 		switch a := a.(type) {
 		case PublishMembers:
 			f.OnMembers()
 		case ApplyConfig:
+			f.history.add(a.Value)
+			began := time.Now()
 			f.OnConfig(a.Value)
+			f.noteInForce(version, how, time.Since(began))
+		case DeliverItem:
+			if f.OnItem != nil {
+				f.OnItem(a.Item)
+			}
+		case RestoreItem:
+			if f.OnRestoreItem != nil {
+				f.OnRestoreItem(a.Item, a.StoreRevision)
+			}
 		case Announce:
 			f.OnEntryMissing()
 		case ProbeMember:
@@ -173,6 +220,14 @@
 	}
 }
 
+// KnowsItems reports whether the orders and records of rollouts are known; see Core.KnowsItems.
+func (f *Follower) KnowsItems() bool {
+	f.init()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.core.KnowsItems(time.Now())
+}
+
 // Members returns the known members, this agent among them once its entry is known, ordered by key. A member whose entry is missing stays until it fails a probe, unless it was leaving.
 func (f *Follower) Members() []wire.Member {
 	f.init()
