--- a/src/agent/tenant_test.go
+++ b/src/agent/tenant_test.go
@@ -90,6 +90,7 @@
 	c.Assert(err, qt.IsNil)
 	_, err = io.Copy(io.Discard, resp.Body)
 	c.Assert(err, qt.IsNil)
+	c.Assert(resp.Body.Close(), qt.IsNil)
 	return resp.StatusCode
 }
 
--- a/src/dispatch/quota_test.go
+++ b/src/dispatch/quota_test.go
@@ -75,6 +75,7 @@
 			p.mu.Unlock()
 			resp, err := http.ReadResponse(bufio.NewReader(p.sendRaw(c, tc.request)), nil)
 			c.Assert(err, qt.IsNil)
+			defer resp.Body.Close()
 			c.Check(resp.StatusCode, qt.Equals, tc.status)
 			if tc.refuses {
 				c.Check(resp.Header.Get("Retry-After"), qt.Equals, "1.500")
--- a/src/dispatch/tenant_test.go
+++ b/src/dispatch/tenant_test.go
@@ -130,6 +130,7 @@
 			conn := p.sendRaw(c, request("GET", tc.path, "", tc.fields...))
 			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 			c.Assert(err, qt.IsNil)
+			defer resp.Body.Close()
 			body, err := io.ReadAll(resp.Body)
 			c.Assert(err, qt.IsNil)
 			c.Assert(resp.StatusCode, qt.Equals, tc.status)
@@ -189,6 +190,7 @@
 	read := func() int {
 		resp, err := http.ReadResponse(r, nil)
 		c.Assert(err, qt.IsNil)
+		defer resp.Body.Close()
 		_, err = io.Copy(io.Discard, resp.Body)
 		c.Assert(err, qt.IsNil)
 		return resp.StatusCode
@@ -223,6 +225,7 @@
 			began := time.Now()
 			resp, err := http.ReadResponse(bufio.NewReader(p.sendRaw(c, req)), nil)
 			c.Assert(err, qt.IsNil)
+			defer resp.Body.Close()
 			c.Check(resp.StatusCode, qt.Equals, 401)
 			c.Check(resp.Close, qt.IsTrue)
 			c.Check(time.Since(began) < time.Second, qt.IsTrue)
@@ -244,6 +247,7 @@
 			c, p := startTenantProxy(t)
 			resp, err := http.ReadResponse(bufio.NewReader(p.sendRaw(c, req)), nil)
 			c.Assert(err, qt.IsNil)
+			defer resp.Body.Close()
 			body, _ := io.ReadAll(resp.Body)
 			c.Check(resp.StatusCode >= 400, qt.IsTrue)
 			c.Check(p.logged(), qt.Contains, "rejected")
