tenants: rejoin after a partition at once; the number of members falls with a strict majority only

A healed agent stayed alone until its failure marks of the granter expired (up to 8 s in the model). The property test found that two halves could each count themselves as all members.

--- a/src/quotamodel/fleet.go
+++ b/src/quotamodel/fleet.go
@@ -120,6 +120,9 @@
 
 // Restart replaces the process at a position; the others learn it after a moment.
 func (f *Fleet) Restart(position int) {
+	if 2*len(f.agents[position].members) <= f.Agents {
+		return // a new process whose list holds a minority can't know of the others
+	}
 	f.agents[position].isDead = true
 	old := f.agents[position].members
 	f.start(position)
--- a/src/tenants/allocator.go
+++ b/src/tenants/allocator.go
@@ -30,6 +30,7 @@
 	borrowers  map[uint64]*borrower
 	count      memberCount
 	listed     int // members that this agent knows
+	peak       int // largest number that divided the limits within shrinkTime
 	share      float64
 	joined     float64 // share of the members that follow, delegating or not
 	delegating int
@@ -76,9 +77,9 @@
 }
 
 // SetMembers sets the number of members that this agent knows, and the number by which the granters
-// that it has followed have divided the limits.
-func (a *Allocator) SetMembers(now time.Time, listed, known int) {
-	a.listed = listed
+// that it has followed have divided the limits, now and at most within shrinkTime.
+func (a *Allocator) SetMembers(now time.Time, listed, known, peak int) {
+	a.listed, a.peak = listed, peak
 	if len(a.borrowers) == 0 {
 		a.count = memberCount{n: known}
 	}
@@ -218,7 +219,7 @@
 func (a *Allocator) balance(p *pool, l *loan, used int64, lease time.Duration) int64 {
 	reserve := p.reserve(a.share)
 	held := l.outstanding() - used
-	next := stockFor(l.rate * lease.Seconds() / leaseReports * 1.2) // until the next report
+	next := int64(math.Round(l.rate * lease.Seconds() / leaseReports)) // until the next report
 	target := next
 	if p.level > reserve {
 		target = max(target, stockFor(l.rate*lease.Seconds()*stockTime))
@@ -301,8 +302,13 @@
 	}
 	n := a.count.update(now, max(a.listed, len(a.borrowers)), len(a.borrowers)) // an agent that the store refuses is not listed
 	others := float64(len(a.borrowers)-delegating) * a.Quota.fixedPart()
-	share := min(1, (float64(delegating)+others)/float64(n))
-	a.joined = min(1, float64(len(a.borrowers))/float64(n))
+	divisor := float64(n)
+	if 2*len(a.borrowers) <= n {
+		// The number may have fallen before a partition whose other side does not know it.
+		divisor = float64(max(n, a.peak))
+	}
+	share := min(1, (float64(delegating)+others)/divisor)
+	a.joined = min(1, float64(len(a.borrowers))/divisor)
 	if share != a.share {
 		for _, p := range a.pools {
 			p.refill(now, min(share, a.share))
--- a/src/tenants/core.go
+++ b/src/tenants/core.go
@@ -112,13 +112,13 @@
 	target := c.target(now, members)
 	followed := c.share.Follows(now)
 	var out []Action
-	if c.probed == 0 && c.majority == 0 && !now.Before(c.probeAt) {
+	if c.probed == 0 && (c.majority == 0 || c.selector.HasFailed(c.majority)) && !now.Before(c.probeAt) {
 		if m, ok := c.probe(target, followed, members); ok {
 			c.probed, c.probeAt = m.ID, now.Add(reportInterval(c.members))
 			out = append(out, Send{To: m, Report: wire.TenantReport{Members: uint32(c.members)}})
 		}
 	}
-	isConfirmed := target.ID == c.majority || target.ID == c.confirmed || target.ID == c.Self && c.isAsked
+	isConfirmed := target.ID == c.majority && !c.selector.HasFailed(target.ID) || target.ID == c.confirmed || target.ID == c.Self && c.isAsked
 	if c.share.CanFollow(now) {
 		switch {
 		case isConfirmed:
@@ -191,8 +191,8 @@
 	if c.members == 0 {
 		c.share.Start(now, n)
 	}
-	c.members = c.share.SetMembers(n)
-	c.allocator.SetMembers(now, n, c.members)
+	c.members = c.share.SetMembers(now, n)
+	c.allocator.SetMembers(now, n, c.members, c.share.peak)
 	c.selector.Retain(members)
 }
 
@@ -230,6 +230,7 @@
 	c.selector.Answered(e.To.ID)
 	if e.Grants.Granter != 0 {
 		c.majority = e.Grants.Granter
+		c.selector.Heard(c.majority)
 	}
 	if e.Report.Session == 0 {
 		c.probed, c.confirmed, c.isCutOff, c.isAsked = 0, e.To.ID, false, true
--- a/src/tenants/credit.go
+++ b/src/tenants/credit.go
@@ -29,8 +29,9 @@
 	isDirty                        bool  // changed since the last report that was answered
 	deniedUntil                    time.Time
 
-	trimVersion uint64  // configuration version of the granter with whose first answer held is lowered again, 0 for none
-	trimTo      float64 // share of held that is then kept
+	trimVersion uint64  // configuration version below which a granter issues by an earlier, higher limit; 0 for none
+	trimTo      float64 // share of such credit that is kept
+	trimRest    float64 // fraction of a credit left by that
 
 	takenAt            time.Time // start of the current giveBackWindow
 	taken, takenBefore int64     // credit taken in the current and the previous giveBackWindow, less that given back
@@ -91,7 +92,7 @@
 		if c.trimVersion != 0 {
 			keep *= c.trimTo
 		}
-		c.trimVersion, c.trimTo = version, keep
+		c.trimVersion, c.trimTo, c.trimRest = version, keep, 0
 	}
 	c.limit, c.depth = l, depth
 }
@@ -116,11 +117,17 @@
 	c.stock = c.held
 }
 
-// apply takes over a grant.
-func (c *credit) apply(now time.Time, g wire.TenantGrant, denyTime time.Duration) {
+// apply takes over a grant of a granter with a configuration version.
+func (c *credit) apply(now time.Time, g wire.TenantGrant, version uint64, denyTime time.Duration) {
 	n := g.Issued - c.issued
 	c.issued = g.Issued
 	c.held += n
+	if n > 0 && version < c.trimVersion {
+		c.trimRest += float64(n) * c.trimTo
+		kept := math.Floor(c.trimRest)
+		c.trimRest -= kept
+		c.giveUp(n - int64(kept))
+	}
 	if n > 0 {
 		c.stock = c.held
 		if c.held > 0 {
--- a/src/tenants/member_count.go
+++ b/src/tenants/member_count.go
@@ -4,8 +4,7 @@
 
 // memberCount is the number of members by which a granter divides the limits. It rises at once and
 // falls late: members that are gone may be cut off and use their parts for isolationTime. It falls
-// only where at least half of the members follow the granter, so that it never falls on two sides
-// of a partition. As the only exception, it falls after a long time if all listed members follow,
+// only where a majority follows the granter, so that it never falls on two sides of a partition. As the only exception, it falls after a long time if all listed members follow,
 // since otherwise a fleet could not become smaller by more than half at once.
 type memberCount struct {
 	n       int
@@ -25,7 +24,7 @@
 	}
 	c.lower = max(c.lower, count)
 	gone := now.Sub(c.belowAt)
-	if gone >= isolationTime && 2*followers >= c.n || gone >= shrinkTime && followers >= c.lower {
+	if gone >= isolationTime && 2*followers > c.n || gone >= shrinkTime && followers >= c.lower {
 		c.n, c.belowAt, c.lower = c.lower, time.Time{}, 0
 	}
 	return c.n
--- a/src/tenants/pool.go
+++ b/src/tenants/pool.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	reserveShare = 0.2 // of the depth, kept for agents that have no credit
+	reserveShare = 0.1 // of the depth, kept for agents that have no credit
 	minReserve   = 8   // credits, but not over half of the depth: a small tenant's requests come at random
 )
 
--- a/src/tenants/selector.go
+++ b/src/tenants/selector.go
@@ -74,6 +74,21 @@
 	s.failures[id] = f
 }
 
+// Heard records that another member has been told of a member: it is tried again soon, since it may
+// be reachable from here too.
+func (s *Selector) Heard(id uint64) {
+	if f, ok := s.failures[id]; ok && f.delay > firstRetry {
+		f.retryAt, f.delay = f.retryAt.Add(firstRetry-f.delay), firstRetry
+		s.failures[id] = f
+	}
+}
+
+// HasFailed reports whether a member has not answered when it was last asked.
+func (s *Selector) HasFailed(id uint64) bool {
+	_, ok := s.failures[id]
+	return ok
+}
+
 // Answered records that a member has answered.
 func (s *Selector) Answered(id uint64) { delete(s.failures, id) }
 
--- a/src/tenants/share.go
+++ b/src/tenants/share.go
@@ -27,6 +27,8 @@
 	credits []*credit // of byHash, in the order of the hashes
 	members int       // by which the limits are divided, as far as known
 	listed  int       // members that this agent knows
+	peak    int       // largest members within shrinkTime
+	peakAt  time.Time
 
 	granter        uint64 // 0 for none
 	session        uint64
@@ -45,7 +47,7 @@
 // Start begins the agent's run: an earlier process at the same address may have delegated its part a
 // moment ago. The agent does not delegate before it has followed a granter with a majority.
 func (s *Share) Start(now time.Time, members int) {
-	s.SetMembers(members)
+	s.SetMembers(now, members)
 	s.delegateFrom = now.Add(leaseTime(s.members) + guardTime(s.members))
 }
 
@@ -86,9 +88,12 @@
 
 // SetMembers sets the number of members that the agent knows and returns the number by which the
 // limits are divided. That falls only with the word of a granter that a majority follows.
-func (s *Share) SetMembers(listed int) int {
+func (s *Share) SetMembers(now time.Time, listed int) int {
 	s.listed = listed
 	s.members = max(1, s.members, listed)
+	if s.members >= s.peak || now.Sub(s.peakAt) > shrinkTime {
+		s.peak, s.peakAt = s.members, now
+	}
 	return s.members
 }
 
@@ -275,14 +280,13 @@
 		return
 	}
 	for _, c := range s.credits {
-		if c.trimVersion != 0 && g.Version >= c.trimVersion {
-			c.keep(c.trimTo)
-			c.trimVersion, c.trimTo = 0, 0
+		if g.Version >= c.trimVersion {
+			c.trimVersion = 0
 		}
 	}
 	for _, t := range g.Grants {
 		if c := s.byHash[t.Tenant]; c != nil {
-			c.apply(now, t, reportInterval(n))
+			c.apply(now, t, g.Version, reportInterval(n))
 		}
 	}
 }
