--- a/src/quotamodel/fleet.go
+++ b/src/quotamodel/fleet.go
@@ -90,7 +90,7 @@
 func (f *Fleet) start(position int) {
 	f.lastID = f.rand.Uint64() | 1
 	a := &agent{fleet: f, position: position, member: wire.Member{ID: f.lastID, LinkMbps: 50}}
-	a.core = &tenants.Core{Quota: f.Quota, Self: a.member.ID, NewSession: func() uint64 { return f.rand.Uint64() | 1 }}
+	a.core = &tenants.Core{Quota: f.Quota, Self: a.member.ID, NewSession: func() uint32 { return f.rand.Uint32() | 1 }}
 	a.core.Configure(f.version, f.Limits)
 	f.agents[position] = a
 	a.schedule(time.Duration(f.rand.Int64N(int64(400 * time.Millisecond))))
--- a/src/tenants/allocator.go
+++ b/src/tenants/allocator.go
@@ -101,7 +101,7 @@
 		a.borrowers = map[uint64]*borrower{}
 	}
 	a.expire(now)
-	answer := wire.TenantGrants{Clock: now.UnixNano(), Version: a.version}
+	answer := wire.TenantGrants{Clock: now.UnixNano(), Version: a.version, Members: a.majority()}
 	if r.Session == 0 {
 		return answer
 	}
@@ -153,10 +153,10 @@
 	for _, c := range r.Credits {
 		l := b.loans[c.Tenant]
 		if l == nil {
-			l = &loan{issued: c.Issued, at: now}
+			l = &loan{issued: c.Carried, at: now}
 			b.loans[c.Tenant] = l
 			if p := a.pools[c.Tenant]; p != nil {
-				p.outstanding += c.Issued
+				p.outstanding += c.Carried
 			}
 		}
 		before, returned := l.outstanding(), l.returned
--- a/src/tenants/core.go
+++ b/src/tenants/core.go
@@ -14,7 +14,7 @@
 type Core struct {
 	Quota      Quota
 	Self       uint64        // member ID of this agent
-	NewSession func() uint64 // returns a random number other than 0
+	NewSession func() uint32 // returns a random number other than 0
 
 	isStarted   bool
 	share       Share
@@ -37,7 +37,7 @@
 func (c *Core) init() {
 	if !c.isStarted {
 		c.isStarted = true
-		c.nextProbe = c.NewSession() / 2
+		c.nextProbe = uint64(c.NewSession())
 		c.share.Quota, c.allocator.Quota, c.share.NewSession = c.Quota, c.Quota, c.NewSession
 	}
 }
@@ -89,7 +89,9 @@
 	} else if c.majority == c.Self {
 		c.majority = 0
 	}
-	g.Granter = c.majority
+	if c.majority != c.Self {
+		g.Granter = c.majority
+	}
 	return g
 }
 
@@ -228,9 +230,12 @@
 
 func (c *Core) answered(now time.Time, e Answered) {
 	c.selector.Answered(e.To.ID)
-	if e.Grants.Granter != 0 {
+	switch {
+	case e.Grants.Granter != 0:
 		c.majority = e.Grants.Granter
 		c.selector.Heard(c.majority)
+	case e.Grants.Members > 0:
+		c.majority = e.To.ID
 	}
 	if e.Report.Session == 0 {
 		c.probed, c.confirmed, c.isCutOff, c.isAsked = 0, e.To.ID, false, true
@@ -238,7 +243,7 @@
 		return
 	}
 	c.isReporting = false
-	if e.Grants.Granter == 0 && c.majority == e.To.ID {
+	if e.Grants.Members == 0 && c.majority == e.To.ID {
 		c.majority = 0
 	}
 	if e.Report.Release {
--- a/src/tenants/credit.go
+++ b/src/tenants/credit.go
@@ -23,6 +23,7 @@
 	depth float64
 
 	held                           int64
+	carried                        int64 // held at the start of the session
 	issued, spent, returned, asked int64 // since the start of the session
 	waiting                        int64
 	stock                          int64 // held after the last grant
@@ -112,7 +113,7 @@
 
 // startSession counts anew, with what is held.
 func (c *credit) startSession() {
-	c.issued, c.spent, c.returned, c.asked = c.held, 0, 0, 0
+	c.carried, c.issued, c.spent, c.returned, c.asked = c.held, c.held, 0, 0, 0
 	c.isDirty = c.held != 0 || c.waiting > 0
 	c.stock = c.held
 }
@@ -165,5 +166,5 @@
 
 // report returns the wire form.
 func (c *credit) report() wire.TenantCredit {
-	return wire.TenantCredit{Tenant: c.hash, Issued: c.issued, Spent: c.spent, Returned: c.returned, Asked: c.asked, Waiting: c.waiting}
+	return wire.TenantCredit{Tenant: c.hash, Carried: c.carried, Spent: c.spent, Returned: c.returned, Refused: c.asked - c.spent, Waiting: c.waiting}
 }
--- a/src/tenants/loan.go
+++ b/src/tenants/loan.go
@@ -1,7 +1,6 @@
 package tenants
 
 import (
-	"math"
 	"time"
 
 	"github.com/yuccaport/yuccaport/src/wire"
@@ -23,14 +22,15 @@
 // update takes over the counts of a report.
 func (l *loan) update(now time.Time, c wire.TenantCredit) {
 	l.decay(now)
-	l.rate += float64(max(0, c.Asked-l.asked)) / demandTime.Seconds()
-	l.asked, l.spent, l.returned = c.Asked, c.Spent, c.Returned
+	l.rate += float64(max(0, c.Refused+c.Spent-l.asked)) / demandTime.Seconds()
+	l.asked, l.spent, l.returned = c.Refused+c.Spent, c.Spent, c.Returned
 }
 
 // decay lowers the average for the time since it was last updated.
 func (l *loan) decay(now time.Time) {
 	if d := now.Sub(l.at); d > 0 {
-		l.rate *= math.Exp(-d.Seconds() / demandTime.Seconds())
+		x := d.Seconds() / demandTime.Seconds()
+		l.rate /= 1 + x*(1+x*(0.5+x/6)) // nearly exp(x), in a fifth of its time: this runs for each tenant of each report
 		l.at = now
 	}
 }
--- a/src/tenants/node.go
+++ b/src/tenants/node.go
@@ -58,7 +58,7 @@
 		}
 		n.pool.Max = maxSends
 		n.wake, n.progress = make(chan struct{}, 1), make(chan struct{})
-		n.core = Core{Quota: n.Quota, Self: n.Self, NewSession: func() uint64 { return max(1, rand.Uint64()) }}
+		n.core = Core{Quota: n.Quota, Self: n.Self, NewSession: func() uint32 { return max(1, rand.Uint32()) }}
 		n.counts.init(n.Metrics)
 		n.Metrics.GetOrCreateGauge("yuccaport_tenant_quota_followers", func() float64 {
 			n.mu.Lock()
--- a/src/tenants/share.go
+++ b/src/tenants/share.go
@@ -19,7 +19,7 @@
 // its own part of the limits may hold.
 type Share struct {
 	Quota      Quota
-	NewSession func() uint64 // returns a random number other than 0
+	NewSession func() uint32 // returns a random number other than 0
 
 	version uint64
 	byName  map[string]*credit
@@ -31,7 +31,7 @@
 	peakAt  time.Time
 
 	granter        uint64 // 0 for none
-	session        uint64
+	session        uint32
 	seq            uint64
 	hasAnswer      bool // in this session
 	hasDelegated   bool // in this session
--- a/src/wire/tenant.go
+++ b/src/wire/tenant.go
@@ -8,7 +8,7 @@
 // TenantReport tells the granter of quotas what an agent holds and needs. Keys are short since every
 // agent sends a few reports each second.
 type TenantReport struct {
-	Session   uint64         `msg:"s"`           // drawn at random when the agent begins to follow the granter, 0 to ask only whether it answers
+	Session   uint32         `msg:"s"`           // drawn at random when the agent begins to follow the granter, 0 to ask only whether it answers
 	Seq       uint64         `msg:"q"`           // grows with each report of the agent
 	Echo      int64          `msg:"e,omitempty"` // TenantGrants.Clock of the last answer in this session, 0 for none
 	Version   uint64         `msg:"v,omitempty"` // of the agent's configuration
@@ -23,10 +23,10 @@
 // TenantCredit is an agent's credit of one tenant. The counts are since the start of the session.
 type TenantCredit struct {
 	Tenant   uint32 `msg:"tenant"`   // hash of the name
-	Issued   int64  `msg:"issued"`   // credit received, including what the agent brought into the session
+	Carried  int64  `msg:"carried"`  // credit that the agent brought into the session
 	Spent    int64  `msg:"spent"`    // requests admitted, less those that have not run
 	Returned int64  `msg:"returned"` // credit given back unused
-	Asked    int64  `msg:"asked"`    // requests that arrived
+	Refused  int64  `msg:"refused"`  // requests that arrived, less Spent: few, so that the number is short
 	Waiting  int64  `msg:"waiting"`  // requests that wait for credit now
 }
 
@@ -35,7 +35,7 @@
 	Clock   int64         `msg:"e"`           // granter's clock in nanoseconds
 	Version uint64        `msg:"v,omitempty"` // of the granter's configuration
 	Members uint32        `msg:"n,omitempty"` // number of members by which the limits are divided, 0 unless a majority of them follows the granter
-	Granter uint64        `msg:"f,omitempty"` // that a majority follows as far as the answerer knows, 0 for none
+	Granter uint64        `msg:"f,omitempty"` // that a majority follows as far as the answerer knows, 0 for none and for the answerer itself
 	Reset   bool          `msg:"x,omitempty"` // the granter does not know the session
 	Grants  []TenantGrant `msg:"g,omitempty"`
 }
--- a/src/wire/tenant_gen.go
+++ b/src/wire/tenant_gen.go
@@ -18,10 +18,10 @@
 	// array header, size 6
 	o = append(o, 0x96)
 	o = msgp.AppendUint32(o, z.Tenant)
-	o = msgp.AppendInt64(o, z.Issued)
+	o = msgp.AppendInt64(o, z.Carried)
 	o = msgp.AppendInt64(o, z.Spent)
 	o = msgp.AppendInt64(o, z.Returned)
-	o = msgp.AppendInt64(o, z.Asked)
+	o = msgp.AppendInt64(o, z.Refused)
 	o = msgp.AppendInt64(o, z.Waiting)
 	return
 }
@@ -43,9 +43,9 @@
 		err = msgp.WrapError(err, "Tenant")
 		return
 	}
-	z.Issued, bts, err = msgp.ReadInt64Bytes(bts)
+	z.Carried, bts, err = msgp.ReadInt64Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Issued")
+		err = msgp.WrapError(err, "Carried")
 		return
 	}
 	z.Spent, bts, err = msgp.ReadInt64Bytes(bts)
@@ -58,9 +58,9 @@
 		err = msgp.WrapError(err, "Returned")
 		return
 	}
-	z.Asked, bts, err = msgp.ReadInt64Bytes(bts)
+	z.Refused, bts, err = msgp.ReadInt64Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Asked")
+		err = msgp.WrapError(err, "Refused")
 		return
 	}
 	z.Waiting, bts, err = msgp.ReadInt64Bytes(bts)
@@ -337,7 +337,7 @@
 	if zb0001Len != 0 {
 		// string "s"
 		o = append(o, 0xa1, 0x73)
-		o = msgp.AppendUint64(o, z.Session)
+		o = msgp.AppendUint32(o, z.Session)
 		// string "q"
 		o = append(o, 0xa1, 0x71)
 		o = msgp.AppendUint64(o, z.Seq)
@@ -411,7 +411,7 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "s":
-			z.Session, bts, err = msgp.ReadUint64Bytes(bts)
+			z.Session, bts, err = msgp.ReadUint32Bytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Session")
 				return
@@ -501,7 +501,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *TenantReport) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.Uint32Size + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Credits {
 		s += z.Credits[za0001].Msgsize()
 	}
