--- a/src/quotamodel/fleet.go
+++ b/src/quotamodel/fleet.go
@@ -213,7 +213,7 @@
 	f.At(from.core.Interval(), func() {
 		if !isDone {
 			isDone = true
-			from.finish(tenants.Failed{To: s.To, Report: s.Report})
+			from.finish(tenants.Failed(s))
 		}
 	})
 	to := f.byID(s.To.ID)
--- a/src/tenants/core.go
+++ b/src/tenants/core.go
@@ -54,7 +54,7 @@
 // returns the time until there will be credit.
 func (c *Core) Take(now time.Time, tenant string, isRepeated bool) (Admission, time.Duration) {
 	v, retryAfter := c.share.Take(now, tenant, isRepeated)
-	c.isUrgent = c.isUrgent || v == AdmittedLow || v == Pending && !(isRepeated && c.isReporting)
+	c.isUrgent = c.isUrgent || v == AdmittedLow || v == Pending && (!isRepeated || !c.isReporting)
 	return v, retryAfter
 }
 
--- a/src/tenants/node.go
+++ b/src/tenants/node.go
@@ -206,7 +206,7 @@
 		switch a := a.(type) {
 		case Send:
 			if err := n.pool.Go(func() { n.send(ctx, a, interval) }); err != nil {
-				n.finish(Failed{To: a.To, Report: a.Report})
+				n.finish(Failed(a))
 			}
 		}
 	}
@@ -221,7 +221,7 @@
 	grants, err := n.exchange(ctx, a)
 	if err != nil {
 		n.Log.V(1).Info("quota report not answered", "member", a.To.ID, "reason", err.Error())
-		n.finish(Failed{To: a.To, Report: a.Report})
+		n.finish(Failed(a))
 		return
 	}
 	n.finish(Answered{To: a.To, SentAt: sentAt, Report: a.Report, Grants: grants})
