--- a/src/quotamodel/fleet.go
+++ b/src/quotamodel/fleet.go
@@ -90,7 +90,7 @@
 func (f *Fleet) start(position int) {
 	f.lastID = f.rand.Uint64() | 1
 	a := &agent{fleet: f, position: position, member: wire.Member{ID: f.lastID, LinkMbps: 50}}
-	a.core = &tenants.Core{Quota: f.Quota, Self: a.member.ID, NewSession: func() uint64 { return f.rand.Uint64() | 1 }}
+	a.core = &tenants.Core{Quota: f.Quota, Self: a.member.ID, NewSession: func() uint32 { return f.rand.Uint32() | 1 }}
 	a.core.Configure(f.version, f.Limits)
 	f.agents[position] = a
 	a.schedule(time.Duration(f.rand.Int64N(int64(400 * time.Millisecond))))
@@ -120,6 +120,9 @@
 
 // Restart replaces the process at a position; the others learn it after a moment.
 func (f *Fleet) Restart(position int) {
+	if 2*len(f.agents[position].members) <= f.Agents {
+		return // a new process whose list holds a minority can't know of the others
+	}
 	f.agents[position].isDead = true
 	old := f.agents[position].members
 	f.start(position)
@@ -210,7 +213,7 @@
 	f.At(from.core.Interval(), func() {
 		if !isDone {
 			isDone = true
-			from.finish(tenants.Failed{To: s.To, Report: s.Report})
+			from.finish(tenants.Failed(s))
 		}
 	})
 	to := f.byID(s.To.ID)
--- a/src/tenants/allocator.go
+++ b/src/tenants/allocator.go
@@ -11,7 +11,7 @@
 
 const (
 	spreadFactor  = 1.25                   // of the reserve, above which agents get a credit without any demand
-	stockTime     = 2.2                    // leases whose demand an agent's stock is to cover: about the time without a granter when one is lost
+	stockTime     = 2.6                    // leases whose demand an agent's stock is to cover: about the time without a granter when one is lost
 	minExpected   = 0.1                    // requests expected, below which an agent needs no stock
 	shareInterval = 25 * time.Millisecond  // between two counts of the agents that delegate
 	unknownRetry  = 100 * time.Millisecond // told to agents of which a tenant is not known here
@@ -30,6 +30,7 @@
 	borrowers  map[uint64]*borrower
 	count      memberCount
 	listed     int // members that this agent knows
+	peak       int // largest number that divided the limits within shrinkTime
 	share      float64
 	joined     float64 // share of the members that follow, delegating or not
 	delegating int
@@ -70,15 +71,15 @@
 			a.pools[h] = p
 		}
 		p.limit, p.depth = l, a.Quota.depth(l)
-		p.trim(a.share)
+		p.trim(a.joined)
 	}
 	a.hashes = slices.Sorted(maps.Keys(a.pools))
 }
 
 // SetMembers sets the number of members that this agent knows, and the number by which the granters
-// that it has followed have divided the limits.
-func (a *Allocator) SetMembers(now time.Time, listed, known int) {
-	a.listed = listed
+// that it has followed have divided the limits, now and at most within shrinkTime.
+func (a *Allocator) SetMembers(now time.Time, listed, known, peak int) {
+	a.listed, a.peak = listed, peak
 	if len(a.borrowers) == 0 {
 		a.count = memberCount{n: known}
 	}
@@ -100,7 +101,7 @@
 		a.borrowers = map[uint64]*borrower{}
 	}
 	a.expire(now)
-	answer := wire.TenantGrants{Clock: now.UnixNano(), Version: a.version}
+	answer := wire.TenantGrants{Clock: now.UnixNano(), Version: a.version, Members: a.majority()}
 	if r.Session == 0 {
 		return answer
 	}
@@ -152,10 +153,10 @@
 	for _, c := range r.Credits {
 		l := b.loans[c.Tenant]
 		if l == nil {
-			l = &loan{issued: c.Issued, at: now}
+			l = &loan{issued: c.Carried, at: now}
 			b.loans[c.Tenant] = l
 			if p := a.pools[c.Tenant]; p != nil {
-				p.outstanding += c.Issued
+				p.outstanding += c.Carried
 			}
 		}
 		before, returned := l.outstanding(), l.returned
@@ -167,10 +168,10 @@
 			}
 			continue
 		}
-		p.refill(now, a.share)
+		p.refill(now, a.share, a.joined)
 		p.outstanding += l.outstanding() - before
 		p.level += float64(max(0, l.returned-returned))
-		p.trim(a.share)
+		p.trim(a.joined)
 	}
 }
 
@@ -184,7 +185,7 @@
 	}
 	for _, h := range a.hashes {
 		p := a.pools[h]
-		p.refill(now, a.share)
+		p.refill(now, a.share, a.joined)
 		l := b.loans[h]
 		if l == nil {
 			if p.level <= p.reserve(a.share)*spreadFactor {
@@ -218,7 +219,7 @@
 func (a *Allocator) balance(p *pool, l *loan, used int64, lease time.Duration) int64 {
 	reserve := p.reserve(a.share)
 	held := l.outstanding() - used
-	next := stockFor(l.rate * lease.Seconds() / leaseReports * 1.2) // until the next report
+	next := int64(math.Round(l.rate * lease.Seconds() / leaseReports)) // until the next report
 	target := next
 	if p.level > reserve {
 		target = max(target, stockFor(l.rate*lease.Seconds()*stockTime))
@@ -230,7 +231,7 @@
 	switch {
 	case excess > 0:
 		return excess
-	case held < (target+1)/2:
+	case held < (4*target+1)/5:
 		n := target - held
 		if p.level > reserve {
 			n = min(n, int64(p.level-reserve)+1)
@@ -301,11 +302,16 @@
 	}
 	n := a.count.update(now, max(a.listed, len(a.borrowers)), len(a.borrowers)) // an agent that the store refuses is not listed
 	others := float64(len(a.borrowers)-delegating) * a.Quota.fixedPart()
-	share := min(1, (float64(delegating)+others)/float64(n))
-	a.joined = min(1, float64(len(a.borrowers))/float64(n))
+	divisor := float64(n)
+	if 2*len(a.borrowers) <= n {
+		// The number may have fallen before a partition whose other side does not know it.
+		divisor = float64(max(n, a.peak))
+	}
+	share := min(1, (float64(delegating)+others)/divisor)
+	a.joined = min(1, float64(len(a.borrowers))/divisor)
 	if share != a.share {
 		for _, p := range a.pools {
-			p.refill(now, min(share, a.share))
+			p.refill(now, min(share, a.share), a.joined)
 		}
 		a.share = share
 	}
--- a/src/tenants/core.go
+++ b/src/tenants/core.go
@@ -14,7 +14,7 @@
 type Core struct {
 	Quota      Quota
 	Self       uint64        // member ID of this agent
-	NewSession func() uint64 // returns a random number other than 0
+	NewSession func() uint32 // returns a random number other than 0
 
 	isStarted   bool
 	share       Share
@@ -37,7 +37,7 @@
 func (c *Core) init() {
 	if !c.isStarted {
 		c.isStarted = true
-		c.nextProbe = c.NewSession() / 2
+		c.nextProbe = uint64(c.NewSession())
 		c.share.Quota, c.allocator.Quota, c.share.NewSession = c.Quota, c.Quota, c.NewSession
 	}
 }
@@ -54,7 +54,7 @@
 // returns the time until there will be credit.
 func (c *Core) Take(now time.Time, tenant string, isRepeated bool) (Admission, time.Duration) {
 	v, retryAfter := c.share.Take(now, tenant, isRepeated)
-	c.isUrgent = c.isUrgent || v == AdmittedLow || v == Pending && !(isRepeated && c.isReporting)
+	c.isUrgent = c.isUrgent || v == AdmittedLow || v == Pending && (!isRepeated || !c.isReporting)
 	return v, retryAfter
 }
 
@@ -89,7 +89,9 @@
 	} else if c.majority == c.Self {
 		c.majority = 0
 	}
-	g.Granter = c.majority
+	if c.majority != c.Self {
+		g.Granter = c.majority
+	}
 	return g
 }
 
@@ -112,13 +114,13 @@
 	target := c.target(now, members)
 	followed := c.share.Follows(now)
 	var out []Action
-	if c.probed == 0 && c.majority == 0 && !now.Before(c.probeAt) {
+	if c.probed == 0 && (c.majority == 0 || c.selector.HasFailed(c.majority)) && !now.Before(c.probeAt) {
 		if m, ok := c.probe(target, followed, members); ok {
 			c.probed, c.probeAt = m.ID, now.Add(reportInterval(c.members))
 			out = append(out, Send{To: m, Report: wire.TenantReport{Members: uint32(c.members)}})
 		}
 	}
-	isConfirmed := target.ID == c.majority || target.ID == c.confirmed || target.ID == c.Self && c.isAsked
+	isConfirmed := target.ID == c.majority && !c.selector.HasFailed(target.ID) || target.ID == c.confirmed || target.ID == c.Self && c.isAsked
 	if c.share.CanFollow(now) {
 		switch {
 		case isConfirmed:
@@ -191,8 +193,8 @@
 	if c.members == 0 {
 		c.share.Start(now, n)
 	}
-	c.members = c.share.SetMembers(n)
-	c.allocator.SetMembers(now, n, c.members)
+	c.members = c.share.SetMembers(now, n)
+	c.allocator.SetMembers(now, n, c.members, c.share.peak)
 	c.selector.Retain(members)
 }
 
@@ -228,8 +230,12 @@
 
 func (c *Core) answered(now time.Time, e Answered) {
 	c.selector.Answered(e.To.ID)
-	if e.Grants.Granter != 0 {
+	switch {
+	case e.Grants.Granter != 0:
 		c.majority = e.Grants.Granter
+		c.selector.Heard(c.majority)
+	case e.Grants.Members > 0:
+		c.majority = e.To.ID
 	}
 	if e.Report.Session == 0 {
 		c.probed, c.confirmed, c.isCutOff, c.isAsked = 0, e.To.ID, false, true
@@ -237,7 +243,7 @@
 		return
 	}
 	c.isReporting = false
-	if e.Grants.Granter == 0 && c.majority == e.To.ID {
+	if e.Grants.Members == 0 && c.majority == e.To.ID {
 		c.majority = 0
 	}
 	if e.Report.Release {
--- a/src/tenants/node.go
+++ b/src/tenants/node.go
@@ -58,7 +58,7 @@
 		}
 		n.pool.Max = maxSends
 		n.wake, n.progress = make(chan struct{}, 1), make(chan struct{})
-		n.core = Core{Quota: n.Quota, Self: n.Self, NewSession: func() uint64 { return max(1, rand.Uint64()) }}
+		n.core = Core{Quota: n.Quota, Self: n.Self, NewSession: func() uint32 { return max(1, rand.Uint32()) }}
 		n.counts.init(n.Metrics)
 		n.Metrics.GetOrCreateGauge("yuccaport_tenant_quota_followers", func() float64 {
 			n.mu.Lock()
@@ -206,7 +206,7 @@
 		switch a := a.(type) {
 		case Send:
 			if err := n.pool.Go(func() { n.send(ctx, a, interval) }); err != nil {
-				n.finish(Failed{To: a.To, Report: a.Report})
+				n.finish(Failed(a))
 			}
 		}
 	}
@@ -221,7 +221,7 @@
 	grants, err := n.exchange(ctx, a)
 	if err != nil {
 		n.Log.V(1).Info("quota report not answered", "member", a.To.ID, "reason", err.Error())
-		n.finish(Failed{To: a.To, Report: a.Report})
+		n.finish(Failed(a))
 		return
 	}
 	n.finish(Answered{To: a.To, SentAt: sentAt, Report: a.Report, Grants: grants})
