rollout: evidence of a period in which requests move is judged with the next one

Change: Judge.Hold instead of leaving the period out, at each step; two servers are enough at four times the limit if no other has evidence.

--- a/src/rollout/coordinator_record.go
+++ b/src/rollout/coordinator_record.go
@@ -71,8 +71,8 @@
 		}
 		out = c.start(now, p.Order)
 	}
-	if p.Stage == StageDrainOld || p.Stage == StageShift && p.Share >= finalShare {
-		c.judge.Skip(now)
+	if p.Stage == StageShift || p.Stage == StageDrainOld {
+		c.judge.Hold(now)
 	}
 	c.order, c.next = p.Order, waiting
 	c.plan, c.revision = p, revision
--- a/src/rollout/stratum.go
+++ b/src/rollout/stratum.go
@@ -15,6 +15,7 @@
 	badServers       = 0.7   // share of the servers with evidence that must not count as good in a bad version; more than half would confuse it with a few gray servers in a small canary set
 	minBadServers    = 3     // of them, or all if there are fewer; two of three are gray servers of a good version too often
 	suspectEvidence  = 0.25  // of evidenceLimit from which on a version is suspect
+	plainEvidence    = 4     // multiple of evidenceLimit at which two servers are enough if no other has evidence, as while it is cold
 	goodServerRatio  = -1.0  // log-likelihood ratio up to which a server counts as good; minServerAnswers without a failure are enough
 )
 
@@ -61,12 +62,10 @@
 // of servers of the version that have answered at all.
 func (s *stratum) find(servers int) Finding {
 	f := Finding{Limit: evidenceLimit}
+	total := 0.0
 	for _, e := range s.servers {
-		ratio := e.ratio
-		if servers > 1 {
-			ratio = min(ratio, serverEvidenceLimit(servers))
-		}
-		f.Evidence += ratio
+		total += e.ratio
+		f.Evidence += min(e.ratio, serverEvidenceLimit(servers))
 		f.Answers += e.answers
 		f.Failures += e.bad
 		if e.answers >= minServerAnswers {
@@ -81,6 +80,9 @@
 		return Finding{Limit: evidenceLimit}
 	}
 	enough := float64(f.BadServers) >= badServers*float64(f.Servers) && f.BadServers >= min(servers, minBadServers)
+	if !enough && f.BadServers >= 2 && f.BadServers == f.Servers && total >= plainEvidence*evidenceLimit {
+		enough, f.Evidence = true, total
+	}
 	f.Bad = enough && f.Evidence >= evidenceLimit
 	f.Undecided = !f.Bad && enough && f.Evidence >= suspectEvidence*evidenceLimit
 	return f
@@ -89,7 +91,10 @@
 // serverEvidenceLimit is the most that one server can add to the evidence, so that it takes three
 // servers, or two if there are no more.
 func serverEvidenceLimit(servers int) float64 {
-	if servers == 2 {
+	switch servers {
+	case 1:
+		return math.Inf(1)
+	case 2:
 		return 0.6 * evidenceLimit
 	}
 	return 0.45 * evidenceLimit
