rollout: hold evidence for a period when the old servers' failures jump

Change: the new servers' answers of a period in which the old servers' share of failures jumps are judged with the next period's.

--- a/src/rollout/baseline.go
+++ b/src/rollout/baseline.go
@@ -22,6 +22,8 @@
 	last   [2]tallySums // the last period first
 
 	periodStart time.Time
+	hasJumped   bool // the share of failures in the last period exceeds the one before it by more than chance
+	isHeld      bool // the new servers' answers of the last period are judged with the next one
 }
 
 // answers returns the weighted number of answers known.
@@ -60,6 +62,9 @@
 	var sums tallySums
 	sums.add(t)
 	b.last[1], b.last[0] = b.last[0], sums
+	n, bad := sums.answers[0]+sums.answers[1], sums.failures[0]+sums.failures[1]
+	known, knownBad := b.answers(), b.recent.failures[0]+b.recent.failures[1]
+	b.hasJumped = known >= minShareSamples && n > 0 && isAboveChance(bad/n, n, knownBad/known)
 	if total := sums.answers[0] + sums.answers[1]; total > 0 && b.answers() > 10*minDurations {
 		b.recent.scale(baselineDecay)
 	}
@@ -92,13 +97,18 @@
 		if n == 0 {
 			continue
 		}
-		if deviation := math.Sqrt(max(recent, 1/n) / n); bad/n > recent+maxDeviations*deviation {
+		if isAboveChance(bad/n, n, recent) {
 			highest = max(highest, bad/n)
 		}
 	}
 	return highest
 }
 
+// isAboveChance reports whether a share of n answers exceeds the usual share by more than chance.
+func isAboveChance(share, n, usual float64) bool {
+	return share > usual+maxDeviations*math.Sqrt(max(usual, 1/n)/n)
+}
+
 // slowLimit returns the duration class up to which an answer is not slow: the slowQuantile of the
 // old servers' durations at that load, or slowFactor times their median if that is longer; ok is
 // false if too little is known.
--- a/src/rollout/judge.go
+++ b/src/rollout/judge.go
@@ -128,6 +128,10 @@
 // testRoute takes the new servers' counts of a route's period into the tests.
 func (j *Judge) testRoute(route string) {
 	b := j.baselines[route]
+	// Reports come at different times, so that the new servers' may show the start of a disturbance
+	// of all servers up to a report interval earlier.
+	b.isHeld = j.isHolding || b.hasJumped && !b.isHeld
+	isHeld := b.isHeld
 	if b.answers() < minShareSamples {
 		b = j.baselines[allRoutes]
 	}
@@ -137,7 +141,7 @@
 			continue
 		}
 		known := s.routes[route]
-		if j.isHolding || known == nil || !known.isNew {
+		if isHeld || known == nil || !known.isNew {
 			continue
 		}
 		t := &known.period
