rollout: no shift to too few servers; the expected servers count for the test

Cause: with one new server up, the test judged it like a service of one server; and requests would have moved to however few servers were ready after the longest wait.

A stop is told every 2 s, since the shell repeats each message itself.

--- a/src/rollout/coordinator.go
+++ b/src/rollout/coordinator.go
@@ -11,7 +11,7 @@
 	readRetryDelay = 500 * time.Millisecond // after the store has not answered a read
 	maxReportAge   = time.Second            // of reports that say how a server is now
 	maxTickGap     = time.Second            // beyond it, this member was suspended and what it knows is old
-	stopInterval   = 500 * time.Millisecond // between broadcasts of a stop, until the record is settled
+	stopInterval   = 2 * time.Second        // between broadcasts of a stop, until the record is settled
 	graceTime      = 2 * time.Second        // for which servers may be missing, for example while they restart
 )
 
@@ -217,6 +217,7 @@
 		c.stopTold = now
 		return []Action{BroadcastStop{Order: c.id(), Reason: c.stopReason}}
 	}
+	c.judge.Servers = c.expectedServers()
 	c.finding = c.judge.Find(now)
 	if c.finding.Bad {
 		return c.stop(now, c.finding.String())
@@ -224,6 +225,20 @@
 	return nil
 }
 
+// expectedServers returns how many servers of the target version there are or will be, as far as it
+// matters to Judge: as many are started as there are old ones.
+func (c *Coordinator) expectedServers() int {
+	target, others := 0, 0
+	for _, srv := range c.servers {
+		if srv.Version == c.order.TargetVersion {
+			target++
+		} else {
+			others++
+		}
+	}
+	return max(target, min(others, minBadServers))
+}
+
 func (c *Coordinator) watchServers(now time.Time) {
 	ready, _ := c.readySlots(true)
 	c.maxReady = max(c.maxReady, min(2, ready))
--- a/src/rollout/coordinator_stage.go
+++ b/src/rollout/coordinator_stage.go
@@ -46,10 +46,15 @@
 	}
 	_, newSlots := c.readySlots(true)
 	_, oldSlots := c.readySlots(false)
-	isLacking := c.plan.Stage == StageCanary && c.finding.Total < enoughAnswers || float64(newSlots) < next.share*minReadySlots*float64(oldSlots)
+	lacksAnswers := c.plan.Stage == StageCanary && c.finding.Total < enoughAnswers
+	lacksSlots := float64(newSlots) < next.share*minReadySlots*float64(oldSlots)
 	switch {
-	case spent < longest && (isLacking || c.finding.Undecided):
+	case spent < longest && (lacksAnswers || lacksSlots || c.finding.Undecided):
 		return StageNone, 0, ""
+	case lacksSlots && c.elapsed(now) < part(c.order.Duration, settleShare):
+		return StageNone, 0, ""
+	case lacksSlots:
+		return StageRolledBack, 0, fmt.Sprintf("%d slots of the version ready, too few for the old servers' %d", newSlots, oldSlots)
 	case c.finding.Undecided && c.finding.Evidence >= rejectEvidence*c.finding.Limit:
 		return StageRolledBack, 0, "still suspect after the longest wait: " + c.finding.String()
 	}
--- a/src/rollout/coordinator_test.go
+++ b/src/rollout/coordinator_test.go
@@ -104,23 +104,25 @@
 }
 
 // Guards against a coordinator that was suspended, or is cut off from the new servers, and moves more
-// requests to them on what it knew before.
+// requests to them on what it knew before; and against requests moved to too few servers.
 func TestCoordinatorWithOldNews(t *testing.T) {
 	tests := map[string]struct {
 		pause   time.Duration // without ticks
 		reports bool
+		slots   int // of the new server; the old one has 40
 		want    int // records written
 	}{
-		"connected":            {0, true, 4},
-		"cut off from servers": {0, false, 1},
-		"suspended":            {3 * time.Second, true, 1},
+		"connected":            {0, true, 40, 4},
+		"cut off from servers": {0, false, 40, 1},
+		"suspended":            {3 * time.Second, true, 40, 1},
+		"too few slots":        {0, true, 7, 1},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := &Coordinator{Service: "shop"}
 			order := Order{Service: "shop", TargetVersion: "2", Duration: 10 * time.Second, Revision: 50}
 			report := wire.RolloutReport{Order: order.ID(), Service: "shop", Member: 2, Version: "2", Routes: []wire.RolloutRoute{{Route: "r", Answers: []uint32{100, 0}, Failures: []uint32{0, 0}}}}
-			events := []Event{RankChanged{0}, ServersChanged{[]Server{{ID: 1, Version: "1", Slots: 4, Ready: true}, {ID: 2, Version: "2", Slots: 4, Ready: true}}}, OrderSeen{order}, Tick{}}
+			events := []Event{RankChanged{0}, ServersChanged{[]Server{{ID: 1, Version: "1", Slots: 40, Ready: true}, {ID: 2, Version: "2", Slots: tc.slots, Ready: true}}}, OrderSeen{order}, Tick{}}
 			for range 59 - int(tc.pause/(100*time.Millisecond)) {
 				if tc.reports {
 					events = append(events, ReportReceived{report})
--- a/src/rollout/judge.go
+++ b/src/rollout/judge.go
@@ -35,6 +35,7 @@
 // docs/design/rollout.md for the test and its error rates.
 type Judge struct {
 	TargetVersion string
+	Servers       int // of the target version that are expected; fewer may have answered yet
 
 	servers   map[uint64]*serverReports
 	baselines map[string]*baseline // by route
@@ -197,7 +198,7 @@
 	worst := Finding{Limit: evidenceLimit}
 	for _, route := range slices.Sorted(maps.Keys(j.strata)) {
 		for k := range kindCount {
-			f := j.strata[route][k].find(len(j.news))
+			f := j.strata[route][k].find(max(j.Servers, len(j.news)))
 			f.Route, f.Slow, f.OldShare = route, k == kindSlow, j.oldShares[route][k]
 			if cmp.Or(cmp.Compare(rank(f), rank(worst)), cmp.Compare(f.Evidence, worst.Evidence)) > 0 {
 				worst = f
--- a/src/rollout/stratum.go
+++ b/src/rollout/stratum.go
@@ -59,7 +59,7 @@
 }
 
 // find returns the finding and starts again if the evidence has fallen to zero. servers is the number
-// of servers of the version that have answered at all.
+// of servers of the version.
 func (s *stratum) find(servers int) Finding {
 	f := Finding{Limit: evidenceLimit}
 	total := 0.0
