--- a/src/rollout/baseline.go
+++ b/src/rollout/baseline.go
@@ -22,8 +22,9 @@
 	last   [2]tallySums // the last period first
 
 	periodStart time.Time
-	hasJumped   bool // the share of failures in the last period exceeds the one before it by more than chance
-	isHeld      bool // the new servers' answers of the last period are judged with the next one
+	testedAt    time.Time // when the new servers' answers were last judged
+	hasJumped   bool      // the share of failures in the last period exceeds the one before it by more than chance
+	isHeld      bool      // the new servers' answers of the last period are judged with the next one
 }
 
 // answers returns the weighted number of answers known.
--- a/src/rollout/coordinator_stage.go
+++ b/src/rollout/coordinator_stage.go
@@ -48,8 +48,9 @@
 	_, oldSlots := c.readySlots(false)
 	lacksAnswers := c.plan.Stage == StageCanary && c.finding.Total < enoughAnswers
 	lacksSlots := float64(newSlots) < next.share*minReadySlots*float64(oldSlots)
+	isBehind := c.finding.Behind && next.stage == StageShift
 	switch {
-	case spent < longest && (lacksAnswers || lacksSlots || c.finding.Undecided):
+	case spent < longest && (lacksAnswers || lacksSlots || isBehind || c.finding.Undecided):
 		return StageNone, 0, ""
 	case lacksSlots && c.elapsed(now) < part(c.order.Duration, settleShare):
 		return StageNone, 0, ""
--- a/src/rollout/finding.go
+++ b/src/rollout/finding.go
@@ -6,6 +6,7 @@
 type Finding struct {
 	Bad        bool
 	Undecided  bool    // not bad, but suspect: wait for more evidence before more requests go to it
+	Behind     bool    // answers since the last step are not judged yet: too few of the old servers are there to compare with
 	Slow       bool    // the answers judged are slow ones, not failures
 	Route      string  // with the strongest evidence, "*" for all routes together
 	Answers    int     // of the new version on the route since the evidence began to point to it
--- a/src/rollout/judge.go
+++ b/src/rollout/judge.go
@@ -14,7 +14,7 @@
 const judgePeriod = 400 * time.Millisecond
 
 const (
-	minPeriodAnswers = 15              // of the old servers on a route, without which a period goes on: fewer don't show a disturbance reliably
+	minPeriodAnswers = 10              // of the old servers on a route, without which a period goes on: fewer don't show a disturbance reliably
 	maxJudgePeriod   = 2 * time.Second // after which a period ends all the same, since the old servers may have failed altogether
 )
 
@@ -44,6 +44,7 @@
 	periodEnd time.Time
 
 	isHolding bool // see Hold
+	heldAt    time.Time
 	total     int
 	news      map[uint64]bool // servers of the target version that have answered
 	finding   Finding
@@ -83,13 +84,13 @@
 	j.baselines[allRoutes].endPeriod(all)
 	for route, t := range sums {
 		if j.isComplete(now, route, t) {
-			j.testRoute(route)
+			j.testRoute(now, route)
 			j.baselines[route].periodStart = now
 		}
 	}
 	j.isHolding = false
 	j.finding = j.worst()
-	j.finding.Total = j.total
+	j.finding.Total, j.finding.Behind = j.total, j.isBehind()
 	return j.finding
 }
 
@@ -97,7 +98,9 @@
 // when more requests have just moved to the new servers: within the period, the old ones have answered
 // earlier than the new ones, so that a disturbance of all servers that begins meanwhile would seem to
 // be the new version's.
-func (j *Judge) Hold(now time.Time) { j.isHolding, j.periodEnd = true, now.Add(judgePeriod) }
+func (j *Judge) Hold(now time.Time) {
+	j.isHolding, j.heldAt, j.periodEnd = true, now, now.Add(judgePeriod)
+}
 
 // oldSums returns the old servers' counts of the period for each known route.
 func (j *Judge) oldSums() map[string]*routeTally {
@@ -126,13 +129,29 @@
 	return old.total() >= minPeriodAnswers || b.answers() == 0 || now.Sub(b.periodStart) >= maxJudgePeriod
 }
 
+// isBehind reports whether there are answers of the new servers on a route of which none since the last
+// Hold has been judged.
+func (j *Judge) isBehind() bool {
+	for _, s := range j.servers {
+		for route, known := range s.routes {
+			if s.version == j.TargetVersion && known.isNew && j.baselines[route].testedAt.Before(j.heldAt) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // testRoute takes the new servers' counts of a route's period into the tests.
-func (j *Judge) testRoute(route string) {
+func (j *Judge) testRoute(now time.Time, route string) {
 	b := j.baselines[route]
 	// Reports come at different times, so that the new servers' may show the start of a disturbance
 	// of all servers up to a report interval earlier.
 	b.isHeld = j.isHolding || b.hasJumped && !b.isHeld
 	isHeld := b.isHeld
+	if !isHeld {
+		b.testedAt = now
+	}
 	if b.answers() < minShareSamples {
 		b = j.baselines[allRoutes]
 	}
