rollout: log a settled order that is ordered again after the store was restored

Cause: it changed nothing and said nothing.

Change: one log line; findings of the linter.

Result: go test -race -run 'Test[^M]' ./src/rollout passes.

--- a/src/rollout/coordinator.go
+++ b/src/rollout/coordinator.go
@@ -29,6 +29,7 @@
 	started  time.Time
 	earlier  []uint64 // IDs of orders that never start again
 	invalid  uint64   // revision of the last invalid order that was logged
+	repeated uint64   // revision of the last settled order that was seen again and logged
 	plan     Plan     // latest record of the service, zero if there is none
 	revision uint64   // of plan
 
--- a/src/rollout/coordinator_order.go
+++ b/src/rollout/coordinator_order.go
@@ -14,6 +14,9 @@
 	}
 	isCurrent := c.order.Same(o) || c.id() == o.ID()
 	switch {
+	case isCurrent && c.hasRecord() && c.plan.Stage.IsSettled() && o.ID() != c.plan.ID && o.Revision != c.repeated:
+		c.repeated, c.next = o.Revision, Order{}
+		return []Action{Log{Message: "rollout order repeated after the store was restored, already settled", Order: o, Plan: c.plan}}
 	case isCurrent:
 		c.next = Order{}
 		return nil
--- a/src/rollout/coordinator_record.go
+++ b/src/rollout/coordinator_record.go
@@ -66,7 +66,8 @@
 	var out []Action
 	waiting := c.next
 	if !p.Order.Same(c.order) {
-		if c.order != (Order{}) && !p.covers(c.order) && !(c.hasRecord() && c.plan.Stage.IsSettled()) {
+		isSettled := c.hasRecord() && c.plan.Stage.IsSettled()
+		if c.order != (Order{}) && !p.covers(c.order) && !isSettled {
 			waiting = c.order // without a record yet; it starts after the one that has
 		}
 		out = c.start(now, p.Order)
--- a/src/rollout/coordinator_test.go
+++ b/src/rollout/coordinator_test.go
@@ -80,6 +80,7 @@
 		"duration of 0":                          {running, []Event{OrderSeen{Order{"shop", "3", 0, 80}}, OrderSeen{Order{"shop", "3", 0, 80}}}, "rollout order refused", []Stage{StageCanary}},
 		"next order once the first is settled":   {running, []Event{OrderSeen{other}, StopReceived{order.ID(), "bad"}, ServersChanged{[]Server{{ID: 1, Version: "1", Slots: 4, Ready: true}, {ID: 3, Version: "3", Slots: 4, Ready: true}}}, Tick{}}, "rollout canary", []Stage{StageCanary, StageRolledBack, StageCanary}},
 		"settled order seen again":               {running, []Event{StopReceived{order.ID(), "bad"}, OrderSeen{order}, Tick{}}, "rollout rolled_back", []Stage{StageCanary, StageRolledBack}},
+		"settled order repeated in a later era":  {running, []Event{StopReceived{order.ID(), "bad"}, OrderSeen{Order{"shop", "2", 10 * time.Second, registry.JoinRevision(2, 90)}}, OrderSeen{Order{"shop", "2", 10 * time.Second, registry.JoinRevision(2, 90)}}, Tick{}}, "rollout order repeated after the store was restored, already settled", []Stage{StageCanary, StageRolledBack}},
 		"no server of another version":           {[]Event{RankChanged{0}, ServersChanged{[]Server{{ID: 2, Version: "2", Slots: 4, Ready: true}}}, OrderSeen{order}}, []Event{Tick{}, pauseEvent(3 * time.Second), Tick{}}, "rollout completed", []Stage{StageCompleted}},
 	}
 	for name, tc := range tests {
--- a/src/rollout/model_test.go
+++ b/src/rollout/model_test.go
@@ -186,7 +186,7 @@
 			m.after(notifyDelay, func() {
 				m.routing.Stopped = true
 				for c := range m.coordinators {
-					m.step(c, StopReceived{a.Order, a.Reason})
+					m.step(c, StopReceived(a))
 				}
 			})
 		}
--- a/src/rollout/verdict_test.go
+++ b/src/rollout/verdict_test.go
@@ -100,7 +100,7 @@
 			})
 		case BroadcastStop:
 			for other := range f.coordinators {
-				f.messages = append(f.messages, func() { f.step(other, StopReceived{a.Order, a.Reason}) })
+				f.messages = append(f.messages, func() { f.step(other, StopReceived(a)) })
 			}
 		}
 	}
