rollout: requests that no server runs do not count for the limiter

Cause: the bound is a share of the requests that reach the service; under overload, refused ones would have raised what a sender may send to the new version.

Change: Limiter.Dropped, for the shell to call when a call ends as not run; the model counts requests that run.

Result: go test -run 'Test[^M]' ./src/rollout passes.

--- a/src/rollout/limiter.go
+++ b/src/rollout/limiter.go
@@ -93,6 +93,15 @@
 	}
 }
 
+// Dropped takes back a request that Next has counted, because no server has run it: what is refused
+// everywhere does not reach the service and allows no further request to the new version.
+func (l *Limiter) Dropped(route string) {
+	if counts := l.route(route); counts.sends > 0 && l.sends > 0 {
+		counts.sends--
+		l.sends--
+	}
+}
+
 // MayRetryNew reports whether a further attempt of a request may go to the new version, and counts
 // it as sent there if so.
 func (l *Limiter) MayRetryNew(now time.Time, route string, r Routing) bool {
--- a/src/rollout/model_test.go
+++ b/src/rollout/model_test.go
@@ -224,9 +224,6 @@
 			draw -= m.routes[route].share
 			route++
 		}
-		if m.ms < int(m.duration/modelStep) {
-			m.sends++
-		}
 		sender := m.senders[m.rand.IntN(len(m.senders))]
 		if sender.Next(m.now(), m.routes[route].name, m.routing) {
 			if s := m.choose(true); s != nil {
@@ -241,7 +238,9 @@
 		}
 		if s := m.choose(false); s != nil && m.routing.AllowsOld() {
 			m.start(s, route)
+			continue
 		}
+		sender.Dropped(m.routes[route].name)
 	}
 }
 
@@ -264,6 +263,9 @@
 
 // start runs a request on a server.
 func (m *model) start(s *modelServer, route int) {
+	if m.ms < int(m.duration/modelStep) {
+		m.sends++
+	}
 	id := s.nextRun
 	s.nextRun++
 	s.running[id] = route
