--- a/src/rollout/stratum.go
+++ b/src/rollout/stratum.go
@@ -8,6 +8,7 @@
 	// either finding may come.
 	tolerableShare = 0.08
 	badShare       = 0.28
+	goodShare      = 0.02 // of a server that counts as good
 
 	errorRate        = 0.001 // accepted by the sequential test
 	maxOldShare      = 0.9   // beyond it, no version can be told from the old one
@@ -34,7 +35,8 @@
 // serverEvidence is what one server adds to a stratum.
 type serverEvidence struct {
 	answers, bad int
-	ratio        float64 // log-likelihood ratio
+	ratio        float64 // log-likelihood ratio of a bad version to a tolerable one
+	goodRatio    float64 // the same to one that is as good as the old ones
 }
 
 // add takes in the answers of a server, some of them bad, with the old servers' share of bad answers
@@ -52,10 +54,15 @@
 		s.servers[server] = e
 	}
 	oldShare = min(oldShare, maxOldShare)
-	good, worse := oldShare+tolerableShare*(1-oldShare), oldShare+badShare*(1-oldShare)
+	worse := oldShare + badShare*(1-oldShare)
+	ratio := func(additional float64) float64 {
+		good := oldShare + additional*(1-oldShare)
+		return float64(bad)*math.Log(worse/good) + float64(answers-bad)*math.Log((1-worse)/(1-good))
+	}
 	e.answers += answers
 	e.bad += bad
-	e.ratio += float64(bad)*math.Log(worse/good) + float64(answers-bad)*math.Log((1-worse)/(1-good))
+	e.ratio += ratio(tolerableShare)
+	e.goodRatio += ratio(goodShare)
 }
 
 // find returns the finding and starts again if the evidence has fallen to zero. servers is the number
@@ -70,7 +77,7 @@
 		f.Failures += e.bad
 		if e.answers >= minServerAnswers {
 			f.Servers++
-			if e.ratio > goodServerRatio {
+			if e.goodRatio > goodServerRatio {
 				f.BadServers++
 			}
 		}
