--- a/src/rollout/stratum.go
+++ b/src/rollout/stratum.go
@@ -8,6 +8,7 @@
 	// either finding may come.
 	tolerableShare = 0.08
 	badShare       = 0.28
+	goodShare      = 0.02 // of a server that counts as good
 
 	errorRate        = 0.001 // accepted by the sequential test
 	maxOldShare      = 0.9   // beyond it, no version can be told from the old one
@@ -15,6 +16,7 @@
 	badServers       = 0.7   // share of the servers with evidence that must not count as good in a bad version; more than half would confuse it with a few gray servers in a small canary set
 	minBadServers    = 3     // of them, or all if there are fewer; two of three are gray servers of a good version too often
 	suspectEvidence  = 0.25  // of evidenceLimit from which on a version is suspect
+	plainEvidence    = 4     // multiple of evidenceLimit at which two servers are enough if no other has evidence, as while it is cold
 	goodServerRatio  = -1.0  // log-likelihood ratio up to which a server counts as good; minServerAnswers without a failure are enough
 )
 
@@ -33,7 +35,8 @@
 // serverEvidence is what one server adds to a stratum.
 type serverEvidence struct {
 	answers, bad int
-	ratio        float64 // log-likelihood ratio
+	ratio        float64 // log-likelihood ratio of a bad version to a tolerable one
+	goodRatio    float64 // the same to one that is as good as the old ones
 }
 
 // add takes in the answers of a server, some of them bad, with the old servers' share of bad answers
@@ -51,27 +54,30 @@
 		s.servers[server] = e
 	}
 	oldShare = min(oldShare, maxOldShare)
-	good, worse := oldShare+tolerableShare*(1-oldShare), oldShare+badShare*(1-oldShare)
+	worse := oldShare + badShare*(1-oldShare)
+	ratio := func(additional float64) float64 {
+		good := oldShare + additional*(1-oldShare)
+		return float64(bad)*math.Log(worse/good) + float64(answers-bad)*math.Log((1-worse)/(1-good))
+	}
 	e.answers += answers
 	e.bad += bad
-	e.ratio += float64(bad)*math.Log(worse/good) + float64(answers-bad)*math.Log((1-worse)/(1-good))
+	e.ratio += ratio(tolerableShare)
+	e.goodRatio += ratio(goodShare)
 }
 
 // find returns the finding and starts again if the evidence has fallen to zero. servers is the number
-// of servers of the version that have answered at all.
+// of servers of the version.
 func (s *stratum) find(servers int) Finding {
 	f := Finding{Limit: evidenceLimit}
+	total := 0.0
 	for _, e := range s.servers {
-		ratio := e.ratio
-		if servers > 1 {
-			ratio = min(ratio, serverEvidenceLimit(servers))
-		}
-		f.Evidence += ratio
+		total += e.ratio
+		f.Evidence += min(e.ratio, serverEvidenceLimit(servers))
 		f.Answers += e.answers
 		f.Failures += e.bad
 		if e.answers >= minServerAnswers {
 			f.Servers++
-			if e.ratio > goodServerRatio {
+			if e.goodRatio > goodServerRatio {
 				f.BadServers++
 			}
 		}
@@ -81,6 +87,9 @@
 		return Finding{Limit: evidenceLimit}
 	}
 	enough := float64(f.BadServers) >= badServers*float64(f.Servers) && f.BadServers >= min(servers, minBadServers)
+	if !enough && f.BadServers >= 2 && f.BadServers == f.Servers && total >= plainEvidence*evidenceLimit {
+		enough, f.Evidence = true, total
+	}
 	f.Bad = enough && f.Evidence >= evidenceLimit
 	f.Undecided = !f.Bad && enough && f.Evidence >= suspectEvidence*evidenceLimit
 	return f
@@ -89,7 +98,10 @@
 // serverEvidenceLimit is the most that one server can add to the evidence, so that it takes three
 // servers, or two if there are no more.
 func serverEvidenceLimit(servers int) float64 {
-	if servers == 2 {
+	switch servers {
+	case 1:
+		return math.Inf(1)
+	case 2:
 		return 0.6 * evidenceLimit
 	}
 	return 0.45 * evidenceLimit
