rollout, dispatch: items are handled in order; a service that a table lacks

Two items of one key that are handled at once could be passed to the coordinator in the wrong order, and an older order would have waited behind the newer. A retry to a service that the last table lacks went through a nil service.

--- a/src/dispatch/service_rollout.go
+++ b/src/dispatch/service_rollout.go
@@ -64,7 +64,7 @@
 func (c *Core) selectVersion(now time.Time, cs *callState, serviceName string) {
 	cs.version, cs.rollout = anyVersion, 0
 	ro := c.rollouts[serviceName]
-	if ro == nil {
+	if ro == nil || c.services[serviceName] == nil { // the last table may lack the service of a retry
 		return
 	}
 	cs.rollout = ro.routing.Order
--- a/src/rollout/items.go
+++ b/src/rollout/items.go
@@ -29,6 +29,8 @@
 // HandleItem takes in the state of an order or a record. Older ones of the same key are ignored.
 func (n *Node) HandleItem(i registry.Item) {
 	n.init()
+	n.itemsMu.Lock() // an older item that is handled beside a newer one must not be passed on after it
+	defer n.itemsMu.Unlock()
 	if service, ok := strings.CutPrefix(i.Key, n.Keys.PlanPrefix); ok {
 		n.handlePlan(service, i)
 	} else if service, ok := strings.CutPrefix(i.Key, n.Keys.RolloutPrefix); ok {
--- a/src/rollout/node.go
+++ b/src/rollout/node.go
@@ -60,6 +60,8 @@
 	guard    guard
 	counters nodeCounters
 
+	itemsMu sync.Mutex // held while an item is handled; taken before mu
+
 	mu        sync.Mutex
 	services  map[string]*serviceState
 	reporting map[uint64]bool // coordinators whose answer is awaited
