--- a/src/rollout/service_state.go
+++ b/src/rollout/service_state.go
@@ -17,7 +17,7 @@
 // isActive reports whether an order is to be carried out, or a record to be written again.
 func (s *serviceState) isActive() bool {
 	c := &s.coordinator
-	return c.store.behind || c.id() != 0 && !(c.hasRecord() && c.plan.Stage.IsSettled())
+	return c.store.behind || c.id() != 0 && (!c.hasRecord() || !c.plan.Stage.IsSettled())
 }
 
 // orderID returns the ID of the order that is or was carried out, 0 for none.
