--- a/src/rollout/coordinator_record.go
+++ b/src/rollout/coordinator_record.go
@@ -66,13 +66,14 @@
 	var out []Action
 	waiting := c.next
 	if !p.Order.Same(c.order) {
-		if c.order != (Order{}) && !p.covers(c.order) && !(c.hasRecord() && c.plan.Stage.IsSettled()) {
+		isSettled := c.hasRecord() && c.plan.Stage.IsSettled()
+		if c.order != (Order{}) && !p.covers(c.order) && !isSettled {
 			waiting = c.order // without a record yet; it starts after the one that has
 		}
 		out = c.start(now, p.Order)
 	}
-	if p.Stage == StageDrainOld || p.Stage == StageShift && p.Share >= finalShare {
-		c.judge.Skip(now)
+	if p.Stage == StageShift || p.Stage == StageDrainOld {
+		c.judge.Hold(now)
 	}
 	c.order, c.next = p.Order, waiting
 	c.plan, c.revision = p, revision
