--- a/src/dispatch/outlier.go
+++ b/src/dispatch/outlier.go
@@ -13,6 +13,7 @@
 	lateFactor         = 2                      // multiple of the service's median latency beyond which an attempt is late
 	outlierErrorRate   = 0.5                    // error rate from which on a server is an outlier
 	maxMedianErrorRate = 0.25                   // median error rate from which on the whole service counts as failing, so that no server is ejected for its error rate
+	gateClosedTime     = 250 * time.Millisecond // time for which a new server counts as unreachable after its gate has refused a call; it asks for a permit every 200 ms
 	notReadyEjection   = 500 * time.Millisecond // ejection time of a server that refuses calls as not ready
 )
 
@@ -29,10 +30,15 @@
 	case wire.ReasonLeaving, wire.ReasonWrongMember:
 		c.markDeparted(now, svc, srv)
 		return
+	case wire.ReasonVersion:
+		if srv.isNew {
+			srv.unreachableUntil = now.Add(gateClosedTime) // not an ejection, of which only a share of the servers is allowed
+		}
+		return
 	case wire.ReasonNotReady:
 		c.ejectFor(now, svc, srv, "not_ready", notReadyEjection)
 		return
-	case wire.ReasonQueueFull, wire.ReasonLimit, wire.ReasonDeadline, wire.ReasonCancelled, wire.ReasonQuarantined, wire.ReasonVersion:
+	case wire.ReasonQueueFull, wire.ReasonLimit, wire.ReasonDeadline, wire.ReasonCancelled, wire.ReasonQuarantined:
 		return
 	}
 	srv.recordFailure(now)
--- a/src/dispatch/service_rollout_test.go
+++ b/src/dispatch/service_rollout_test.go
@@ -118,6 +118,27 @@
 	}
 }
 
+// While the gates of the new servers refuse calls, as without a permit, only few calls must be tried
+// there: each refusal gives the exposure back, so that otherwise every call would be.
+func TestRolloutRefusingGates(t *testing.T) {
+	now := time.Unix(1000, 0)
+	policy := &Policy{Service: "s", Route: "r", Attempts: 2, Targets: []Target{{Service: "s", Weight: 1}}}
+	core := rolloutCore(now, rollout.Routing{Order: 7, TargetVersion: "v2", Stage: rollout.StageCanary, Started: now, Duration: 10 * time.Second})
+	refused := 0
+	for call := range uint64(1000) {
+		now = now.Add(time.Millisecond)
+		send := sendOf(core.Step(now, CallArrived{Call: call + 1, Policy: policy, Remaining: time.Second}))
+		if send.New {
+			refused++
+			send = sendOf(core.Step(now, AttemptRefused{Call: send.Call, Attempt: send.Attempt, Reason: wire.ReasonVersion}))
+			qt.Assert(t, send.New, qt.IsFalse)
+		}
+		core.Step(now, AttemptAnswered{Call: send.Call, Attempt: send.Attempt, Status: 200})
+		core.Step(now, AttemptEnded{Call: send.Call, Attempt: send.Attempt})
+	}
+	qt.Check(t, refused > 0 && refused <= 50, qt.IsTrue, qt.Commentf("%d of 1000 calls refused by a gate", refused))
+}
+
 func sendOf(actions []Action) SendAttempt {
 	for _, a := range actions {
 		if s, ok := a.(SendAttempt); ok {
