--- a/src/dispatch/call_state.go
+++ b/src/dispatch/call_state.go
@@ -38,6 +38,8 @@
 	version        versionClass    // of the servers that the next attempt may go to
 	rollout        uint64          // order that the service of the next attempt is under, 0 for none
 	exposes        *serviceRollout // whose limiter has counted the last attempt for the new version, nil for none
+	counted        *serviceRollout // whose limiter has counted the call, nil for none
+	countedOrder   uint64          // under which it was counted
 	accepted       bool            // an answer is being passed on to the caller
 }
 
@@ -179,6 +181,7 @@
 	c.endCall(cs)
 	r := RefuseCall{Call: cs.id, Reason: reason, MayHaveRun: cs.mayHaveRun}
 	if !r.MayHaveRun {
+		c.dropRequest(cs)
 		r.RetryAfter = max(retryAfter, minRetryAfter)
 	}
 	return []Action{r}
--- a/src/dispatch/service_rollout.go
+++ b/src/dispatch/service_rollout.go
@@ -91,6 +91,7 @@
 	switch {
 	case len(cs.attempts) == 0:
 		isNew = ro.limiter.Next(now, cs.policy.Route, ro.routing)
+		cs.counted, cs.countedOrder = ro, ro.routing.Order
 	case cs.attempts[len(cs.attempts)-1].wrongVersion:
 		return !ro.routing.AllowsOld() || !cs.attempts[len(cs.attempts)-1].server.isNew && ro.routing.AllowsNew()
 	default:
@@ -105,12 +106,22 @@
 
 // returnExposure takes back that a limiter has counted the call's last attempt for the new version.
 func (c *Core) returnExposure(cs *callState) {
-	if cs.exposes != nil {
+	if cs.exposes != nil && cs.exposes.routing.Order == cs.rollout {
 		cs.exposes.limiter.Return(cs.policy.Route)
 	}
 	cs.exposes = nil
 }
 
+// dropRequest takes back that a limiter has counted a call that ends without having run: what is
+// refused everywhere does not reach the service.
+func (c *Core) dropRequest(cs *callState) {
+	c.returnExposure(cs)
+	if cs.counted != nil && cs.counted.routing.Order == cs.countedOrder {
+		cs.counted.limiter.Dropped(cs.policy.Route)
+	}
+	cs.counted = nil
+}
+
 // allowsVersion reports whether a server is of the version that the call's next attempt goes to.
 func (c *Core) allowsVersion(srv *server, cs *callState) bool {
 	switch cs.version {
--- a/src/dispatch/service_rollout_test.go
+++ b/src/dispatch/service_rollout_test.go
@@ -139,6 +139,23 @@
 	qt.Check(t, refused > 0 && refused <= 50, qt.IsTrue, qt.Commentf("%d of 1000 calls refused by a gate", refused))
 }
 
+// Calls that no server runs must not allow further calls to the new version: the bound is a share of
+// the requests that reach the service. Guards against a larger canary under overload.
+func TestRolloutRefusedCalls(t *testing.T) {
+	now := time.Unix(1000, 0)
+	core := rolloutCore(now, rollout.Routing{Order: 7, TargetVersion: "v2", Stage: rollout.StageCanary, Started: now, Duration: 10 * time.Second})
+	policy := &Policy{Service: "s", Route: "r", Attempts: 1, Targets: []Target{{Service: "s", Weight: 1}}}
+	for call := range uint64(1000) {
+		now = now.Add(time.Millisecond)
+		for send := sendOf(core.Step(now, CallArrived{Call: call + 5000, Policy: policy, Remaining: time.Second})); send.Call != 0; {
+			send = sendOf(core.Step(now, AttemptRefused{Call: send.Call, Attempt: send.Attempt, Reason: wire.ReasonQueueFull}))
+		}
+	}
+	all, news := core.rollouts["s"].limiter.Counts()
+	qt.Check(t, all, qt.Equals, uint64(0))
+	qt.Check(t, news, qt.Equals, uint64(0))
+}
+
 func sendOf(actions []Action) SendAttempt {
 	for _, a := range actions {
 		if s, ok := a.(SendAttempt); ok {
