registry: a whole configuration that does not decode is asked for once more, of one member

Cause: parts of a whole configuration from several members fit together only if all encode alike; a mismatch skipped the reader for three seconds and could repeat. A newer version found at a holder could fail at a member that did not have it yet.

Change: after a digest that does not match, the whole is asked for once, of the answerer alone. A transfer that is replaced goes on at the member that has the newer version and the holders that it names.

--- a/src/registry/transfer.go
+++ b/src/registry/transfer.go
@@ -94,16 +94,17 @@
 			f.noteReceipt(r, receipt{from: m.ID, bytes: size, delta: isDelta, transfer: fetched.Sub(announced), unpack: time.Since(fetched)})
 			return r, nil
 		}
-		if retried || !isDelta {
+		if retried || r.Digest == 0 {
 			return r, err
 		}
-		f.Log.Info("delta of a configuration not usable", "member", m.ID, "reason", err.Error(), "outcome", "whole configuration requested")
+		f.Log.Info("configuration not usable", "member", m.ID, "delta", isDelta, "reason", err.Error(), "outcome", "whole configuration requested from this member alone")
 		req.Digest, req.After, req.WaitMS = 0, math.MaxUint64, 0
 		whole, err := f.send(ctx, m, req)
 		if err != nil || len(whole.Value) == 0 {
 			r.Value = nil
 			return r, err
 		}
+		whole.Holders = nil // their parts may be encoded in another way, as by a later release
 		replaceConfig(&r, whole)
 	}
 }
@@ -131,6 +132,8 @@
 			r.Value = append(r.Value, part.Value...)
 		case err == nil && len(part.Value) > 0 && part.Size <= maxTransfer && isNewerConfig(part, *r):
 			replaceConfig(r, part)
+			m = sources[i]
+			sources = f.holderMembers(m, r.Holders) // the others may not have it yet
 		case sources[i].ID == m.ID:
 			if err == nil {
 				err = problem.New(problem.Unavailable, m.Addr.String(), "configuration is no longer there", "ask another member")
