dispatch: pipelined requests

The HTTP server sends an answer only once it has no further request in its buffer, so that the answer to a fast request waited for the slow one sent behind it. During a graceful stop the first answer closed the connection, and the requests read behind it were dropped. An answer of 8 MB that closes the connection was cut by a reset if more requests were unread behind it. The server now gets one header at a time, what follows waits in the connection: answers leave at once, a stop answers all that was read, and the connection is closed after the unread rest has been read off, if the last request had no body. TestPipelinedAnswerDoesNotWait, TestStopLosesNoPipelinedRequest and TestNothingRunBehindClose fail without the change; TestPipelinedOrder held before.

--- a/src/dispatch/caller_conn.go
+++ b/src/dispatch/caller_conn.go
@@ -29,13 +29,15 @@
 	onClose      func(*callerConn)
 	closeOnce    sync.Once
 	readFailed   atomic.Bool // a read has returned an error, io.EOF included
+	mayPipeline  atomic.Bool // further requests may follow the last one
 
 	mu                 sync.Mutex
 	busy               bool          // a request has begun to arrive and its answer is not yet written
 	headerDeadline     time.Time     // of a header that has begun to arrive, zero for none
 	stopping           bool          // accepts no further request once idleDeadline has passed
 	idleDeadline       time.Time     // if stopping: until then an idle connection still accepts a request that was sent before
-	pending            []byte        // bytes from a background read; the next reads return them
+	header             headerScanner // of the request that is being read
+	pending            []byte        // bytes from a background read or behind the present header; the next reads return them
 	pendingErr         error         // returned by reads once pending is empty
 	backgroundReadDone chan struct{} // closed when the background read has returned, nil for none
 	aborting           bool          // abortBackgroundRead is ending the background read
@@ -59,7 +61,7 @@
 	n, err := c.Conn.Read(b)
 	c.addOverhead(n)
 	if n > 0 {
-		c.startRequest()
+		n = c.startRequest(b[:n])
 	} else if c.isStoppingIdle() {
 		return 0, io.EOF
 	}
@@ -110,7 +112,7 @@
 	return c.Conn.Write(b)
 }
 
-// Close closes the connection. If part of a request body is unread, it first reads on for up to lingerTime, so that the caller still receives the answer.
+// Close closes the connection. If part of a request body or a further request is unread, it first reads on for up to lingerTime, so that the caller still receives the answer.
 func (c *callerConn) Close() error {
 	c.closeOnce.Do(func() {
 		c.linger()
@@ -119,13 +121,13 @@
 	return c.Conn.Close()
 }
 
-// linger reads on for up to lingerTime if part of a request body is unread: closing at once would reset the connection, and the caller might lose the answer.
+// linger reads on for up to lingerTime if part of a request body or a further request is unread: closing at once would reset the connection, and the caller might lose the answer.
 func (c *callerConn) linger() {
 	tc, ok := c.Conn.(*net.TCPConn)
 	c.mu.Lock()
 	bodyUnread := c.bodyUnread
 	c.mu.Unlock()
-	if !ok || !bodyUnread || tc.CloseWrite() != nil {
+	if !ok || !bodyUnread && !c.hasUnread(tc) || tc.CloseWrite() != nil {
 		return
 	}
 	_ = tc.SetReadDeadline(time.Now().Add(lingerTime))
@@ -149,7 +151,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.pending) > 0 {
-		n := copy(b, c.pending)
+		n := c.header.scan(b[:copy(b, c.pending)])
 		c.pending = c.pending[n:]
 		c.busy = true
 		return n, nil
@@ -173,13 +175,14 @@
 	return c.SetReadDeadline(time.Now().Add(c.stallTimeout))
 }
 
-// startRequest marks the connection busy when the first bytes of a request arrive, and starts the timeout of its header.
-func (c *callerConn) startRequest() {
+// startRequest marks the connection busy when the first bytes of a request arrive, and starts the timeout of its header. It returns the number of bytes that belong to the present request; the others are kept for the next reads.
+func (c *callerConn) startRequest(b []byte) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.busy {
 		c.busy, c.headerDeadline = true, time.Now().Add(c.limits().HeaderTimeout)
 	}
+	return c.keepBehindHeader(b)
 }
 
 // headerTimedOut reports whether the timeout of a header that has begun to arrive has passed.
@@ -197,6 +200,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy, c.headerDeadline, c.readsBody = busy, time.Time{}, false
+	c.header = headerScanner{done: busy}
 }
 
 // stop ends the connection once it is idle and idleDeadline has passed; until then it still accepts a request that was sent before.
--- a/src/dispatch/serve.go
+++ b/src/dispatch/serve.go
@@ -22,11 +22,14 @@
 		conn.setBusy(true)
 	}
 	p.counters.calls.Inc()
+	isWhole := false
 	if p.checkRequest(ctx) {
+		isWhole = ctx.RequestBodyStream() == nil
 		p.route(ctx, conn)
 	}
+	conn.setMayPipeline(isWhole)
 	p.echoRequestID(ctx)
-	if p.stopping.Load() {
+	if p.stopping.Load() && !conn.hasPending() { // requests that have been read are still answered
 		ctx.SetConnectionClose()
 	}
 }
@@ -66,6 +69,9 @@
 
 // handleReadError answers a request whose header cannot be read or did not arrive in time.
 func (p *Proxy) handleReadError(ctx *fasthttp.RequestCtx, err error) {
+	if conn, ok := ctx.Conn().(*callerConn); ok {
+		conn.setMayPipeline(false)
+	}
 	status, reason := fasthttp.StatusBadRequest, "malformed"
 	var small *fasthttp.ErrSmallBuffer
 	conn, _ := ctx.Conn().(*callerConn)
