--- a/src/dispatch/domain_preference.go
+++ b/src/dispatch/domain_preference.go
@@ -9,10 +9,10 @@
 
 // otherDomainPenalty returns what is added, in seconds, to the expected latencies of servers of other failure domains, given the lowest one in the own domain, 0 for no server there.
 //
-// With PreferDomain, a call stays in its failure domain while an answer is expected in time there. It leaves it for an answer that comes earlier by domainGainShare of the time left, or for any earlier one if the own domain is not expected to be in time. Each server of the domain that has refused the call lowers that gain, since what the agent knew of the domain was too good.
+// With PreferDomain, a call stays in its failure domain while an answer is expected in time there. It leaves it for an answer that comes earlier by domainGainShare of the time left, or for any earlier one if the own domain is not expected to be in time. Each server of the domain that has refused the call lowers that gain, since what the agent knew of the domain was too good; an attempt whose wait is not bounded goes wherever the answer is expected first.
 func (c *Core) otherDomainPenalty(now time.Time, cs *callState, lowestInDomain float64) float64 {
 	left := cs.objective.Sub(now).Seconds()
-	if !c.Settings.PreferDomain || lowestInDomain == 0 || inTimeFactor*lowestInDomain > left {
+	if len(cs.attempts) >= boundedWaitAttempts || !c.Settings.PreferDomain || lowestInDomain == 0 || inTimeFactor*lowestInDomain > left {
 		return 0
 	}
 	return domainGainShare * left / float64(1+len(cs.attempts))
