rollout: bad from 0.25 on; suspect versions are rolled back from 0.45 of the limit on

Cause: 3 of 480 versions that fail 0.31 on a route of 8 percent were completed.

Change: badShare 0.25 for 0.28, rejectEvidence 0.45 for 0.6.

--- a/src/rollout/coordinator_stage.go
+++ b/src/rollout/coordinator_stage.go
@@ -64,7 +64,7 @@
 
 // rejectEvidence is the share of the limit from which on a version that is still suspect after the
 // longest wait is rolled back.
-const rejectEvidence = 0.6
+const rejectEvidence = 0.45
 
 // minReadySlots is the share of the old servers' slots that the new ones must have ready, for each
 // share of requests shifted. Some servers may be restarting.
--- a/src/rollout/stratum.go
+++ b/src/rollout/stratum.go
@@ -7,7 +7,7 @@
 	// decides: up to tolerableShare a version is good, from badShare on it is bad. Between the two
 	// either finding may come.
 	tolerableShare = 0.08
-	badShare       = 0.28
+	badShare       = 0.25
 	goodShare      = 0.02 // of a server that counts as good
 
 	errorRate        = 0.001 // accepted by the sequential test
