registry: an agent with a slow link skips more than two readers only for half a second

Change: after 0.5 s without a source such an agent turns to the store after two failed readers. A reader that has no source does not count as an answer.

--- a/src/registry/receipt.go
+++ b/src/registry/receipt.go
@@ -36,15 +36,20 @@
 		return float64(version)
 	})
 	f.Metrics.GetOrCreateGauge("yuccaport_registry_cut_off_seconds", func() float64 {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		if f.cutOffSince.IsZero() {
-			return 0
-		}
-		return time.Since(f.cutOffSince).Seconds()
+		return f.cutOffFor().Seconds()
 	})
 }
 
+// cutOffFor returns for how long neither the store nor a reader has answered, 0 while one does.
+func (f *Follower) cutOffFor() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cutOffSince.IsZero() {
+		return 0
+	}
+	return time.Since(f.cutOffSince)
+}
+
 // noteReceipt remembers how the configuration of a reply was received, until it is put in force.
 func (f *Follower) noteReceipt(r wire.RegistryReply, how receipt) {
 	f.mu.Lock()
--- a/src/registry/source.go
+++ b/src/registry/source.go
@@ -13,6 +13,7 @@
 	peerTimeout      = 500 * time.Millisecond // for a peer's answer, beyond the time that a request lets it wait
 	answerTimeout    = 300 * time.Millisecond // the same for a first reply of a build that sends configurations in parts, so that it is short
 	maxSkipped       = 4                      // readers that an agent with a slow link skips one after the other before it watches the store; where the store refuses half of the agents, it serves one of five with a probability of 31/32
+	maxSkipTime      = 500 * time.Millisecond // without a source after which such an agent watches the store after two failed readers: several that are silent, or whose store is, would together take seconds
 )
 
 // source is what the agent watches for changes: the store itself or a reader.
@@ -43,7 +44,7 @@
 		f.lostReaderID = 0 // this agent is a reader, or knows none
 	}
 	maxFailures := 1 // after two failed readers, the store itself is watched
-	if f.hasSlowLink() {
+	if f.hasSlowLink() && f.cutOffFor() <= maxSkipTime {
 		maxFailures = maxSkipped
 	}
 	if ok && !failedRecently(m) && src.recentFailures <= maxFailures {
@@ -61,7 +62,7 @@
 	return src
 }
 
-// hasSlowLink reports whether this agent's link is too slow to read the store in time when versions follow one another quickly. If so, a failed reader is replaced by another one, and only after maxSkipped the store is watched. slowLinkShare, which compares links with one another, is independent of it.
+// hasSlowLink reports whether this agent's link is too slow to read the store in time when versions follow one another quickly. If so, a failed reader is replaced by another one; the store is watched only after maxSkipped, or after two and maxSkipTime. slowLinkShare, which compares links with one another, is independent of it.
 func (f *Follower) hasSlowLink() bool { return f.MaxTransferTime > relistTimeout }
 
 // isOfEarlierEra reports whether a revision is of an earlier era than the last answer of the store
@@ -118,7 +119,9 @@
 	f.step(StoreAnswered{})
 	f.step(PeerReplied{Reply: r, Authoritative: true})
 	f.setSource(r.Source)
-	f.endCutOff()
+	if r.Source != 0 || !f.isNewBuild(m.ID) { // otherwise the reader waits for the store itself
+		f.endCutOff()
+	}
 	return nil
 }
 
