registry: an agent that started during an outage asks for members too when it searches

Cause: a search asked for no entries, so that an agent that has never listed the store learned members only from the query of each half second; the rollout builder's core takes any peer's answer as one that names all records of rollouts.

Change: until the agent has listed the store, a search asks for everything.

Result: tests of the package pass with -race.

--- a/src/registry/search.go
+++ b/src/registry/search.go
@@ -114,7 +114,10 @@
 	ctx, cancel := context.WithTimeout(ctx, readerWait+peerTimeout+f.MaxTransferTime)
 	defer cancel()
 	config, version := f.config()
-	req := wire.RegistryRequest{Config: config, ConfigVersion: version, After: math.MaxUint64, WaitMS: readerWait.Milliseconds(), Search: true}
+	req := wire.RegistryRequest{Config: config, ConfigVersion: version, WaitMS: readerWait.Milliseconds(), Search: true}
+	if f.hasListedOnce() {
+		req.After = math.MaxUint64 // configuration only; an agent that started during an outage needs all that the member knows
+	}
 	r, err := f.exchange(ctx, m, req, readerWait+answerTimeout)
 	if err != nil {
 		return searchAnswer{member: m}
