tenants: an agent that stops for good frees its part of the limits at once

The granter counts members that are gone for 10 s, since they may be cut off, so all tenants had less than their demand, and small tenants were refused at 12 s although no one exceeded a limit.

Change: at the end of a planned stop, when the proxy has ended, the agent sends a last report with Leaves; the granter takes it out of the number of members at once and does not count it while it is still listed. An agent that has said so admits nothing more.

--- a/src/agent/run.go
+++ b/src/agent/run.go
@@ -61,6 +61,7 @@
 
 	<-ctx.Done()
 	a.stop(ctx, stopProxy, &proxyGroup)
+	a.quota.Leave(baseCtx)
 	a.Log.Info("stopping", "step", "stopping the other components")
 	stopBackground()
 	backgroundGroup.Wait()
--- a/src/tenants/allocator.go
+++ b/src/tenants/allocator.go
@@ -29,6 +29,7 @@
 	hashes     []uint32 // of pools, sorted
 	borrowers  map[uint64]*borrower
 	count      memberCount
+	departed   map[uint64]time.Time // members that have said that they stop for good; they may be listed for a while
 	listed     int // members that this agent knows
 	peak       int // largest number that divided the limits within shrinkTime
 	share      float64
@@ -86,6 +87,27 @@
 	a.updateShare(now)
 }
 
+// depart records that a member has stopped for good: it uses its part no more, so the number of
+// members falls at once, other than for one that has only disappeared.
+func (a *Allocator) depart(now time.Time, id uint64) {
+	if a.HasDeparted(id) {
+		return
+	}
+	if a.departed == nil {
+		a.departed = map[uint64]time.Time{}
+	}
+	maps.DeleteFunc(a.departed, func(_ uint64, at time.Time) bool { return now.Sub(at) > shrinkTime })
+	a.departed[id] = now
+	a.listed = max(1, a.listed-1)
+	a.count.n = max(1, a.count.n-1)
+}
+
+// HasDeparted reports whether a member has said that it stops for good.
+func (a *Allocator) HasDeparted(id uint64) bool {
+	_, ok := a.departed[id]
+	return ok
+}
+
 // IsFollowed reports whether any agent other than self follows this granter.
 func (a *Allocator) IsFollowed(self uint64) bool {
 	n := len(a.borrowers)
@@ -114,6 +136,9 @@
 		b = nil
 	}
 	if r.Release {
+		if b != nil && r.Leaves {
+			a.depart(now, from)
+		}
 		a.remove(from)
 		a.updateShare(now)
 		return answer
--- a/src/tenants/core.go
+++ b/src/tenants/core.go
@@ -183,8 +183,11 @@
 
 // setMembers counts the members, this agent included.
 func (c *Core) setMembers(now time.Time, members []wire.Member) {
-	n, isListed := len(members), false
+	n, isListed := 0, false
 	for i := range members {
+		if !c.allocator.HasDeparted(members[i].ID) {
+			n++
+		}
 		isListed = isListed || members[i].ID == c.Self
 	}
 	if !isListed {
@@ -198,6 +201,18 @@
 	c.selector.Retain(members)
 }
 
+// Leave ends the agent's use of its part of the limits for good. It returns the report that tells
+// the granter, and false if there is none to tell. Nothing may be admitted afterwards.
+func (c *Core) Leave(now time.Time) (Send, bool) {
+	followed := c.share.Follows(now)
+	if followed == 0 || followed == c.Self {
+		return Send{}, false
+	}
+	s := Send{To: c.granter, Report: c.share.Report(now, true)}
+	s.Report.Leaves = true
+	return s, true
+}
+
 func (c *Core) follow(now time.Time, m wire.Member) {
 	c.granter = m
 	c.share.Follow(m.ID)
--- a/src/tenants/node.go
+++ b/src/tenants/node.go
@@ -38,6 +38,7 @@
 	mu       sync.Mutex
 	core     Core
 	hasLimit bool          // any tenant has a limit
+	hasLeft  bool          // Leave was called; nothing is admitted any more
 	progress chan struct{} // closed and replaced when credit may have come
 	counts   tenantCounts
 }
@@ -98,6 +99,10 @@
 	n.init()
 	now := n.Now()
 	n.mu.Lock()
+	if n.hasLeft {
+		n.mu.Unlock()
+		return minReportInterval, false
+	}
 	v, retryAfter := n.core.Take(now, tenant, false)
 	if v == Pending {
 		return n.wait(ctx, tenant, maxWait)
@@ -181,12 +186,34 @@
 	}
 }
 
+// Leave tells the granter that this agent stops for good, so that its part of the limits falls to
+// the others at once. No request is admitted afterwards. It is called before the links are closed.
+func (n *Node) Leave(ctx context.Context) {
+	n.init()
+	now := n.Now()
+	n.mu.Lock()
+	s, ok := Send{}, false
+	if n.hasLimit && !n.hasLeft {
+		s, ok = n.core.Leave(now)
+	}
+	n.hasLeft = true
+	n.mu.Unlock()
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, minReportInterval)
+	defer cancel()
+	if _, err := n.exchange(ctx, s); err != nil {
+		n.Log.Info("granter not told of the stop", "member", s.To.ID, "reason", err.Error())
+	}
+}
+
 // step sends what is due and returns the time until the next call.
 func (n *Node) step(ctx context.Context) time.Duration {
 	members := n.Members()
 	now := n.Now()
 	n.mu.Lock()
-	if !n.hasLimit || len(members) == 0 {
+	if n.hasLeft || !n.hasLimit || len(members) == 0 {
 		n.mu.Unlock()
 		return minReportInterval
 	}
--- a/src/wire/tenant.go
+++ b/src/wire/tenant.go
@@ -17,6 +17,7 @@
 	Start     bool           `msg:"b,omitempty"` // no report of this session has been answered
 	Delegates bool           `msg:"d,omitempty"` // the agent's part of all limits is at the granter's disposal
 	Release   bool           `msg:"r,omitempty"` // ends the session
+	Leaves    bool           `msg:"z,omitempty"` // with Release: the agent stops for good, and its part of all limits falls to the others
 	Credits   []TenantCredit `msg:"c,omitempty"` // that have changed since the last report that was answered
 }
 
--- a/src/wire/tenant_gen.go
+++ b/src/wire/tenant_gen.go
@@ -303,8 +303,8 @@
 func (z *TenantReport) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(10)
-	var zb0001Mask uint16 /* 10 bits */
+	zb0001Len := uint32(11)
+	var zb0001Mask uint16 /* 11 bits */
 	_ = zb0001Mask
 	if z.Echo == 0 {
 		zb0001Len--
@@ -326,10 +326,14 @@
 		zb0001Len--
 		zb0001Mask |= 0x100
 	}
-	if z.Credits == nil {
+	if z.Leaves == false {
 		zb0001Len--
 		zb0001Mask |= 0x200
 	}
+	if z.Credits == nil {
+		zb0001Len--
+		zb0001Mask |= 0x400
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -373,6 +377,11 @@
 			o = msgp.AppendBool(o, z.Release)
 		}
 		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "z"
+			o = append(o, 0xa1, 0x7a)
+			o = msgp.AppendBool(o, z.Leaves)
+		}
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
 			// string "c"
 			o = append(o, 0xa1, 0x63)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Credits)))
@@ -464,6 +473,12 @@
 				err = msgp.WrapError(err, "Release")
 				return
 			}
+		case "z":
+			z.Leaves, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Leaves")
+				return
+			}
 		case "c":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -501,7 +516,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *TenantReport) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint32Size + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.Uint32Size + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Credits {
 		s += z.Credits[za0001].Msgsize()
 	}
