dispatch: domains are preferred on shared VMs; queue waits within the objective

Where the preference holds, a call waits up to half of the time that its objective leaves after the expected answer.

--- a/src/agent/settings.go
+++ b/src/agent/settings.go
@@ -72,7 +72,8 @@
 
 // Dispatch configures the selection of backend servers.
 type Dispatch struct {
-	PreferDomain bool `toml:"prefer_domain"` // calls stay in their failure domain while an answer is expected in time there; for deployments where bytes between failure domains are costly
+	PreferDomain         bool `toml:"prefer_domain"`           // calls stay in their failure domain while an answer is expected in time there; for deployments where bytes between failure domains are costly
+	PreferDomainIfShared bool `toml:"prefer_domain_if_shared"` // the same once a backend server has reported the speed of its VM
 }
 
 // LoadSettings reads and validates a settings file; errors are of kind problem.Settings.
--- a/src/dispatch/domain_preference.go
+++ b/src/dispatch/domain_preference.go
@@ -4,6 +4,7 @@
 
 const (
 	domainGainShare = 0.5 // of the time left until a call's objective: an answer from another failure domain must be expected earlier by this much, if one from the own domain is expected in time
+	spareWaitShare  = 0.5 // of the time left after the expected answer that a call may wait in a queue instead of trying another server
 	inTimeFactor    = 1.5 // an answer counts as expected in time if it may take this many times as long, since expected latencies are only estimates
 )
 
@@ -19,9 +20,22 @@
 }
 
 // prefersDomain reports whether calls stay in their failure domain while an answer is expected in
-// time there: by the settings, or since backend servers report the speed of VMs that they share
-// with others, whose links the calls share too.
-func (c *Core) prefersDomain() bool { return c.Settings.PreferDomain || c.sharedVMs }
+// time there.
+func (c *Core) prefersDomain() bool {
+	return c.Settings.PreferDomain || c.Settings.PreferDomainIfShared && c.sharedVMs
+}
+
+// spareWait returns how long a call may wait for a slot at a server, although another one may
+// answer sooner, where attempts are to be saved: a refused attempt costs bytes and CPU time on two
+// VMs, and an answer that is in time anyway is worth no more for being earlier. It is a share of the
+// time left for the objective after the service time and the transfer, since both are estimates.
+func (c *Core) spareWait(now time.Time, cs *callState, srv *server) time.Duration {
+	if !c.prefersDomain() {
+		return 0
+	}
+	spare := cs.objective.Sub(now) - srv.serviceTime(now, cs.policy.Route) - c.transferTime(srv, cs)
+	return time.Duration(spareWaitShare * float64(max(0, spare)))
+}
 
 // lowestLatencyInDomain returns the lowest of the expected latencies of the servers in the own failure domain, 0 if there is none.
 func (c *Core) lowestLatencyInDomain(servers []*server, latencies []float64) float64 {
--- a/src/dispatch/expected_latency.go
+++ b/src/dispatch/expected_latency.go
@@ -89,7 +89,7 @@
 		return 0
 	}
 	wait := c.expectedAnswerWait(now, ch.server, cs, ch.server.serviceTime(now, cs.policy.Route))
-	return furtherAttemptCost + ch.margin + time.Duration(waitFactor*float64(wait))
+	return max(c.spareWait(now, cs, ch.server), furtherAttemptCost+ch.margin+time.Duration(waitFactor*float64(wait)))
 }
 
 // transferTime returns the time to transfer a call's body and its expected answer between this VM and a server's: over both links, unless the server is on this VM.
