Refuse payments whose claims a restored store may lack

Cause: `yuccaport run` keeps its claims in the key-value store only. When the store came back from a copy that lacked a claim, the key looked free and the payment ran again, through its own holder as well as through others.

Change: answers of the store name an era (X-Era), which rises when the store comes back from an older copy. The revision of an entry holds the era in front, so a write prepared in an earlier era conflicts. A store that names none counts as era 0. deposit.Guard remembers its own claims, answers repeats of lost ones from memory and writes them again; for Timeout after a rise a Guard refuses keys of which the store shows no claim.

The traces in testdata are unchanged.

--- a/src/deposit/claim_operation.go
+++ b/src/deposit/claim_operation.go
@@ -56,15 +56,45 @@
 		return bytes.Equal(claim.Digest, op.digest) && (claim.ID == p.id || !c.isExpired(now, claim))
 	})
 	if found == nil || c.hasUnrecordedRelease(found.ID) {
-		return c.writeClaim(now, op, p)
+		return c.claimFree(now, op, p)
 	}
 	if found.ID == p.id {
 		// Any of the writes of this operation may be the one that took effect, so the claim's age is counted from the first.
 		op.writtenAt = op.firstWriteAt
 		return c.succeed(now, op, "own write found")
 	}
+	if known := c.knownFromEarlierEra(now, op); known != nil {
+		return c.answerRepeat(now, op, p, *known)
+	}
+	return c.answerRepeat(now, op, p, *found)
+}
+
+// claimFree claims a key of which the store shows no claim. A claim that the store has lost with an era is answered from
+// memory; while other holders may not have written theirs again, the request is refused.
+func (c *Core) claimFree(now time.Time, op *operation, p claimParams) []Action {
+	if known := c.knownFromEarlierEra(now, op); known != nil {
+		return c.answerRepeat(now, op, p, *known)
+	}
+	if wait := c.settling.remaining(now); wait > 0 {
+		delete(c.operations, op.id)
+		return c.refuseAfter(now, op, p, wait+c.jitter(defaultRetryAfter), storeRestored)
+	}
+	return c.writeClaim(now, op, p)
+}
+
+// knownFromEarlierEra returns the claim of this holder for the operation's key if it was last written in an earlier era and has not expired, or nil.
+func (c *Core) knownFromEarlierEra(now time.Time, op *operation) *wire.Claim {
+	r := c.memory.get(op.digest)
+	if r == nil || r.claim.Era >= eraOf(op.revision) || c.isExpired(now, r.claim) {
+		return nil
+	}
+	return &r.claim
+}
+
+// answerRepeat answers a request whose key already has a claim.
+func (c *Core) answerRepeat(now time.Time, op *operation, p claimParams, existing wire.Claim) []Action {
 	delete(c.operations, op.id)
-	d, reason := c.decideRepeat(now, *found, p)
+	d, reason := c.decideRepeat(now, existing, p)
 	actions := decide(op, d, reason)
 	if op.unsureWrite {
 		actions = append(actions, c.releaseUngranted(now, op, p)...)
@@ -98,7 +128,7 @@
 			s.Claims = append(s.Claims, other)
 		}
 	}
-	s.Claims = append(s.Claims, wire.Claim{ID: p.id, Digest: op.digest, Fingerprint: p.fingerprint, At: now.UnixMilli()})
+	s.Claims = append(s.Claims, wire.Claim{ID: p.id, Digest: op.digest, Fingerprint: p.fingerprint, At: now.UnixMilli(), Era: eraOf(op.revision)})
 	if s.Msgsize() > maxSlotSize {
 		return c.fail(now, op, "slot full")
 	}
@@ -107,15 +137,23 @@
 }
 
 // grant opens the claim, so that the request can be sent.
-func (c *Core) grant(op *operation, p claimParams, reason string) []Action {
+func (c *Core) grant(now time.Time, op *operation, p claimParams, reason string) []Action {
 	claim := Claim{ID: p.id, Digest: op.digest, ConfirmedUntil: op.writtenAt.UTC().Add(c.sendWindow())}
-	c.openClaims[p.id.Sequence] = &openClaim{claim: claim, revision: op.revision, slot: op.slot}
+	c.openClaims[p.id.Sequence] = &openClaim{claim: claim, revision: op.revision, slot: op.slot, era: eraOf(op.revision)}
+	if written := findClaim(op.slot, func(claim wire.Claim) bool { return claim.ID == p.id }); written != nil {
+		c.recordWrite(now, op, *written)
+	}
 	return decide(op, Granted{Claim: claim}, reason)
 }
 
 // refuse answers NotRun and releases the claim that an unsure write may have stored.
 func (c *Core) refuse(now time.Time, op *operation, p claimParams, reason string) []Action {
-	actions := decide(op, NotRun{RetryAfter: c.jitter(2 * defaultRetryAfter)}, reason)
+	return c.refuseAfter(now, op, p, c.jitter(2*defaultRetryAfter), reason)
+}
+
+// refuseAfter is refuse with a time to repeat the request.
+func (c *Core) refuseAfter(now time.Time, op *operation, p claimParams, retryAfter time.Duration, reason string) []Action {
+	actions := decide(op, NotRun{RetryAfter: retryAfter}, reason)
 	if op.unsureWrite {
 		actions = append(actions, c.releaseUngranted(now, op, p)...)
 	}
--- a/src/deposit/confirm_operation.go
+++ b/src/deposit/confirm_operation.go
@@ -17,6 +17,9 @@
 	if open.claim.isFresh(now) {
 		return c.answerClose(op, open.claim, true, "fresh")
 	}
+	if c.settling.era > open.era {
+		return c.answerClose(op, e.Claim, false, storeRestored)
+	}
 	c.operations[op.id] = op
 	op.revision = open.revision
 	op.slot = open.slot
@@ -26,6 +29,10 @@
 // evaluateConfirm renews the timestamp of a claim that the slot still holds.
 func (c *Core) evaluateConfirm(now time.Time, op *operation, p confirmParams) []Action {
 	found := findClaim(op.slot, func(claim wire.Claim) bool { return claim.ID == p.claim.ID })
+	if open := c.openClaims[p.claim.ID.Sequence]; open != nil && eraOf(op.revision) > open.era {
+		// The key may have been claimed again in an era that the store has lost too, so only a fresh claim is confirmed.
+		return c.fail(now, op, storeRestored)
+	}
 	if found == nil {
 		return c.fail(now, op, "claim expired")
 	}
@@ -44,6 +51,9 @@
 	open.claim.ConfirmedUntil = op.writtenAt.UTC().Add(c.sendWindow())
 	open.revision = op.revision
 	open.slot = op.slot
+	if renewed := findClaim(op.slot, func(claim wire.Claim) bool { return claim.ID == p.claim.ID }); renewed != nil {
+		c.recordWrite(now, op, *renewed)
+	}
 	if open.claim.isFresh(now) {
 		return c.answerClose(op, open.claim, true, reason)
 	}
--- a/src/deposit/core.go
+++ b/src/deposit/core.go
@@ -44,6 +44,8 @@
 	unrecordedReleases map[uint64]struct{}   // claims whose request did not run and that the store may still hold, by sequence: their release is in progress or has failed
 	writeLimiter       *rate.Limiter
 	breaker            breaker
+	settling           settling
+	memory             memory
 }
 
 // openClaim is a granted claim and the slot as the claim's last write left it.
@@ -51,6 +53,7 @@
 	claim    Claim
 	revision uint64
 	slot     wire.ClaimSlot
+	era      uint64 // of the store when the claim was granted
 }
 
 // Step handles one event. It returns at most one answer (Decide or Close), followed by at most one store call (ReadSlot or SwapSlot).
@@ -67,6 +70,10 @@
 		return c.onSlotRead(now, e)
 	case SlotSwapped:
 		return c.onSlotSwapped(now, e)
+	case Rewriting:
+		return c.onRewriting(now, e)
+	case EraRead:
+		c.onEraRead(now, e)
 	case Shared:
 		c.setHolderCount(now, e.Holders)
 	}
--- a/src/deposit/end_operation.go
+++ b/src/deposit/end_operation.go
@@ -15,6 +15,7 @@
 		return c.answerClose(op, e.Claim, false, "claim not open here")
 	}
 	delete(c.openClaims, e.Claim.ID.Sequence)
+	c.rememberEnd(e)
 	if e.Ending == EndingRelease && len(c.unrecordedReleases) < maxUnrecordedReleases {
 		c.unrecordedReleases[e.Claim.ID.Sequence] = struct{}{}
 	}
@@ -37,6 +38,13 @@
 		}
 		return c.writeEnd(now, op, replaceClaim(op.slot, p.claim.ID, nil))
 	}
+	if r := c.memory.getOwn(op.digest, p.claim.ID); found == nil && r != nil && r.claim.Era < eraOf(op.revision) {
+		s, other := c.addRemembered(now, op, r)
+		if other != nil && other.Era > r.claim.Era {
+			return c.fail(now, op, "claimed by another holder in a later era")
+		}
+		return c.writeEnd(now, op, s)
+	}
 	if found == nil {
 		return c.fail(now, op, "claim expired")
 	}
@@ -44,14 +52,42 @@
 		return c.succeed(now, op, "own write found")
 	}
 	updated := *found
-	updated.State = wire.ClaimUnknown
-	if p.ending == EndingFinish {
-		updated.State = wire.ClaimEnded
-		updated.Status, updated.Fields, updated.Body, updated.Omitted = p.record.Status, p.record.Fields, p.record.Body, p.record.Omitted
-	}
+	setEnding(&updated, p.ending, p.record)
+	updated.Era = eraOf(op.revision)
 	return c.writeEnd(now, op, replaceClaim(op.slot, p.claim.ID, &updated))
 }
 
+// setEnding sets the state of a claim whose request ran or may have run.
+func setEnding(claim *wire.Claim, ending Ending, r Record) {
+	claim.State = wire.ClaimUnknown
+	if ending == EndingFinish {
+		claim.State = wire.ClaimEnded
+		claim.Status, claim.Fields, claim.Body, claim.Omitted = r.Status, r.Fields, r.Body, r.Omitted
+	}
+}
+
+// rememberEnd sets the ending in the remembered claim before it is in the store, and forgets a released claim.
+func (c *Core) rememberEnd(e Ended) {
+	r := c.memory.getOwn(e.Claim.Digest, e.Claim.ID)
+	switch {
+	case r == nil:
+	case e.Ending == EndingRelease:
+		c.memory.remove(e.Claim.Digest)
+	default:
+		setEnding(&r.claim, e.Ending, e.Record.limitSize())
+	}
+}
+
+// recordEnd remembers the claim as its end has left it in the store.
+func (c *Core) recordEnd(now time.Time, op *operation, p endParams) {
+	if p.ending == EndingRelease || op.writes == 0 {
+		return
+	}
+	if written := findClaim(op.slot, func(claim wire.Claim) bool { return claim.ID == p.claim.ID }); written != nil {
+		c.recordWrite(now, op, *written)
+	}
+}
+
 func (c *Core) writeEnd(now time.Time, op *operation, s wire.ClaimSlot) []Action {
 	c.writeLimiter.ReserveN(now, 1)
 	return op.swapSlot(now, s)
--- a/src/deposit/event.go
+++ b/src/deposit/event.go
@@ -6,7 +6,7 @@
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
-// Event is an input of a Core: Arrived, Confirming, Ended, SlotRead, SlotSwapped or Shared.
+// Event is an input of a Core: Arrived, Confirming, Ended, Rewriting, EraRead, SlotRead, SlotSwapped or Shared.
 type Event interface{ isEvent() }
 
 // Arrived is a request that asks for a claim.
@@ -40,7 +40,7 @@
 type SlotRead struct {
 	Call     uint64         `json:"call"`
 	Result   Result         `json:"result"`
-	Revision uint64         `json:"revision"`
+	Revision uint64         `json:"revision"` // also names the store's era; see kv.JoinRevision
 	Slot     wire.ClaimSlot `json:"slot"`
 	Skew     time.Duration  `json:"skew_ns,omitempty"` // of the store's clock relative to the holder's
 }
--- a/src/deposit/execute.go
+++ b/src/deposit/execute.go
@@ -5,7 +5,6 @@
 	"errors"
 	"time"
 
-	"github.com/yuccaport/yuccaport/src/clock"
 	"github.com/yuccaport/yuccaport/src/kv"
 	"github.com/yuccaport/yuccaport/src/problem"
 	"github.com/yuccaport/yuccaport/src/trace"
@@ -58,8 +57,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Now()
+	era := g.core.settling.era
 	actions := g.core.Step(now, e)
 	g.recordStep(now, e, actions)
+	g.observeEra(era, g.core.settling.era, g.core.memory.order.Len())
 	return actions
 }
 
@@ -76,10 +77,11 @@
 
 func (g *Guard) readSlot(ctx context.Context, a ReadSlot) Event {
 	e := SlotRead{Call: a.Call, Result: ResultUnavailable}
-	if !clock.Sleep(ctx, a.Delay) {
+	if !g.sleep(ctx, a.Delay) {
 		return e
 	}
 	entry, err := g.Store.Get(ctx, a.Key)
+	e.Revision = kv.JoinRevision(entry.Era, 0) // of a key that does not exist
 	if storeClock, ok := g.Store.(kv.Clock); ok {
 		e.Skew = storeClock.Skew()
 	}
--- a/src/deposit/guard.go
+++ b/src/deposit/guard.go
@@ -10,6 +10,7 @@
 	"github.com/alitto/pond/v2"
 	"github.com/go-logr/logr"
 
+	"github.com/yuccaport/yuccaport/src/clock"
 	"github.com/yuccaport/yuccaport/src/kv"
 	"github.com/yuccaport/yuccaport/src/problem"
 	"github.com/yuccaport/yuccaport/src/trace"
@@ -25,6 +26,9 @@
 // Call Begin first. If it returns Granted, call Confirm right before each send, and end the claim with one of Finish, Release and Abandon.
 // These three retry for up to Timeout. Their error is of kind problem.Unavailable and means that the ending may not be recorded; the claim cannot be ended again.
 //
+// If the store names an era in its answers, a rise of the era means that it came back from an older copy, which may lack claims.
+// The Guard then writes its own claims again and, for up to Timeout, refuses new ones, since others may be lost.
+//
 // All holders that share a store must have the same Expiry and Timeout. The methods may be called concurrently.
 type Guard struct {
 	Store           kv.Store
@@ -43,6 +47,10 @@
 	core        *Core
 	lastCall    uint64
 	releasePool pond.Pool
+	sleep       func(context.Context, time.Duration) bool // clock.Sleep, except in tests
+	checkNow    chan struct{}                             // asks watchEra for a check
+	stopWatch   context.CancelFunc
+	watching    sync.WaitGroup
 }
 
 // Begin decides on a request with an idempotency key. An error is of kind problem.NotRun; RetryAfter returns when to repeat the request.
@@ -91,9 +99,11 @@
 	g.step(Shared{Holders: holders})
 }
 
-// Close waits for the background releases. Call it after all other methods have returned. Its error is always nil.
+// Close ends the checks of the store's era and waits for the background releases. Call it after all other methods have returned. Its error is always nil.
 func (g *Guard) Close() error {
 	g.initialize()
+	g.stopWatch()
+	g.watching.Wait()
 	g.releasePool.StopAndWait()
 	return nil
 }
@@ -132,6 +142,11 @@
 			Rand:            g.Rand,
 		}
 		g.releasePool = pond.NewPool(maxBackgroundReleases, pond.WithQueueSize(maxQueuedReleases), pond.WithNonBlocking(true))
+		g.sleep = clock.Sleep
+		g.checkNow = make(chan struct{}, 1)
+		ctx, cancel := context.WithCancel(context.Background())
+		g.stopWatch = cancel
+		g.watching.Go(func() { g.watchEra(ctx) })
 	})
 }
 
--- a/src/deposit/operation.go
+++ b/src/deposit/operation.go
@@ -14,7 +14,10 @@
 	defaultRetryAfter = 2 * time.Second        // suggested wait before repeating a request that was refused or whose key is in progress
 )
 
-// operation is one claim, confirmation or end in progress on a slot.
+// storeRestored is the reason of refusals because the store came back from an older copy.
+const storeRestored = "store came back from an older copy"
+
+// operation is one claim, confirmation, end or rewrite in progress on a slot.
 type operation struct {
 	id           uint64 // the Call of its events and actions
 	params       params
@@ -56,11 +59,16 @@
 		return c.onStoreUnavailable(now, op, "store unavailable")
 	}
 	c.breaker.recordSuccess()
-	if e.Revision < op.revision {
+	c.observeRevision(now, e.Revision)
+	if e.Revision < op.revision || eraOf(e.Revision) < c.settling.era {
 		return c.retry(now, op, failureBackoff, "stale read")
 	}
+	eraRose := op.writes > 0 && eraOf(e.Revision) != eraOf(op.revision)
 	op.revision = e.Revision
 	op.slot = e.Slot
+	if _, isClaim := op.params.(claimParams); isClaim && eraRose {
+		return c.fail(now, op, storeRestored)
+	}
 	if _, isClaim := op.params.(claimParams); isClaim && e.Skew.Abs() > maxSkew {
 		// With a wrong clock, claims of other holders could seem expired.
 		return c.fail(now, op, "clock differs from the store's")
@@ -77,7 +85,14 @@
 	switch e.Result {
 	case ResultOK:
 		c.breaker.recordSuccess()
+		c.observeRevision(now, e.Revision)
+		eraRose := eraOf(e.Revision) != eraOf(op.revision)
 		op.revision = e.Revision
+		if _, isClaim := op.params.(claimParams); isClaim && eraRose {
+			// The key did not exist in either era, but may have been claimed in a copy between them.
+			op.unsureWrite = true
+			return c.fail(now, op, storeRestored)
+		}
 		return c.succeed(now, op, "written")
 	case ResultUnavailable:
 		return c.onStoreUnavailable(now, op, "store unavailable")
@@ -97,6 +112,8 @@
 		return c.evaluateConfirm(now, op, p)
 	case endParams:
 		return c.evaluateEnd(now, op, p)
+	case rewriteParams:
+		return c.evaluateRewrite(now, op, p)
 	}
 	return nil
 }
@@ -106,12 +123,18 @@
 	delete(c.operations, op.id)
 	switch p := op.params.(type) {
 	case claimParams:
-		return c.grant(op, p, reason)
+		return c.grant(now, op, p, reason)
 	case confirmParams:
 		return c.finishConfirm(now, op, p, reason)
 	case endParams:
 		delete(c.unrecordedReleases, p.claim.ID.Sequence)
+		c.recordEnd(now, op, p)
 		return c.answerClose(op, p.claim, true, reason)
+	case rewriteParams:
+		if op.writes > 0 {
+			c.recordRewrite(now, op, p)
+		}
+		return c.answerClose(op, Claim{ID: p.id, Digest: op.digest}, true, reason)
 	}
 	return nil
 }
@@ -149,6 +172,8 @@
 		return c.answerClose(op, p.claim, false, reason)
 	case endParams:
 		return c.answerClose(op, p.claim, false, reason)
+	case rewriteParams:
+		return c.answerClose(op, Claim{ID: p.id, Digest: op.digest}, false, reason)
 	}
 	return nil
 }
--- a/src/deposit/replay.go
+++ b/src/deposit/replay.go
@@ -76,6 +76,10 @@
 		return decodeAs[Confirming](event)
 	case "ended":
 		return decodeAs[Ended](event)
+	case "rewriting":
+		return decodeAs[Rewriting](event)
+	case "era_read":
+		return decodeAs[EraRead](event)
 	case "slot_read":
 		return decodeAs[SlotRead](event)
 	case "shared":
--- a/src/kv/answer.go
+++ b/src/kv/answer.go
@@ -16,6 +16,8 @@
 type answer struct {
 	status   int
 	revision uint64
+	era      uint64
+	namesEra bool
 	body     []byte
 	date     []byte
 	close    bool // the store closes the connection after this answer
@@ -41,9 +43,15 @@
 		return answer{}, err
 	}
 	revision, err := strconv.ParseUint(string(resp.Header.Peek(HeaderRevision)), 10, 64)
+	era, eraErr := strconv.ParseUint(string(resp.Header.Peek(HeaderEra)), 10, 64)
+	if eraErr == nil && era > MaxEra {
+		return answer{}, problem.New(problem.Protocol, HeaderEra, "too high", "check that [store] addr is the platform's store")
+	}
 	return answer{
 		status:   resp.StatusCode(),
 		revision: revision,
+		era:      era,
+		namesEra: eraErr == nil,
 		body:     bytes.Clone(resp.Body()),
 		date:     bytes.Clone(resp.Header.Peek(fasthttp.HeaderDate)),
 		close:    resp.ConnectionClose(),
@@ -51,6 +59,15 @@
 	}, nil
 }
 
+// entry returns the entry that an answer shows.
+func (a answer) entry(key string) Entry {
+	e := Entry{Key: key, Value: a.body, Era: a.era}
+	if a.revision != 0 {
+		e.Revision = JoinRevision(a.era, a.revision)
+	}
+	return e
+}
+
 // check returns the error that an answer stands for.
 func (a answer) check() error {
 	text := fmt.Sprintf("status %d: %.200s", a.status, a.body)
--- a/src/kv/remote.go
+++ b/src/kv/remote.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -27,6 +28,8 @@
 	once   sync.Once
 	client lane.Client
 	skew   skew
+
+	namesEra atomic.Bool
 }
 
 var _ Store = (*Remote)(nil)
@@ -36,24 +39,24 @@
 	req := r.request(fasthttp.MethodGet, PathKey, key)
 	defer fasthttp.ReleaseRequest(req)
 	a, err := r.do(ctx, req, 0)
-	return Entry{Key: key, Value: a.body, Revision: a.revision}, r.classify(err, key, false)
+	return a.entry(key), r.classify(err, key, false)
 }
 
 // Swap implements Store.
 func (r *Remote) Swap(ctx context.Context, key string, expect uint64, value []byte) (uint64, error) {
 	req := r.request(fasthttp.MethodPut, PathKey, key)
 	defer fasthttp.ReleaseRequest(req)
-	setNumber(req, "expect", expect)
+	setRevision(req, "expect", expect)
 	req.SetBodyRaw(value)
 	a, err := r.do(ctx, req, 0)
-	return a.revision, r.classify(err, key, true)
+	return a.entry(key).Revision, r.classify(err, key, true)
 }
 
 // Delete implements Store.
 func (r *Remote) Delete(ctx context.Context, key string, expect uint64) error {
 	req := r.request(fasthttp.MethodDelete, PathKey, key)
 	defer fasthttp.ReleaseRequest(req)
-	setNumber(req, "expect", expect)
+	setRevision(req, "expect", expect)
 	_, err := r.do(ctx, req, 0)
 	return r.classify(err, key, true)
 }
@@ -62,10 +65,10 @@
 func (r *Remote) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (Entry, error) {
 	req := r.request(fasthttp.MethodGet, PathKey, key)
 	defer fasthttp.ReleaseRequest(req)
-	setNumber(req, "after", after)
+	setRevision(req, "after", after)
 	setNumber(req, "wait_ms", milliseconds(wait))
 	a, err := r.do(ctx, req, wait)
-	return Entry{Key: key, Value: a.body, Revision: a.revision}, r.classify(err, key, false)
+	return a.entry(key), r.classify(err, key, false)
 }
 
 // Grant implements Store.
@@ -110,6 +113,15 @@
 	req.URI().QueryArgs().Set(name, strconv.FormatUint(n, 10))
 }
 
+// setRevision sets a revision as its number and, unless that is 0, its era.
+func setRevision(req *fasthttp.Request, name string, revision uint64) {
+	era, number := SplitRevision(revision)
+	setNumber(req, name, number)
+	if era != 0 {
+		setNumber(req, ArgumentEra, era)
+	}
+}
+
 // milliseconds rounds up, so that a short wait is not none.
 func milliseconds(d time.Duration) uint64 {
 	return uint64((max(d, 0) + time.Millisecond - 1) / time.Millisecond)
@@ -134,6 +146,7 @@
 		return answer{}, err
 	}
 	r.skew.observe(a.date, time.Now())
+	r.namesEra.Store(a.namesEra)
 	return a, a.check()
 }
 
--- a/src/kv/store.go
+++ b/src/kv/store.go
@@ -12,7 +12,8 @@
 type Entry struct {
 	Key      string
 	Value    []byte
-	Revision uint64 // grows with each write of the key, 0 when the key does not exist
+	Revision uint64 // grows with each write of the key and with each era, 0 when the key does not exist; see JoinRevision
+	Era      uint64 // of the store, also set when the key does not exist; 0 for a store that names none
 }
 
 // Lease is a holder's claim on a key for a time.
@@ -27,9 +28,10 @@
 //
 // Errors are of the kinds problem.NotFound, problem.Conflict, problem.Unavailable (not carried out) and problem.Unsure (may have been carried out).
 type Store interface {
-	// Get returns the entry of a key, or an error of kind problem.NotFound.
+	// Get returns the entry of a key, or an error of kind problem.NotFound with an entry that holds only the era.
 	Get(ctx context.Context, key string) (Entry, error)
-	// Swap writes a value if the key is at revision expect (0: does not exist) and returns the new revision.
+	// Swap writes a value if the key is at revision expect and returns the new revision. 0 stands for a key that does
+	// not exist, in any era; JoinRevision(era, 0) for one that does not exist in that era.
 	Swap(ctx context.Context, key string, expect uint64, value []byte) (uint64, error)
 	// Delete removes a key that is at revision expect.
 	Delete(ctx context.Context, key string, expect uint64) error
--- a/src/standin/keyspace.go
+++ b/src/standin/keyspace.go
@@ -25,7 +25,8 @@
 	calls    Calls
 	reads    *rate.Limiter
 	writes   *rate.Limiter
-	revision uint64 // grows with each write of any key
+	era      uint64 // rises with each Restore
+	revision uint64 // grows with each write of any key; without the era
 	entries  map[string]versions
 	leases   map[string]grant
 	changed  chan struct{} // closed at the next write or change of faults
@@ -81,6 +82,7 @@
 		if k.draw(k.faults.StaleReads) {
 			e = k.entries[key].before
 		}
+		e = k.inEra(e)
 		if e.Revision == 0 {
 			return problem.New(problem.NotFound, key, "no such key", "write it first")
 		}
@@ -102,8 +104,8 @@
 			return err
 		}
 		k.revision++
-		revision = k.revision
-		k.put(key, kv.Entry{Key: key, Value: value, Revision: revision})
+		revision = kv.JoinRevision(k.era, k.revision)
+		k.put(key, kv.Entry{Key: key, Value: value, Revision: k.revision})
 		return nil
 	})
 	return revision, err
@@ -128,7 +130,7 @@
 	err := k.call(ctx, false, func(time.Time) error {
 		k.calls.Watches++
 		for over := false; ; {
-			e = k.entries[key].now
+			e = k.inEra(k.entries[key].now)
 			e.Key = key
 			if k.faults.Down {
 				return unavailable("the store went down")
@@ -153,10 +155,19 @@
 	return e, err
 }
 
+// inEra returns an entry as an answer shows it, with the current era; mu is held.
+func (k *Keyspace) inEra(e kv.Entry) kv.Entry {
+	e.Era = k.era
+	if e.Revision != 0 {
+		e.Revision = kv.JoinRevision(k.era, e.Revision)
+	}
+	return e
+}
+
 // expect refuses a write that was made from another revision; mu is held.
 func (k *Keyspace) expect(key string, expect uint64) error {
-	have := k.entries[key].now.Revision
-	if have == expect {
+	have := k.inEra(k.entries[key].now).Revision
+	if have == expect || (have == 0 && expect == kv.JoinRevision(k.era, 0)) {
 		return nil
 	}
 	return problem.New(problem.Conflict, key, fmt.Sprintf("at revision %d, not %d", have, expect), "read it again")
--- a/src/standin/keyspace_copy.go
+++ b/src/standin/keyspace_copy.go
@@ -20,11 +20,22 @@
 }
 
 // Restore brings the data back to an earlier copy, as a store does that comes back from one:
-// revisions are given out again.
+// its numbers are given out again, in a new era.
 func (k *Keyspace) Restore(c KeyspaceCopy) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.setup()
 	k.entries, k.leases, k.revision = maps.Clone(c.entries), maps.Clone(c.leases), c.revision
+	k.era++
 	k.wake()
 }
+
+// NamesEra implements kv.Eras.
+func (k *Keyspace) NamesEra() bool { return true }
+
+// Era returns the number of restores so far.
+func (k *Keyspace) Era() uint64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.era
+}
--- a/src/standin/store_server.go
+++ b/src/standin/store_server.go
@@ -66,16 +66,21 @@
 	switch {
 	case c.IsGet() && q.Has("wait_ms"):
 		wait := min(time.Duration(number(q, "wait_ms"))*time.Millisecond, maxWatchWait)
-		e, err := s.Keyspace.Watch(s.ctx, key, number(q, "after"), wait)
+		e, err := s.Keyspace.Watch(s.ctx, key, revisionOf(q, "after"), wait)
 		s.entry(c, e, err)
 	case c.IsGet():
 		e, err := s.Keyspace.Get(s.ctx, key)
 		s.entry(c, e, err)
 	case c.IsPut():
-		revision, err := s.Keyspace.Swap(s.ctx, key, number(q, "expect"), c.PostBody())
-		s.entry(c, kv.Entry{Revision: revision}, err)
+		revision, err := s.Keyspace.Swap(s.ctx, key, revisionOf(q, "expect"), c.PostBody())
+		era, _ := kv.SplitRevision(revision)
+		if err != nil {
+			era = s.Keyspace.Era()
+		}
+		s.entry(c, kv.Entry{Revision: revision, Era: era}, err)
 	case c.IsDelete():
-		s.entry(c, kv.Entry{}, s.Keyspace.Delete(s.ctx, key, number(q, "expect")))
+		err := s.Keyspace.Delete(s.ctx, key, revisionOf(q, "expect"))
+		s.entry(c, kv.Entry{Era: s.Keyspace.Era()}, err)
 	default:
 		c.Error("no such method", fasthttp.StatusMethodNotAllowed)
 	}
@@ -101,7 +106,7 @@
 		c.Error("no such method", fasthttp.StatusMethodNotAllowed)
 		return
 	}
-	s.entry(c, kv.Entry{Revision: l.Token}, err)
+	s.entry(c, kv.Entry{Revision: l.Token, Era: s.Keyspace.Era()}, err)
 }
 
 // entry answers a call; a lost answer closes the connection.
@@ -112,9 +117,12 @@
 	}
 	if err != nil {
 		c.Error(err.Error(), statusOf(err))
+		c.Response.Header.Set(kv.HeaderEra, strconv.FormatUint(e.Era, 10))
 		return
 	}
-	c.Response.Header.Set(kv.HeaderRevision, strconv.FormatUint(e.Revision, 10))
+	_, revision := kv.SplitRevision(e.Revision)
+	c.Response.Header.Set(kv.HeaderRevision, strconv.FormatUint(revision, 10))
+	c.Response.Header.Set(kv.HeaderEra, strconv.FormatUint(e.Era, 10))
 	c.SetBody(e.Value)
 }
 
@@ -145,6 +153,11 @@
 	return fasthttp.StatusServiceUnavailable
 }
 
+// revisionOf returns a query argument that is a revision, joined with its era.
+func revisionOf(q *fasthttp.Args, name string) uint64 {
+	return kv.JoinRevision(number(q, kv.ArgumentEra), number(q, name))
+}
+
 // number returns a query argument, 0 when it is missing or malformed.
 func number(q *fasthttp.Args, name string) uint64 {
 	n, _ := strconv.ParseUint(string(q.Peek(name)), 10, 64)
--- a/src/wire/claim.go
+++ b/src/wire/claim.go
@@ -33,6 +33,7 @@
 	Fields      []Field    `msg:"fields" json:"fields,omitempty"`
 	Body        []byte     `msg:"body" json:"body,omitempty"`
 	Omitted     bool       `msg:"omitted" json:"omitted,omitempty"` // fields and body were too large to keep
+	Era         uint64     `msg:"era" json:"era,omitempty"`         // of the store at the last write of this claim, 0 for a store that names none
 }
 
 // ClaimSlot holds the claims of all idempotency keys that share one key of the store.
--- a/src/wire/claim_gen.go
+++ b/src/wire/claim_gen.go
@@ -15,9 +15,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Claim) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 9
+	// map header, size 10
 	// string "id"
-	o = append(o, 0x89, 0xa2, 0x69, 0x64)
+	o = append(o, 0x8a, 0xa2, 0x69, 0x64)
 	// array header, size 2
 	o = append(o, 0x92)
 	o = msgp.AppendUint64(o, z.ID.Holder)
@@ -53,6 +53,9 @@
 	// string "omitted"
 	o = append(o, 0xa7, 0x6f, 0x6d, 0x69, 0x74, 0x74, 0x65, 0x64)
 	o = msgp.AppendBool(o, z.Omitted)
+	// string "era"
+	o = append(o, 0xa3, 0x65, 0x72, 0x61)
+	o = msgp.AppendUint64(o, z.Era)
 	return
 }
 
@@ -200,6 +203,12 @@
 				err = msgp.WrapError(err, "Omitted")
 				return
 			}
+		case "era":
+			z.Era, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Era")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -218,7 +227,7 @@
 	for za0001 := range z.Fields {
 		s += z.Fields[za0001].Msgsize()
 	}
-	s += 5 + msgp.BytesPrefixSize + len(z.Body) + 8 + msgp.BoolSize
+	s += 5 + msgp.BytesPrefixSize + len(z.Body) + 8 + msgp.BoolSize + 4 + msgp.Uint64Size
 	return
 }
 
