Check the store's era from a timer

Cause: the first state checked the era from a goroutine of each Guard, which the leak check of the tests of dispatch reports for Guards that are not closed (60 s run, many tests failed).

Change: a timer makes the checks. TestRestoredStore also freezes holders.

--- a/src/deposit/era_check.go
+++ b/src/deposit/era_check.go
@@ -14,22 +14,22 @@
 // restored copy never holds the era that it begins.
 const settledKey = slotPrefix + "settled-era"
 
-// watchEra checks the store's era at intervals until ctx is done, and at once when checkNow asks for it.
-func (g *Guard) watchEra(ctx context.Context) {
-	ticker := time.NewTicker(g.core.Timeout / eraCheckFraction)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
+// startEraChecks makes a check of the store's era at intervals until ctx is done, and at once when the timer is reset to 0.
+func (g *Guard) startEraChecks(ctx context.Context) {
+	interval := g.core.Timeout / eraCheckFraction
+	g.checking.Lock()
+	defer g.checking.Unlock()
+	g.checkTimer = time.AfterFunc(interval, func() {
+		g.checking.Lock()
+		defer g.checking.Unlock()
+		if ctx.Err() != nil {
 			return
-		case <-ticker.C:
-			if !g.needsEra() {
-				continue
-			}
-		case <-g.checkNow:
 		}
-		g.checkEra(ctx)
-	}
+		if g.needsEra() {
+			g.checkEra(ctx)
+		}
+		g.checkTimer.Reset(interval)
+	})
 }
 
 // needsEra reports whether the era matters: a store that names eras can lack claims of this holder, or is not settled.
@@ -84,8 +84,5 @@
 	g.Metrics.GetOrCreateCounter(`yuccaport_deposit_store_restores_total`).Inc()
 	g.Log.Info("store came back from an older copy, or was seen for the first time since", "era", after, "before", before, "own_claims", claims,
 		"outcome", "new payments refused as not run until the holders have written their claims again", "at_most", g.core.Timeout.String())
-	select {
-	case g.checkNow <- struct{}{}:
-	default:
-	}
+	g.checkTimer.Reset(0)
 }
--- a/src/deposit/guard.go
+++ b/src/deposit/guard.go
@@ -48,9 +48,9 @@
 	lastCall    uint64
 	releasePool pond.Pool
 	sleep       func(context.Context, time.Duration) bool // clock.Sleep, except in tests
-	checkNow    chan struct{}                             // asks watchEra for a check
-	stopWatch   context.CancelFunc
-	watching    sync.WaitGroup
+	stopChecks  context.CancelFunc
+	checking    sync.Mutex // held during a check of the store's era
+	checkTimer  *time.Timer
 }
 
 // Begin decides on a request with an idempotency key. An error is of kind problem.NotRun; RetryAfter returns when to repeat the request.
@@ -102,8 +102,10 @@
 // Close ends the checks of the store's era and waits for the background releases. Call it after all other methods have returned. Its error is always nil.
 func (g *Guard) Close() error {
 	g.initialize()
-	g.stopWatch()
-	g.watching.Wait()
+	g.stopChecks()
+	g.checkTimer.Stop()
+	g.checking.Lock() // waits for a check in progress
+	defer g.checking.Unlock()
 	g.releasePool.StopAndWait()
 	return nil
 }
@@ -143,10 +145,9 @@
 		}
 		g.releasePool = pond.NewPool(maxBackgroundReleases, pond.WithQueueSize(maxQueuedReleases), pond.WithNonBlocking(true))
 		g.sleep = clock.Sleep
-		g.checkNow = make(chan struct{}, 1)
 		ctx, cancel := context.WithCancel(context.Background())
-		g.stopWatch = cancel
-		g.watching.Go(func() { g.watchEra(ctx) })
+		g.stopChecks = cancel
+		g.startEraChecks(ctx)
 	})
 }
 
--- a/src/deposit/restore_test.go
+++ b/src/deposit/restore_test.go
@@ -44,7 +44,7 @@
 	ran     bool
 	ended   bool
 	era     uint64 // of the store when it was granted
-	exposed bool   // its holder has crashed and the store was restored since it ran, so it may run again
+	exposed bool   // it ran, its holder has since crashed or been frozen, and the store has forgotten it, so it may run again
 }
 
 // restoreModel runs payments of several holders while their store is restored from older copies.
@@ -57,6 +57,7 @@
 	lastID   uint64
 	holders  []*Guard
 	crashed  map[*Guard]bool
+	frozen   map[*Guard]bool
 	checked  map[*Guard]uint64 // era in which the holder last finished a check
 	payments []*restoredPayment
 }
@@ -69,8 +70,7 @@
 	m.lastID++
 	g := &Guard{Store: m.store, Holder: m.lastID, Now: func() time.Time { return m.now }, WritesPerSecond: -1, Rand: rand.New(rand.NewPCG(m.lastID, 0))}
 	g.initialize()
-	g.stopWatch() // the model makes the checks
-	g.watching.Wait()
+	g.stopChecks() // the model makes the checks
 	g.sleep = func(context.Context, time.Duration) bool { return true }
 	return g
 }
@@ -95,20 +95,26 @@
 func (m *restoreModel) restore() {
 	m.store.Restore(m.copies[m.choose(len(m.copies), "copy")])
 	for _, p := range m.payments {
-		p.exposed = p.exposed || m.crashed[p.holder]
+		p.exposed = p.exposed || (p.ran && (m.crashed[p.holder] || m.frozen[p.holder]))
 	}
 }
 
-// crash replaces a holder. The store may lack its claims if it was restored since they were granted and the holder has not checked them since.
+// crash replaces a holder.
 func (m *restoreModel) crash(i int) {
 	g := m.holders[i]
 	m.crashed[g] = true
+	m.leave(g)
+	m.holders[i] = m.newHolder()
+}
+
+// leave marks the payments of a holder that crashes or freezes. The store may lack them if it was restored since they were
+// granted and the holder has not checked them since.
+func (m *restoreModel) leave(g *Guard) {
 	for _, p := range m.payments {
-		if era := m.store.Era(); p.holder == g && p.era < era && m.checked[g] < era {
+		if era := m.store.Era(); p.ran && p.holder == g && p.era < era && m.checked[g] < era {
 			p.exposed = true
 		}
 	}
-	m.holders[i] = m.newHolder()
 }
 
 // begin asks for a payment; a background release is executed at once.
@@ -158,6 +164,9 @@
 	for range intervals {
 		m.now = m.now.Add(DefaultTimeout / eraCheckFraction)
 		for _, g := range m.holders {
+			if m.frozen[g] {
+				continue
+			}
 			g.checkEra(context.Background())
 			if g.core.memory.nextUnfound(m.store.Era()) == nil {
 				m.checked[g] = m.store.Era()
@@ -167,11 +176,12 @@
 }
 
 func (m *restoreModel) step() {
-	action := m.choose(10, "action")
+	action := m.choose(11, "action")
 	open := m.openPayment()
+	g := m.holders[m.choose(len(m.holders), "holder")]
 	switch {
-	case action < 3:
-		m.begin(m.holders[m.choose(len(m.holders), "holder")], sharedSlotKeys[m.choose(len(sharedSlotKeys), "key")])
+	case action < 3 && !m.frozen[g]:
+		m.begin(g, sharedSlotKeys[m.choose(len(sharedSlotKeys), "key")])
 	case action < 5 && open != nil:
 		m.send(open)
 	case action == 5 && open != nil:
@@ -184,14 +194,19 @@
 		m.pass(1 + m.choose(eraCheckFraction+1, "intervals"))
 	case action == 9 && m.choose(3, "crash") == 1:
 		m.crash(m.choose(len(m.holders), "holder"))
+	case action == 10 && m.frozen[g]:
+		m.frozen[g] = false
+	case action == 10:
+		m.frozen[g] = true
+		m.leave(g)
 	}
 }
 
-// openPayment returns a payment of a live holder that has not ended, or nil.
+// openPayment returns a payment of a running holder that has not ended, or nil.
 func (m *restoreModel) openPayment() *restoredPayment {
 	var open []*restoredPayment
 	for _, p := range m.payments {
-		if !p.ended && !m.crashed[p.holder] {
+		if !p.ended && !m.crashed[p.holder] && !m.frozen[p.holder] {
 			open = append(open, p)
 		}
 	}
@@ -202,10 +217,10 @@
 }
 
 // TestRestoredStore checks that a payment runs at most once while the store comes back from older copies at random moments,
-// also several times in a row and during store calls, unless its holder has crashed and the store has forgotten its claim.
+// also several times in a row and during store calls, unless its holder has crashed or was frozen and the store has forgotten its claim.
 func TestRestoredStore(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := &restoreModel{t: t, now: time.Unix(1000, 0), crashed: map[*Guard]bool{}, checked: map[*Guard]uint64{}, store: &restoringStore{}, restores: rapid.IntRange(0, 3).Draw(t, "disturbances")}
+		m := &restoreModel{t: t, now: time.Unix(1000, 0), crashed: map[*Guard]bool{}, frozen: map[*Guard]bool{}, checked: map[*Guard]uint64{}, store: &restoringStore{}, restores: rapid.IntRange(0, 3).Draw(t, "disturbances")}
 		m.store.disturb = m.disturb
 		m.copies = []standin.KeyspaceCopy{m.store.Copy()}
 		for range rapid.IntRange(2, 3).Draw(t, "holders") {
@@ -222,7 +237,7 @@
 func TestSettledEra(t *testing.T) {
 	c := qt.New(t)
 	ctx := context.Background()
-	m := &restoreModel{checked: map[*Guard]uint64{}, now: time.Unix(1000, 0), store: &restoringStore{disturb: func() bool { return false }}}
+	m := &restoreModel{frozen: map[*Guard]bool{}, checked: map[*Guard]uint64{}, now: time.Unix(1000, 0), store: &restoringStore{disturb: func() bool { return false }}}
 	first, second := m.newHolder(), m.newHolder()
 	m.holders = []*Guard{first, second}
 	older := m.store.Copy()
