--- a/src/deposit/event.go
+++ b/src/deposit/event.go
@@ -36,6 +36,18 @@
 	Holders int `json:"holders"`
 }
 
+// Rewriting starts to write a remembered claim again if the store, restored from an older copy, lacks it. It is answered by
+// Close, whose OK is false if no claim is left to check or the store failed.
+type Rewriting struct {
+	Call uint64 `json:"call"`
+}
+
+// EraRead is the answer of the store to a check of its era. Settled states that some holder has found this era settled.
+type EraRead struct {
+	Era     uint64 `json:"era"`
+	Settled bool   `json:"settled"`
+}
+
 // SlotRead answers ReadSlot.
 type SlotRead struct {
 	Call     uint64         `json:"call"`
@@ -55,6 +67,8 @@
 func (Arrived) isEvent()     {}
 func (Confirming) isEvent()  {}
 func (Shared) isEvent()      {}
+func (Rewriting) isEvent()   {}
+func (EraRead) isEvent()     {}
 func (Ended) isEvent()       {}
 func (SlotRead) isEvent()    {}
 func (SlotSwapped) isEvent() {}
--- a/src/deposit/params.go
+++ b/src/deposit/params.go
@@ -23,6 +23,10 @@
 	unsureRevision uint64 // of a background release: revision at which a delayed write of the claim can still take effect
 }
 
+// rewriteParams describes a claim to write again.
+type rewriteParams struct{ id wire.ClaimID }
+
 func (claimParams) isParams()   {}
 func (confirmParams) isParams() {}
 func (endParams) isParams()     {}
+func (rewriteParams) isParams() {}
--- a/src/deposit/restore_test.go
+++ b/src/deposit/restore_test.go
@@ -12,6 +12,7 @@
 	"github.com/yuccaport/yuccaport/src/kv"
 	"github.com/yuccaport/yuccaport/src/problem"
 	"github.com/yuccaport/yuccaport/src/standin"
+	"github.com/yuccaport/yuccaport/src/wire"
 )
 
 // restoringStore may be copied and restored, and may lose the answer to a write, before and after each call.
@@ -265,3 +266,57 @@
 		c.Assert(g.Close(), qt.IsNil)
 	}
 }
+
+// A claim whose write crosses a restore must not be granted: the key may have been claimed in between. It must be released, so
+// that the key is free once the era is settled.
+func TestClaimAcrossRestore(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	calls := 0
+	m := &restoreModel{checked: map[*Guard]uint64{}, now: time.Unix(1000, 0), store: &restoringStore{}}
+	m.copies = []standin.KeyspaceCopy{m.store.Copy()}
+	m.store.disturb = func() bool {
+		if calls++; calls == 2 { // after the read
+			m.store.Restore(m.copies[0])
+		}
+		return false
+	}
+	g := m.newHolder()
+	_, err := g.Begin(ctx, "s", "k", 7)
+	c.Assert(err, qt.ErrorIs, problem.NotRun)
+	c.Assert(g.Close(), qt.IsNil)
+	m.holders = []*Guard{m.newHolder()}
+	m.pass(eraCheckFraction + 1)
+	d, err := m.holders[0].Begin(ctx, "s", "k", 7)
+	c.Assert(err, qt.IsNil)
+	_, granted := d.(Granted)
+	c.Assert(granted, qt.IsTrue)
+	c.Assert(m.holders[0].Close(), qt.IsNil)
+}
+
+// A claim that the store still holds shows only that the claims acknowledged before its write, in the same era, are there too;
+// any other must be checked, or a lost one would not be written again.
+func TestMemorySetFound(t *testing.T) {
+	at := func(s int64) time.Time { return time.Unix(s, 0) }
+	tests := map[string]struct {
+		other rememberedClaim
+		found bool
+	}{
+		"acknowledged before":    {rememberedClaim{claim: wire.Claim{Era: 1}, ackAt: at(9)}, true},
+		"acknowledged during":    {rememberedClaim{claim: wire.Claim{Era: 1}, ackAt: at(10)}, false},
+		"of an earlier era":      {rememberedClaim{claim: wire.Claim{Era: 0}, ackAt: at(9)}, false},
+		"written in a later era": {rememberedClaim{claim: wire.Claim{Era: 2}, ackAt: at(9)}, false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			m := &memory{}
+			present := &rememberedClaim{claim: wire.Claim{Digest: []byte("a"), Era: 1}, sentAt: at(10), ackAt: at(11)}
+			tc.other.claim.Digest = []byte("b")
+			for _, r := range []*rememberedClaim{&tc.other, present} {
+				m.put(r, func(wire.Claim) bool { return false })
+			}
+			m.setFound(present, 3)
+			qt.Check(t, m.nextUnfound(3) == nil, qt.Equals, tc.found)
+		})
+	}
+}
--- a/src/deposit/rewrite_operation.go
+++ b/src/deposit/rewrite_operation.go
@@ -7,19 +7,6 @@
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
-// Rewriting starts to write a remembered claim again if the store, restored from an older copy, lacks it. It is answered by
-// Close, whose OK is false if no claim is left to check or the store failed.
-type Rewriting struct {
-	Call uint64 `json:"call"`
-}
-
-func (Rewriting) isEvent() {}
-
-// rewriteParams describes a claim to write again.
-type rewriteParams struct{ id wire.ClaimID }
-
-func (rewriteParams) isParams() {}
-
 // onRewriting checks the latest claim that the store may lack.
 func (c *Core) onRewriting(now time.Time, e Rewriting) []Action {
 	r := c.memory.nextUnfound(c.settling.era)
--- a/src/deposit/settling.go
+++ b/src/deposit/settling.go
@@ -19,14 +19,6 @@
 	until     time.Time // end of the time for the holders, if unsettled
 }
 
-// EraRead is the answer of the store to a check of its era. Settled states that some holder has found this era settled.
-type EraRead struct {
-	Era     uint64 `json:"era"`
-	Settled bool   `json:"settled"`
-}
-
-func (EraRead) isEvent() {}
-
 // observe takes in the era of an answer. Era 0 is settled: in it, no claim has been lost.
 func (s *settling) observe(now time.Time, era uint64, timeout time.Duration) {
 	if era <= s.era {
--- a/src/kv/revision.go
+++ b/src/kv/revision.go
@@ -17,18 +17,3 @@
 func SplitRevision(revision uint64) (era, number uint64) {
 	return revision >> eraShift, revision & (1<<eraShift - 1)
 }
-
-// Eras is a Store that tells whether its answers name an era.
-type Eras interface {
-	// NamesEra reports whether the latest answer named an era.
-	NamesEra() bool
-}
-
-// NamesEra implements Eras.
-func (r *Remote) NamesEra() bool { return r.namesEra.Load() }
-
-// NamesEra implements Eras.
-func (c *Counted) NamesEra() bool {
-	s, ok := c.Store.(Eras)
-	return ok && s.NamesEra()
-}
