--- a/src/deposit/restore_test.go
+++ b/src/deposit/restore_test.go
@@ -320,3 +320,19 @@
 		})
 	}
 }
+
+// A claim of an earlier era must not be confirmed once its stamp is old, even if the copy holds it: another holder may have been
+// granted the key in an era that the store has lost too.
+func TestConfirmAfterRestore(t *testing.T) {
+	c := qt.New(t)
+	m := &restoreModel{now: time.Unix(1000, 0), store: &restoringStore{disturb: func() bool { return false }}}
+	g := m.newHolder()
+	m.begin(g, "k")
+	m.store.Restore(m.store.Copy())
+	_, err := g.Confirm(context.Background(), m.payments[0].claim)
+	c.Assert(err, qt.IsNil)
+	m.now = m.now.Add(maxSendWindow)
+	_, err = g.Confirm(context.Background(), m.payments[0].claim)
+	c.Assert(err, qt.ErrorIs, problem.NotRun)
+	c.Assert(g.Close(), qt.IsNil)
+}
