Take writes of clients without eras as of the current era

Cause: a release without eras sends a revision's number only. After a restore the stand-in compared it with era 0, so each of its writes conflicted for good.

Change: a client that has seen an era sends it with each revision; the stand-in takes a revision without one as of the current era.

--- a/src/kv/remote.go
+++ b/src/kv/remote.go
@@ -46,7 +46,7 @@
 func (r *Remote) Swap(ctx context.Context, key string, expect uint64, value []byte) (uint64, error) {
 	req := r.request(fasthttp.MethodPut, PathKey, key)
 	defer fasthttp.ReleaseRequest(req)
-	setRevision(req, "expect", expect)
+	r.setRevision(req, "expect", expect)
 	req.SetBodyRaw(value)
 	a, err := r.do(ctx, req, 0)
 	return a.entry(key).Revision, r.classify(err, key, true)
@@ -56,7 +56,7 @@
 func (r *Remote) Delete(ctx context.Context, key string, expect uint64) error {
 	req := r.request(fasthttp.MethodDelete, PathKey, key)
 	defer fasthttp.ReleaseRequest(req)
-	setRevision(req, "expect", expect)
+	r.setRevision(req, "expect", expect)
 	_, err := r.do(ctx, req, 0)
 	return r.classify(err, key, true)
 }
@@ -65,7 +65,7 @@
 func (r *Remote) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (Entry, error) {
 	req := r.request(fasthttp.MethodGet, PathKey, key)
 	defer fasthttp.ReleaseRequest(req)
-	setRevision(req, "after", after)
+	r.setRevision(req, "after", after)
 	setNumber(req, "wait_ms", milliseconds(wait))
 	a, err := r.do(ctx, req, wait)
 	return a.entry(key), r.classify(err, key, false)
@@ -113,11 +113,12 @@
 	req.URI().QueryArgs().Set(name, strconv.FormatUint(n, 10))
 }
 
-// setRevision sets a revision as its number and, unless that is 0, its era.
-func setRevision(req *fasthttp.Request, name string, revision uint64) {
+// setRevision sets a revision as its number and its era. The era is left out for a store that names none, and for 0, which
+// stands for a missing key in any era.
+func (r *Remote) setRevision(req *fasthttp.Request, name string, revision uint64) {
 	era, number := SplitRevision(revision)
 	setNumber(req, name, number)
-	if era != 0 {
+	if revision != 0 && (era != 0 || r.namesEra.Load()) {
 		setNumber(req, ArgumentEra, era)
 	}
 }
--- a/src/standin/store_server.go
+++ b/src/standin/store_server.go
@@ -66,20 +66,20 @@
 	switch {
 	case c.IsGet() && q.Has("wait_ms"):
 		wait := min(time.Duration(number(q, "wait_ms"))*time.Millisecond, maxWatchWait)
-		e, err := s.Keyspace.Watch(s.ctx, key, revisionOf(q, "after"), wait)
+		e, err := s.Keyspace.Watch(s.ctx, key, s.revisionOf(q, "after"), wait)
 		s.entry(c, e, err)
 	case c.IsGet():
 		e, err := s.Keyspace.Get(s.ctx, key)
 		s.entry(c, e, err)
 	case c.IsPut():
-		revision, err := s.Keyspace.Swap(s.ctx, key, revisionOf(q, "expect"), c.PostBody())
+		revision, err := s.Keyspace.Swap(s.ctx, key, s.revisionOf(q, "expect"), c.PostBody())
 		era, _ := kv.SplitRevision(revision)
 		if err != nil {
 			era = s.Keyspace.Era()
 		}
 		s.entry(c, kv.Entry{Revision: revision, Era: era}, err)
 	case c.IsDelete():
-		err := s.Keyspace.Delete(s.ctx, key, revisionOf(q, "expect"))
+		err := s.Keyspace.Delete(s.ctx, key, s.revisionOf(q, "expect"))
 		s.entry(c, kv.Entry{Era: s.Keyspace.Era()}, err)
 	default:
 		c.Error("no such method", fasthttp.StatusMethodNotAllowed)
@@ -153,9 +153,14 @@
 	return fasthttp.StatusServiceUnavailable
 }
 
-// revisionOf returns a query argument that is a revision, joined with its era.
-func revisionOf(q *fasthttp.Args, name string) uint64 {
-	return kv.JoinRevision(number(q, kv.ArgumentEra), number(q, name))
+// revisionOf returns a query argument that is a revision, joined with its era, or with the current one if none is given. 0
+// without an era stays 0.
+func (s *StoreServer) revisionOf(q *fasthttp.Args, name string) uint64 {
+	n, era := number(q, name), number(q, kv.ArgumentEra)
+	if n != 0 && !q.Has(kv.ArgumentEra) {
+		era = s.Keyspace.Era()
+	}
+	return kv.JoinRevision(era, n)
 }
 
 // number returns a query argument, 0 when it is missing or malformed.
