--- a/src/deposit/event.go
+++ b/src/deposit/event.go
@@ -6,7 +6,7 @@
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
-// Event is an input of a Core: Arrived, Confirming, Ended, SlotRead, SlotSwapped or Shared.
+// Event is an input of a Core: Arrived, Confirming, Ended, Rewriting, EraRead, SlotRead, SlotSwapped or Shared.
 type Event interface{ isEvent() }
 
 // Arrived is a request that asks for a claim.
@@ -36,11 +36,23 @@
 	Holders int `json:"holders"`
 }
 
+// Rewriting starts to write a remembered claim again if the store, restored from an older copy, lacks it. It is answered by
+// Close, whose OK is false if no claim is left to check or the store failed.
+type Rewriting struct {
+	Call uint64 `json:"call"`
+}
+
+// EraRead is the answer of the store to a check of its era. Settled states that some holder has found this era settled.
+type EraRead struct {
+	Era     uint64 `json:"era"`
+	Settled bool   `json:"settled"`
+}
+
 // SlotRead answers ReadSlot.
 type SlotRead struct {
 	Call     uint64         `json:"call"`
 	Result   Result         `json:"result"`
-	Revision uint64         `json:"revision"`
+	Revision uint64         `json:"revision"` // also names the store's era; see kv.JoinRevision
 	Slot     wire.ClaimSlot `json:"slot"`
 	Skew     time.Duration  `json:"skew_ns,omitempty"` // of the store's clock relative to the holder's
 }
@@ -55,6 +67,8 @@
 func (Arrived) isEvent()     {}
 func (Confirming) isEvent()  {}
 func (Shared) isEvent()      {}
+func (Rewriting) isEvent()   {}
+func (EraRead) isEvent()     {}
 func (Ended) isEvent()       {}
 func (SlotRead) isEvent()    {}
 func (SlotSwapped) isEvent() {}
--- a/src/deposit/params.go
+++ b/src/deposit/params.go
@@ -2,7 +2,7 @@
 
 import "github.com/yuccaport/yuccaport/src/wire"
 
-// params are the inputs of an operation, and their type is its kind: claimParams, confirmParams or endParams.
+// params are the inputs of an operation, and their type is its kind: claimParams, confirmParams, endParams or rewriteParams.
 type params interface{ isParams() }
 
 // claimParams describes a claim to add.
@@ -23,6 +23,10 @@
 	unsureRevision uint64 // of a background release: revision at which a delayed write of the claim can still take effect
 }
 
+// rewriteParams describes a claim to write again.
+type rewriteParams struct{ id wire.ClaimID }
+
 func (claimParams) isParams()   {}
 func (confirmParams) isParams() {}
 func (endParams) isParams()     {}
+func (rewriteParams) isParams() {}
