Admission policy by value per slot second

Under overload by two kinds of one priority, the order by latest start queues calls of the kind with the longer objective when those of the other have no chance left, and starts all calls so late that any excess over the mean service time makes them miss the objective.

With policy value, the calls of a rank are planned by latest start on the slots, and whenever one would start too late, the call with the longest expected work is left out. The latest start precedes that of the mean by twice the learned mean deviation. A kind that is served less than 0.3 times as often as all calls gets the next slot, unless a more urgent kind is served less often. A refused call is told to return at half of its slack, so that it precedes newcomers of its kind.

--- a/src/agent/agent.go
+++ b/src/agent/agent.go
@@ -113,7 +113,7 @@
 	a.backend = registry.BackendState{Service: s.Service, Addr: s.Backend.Addr}
 	a.booking = &booking.Server{
 		Backend: settings.Backend{Addr: s.Backend.Addr, Slots: settings.DefaultSlots, Connections: settings.DefaultConnections, HealthPath: "/health"},
-		Service: s.Service, Self: a.id, Document: a.serviceDocument, Headers: a.Headers, UsesHeartbeats: true,
+		Service: s.Service, Self: a.id, Document: a.serviceDocument, Headers: a.Headers, UsesHeartbeats: true, Policy: s.Admission.Policy,
 		Log: a.Log.WithName("booking"), Metrics: a.Metrics,
 	}
 	// Four intervals without an answer count as a dead link; together they outlast the transfer of assumedQueuedBytes.
--- a/src/agent/settings.go
+++ b/src/agent/settings.go
@@ -7,6 +7,7 @@
 	"os"
 	"time"
 
+	"github.com/yuccaport/yuccaport/src/booking"
 	"github.com/yuccaport/yuccaport/src/problem"
 	"github.com/yuccaport/yuccaport/src/settings"
 )
@@ -29,6 +30,7 @@
 	Revocation  Revocation        `toml:"revocation"`
 	Quota       Quota             `toml:"quota"`
 	Dispatch    Dispatch          `toml:"dispatch"`
+	Admission   Admission         `toml:"admission"`
 }
 
 // Listen holds the addresses that the agent listens on.
@@ -75,6 +77,11 @@
 	PreferDomain bool `toml:"prefer_domain"` // calls stay in their failure domain while an answer is expected in time there; for deployments where bytes between failure domains are costly
 }
 
+// Admission configures which calls the backend server gets under overload.
+type Admission struct {
+	Policy booking.Policy `toml:"policy"` // empty for booking.PolicyPriority
+}
+
 // LoadSettings reads and validates a settings file; errors are of kind problem.Settings.
 func LoadSettings(file string) (Settings, error) {
 	b, err := os.ReadFile(file)
@@ -131,6 +138,9 @@
 	if s.Quota.Window.Std() == 0 && (s.Quota.Over != 0 || s.Quota.Slack != 0) {
 		return settingsError(file, "quota.window", s.Quota.Window.Std(), "set it to a time above zero, such as 5s, or leave out the section quota")
 	}
+	if p := s.Admission.Policy; !p.IsValid() {
+		return settingsError(file, "admission.policy", p, fmt.Sprintf("set it to %q or %q, or leave out the section admission", booking.PolicyPriority, booking.PolicyValue))
+	}
 	return s.Rollout.validate(file)
 }
 
--- a/src/booking/call_queue.go
+++ b/src/booking/call_queue.go
@@ -14,11 +14,17 @@
 	call          uint64
 	route         string
 	priority      uint8
+	final         bool               // see Arrive.Final
 	serviceTime   time.Duration      // expected service time
 	transferTime  time.Duration      // expected time of its answer on the network connection
 	expiry        time.Time          // time at which it is refused
 	objectiveTime time.Time          // time by which the backend server has to answer to meet the objective, zero for no objective
 	reason        wire.RefusalReason // of the refusal at expiry
+
+	// Set by Core.replan.
+	leftOut     bool          // not planned to be in time
+	promoted    bool          // precedes all others, since its kind is starved
+	plannedWait time.Duration // expected wait for its slot
 }
 
 // latestStart returns the time by which the call has to start to meet its objective; without an objective, its expiry.
@@ -29,11 +35,13 @@
 	return w.objectiveTime.Add(-w.serviceTime)
 }
 
-// late reports whether the call has an objective that it can no longer meet. Its deadline may still be far.
+// late reports whether the call has an objective that it can no longer meet, or is not planned to. Its deadline may still be far.
 func (w *waiter) late(now time.Time) bool {
-	return !w.objectiveTime.IsZero() && now.After(w.latestStart())
+	return w.leftOut || !w.objectiveTime.IsZero() && now.After(w.latestStart())
 }
 
+func (w *waiter) kind() kind { return kind{rank(w.priority), w.route} }
+
 // callQueue is the queue of calls that wait for a slot. Calls that are not late precede late calls; within each group, more urgent calls precede less urgent ones.
 //
 // Among calls of one rank that are not late, the one with the earliest latestStart is next. Among late calls of one rank it is the newest, which has the best chance of being answered before its caller gives up.
@@ -83,6 +91,11 @@
 	if q.size == 0 {
 		return waiter{}, false
 	}
+	for r := range q.byRank {
+		if i := slices.IndexFunc(q.byRank[r], func(w waiter) bool { return w.promoted && !w.late(now) }); i >= 0 {
+			return q.removeAt(r, i), true
+		}
+	}
 	eligible := q.byRank[:maxRank+1]
 	for r := range eligible {
 		if i := q.nextNotLate(now, r); i >= 0 {
--- a/src/booking/core.go
+++ b/src/booking/core.go
@@ -23,6 +23,8 @@
 	// It also turns on the reservation of slots for more urgent calls and the wait by priority in LoadFor.
 	FixedLimit bool
 
+	Policy Policy // order of the queued calls with an objective, empty for PolicyPriority
+
 	LinkRate float64 // bytes per second of the network connection of this VM, 0 to ignore the time that answers take on it
 
 	limit          int // concurrency limit, between 1 and Slots; 0 before the first event
@@ -34,6 +36,7 @@
 	serviceTimes   serviceTimeEstimator
 	usage          slotUsage
 	slack          slackTracker
+	shares         kindShares // with PolicyValue
 	rate           callRate
 	speed          vmSpeed
 	health         HealthState
@@ -143,7 +146,11 @@
 	if c.limit == 0 || e.Objective == 0 || c.canStartNow(now, e.Priority) && c.transferTime(e) == 0 {
 		return Refuse{}, false
 	}
-	_, r, accepted := c.waiterOrRefusal(now, e)
+	decide := c.waiterOrRefusal
+	if c.Policy == PolicyValue && !c.canStartNow(now, e.Priority) {
+		decide = c.plannedWaiter
+	}
+	_, r, accepted := decide(now, e)
 	return r, !accepted
 }
 
@@ -156,6 +163,9 @@
 	if refusal, refused := c.unavailableRefusal(now, e.Call); refused {
 		return []Action{refusal}
 	}
+	if c.Policy == PolicyValue && e.Final {
+		c.shares.offer(kind{rank(e.Priority), e.Route})
+	}
 	actions := c.refuseExpired(now, nil)
 	if c.rate.limited {
 		actions = c.admitQueued(now, actions) // the Tick for a queued call may still be to come
@@ -170,6 +180,9 @@
 	canStart := c.canStartNow(now, e.Priority)
 	switch {
 	case e.Objective != 0 && (!canStart || c.transferTime(e) > 0):
+		if c.Policy == PolicyValue && !canStart {
+			return c.valueArrival(now, e, actions)
+		}
 		w, refusal, accepted := c.waiterOrRefusal(now, e)
 		if !accepted {
 			return append(actions, refusal)
@@ -188,7 +201,7 @@
 // newWaiter returns the queue entry of a call without its expiry.
 func (c *Core) newWaiter(now time.Time, e Arrive) waiter {
 	w := waiter{
-		call: e.Call, route: e.Route, priority: e.Priority,
+		call: e.Call, route: e.Route, priority: e.Priority, final: e.Final,
 		serviceTime: c.expectedServiceTime(now, e.Route), transferTime: c.transferTime(e), reason: wire.ReasonDeadline,
 	}
 	if e.Objective != 0 {
@@ -261,6 +274,12 @@
 func (c *Core) admit(now time.Time, w waiter) Action {
 	r := &runningCall{route: w.route, admitted: now, expected: c.expectedServiceTime(now, w.route), progress: c.speed.tracker.Progress(now), transferTime: w.transferTime, objectiveTime: w.objectiveTime}
 	c.running[w.call] = r
+	if c.Policy == PolicyValue {
+		if !w.final {
+			c.shares.offer(w.kind())
+		}
+		c.shares.serve(w.kind())
+	}
 	c.rate.take(now, w.priority, w.late(now), c.serviceTimes.mean)
 	c.usage.add(now, w.priority, w.late(now), r.expected)
 	return Admit{Call: w.call}
@@ -335,6 +354,7 @@
 	for _, w := range c.queue.removeExpired(now) {
 		actions = append(actions, c.newRefusal(now, w.call, w.reason))
 	}
+	c.replan(now)
 	waits := map[uint8]time.Duration{} // of late calls by priority
 	lateWait := func(w *waiter) time.Duration {
 		if _, ok := waits[w.priority]; !ok {
@@ -343,7 +363,7 @@
 		return waits[w.priority]
 	}
 	for _, w := range c.queue.removeLate(now, func(w *waiter) bool { return worthWaiting(now, w, lateWait(w)) }) {
-		actions = append(actions, Refuse{Call: w.call, Reason: wire.ReasonQueueFull, RetryAfter: retryAfter(lateWait(&w))})
+		actions = append(actions, Refuse{Call: w.call, Reason: wire.ReasonQueueFull, RetryAfter: c.lateRetryAfter(now, &w, lateWait(&w))})
 	}
 	return actions
 }
@@ -352,6 +372,7 @@
 // named allows it.
 func (c *Core) admitQueued(now time.Time, actions []Action) []Action {
 	for len(c.running) < c.limit && c.rate.available(now) {
+		c.replan(now)
 		w, ok := c.queue.pop(now, c.maxAdmissibleRank(now))
 		if !ok {
 			break
--- a/src/booking/replay.go
+++ b/src/booking/replay.go
@@ -17,6 +17,7 @@
 	Queue      int           `json:"queue"`
 	QueueWait  time.Duration `json:"queue_wait_ns"`
 	FixedLimit bool          `json:"exact,omitempty"`
+	Policy     Policy        `json:"policy,omitempty"`
 }
 
 type replayCore struct{ core *Core }
@@ -29,7 +30,7 @@
 			return nil, problem.Wrap(problem.Usage, err, "header", "settings of the booking core cannot be read", "see docs/TRACES.md for the format")
 		}
 	}
-	return replayCore{&Core{Slots: s.Slots, FixedLimit: s.FixedLimit, QueueLimit: s.Queue, QueueWait: s.QueueWait}}, nil
+	return replayCore{&Core{Slots: s.Slots, FixedLimit: s.FixedLimit, Policy: s.Policy, QueueLimit: s.Queue, QueueWait: s.QueueWait}}, nil
 }
 
 // Replay decodes one event, applies it to the core and returns the resulting actions.
--- a/src/booking/server.go
+++ b/src/booking/server.go
@@ -40,6 +40,7 @@
 	UsesHeartbeats bool                               // heartbeats of the backend server, passed to SetInstance, replace the probes of its health endpoint and report its slots, so the concurrency limit is fixed and lost answers do not take it down
 	InboundDelay   func() time.Duration               // expected time until the bodies in transit to this VM have arrived; nil for zero
 	OutboundDelay  func() (inTime, all time.Duration) // time that the network connection of this VM needs for the bodies that wait to be sent: those in time for their objective, and all; nil for zero
+	Policy         Policy                             // order of the queued calls with an objective, empty for PolicyPriority
 	LinkRate       float64                            // bytes per second of the network connection of this VM, 0 to ignore the time that answers take on it
 	Quarantine     *quarantine.Node                   // keeps requests away that crash backend servers; nil for none
 	Rollout        *rollout.Node                      // decides which calls may run while the service is under a rollout order, and gets the outcome of each run; nil for none
@@ -100,7 +101,7 @@
 		}
 		s.counters = newCounters(s.Metrics)
 		s.pool.Addr, s.pool.Max, s.pool.Now = s.Backend.Addr, max(1, s.Backend.Connections), s.Now
-		s.core.LinkRate = s.LinkRate
+		s.core.LinkRate, s.core.Policy = s.LinkRate, s.Policy
 		s.core.Slots, s.core.FixedLimit = max(1, s.Backend.Slots), s.UsesHeartbeats // heartbeats report the slots, so the concurrency limit need not adapt
 		s.limits = document.Limits{Queue: document.DefaultQueue, QueueWait: document.Duration(document.DefaultQueueWait)}
 		s.core.QueueLimit, s.core.QueueWait = s.limits.Queue, s.limits.QueueWait.Std()
@@ -116,7 +117,7 @@
 	if s.Record == nil || len(s.Record.Header.Settings) > 0 {
 		return
 	}
-	settings := traceSettings{Slots: s.core.Slots, FixedLimit: s.core.FixedLimit, Queue: s.core.QueueLimit, QueueWait: s.core.QueueWait}
+	settings := traceSettings{Slots: s.core.Slots, FixedLimit: s.core.FixedLimit, Policy: s.core.Policy, Queue: s.core.QueueLimit, QueueWait: s.core.QueueWait}
 	s.Record.Header.Core = CoreName
 	s.Record.Header.Settings, _ = json.Marshal(settings) // cannot fail for numbers
 }
--- a/src/booking/service_time.go
+++ b/src/booking/service_time.go
@@ -13,6 +13,7 @@
 // routeEstimate estimates the service time and the answer size of one route.
 type routeEstimate struct {
 	mean    time.Duration
+	spread  time.Duration // mean absolute deviation from the mean
 	low     time.Duration // estimate near the shortest service times; calls with less time left are refused, and a higher estimate would refuse some that could meet their deadline
 	updated time.Time
 
@@ -23,6 +24,7 @@
 	if e.updated.IsZero() {
 		e.mean = took
 	} else {
+		e.spread += ((took - e.mean).Abs() - e.spread) / meanDivisor
 		e.mean += (took - e.mean) / meanDivisor
 	}
 	switch {
@@ -82,6 +84,14 @@
 	return 0
 }
 
+// routeDeviation returns the mean absolute deviation of the service times of a route, 0 if it is unknown.
+func (s *serviceTimeEstimator) routeDeviation(route string) time.Duration {
+	if e := s.routes[route]; e != nil {
+		return e.spread
+	}
+	return 0
+}
+
 // routeAnswerSize returns the mean size of the answers of a route in bytes, 0 if it is unknown.
 func (s *serviceTimeEstimator) routeAnswerSize(route string) int64 {
 	if e := s.routes[route]; e != nil {
--- a/src/fleetmodel/fleet.go
+++ b/src/fleetmodel/fleet.go
@@ -29,10 +29,11 @@
 	Delay    time.Duration // one way between two agents, with their processing
 	Domains  int           // failure domains, over which the agents are spread, 0 for 3
 
-	DomainDelay  time.Duration // one way between two failure domains, in addition
-	DomainDemand []float64     // weight of each failure domain in the arrivals, empty for equal ones
-	PreferDomain bool          // see dispatch.Settings
-	Baseline     Baseline      // selection for comparison, empty for that of dispatch
+	DomainDelay  time.Duration  // one way between two failure domains, in addition
+	DomainDemand []float64      // weight of each failure domain in the arrivals, empty for equal ones
+	PreferDomain bool           // see dispatch.Settings
+	Policy       booking.Policy // of admission, see booking.Core
+	Baseline     Baseline       // selection for comparison, empty for that of dispatch
 
 	Length time.Duration // during which requests arrive
 	Settle time.Duration // results of requests that arrive before it are not counted
@@ -92,7 +93,7 @@
 				a.limit = s.Limits[i%len(s.Limits)]
 			}
 			a.dispatch = &dispatch.Core{Settings: dispatch.Settings{SharedRetryBurst: 1000, PreferDomain: f.PreferDomain}.WithDefaults(), Rand: rand.New(rand.NewPCG(f.Seed, id))}
-			a.booking = &booking.Core{Slots: s.Slots, QueueLimit: queueLimit, QueueWait: queueWait, FixedLimit: true}
+			a.booking = &booking.Core{Slots: s.Slots, QueueLimit: queueLimit, QueueWait: queueWait, FixedLimit: true, Policy: f.Policy}
 			a.booking.Step(f.start, booking.Health{State: booking.HealthUp})
 			f.agents = append(f.agents, a)
 		}
--- a/src/fleetmodel/inbound.go
+++ b/src/fleetmodel/inbound.go
@@ -33,6 +33,7 @@
 		case booking.Admit:
 			a.run(action.Call)
 		case booking.Queue:
+			a.inbound[action.Call].request.queued = true
 			a.fleet.clock.after(action.Wait, func() { a.stepBooking(booking.Tick{}) })
 		case booking.Refuse:
 			a.refuse(action)
--- a/src/fleetmodel/request.go
+++ b/src/fleetmodel/request.go
@@ -10,6 +10,7 @@
 	started   time.Time
 	deadline  time.Time
 	objective time.Time // of the caller, from its first attempt
+	queued    bool      // an attempt has waited in a queue
 	repeated  bool      // its caller has come back once
 	done      func(ok bool)
 }
@@ -42,6 +43,9 @@
 		return
 	}
 	q.route.result.Refused++
+	if q.queued {
+		q.route.result.Waited++
+	}
 	if now.Sub(q.started) > q.deadline.Sub(q.started)/2 {
 		q.route.result.Held++
 	}
--- a/src/fleetmodel/result.go
+++ b/src/fleetmodel/result.go
@@ -8,6 +8,7 @@
 	Refused     int // not run
 	Failed      int // answered with an error, because an inner call failed
 	Held        int // refused after more than half of the time until their deadline
+	Waited      int // refused after an attempt of them had waited in a queue
 	Attempts    int // sent to servers
 	Runs        int
 	Crossed     int // attempts sent to another failure domain
