Waits of long calls allow for later arrivals that need less slot time

Their expected wait now counts the share of the slots that calls of their rank with less work have used recently, as it does for more urgent ones.

--- a/src/agent/settings_test.go
+++ b/src/agent/settings_test.go
@@ -52,6 +52,8 @@
 		"exposure share":  {"[retry_budget]", "[rollout]\nexposure_share = 1.5\n[retry_budget]", `.*rollout.exposure_share is "1.5".*`},
 		"rollback time":   {"[retry_budget]", "[rollout]\nrollback = \"1s\"\n[retry_budget]", `.*rollout.rollback is "1s".*at least 2.5s.*`},
 		"prefer_domain":   {"reserve = 60\n", "reserve = 60\n[dispatch]\nprefer_domain = true\n", ""},
+		"policy":          {"reserve = 60\n", "reserve = 60\n[admission]\npolicy = \"value\"\n", ""},
+		"no such policy":  {"reserve = 60\n", "reserve = 60\n[admission]\npolicy = \"fair\"\n", `.*admission.policy is "fair".*"priority" or "value".*`},
 		"no such choice":  {"reserve = 60\n", "reserve = 60\n[dispatch]\nprefer_domain = \"yes\"\n", `settings: a.toml:2[0-9]: .*`},
 		"unknown key":     {"memory_mb = 284", "memory_kb = 3", `settings: a.toml:7: unknown key "memory_kb".*`},
 		"revocation":      {"reserve = 60", "reserve = 60\n[revocation]\ntime = \"5000ms\"\nstrict = true", ""},
--- a/src/booking/core.go
+++ b/src/booking/core.go
@@ -279,6 +279,9 @@
 			c.shares.offer(w.kind())
 		}
 		c.shares.serve(w.kind())
+		if !w.late(now) {
+			c.shares.use(now, w.kind(), r.expected)
+		}
 	}
 	c.rate.take(now, w.priority, w.late(now), c.serviceTimes.mean)
 	c.usage.add(now, w.priority, w.late(now), r.expected)
--- a/src/booking/kind_share.go
+++ b/src/booking/kind_share.go
@@ -1,5 +1,7 @@
 package booking
 
+import "time"
+
 const (
 	// minServedShare is the share of a kind's calls to serve, as a share of that of all calls. It exceeds
 	// the stated bound of a quarter by what one call among maxKindSamples amounts to.
@@ -15,7 +17,12 @@
 }
 
 // kindCount counts calls.
-type kindCount struct{ offered, served float64 }
+type kindCount struct {
+	offered, served float64
+
+	used    float64 // seconds of slot time of the calls admitted in time, decaying over usageWindow
+	updated time.Time
+}
 
 func (k *kindCount) decay(samples float64) {
 	if k.offered >= samples {
@@ -46,6 +53,17 @@
 	s.all.offered++
 }
 
+func (s *kindShares) use(now time.Time, k kind, d time.Duration) {
+	if n := s.kinds[k]; n != nil {
+		n.used, n.updated = n.usedAt(now)+d.Seconds(), now
+	}
+}
+
+// usedAt returns the slot time in seconds that the kind has used recently.
+func (k *kindCount) usedAt(now time.Time) float64 {
+	return k.used * max(0, 1-now.Sub(k.updated).Seconds()/usageWindow.Seconds())
+}
+
 func (s *kindShares) serve(k kind) {
 	if n := s.kinds[k]; n != nil {
 		n.served++
--- a/src/booking/plan.go
+++ b/src/booking/plan.go
@@ -15,6 +15,7 @@
 	latestStart time.Duration // from now
 	work        time.Duration // expected service time
 	cost        time.Duration // slot time that counts against it when calls are left out
+	stretch     float64       // factor on its wait for the calls that arrive later and precede it
 	start       time.Duration // expected, from now; set by plan
 	out         bool          // not expected to be in time; set by plan
 }
@@ -22,7 +23,6 @@
 // planner holds what plan needs to know of the slots.
 type planner struct {
 	free    []time.Duration           // time until each slot is free
-	stretch func(rank int) float64    // factor for the calls that arrive later and precede those of a rank
 	minWait func(n int) time.Duration // wait of a call with n calls ahead under the limit that the backend server has named
 }
 
@@ -48,12 +48,11 @@
 
 // planRank plans the calls of one rank and returns when the slots are free behind them, and the number of calls taken.
 func (p planner) planRank(before []time.Duration, ahead int, calls []*candidate) ([]time.Duration, int) {
-	stretch := p.stretch(calls[0].rank)
 	var taken []*candidate
 	free := slices.Clone(before)
 	for _, c := range calls {
 		taken = append(taken, c)
-		if p.place(free, ahead+len(taken)-1, stretch, c) {
+		if p.place(free, ahead+len(taken)-1, c) {
 			continue
 		}
 		worst := 0
@@ -66,16 +65,16 @@
 		taken = slices.Delete(taken, worst, worst+1)
 		free = append(free[:0], before...)
 		for i, t := range taken {
-			p.place(free, ahead+i, stretch, t)
+			p.place(free, ahead+i, t)
 		}
 	}
 	return free, len(taken)
 }
 
 // place assigns the slot that is free first and reports whether the call starts in time.
-func (p planner) place(free []time.Duration, ahead int, stretch float64, c *candidate) bool {
+func (p planner) place(free []time.Duration, ahead int, c *candidate) bool {
 	i := slices.Index(free, slices.Min(free))
-	c.start = max(time.Duration(float64(free[i])*stretch), p.minWait(ahead))
+	c.start = max(time.Duration(float64(free[i])*c.stretch), p.minWait(ahead))
 	free[i] += c.work
 	return c.start <= c.latestStart
 }
--- a/src/booking/value_policy.go
+++ b/src/booking/value_policy.go
@@ -32,12 +32,14 @@
 			if w.late(now) {
 				continue
 			}
-			cand := &candidate{rank: r, latestStart: w.latestStart().Sub(now), work: w.serviceTime, cost: c.countedWork(w)}
+			cand := &candidate{rank: r, latestStart: w.latestStart().Sub(now), work: w.serviceTime, cost: c.countedWork(w.route)}
 			if !w.objectiveTime.IsZero() {
 				cand.latestStart -= 2 * c.serviceTimes.routeDeviation(w.route)
 			}
 			if w.promoted {
-				cand.rank = -1
+				cand.rank, cand.stretch = -1, 1
+			} else {
+				cand.stretch = c.stretch(now, w, cand.cost)
 			}
 			calls, waiters = append(calls, cand), append(waiters, w)
 		}
@@ -49,20 +51,25 @@
 	}
 }
 
-// countedWork returns the expected service time of a queued call within the bounds of maxWorkFactor.
-func (c *Core) countedWork(w *waiter) time.Duration {
+// stretch returns the factor by which calls that arrive later and precede a queued call lengthen its wait: more urgent ones and those of its rank that need less slot time.
+func (c *Core) stretch(now time.Time, w *waiter, cost time.Duration) float64 {
+	share := c.usage.precedingShare(now, w.priority, false, c.limit)
+	for k, n := range c.shares.kinds {
+		if k.rank == rank(w.priority) && k.route != w.route && c.countedWork(k.route) < cost {
+			share += n.usedAt(now) / (float64(c.limit) * usageWindow.Seconds())
+		}
+	}
+	return 1 / (1 - min(maxUrgentShare, share))
+}
+
+// countedWork returns the usual service time of a route within the bounds of maxWorkFactor.
+func (c *Core) countedWork(route string) time.Duration {
 	mean := c.serviceTimes.mean
-	return min(max(c.usualServiceTime(w.route), mean/maxWorkFactor), mean*maxWorkFactor)
+	return min(max(c.usualServiceTime(route), mean/maxWorkFactor), mean*maxWorkFactor)
 }
 
 func (c *Core) planner(now time.Time) planner {
 	p := planner{
-		stretch: func(rank int) float64 {
-			if rank < 0 {
-				return 1
-			}
-			return 1 / (1 - c.usage.precedingShare(now, uint8(rank), false, c.limit))
-		},
 		minWait: func(n int) time.Duration { return c.rate.wait(now, n) },
 	}
 	for _, r := range c.running {
