Order by work within a rank only while not all of its calls can be in time

With policy value, calls of a rank keep the order of their latest start while all can be in time in it. Otherwise those with the least work come first: the order by latest start keeps every queued call near its latest start.

--- a/src/booking/call_queue.go
+++ b/src/booking/call_queue.go
@@ -1,6 +1,7 @@
 package booking
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -25,6 +26,7 @@
 	leftOut     bool          // not planned to be in time
 	promoted    bool          // precedes all others, since its kind is starved
 	plannedWait time.Duration // expected wait for its slot
+	order       int           // among the calls planned, 0 with PolicyPriority
 }
 
 // latestStart returns the time by which the call has to start to meet its objective; without an objective, its expiry.
@@ -40,11 +42,16 @@
 	return w.leftOut || !w.objectiveTime.IsZero() && now.After(w.latestStart())
 }
 
+// before reports whether the call precedes another one of its rank, if neither is late.
+func (w *waiter) before(other *waiter) bool {
+	return cmp.Or(cmp.Compare(w.order, other.order), w.latestStart().Compare(other.latestStart())) < 0
+}
+
 func (w *waiter) kind() kind { return kind{rank(w.priority), w.route} }
 
 // callQueue is the queue of calls that wait for a slot. Calls that are not late precede late calls; within each group, more urgent calls precede less urgent ones.
 //
-// Among calls of one rank that are not late, the one with the earliest latestStart is next. Among late calls of one rank it is the newest, which has the best chance of being answered before its caller gives up.
+// Among calls of one rank that are not late, the one with the earliest latestStart is next, or with PolicyValue the first one planned. Among late calls of one rank it is the newest, which has the best chance of being answered before its caller gives up.
 type callQueue struct {
 	byRank [rankCount][]waiter // each in order of arrival
 	size   int
@@ -130,7 +137,7 @@
 	best := -1
 	for i := range q.byRank[r] {
 		w := &q.byRank[r][i]
-		if !w.late(now) && (best < 0 || w.latestStart().Before(q.byRank[r][best].latestStart())) {
+		if !w.late(now) && (best < 0 || w.before(&q.byRank[r][best])) {
 			best = i
 		}
 	}
--- a/src/booking/plan.go
+++ b/src/booking/plan.go
@@ -11,6 +11,7 @@
 
 // candidate is a queued call that is considered for an answer in time.
 type candidate struct {
+	waiter      *waiter
 	rank        int           // of the queue, -1 for a call of a starved kind
 	latestStart time.Duration // from now
 	work        time.Duration // expected service time
@@ -26,9 +27,9 @@
 	minWait func(n int) time.Duration // wait of a call with n calls ahead under the limit that the backend server has named
 }
 
-// plan chooses the calls to be answered in time. More urgent ranks are planned first. Within a rank, calls are taken in the order of their latest start;
-// whenever one would start too late, the call of the rank taken so far that needs the most slot time is left out, and among equal ones the one with the latest start.
-// All calls of a rank have the same value, so that is the one with the lowest value per slot second (Moore and Hodgson's rule, for several slots).
+// plan chooses the calls to be answered in time and orders calls by rank and start. More urgent ranks are planned first. If all calls of a rank can be in time in the order of their latest start, that is their order.
+// Otherwise those with the lowest cost come first, since calls of a rank have the same value, and the ones that then start too late are left out.
+// Among calls of one kind these are the ones with the latest start.
 func (p planner) plan(calls []*candidate) {
 	slices.SortStableFunc(calls, func(a, b *candidate) int {
 		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.latestStart, b.latestStart))
@@ -39,42 +40,36 @@
 		if n < 0 {
 			n = len(calls)
 		}
-		var taken int
-		free, taken = p.planRank(free, ahead, calls[:n])
-		ahead += taken
+		before := slices.Clone(free)
+		if taken := p.planRank(free, ahead, calls[:n]); taken < n {
+			slices.SortStableFunc(calls[:n], func(a, b *candidate) int { return cmp.Compare(a.cost, b.cost) })
+			copy(free, before)
+			ahead += p.planRank(free, ahead, calls[:n])
+		} else {
+			ahead += n
+		}
 		calls = calls[n:]
 	}
 }
 
-// planRank plans the calls of one rank and returns when the slots are free behind them, and the number of calls taken.
-func (p planner) planRank(before []time.Duration, ahead int, calls []*candidate) ([]time.Duration, int) {
-	var taken []*candidate
-	free := slices.Clone(before)
+// planRank assigns slots to the calls of one rank in their order and returns the number of those that can be in time.
+func (p planner) planRank(free []time.Duration, ahead int, calls []*candidate) int {
+	taken := 0
 	for _, c := range calls {
-		taken = append(taken, c)
-		if p.place(free, ahead+len(taken)-1, c) {
-			continue
-		}
-		worst := 0
-		for i, t := range taken {
-			if t.cost >= taken[worst].cost {
-				worst = i
-			}
-		}
-		taken[worst].out = true
-		taken = slices.Delete(taken, worst, worst+1)
-		free = append(free[:0], before...)
-		for i, t := range taken {
-			p.place(free, ahead+i, t)
+		if c.out = !p.place(free, ahead+taken, c); !c.out {
+			taken++
 		}
 	}
-	return free, len(taken)
+	return taken
 }
 
-// place assigns the slot that is free first and reports whether the call starts in time.
+// place finds the start of a call on the slot that is free first and reports whether it is in time; only then does the call take the slot.
 func (p planner) place(free []time.Duration, ahead int, c *candidate) bool {
 	i := slices.Index(free, slices.Min(free))
 	c.start = max(time.Duration(float64(free[i])*c.stretch), p.minWait(ahead))
+	if c.start > c.latestStart {
+		return false
+	}
 	free[i] += c.work
-	return c.start <= c.latestStart
+	return true
 }
--- a/src/booking/value_policy.go
+++ b/src/booking/value_policy.go
@@ -25,14 +25,13 @@
 		w.promoted = true
 	}
 	var calls []*candidate
-	var waiters []*waiter
 	for r := range c.queue.byRank {
 		for i := range c.queue.byRank[r] {
 			w := &c.queue.byRank[r][i]
 			if w.late(now) {
 				continue
 			}
-			cand := &candidate{rank: r, latestStart: w.latestStart().Sub(now), work: w.serviceTime, cost: c.countedWork(w.route)}
+			cand := &candidate{waiter: w, rank: r, latestStart: w.latestStart().Sub(now), work: w.serviceTime, cost: c.countedWork(w.route)}
 			if !w.objectiveTime.IsZero() {
 				cand.latestStart -= 2 * c.serviceTimes.routeDeviation(w.route)
 			}
@@ -41,13 +40,13 @@
 			} else {
 				cand.stretch = c.stretch(now, w, cand.cost)
 			}
-			calls, waiters = append(calls, cand), append(waiters, w)
+			calls = append(calls, cand)
 		}
 	}
-	all := append([]*candidate(nil), calls...)
 	c.planner(now).plan(calls)
-	for i, w := range waiters {
-		w.leftOut, w.plannedWait = all[i].out && !w.objectiveTime.IsZero(), all[i].start
+	for i, cand := range calls {
+		w := cand.waiter
+		w.leftOut, w.plannedWait, w.order = cand.out && !w.objectiveTime.IsZero(), cand.start, i
 	}
 }
 
