--- a/src/booking/core.go
+++ b/src/booking/core.go
@@ -36,7 +36,8 @@
 	serviceTimes   serviceTimeEstimator
 	usage          slotUsage
 	slack          slackTracker
-	shares         kindShares // with PolicyValue
+	shares         kindShares  // with PolicyValue
+	candidates     []candidate // buffer of replan
 	rate           callRate
 	speed          vmSpeed
 	health         HealthState
@@ -151,6 +152,7 @@
 		decide = c.plannedWaiter
 	}
 	_, r, accepted := decide(now, e)
+	c.replan(now)
 	return r, !accepted
 }
 
@@ -342,15 +344,15 @@
 }
 
 // admitQueued admits queued calls while slots are free and the limit that the backend server has
-// named allows it.
+// named allows it. With PolicyValue the queue must be planned, as refuseExpired does.
 func (c *Core) admitQueued(now time.Time, actions []Action) []Action {
 	for len(c.running) < c.limit && c.rate.available(now) {
-		c.replan(now)
 		w, ok := c.queue.pop(now, c.maxAdmissibleRank(now))
 		if !ok {
 			break
 		}
 		actions = append(actions, c.admit(now, w))
+		c.replan(now)
 	}
 	return actions
 }
--- a/src/booking/plan.go
+++ b/src/booking/plan.go
@@ -12,6 +12,7 @@
 // candidate is a queued call that is considered for an answer in time.
 type candidate struct {
 	waiter      *waiter
+	kind        *kindPlan
 	rank        int           // of the queue, -1 for a call of a starved kind
 	latestStart time.Duration // from now
 	work        time.Duration // expected service time
@@ -30,19 +31,19 @@
 // plan chooses the calls to be answered in time and orders calls by rank and start. More urgent ranks are planned first. If all calls of a rank can be in time in the order of their latest start, that is their order.
 // Otherwise those with the lowest cost come first, since calls of a rank have the same value, and the ones that then start too late are left out.
 // Among calls of one kind these are the ones with the latest start.
-func (p planner) plan(calls []*candidate) {
-	slices.SortStableFunc(calls, func(a, b *candidate) int {
+func (p planner) plan(calls []candidate) {
+	slices.SortStableFunc(calls, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.latestStart, b.latestStart))
 	})
 	free, ahead := slices.Clone(p.free), 0
 	for len(calls) > 0 {
-		n := slices.IndexFunc(calls, func(c *candidate) bool { return c.rank != calls[0].rank })
+		n := slices.IndexFunc(calls, func(c candidate) bool { return c.rank != calls[0].rank })
 		if n < 0 {
 			n = len(calls)
 		}
 		before := slices.Clone(free)
 		if taken := p.planRank(free, ahead, calls[:n]); taken < n {
-			slices.SortStableFunc(calls[:n], func(a, b *candidate) int { return cmp.Compare(a.cost, b.cost) })
+			slices.SortStableFunc(calls[:n], func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
 			copy(free, before)
 			ahead += p.planRank(free, ahead, calls[:n])
 		} else {
@@ -53,9 +54,10 @@
 }
 
 // planRank assigns slots to the calls of one rank in their order and returns the number of those that can be in time.
-func (p planner) planRank(free []time.Duration, ahead int, calls []*candidate) int {
+func (p planner) planRank(free []time.Duration, ahead int, calls []candidate) int {
 	taken := 0
-	for _, c := range calls {
+	for i := range calls {
+		c := &calls[i]
 		if c.out = !p.place(free, ahead+taken, c); !c.out {
 			taken++
 		}
--- a/src/booking/value_policy.go
+++ b/src/booking/value_policy.go
@@ -1,53 +1,69 @@
 package booking
 
 import (
+	"slices"
 	"time"
 
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
+// kindPlan holds what the calls of one kind have in common in a plan.
+type kindPlan struct {
+	kind            kind
+	cost, deviation time.Duration
+	stretch         float64
+	starved         bool
+	first           *waiter // with the earliest latest start, if starved
+}
+
 // replan decides which queued calls are planned to be in time. The others count as late until the next plan. It does nothing unless Policy is PolicyValue.
 func (c *Core) replan(now time.Time) {
 	if c.Policy != PolicyValue || c.limit == 0 || c.queue.size == 0 {
 		return
 	}
-	starved := map[kind]*waiter{} // the first call of each starved kind
+	var kinds []*kindPlan // few, so that a search costs less than hashing the route of each call
+	calls := c.candidates[:0]
 	for r := range c.queue.byRank {
 		for i := range c.queue.byRank[r] {
 			w := &c.queue.byRank[r][i]
 			w.leftOut, w.promoted, w.plannedWait = false, false, 0
-			if first := starved[w.kind()]; !w.late(now) && c.shares.isStarved(w.kind()) && (first == nil || w.latestStart().Before(first.latestStart())) {
-				starved[w.kind()] = w
-			}
-		}
-	}
-	for _, w := range starved {
-		w.promoted = true
-	}
-	var calls []*candidate
-	for r := range c.queue.byRank {
-		for i := range c.queue.byRank[r] {
-			w := &c.queue.byRank[r][i]
 			if w.late(now) {
 				continue
 			}
-			cand := &candidate{waiter: w, rank: r, latestStart: w.latestStart().Sub(now), work: w.serviceTime, cost: c.countedWork(w.route)}
+			n := slices.IndexFunc(kinds, func(k *kindPlan) bool { return k.kind.rank == r && k.kind.route == w.route })
+			if n < 0 {
+				n = len(kinds)
+				kinds = append(kinds, c.newKindPlan(now, w))
+			}
+			k := kinds[n]
+			cand := candidate{waiter: w, kind: k, rank: r, latestStart: w.latestStart().Sub(now), work: w.serviceTime, cost: k.cost, stretch: k.stretch}
 			if !w.objectiveTime.IsZero() {
-				cand.latestStart -= 2 * c.serviceTimes.routeDeviation(w.route)
+				cand.latestStart -= 2 * k.deviation
 			}
-			if w.promoted {
-				cand.rank, cand.stretch = -1, 1
-			} else {
-				cand.stretch = c.stretch(now, w, cand.cost)
+			if k.starved && (k.first == nil || w.latestStart().Before(k.first.latestStart())) {
+				k.first = w
 			}
 			calls = append(calls, cand)
 		}
 	}
+	for i := range calls {
+		if w := calls[i].waiter; calls[i].kind.first == w {
+			w.promoted, calls[i].rank, calls[i].stretch = true, -1, 1
+		}
+	}
 	c.planner(now).plan(calls)
 	for i, cand := range calls {
 		w := cand.waiter
 		w.leftOut, w.plannedWait, w.order = cand.out && !w.objectiveTime.IsZero(), cand.start, i
 	}
+	clear(calls)
+	c.candidates = calls
+}
+
+func (c *Core) newKindPlan(now time.Time, w *waiter) *kindPlan {
+	k := &kindPlan{kind: w.kind(), cost: c.countedWork(w.route), deviation: c.serviceTimes.routeDeviation(w.route), starved: c.shares.isStarved(w.kind())}
+	k.stretch = c.stretch(now, w, k.cost)
+	return k
 }
 
 // stretch returns the factor by which calls that arrive later and precede a queued call lengthen its wait: more urgent ones and those of its rank that need less slot time.
@@ -85,6 +101,7 @@
 func (c *Core) valueArrival(now time.Time, e Arrive, actions []Action) []Action {
 	w, refusal, accepted := c.plannedWaiter(now, e)
 	if !accepted {
+		c.replan(now)
 		return append(actions, refusal)
 	}
 	c.queue.push(w)
@@ -92,7 +109,7 @@
 	return c.admitQueued(now, c.refuseExpired(now, actions))
 }
 
-// plannedWaiter is waiterOrRefusal for PolicyValue. It leaves the queue as it is.
+// plannedWaiter is waiterOrRefusal for PolicyValue. It leaves the queue planned as if it held the call.
 func (c *Core) plannedWaiter(now time.Time, e Arrive) (waiter, Refuse, bool) {
 	w := c.newWaiter(now, e)
 	answerTime := w.serviceTime + w.transferTime
@@ -105,7 +122,6 @@
 	c.replan(now)
 	r := rank(w.priority)
 	w = c.queue.removeAt(r, len(c.queue.byRank[r])-1)
-	c.replan(now)
 	wait := w.plannedWait
 	if c.transferTime(e) > 0 {
 		wait = max(wait, c.linkWait(now, e, false)-w.serviceTime)
