--- a/src/agent/settings.go
+++ b/src/agent/settings.go
@@ -7,6 +7,7 @@
 	"os"
 	"time"
 
+	"github.com/yuccaport/yuccaport/src/booking"
 	"github.com/yuccaport/yuccaport/src/problem"
 	"github.com/yuccaport/yuccaport/src/settings"
 )
@@ -29,6 +30,7 @@
 	Revocation  Revocation        `toml:"revocation"`
 	Quota       Quota             `toml:"quota"`
 	Dispatch    Dispatch          `toml:"dispatch"`
+	Admission   Admission         `toml:"admission"`
 }
 
 // Listen holds the addresses that the agent listens on.
@@ -76,6 +78,11 @@
 	PreferDomainIfShared bool `toml:"prefer_domain_if_shared"` // the same once a backend server has reported the speed of its VM
 }
 
+// Admission configures which calls the backend server gets under overload.
+type Admission struct {
+	Policy booking.Policy `toml:"policy"` // empty for booking.PolicyPriority
+}
+
 // LoadSettings reads and validates a settings file; errors are of kind problem.Settings.
 func LoadSettings(file string) (Settings, error) {
 	b, err := os.ReadFile(file)
@@ -132,6 +139,9 @@
 	if s.Quota.Window.Std() == 0 && (s.Quota.Over != 0 || s.Quota.Slack != 0) {
 		return settingsError(file, "quota.window", s.Quota.Window.Std(), "set it to a time above zero, such as 5s, or leave out the section quota")
 	}
+	if p := s.Admission.Policy; !p.IsValid() {
+		return settingsError(file, "admission.policy", p, fmt.Sprintf("set it to %q or %q, or leave out the section admission", booking.PolicyPriority, booking.PolicyValue))
+	}
 	return s.Rollout.validate(file)
 }
 
--- a/src/booking/core.go
+++ b/src/booking/core.go
@@ -23,6 +23,8 @@
 	// It also turns on the reservation of slots for more urgent calls and the wait by priority in LoadFor.
 	FixedLimit bool
 
+	Policy Policy // order of the queued calls with an objective, empty for PolicyPriority
+
 	LinkRate float64 // bytes per second of the network connection of this VM, 0 to ignore the time that answers take on it
 
 	limit          int // concurrency limit, between 1 and Slots; 0 before the first event
@@ -34,6 +36,8 @@
 	serviceTimes   serviceTimeEstimator
 	usage          slotUsage
 	slack          slackTracker
+	shares         kindShares  // with PolicyValue
+	candidates     []candidate // buffer of replan
 	rate           callRate
 	speed          vmSpeed
 	health         HealthState
@@ -143,7 +147,12 @@
 	if c.limit == 0 || e.Objective == 0 || c.canStartNow(now, e.Priority) && c.transferTime(e) == 0 {
 		return Refuse{}, false
 	}
-	_, r, accepted := c.waiterOrRefusal(now, e)
+	decide := c.waiterOrRefusal
+	if c.Policy == PolicyValue && !c.canStartNow(now, e.Priority) {
+		decide = c.plannedWaiter
+	}
+	_, r, accepted := decide(now, e)
+	c.replan(now)
 	return r, !accepted
 }
 
@@ -156,6 +165,9 @@
 	if refusal, refused := c.unavailableRefusal(now, e.Call); refused {
 		return []Action{refusal}
 	}
+	if c.Policy == PolicyValue && e.Final {
+		c.shares.offer(kind{rank(e.Priority), e.Route})
+	}
 	actions := c.refuseExpired(now, nil)
 	if c.rate.limited {
 		actions = c.admitQueued(now, actions) // the Tick for a queued call may still be to come
@@ -170,6 +182,9 @@
 	canStart := c.canStartNow(now, e.Priority)
 	switch {
 	case e.Objective != 0 && (!canStart || c.transferTime(e) > 0):
+		if c.Policy == PolicyValue && !canStart {
+			return c.valueArrival(now, e, actions)
+		}
 		w, refusal, accepted := c.waiterOrRefusal(now, e)
 		if !accepted {
 			return append(actions, refusal)
@@ -188,7 +203,7 @@
 // newWaiter returns the queue entry of a call without its expiry.
 func (c *Core) newWaiter(now time.Time, e Arrive) waiter {
 	w := waiter{
-		call: e.Call, route: e.Route, priority: e.Priority,
+		call: e.Call, route: e.Route, priority: e.Priority, final: e.Final,
 		serviceTime: c.expectedServiceTime(now, e.Route), transferTime: c.transferTime(e), reason: wire.ReasonDeadline,
 	}
 	if e.Objective != 0 {
@@ -261,6 +276,15 @@
 func (c *Core) admit(now time.Time, w waiter) Action {
 	r := &runningCall{route: w.route, admitted: now, expected: c.expectedServiceTime(now, w.route), progress: c.speed.tracker.Progress(now), transferTime: w.transferTime, objectiveTime: w.objectiveTime}
 	c.running[w.call] = r
+	if c.Policy == PolicyValue {
+		if !w.final {
+			c.shares.offer(w.kind())
+		}
+		c.shares.serve(w.kind())
+		if !w.late(now) {
+			c.shares.use(now, w.kind(), r.expected)
+		}
+	}
 	c.rate.take(now, w.priority, w.late(now), c.serviceTimes.mean)
 	c.usage.add(now, w.priority, w.late(now), r.expected)
 	return Admit{Call: w.call}
@@ -299,42 +323,13 @@
 	c.drainRequested, c.drainStart = true, from
 }
 
-// adaptLimit records the service time of an answered call and adapts the concurrency limit: a shed call lowers it unless FixedLimit is set, and a reset by a full server to the number of calls that it still runs;
-// once as many calls as the limit have been answered, it rises by one, up to Slots.
-func (c *Core) adaptLimit(now time.Time, route string, e Release) {
-	switch e.Result {
-	case ResultAnswered:
-		c.serviceTimes.add(now, route, e.Took, e.AnswerSize)
-		c.successes++
-		if c.successes >= c.limit && c.limit < c.Slots && !now.Before(c.holdUntil) {
-			c.limit++
-			c.successes = 0
-		}
-	case ResultReset:
-		c.lowerToAccepted(now)
-	case ResultShed:
-		if !c.FixedLimit {
-			c.decreaseLimit(now)
-		}
-	}
-}
-
-// decreaseLimit lowers the limit by a quarter, but at most once per mean service time and once per minRetryAfter.
-func (c *Core) decreaseLimit(now time.Time) {
-	c.successes = 0
-	if now.Sub(c.lastDecrease) < max(c.serviceTimes.mean, minRetryAfter) {
-		return
-	}
-	c.lastDecrease = now
-	c.limit = max(1, c.limit-max(1, c.limit/4))
-}
-
 // refuseExpired refuses the queued calls whose wait has expired, and the late ones for which worthWaiting is false:
 // calls in time that keep arriving precede a late one, so that its wait may become hopeless long before it expires.
 func (c *Core) refuseExpired(now time.Time, actions []Action) []Action {
 	for _, w := range c.queue.removeExpired(now) {
 		actions = append(actions, c.newRefusal(now, w.call, w.reason))
 	}
+	c.replan(now)
 	waits := map[uint8]time.Duration{} // of late calls by priority
 	lateWait := func(w *waiter) time.Duration {
 		if _, ok := waits[w.priority]; !ok {
@@ -343,13 +338,13 @@
 		return waits[w.priority]
 	}
 	for _, w := range c.queue.removeLate(now, func(w *waiter) bool { return worthWaiting(now, w, lateWait(w)) }) {
-		actions = append(actions, Refuse{Call: w.call, Reason: wire.ReasonQueueFull, RetryAfter: retryAfter(lateWait(&w))})
+		actions = append(actions, Refuse{Call: w.call, Reason: wire.ReasonQueueFull, RetryAfter: c.lateRetryAfter(now, &w, lateWait(&w))})
 	}
 	return actions
 }
 
 // admitQueued admits queued calls while slots are free and the limit that the backend server has
-// named allows it.
+// named allows it. With PolicyValue the queue must be planned, as refuseExpired does.
 func (c *Core) admitQueued(now time.Time, actions []Action) []Action {
 	for len(c.running) < c.limit && c.rate.available(now) {
 		w, ok := c.queue.pop(now, c.maxAdmissibleRank(now))
@@ -357,6 +352,7 @@
 			break
 		}
 		actions = append(actions, c.admit(now, w))
+		c.replan(now)
 	}
 	return actions
 }
--- a/src/tenants/allocator.go
+++ b/src/tenants/allocator.go
@@ -30,8 +30,8 @@
 	borrowers  map[uint64]*borrower
 	count      memberCount
 	departed   map[uint64]time.Time // members that have said that they stop for good; they may be listed for a while
-	listed     int // members that this agent knows
-	peak       int // largest number that divided the limits within shrinkTime
+	listed     int                  // members that this agent knows
+	peak       int                  // largest number that divided the limits within shrinkTime
 	share      float64
 	joined     float64 // share of the members that follow, delegating or not
 	delegating int
