agent: the rollout settings are one key, max_share

Cause: rollout.exposure_slack and rollout.rollback were checked and decided nothing, and two keys had the platform's own names.

No decision changes.

--- a/src/agent/agent.go
+++ b/src/agent/agent.go
@@ -156,7 +156,7 @@
 
 func (a *Agent) dispatchSettings() dispatch.Settings {
 	b := a.Settings.RetryBudget
-	return dispatch.Settings{RetryShare: b.Share * usedBudgetShare, SharedRetryBurst: b.Reserve * usedBudgetShare, SlowStart: slowStartTime, NotReadyRetryAfter: notReadyRetryAfter, LinkRate: linkRate(a.Settings), PreferDomain: a.Settings.Dispatch.PreferDomain, PreferDomainIfShared: a.Settings.Dispatch.PreferDomainIfShared, ExposureShare: a.Settings.Rollout.WithDefaults().ExposureShare}
+	return dispatch.Settings{RetryShare: b.Share * usedBudgetShare, SharedRetryBurst: b.Reserve * usedBudgetShare, SlowStart: slowStartTime, NotReadyRetryAfter: notReadyRetryAfter, LinkRate: linkRate(a.Settings), PreferDomain: a.Settings.Dispatch.PreferDomain, PreferDomainIfShared: a.Settings.Dispatch.PreferDomainIfShared, ExposureShare: a.Settings.Rollout.WithDefaults().MaxShare}
 }
 
 // linkRate returns the speed of the VM's link in bytes per second.
--- a/src/dispatch/settings.go
+++ b/src/dispatch/settings.go
@@ -31,7 +31,7 @@
 	PreferDomain         bool          `json:"prefer_domain,omitempty"`           // calls with an objective stay in their failure domain while it is expected to answer in time, see otherDomainPenalty
 	PreferDomainIfShared bool          `json:"prefer_domain_if_shared,omitempty"` // PreferDomain once a backend server has reported the speed of its VM, which it then shares with others, as calls share the links
 	LinkRate             float64       `json:"link_rate,omitempty"`               // of a VM's network link in bytes per second, 0 to ignore transfer times
-	ExposureShare        float64       `json:"exposure_share,omitempty"`          // of the calls to a service under a rollout order that a bad version may get at most
+	ExposureShare        float64       `json:"max_rollout_share,omitempty"`       // of the calls to a service under a rollout order that a bad version may get at most
 }
 
 // WithDefaults returns the settings with defaults for zero fields; SharedRetryBurst, LinkRate and ExposureShare have none.
--- a/src/registry/core.go
+++ b/src/registry/core.go
@@ -124,12 +124,6 @@
 	return c.start.isDone(now) || c.start.askedAt.IsZero() && c.peerReplied
 }
 
-// isWithoutEra reports whether a revision is a number of the store alone.
-func isWithoutEra(revision uint64) bool {
-	era, number := SplitRevision(revision)
-	return era == 0 && number > 0
-}
-
 // hasNewerConfig reports whether the configuration is newer than that of a peer's request.
 func (c *Core) hasNewerConfig(r wire.RegistryRequest) bool {
 	if c.configVersion > 0 && r.ConfigVersion > 0 {
--- a/src/registry/revision.go
+++ b/src/registry/revision.go
@@ -17,3 +17,9 @@
 func SplitRevision(revision uint64) (era, number uint64) {
 	return revision >> eraShift, revision & (1<<eraShift - 1)
 }
+
+// isWithoutEra reports whether a revision is a number of the store alone.
+func isWithoutEra(revision uint64) bool {
+	era, number := SplitRevision(revision)
+	return era == 0 && number > 0
+}
