booking: the test of reads before uploads waits until the other uploads are refused

Cause, traced by reading: of the 40 uploads, two hold slots, eight wait and thirty are refused. The test waited for the eight only; an upload whose goroutine ran late arrived after the release and found room.

Change: the test also waits for the thirty refusals, which it assumed.

--- a/src/booking/overload_test.go
+++ b/src/booking/overload_test.go
@@ -165,6 +165,10 @@
 	}
 	uploads := send("POST", document.PriorityLow, 40)
 	waitUntil(t, "queue full of uploads", queued(document.PriorityLow, 8))
+	// An upload that arrived after the release would find room in the queue.
+	waitUntil(t, "all other uploads refused", func() bool {
+		return s.Metrics.GetOrCreateCounter(`yuccaport_booking_calls_refused_total{reason="queue_full"}`).Get() == 30
+	})
 	reads := send("GET", document.PriorityHigh, 6)
 	waitUntil(t, "all reads queued", queued(document.PriorityHigh, 6))
 	close(release)
