--- a/src/agent/agent.go
+++ b/src/agent/agent.go
@@ -199,7 +199,9 @@
 	return settings.DefaultSlots
 }
 
-// IsReady reports whether the agent has a configuration in force, has asked peers for a newer one if that holds tenants, and is not stopping, so that the platform may route clients to it. It is independent of wire.Member.Ready, which reports whether the backend server can serve calls.
+// IsReady reports whether the agent has a configuration in force, has asked peers for a newer one
+// if that holds tenants, and is not stopping, so that the platform may route clients to it. It is
+// independent of wire.Member.Ready, which reports whether the backend server can serve calls.
 func (a *Agent) IsReady() bool {
 	s := a.serving.Load()
 	return s != nil && !a.stopping.Load() && (s.table.Tenants == nil || a.follower.HasAskedPeers())
--- a/src/agent/settings.go
+++ b/src/agent/settings.go
@@ -65,7 +65,8 @@
 	Strict bool              `toml:"strict"` // refuse requests that need a key after Time; otherwise the keys in force stay accepted
 }
 
-// Quota states how strictly tenants' limits bind: in any Window, a tenant's requests must not exceed (rate x Window + burst) x (1 + Over) + Slack, over all agents.
+// Quota states how strictly tenants' limits bind: in any Window, a tenant's requests must not
+// exceed (rate x Window + burst) x (1 + Over) + Slack, over all agents.
 type Quota struct {
 	Window settings.Duration `toml:"window"`
 	Over   float64           `toml:"over"`
--- a/src/booking/call_queue.go
+++ b/src/booking/call_queue.go
@@ -37,7 +37,8 @@
 	return w.objectiveTime.Add(-w.serviceTime)
 }
 
-// late reports whether the call has an objective that it can no longer meet, or is not planned to. Its deadline may still be far.
+// late reports whether the call has an objective that it can no longer meet, or is not planned to.
+// Its deadline may still be far.
 func (w *waiter) late(now time.Time) bool {
 	return w.leftOut || !w.objectiveTime.IsZero() && now.After(w.latestStart())
 }
@@ -51,7 +52,9 @@
 
 // callQueue is the queue of calls that wait for a slot. Calls that are not late precede late calls; within each group, more urgent calls precede less urgent ones.
 //
-// Among calls of one rank that are not late, the one with the earliest latestStart is next, or with PolicyValue the first one planned. Among late calls of one rank it is the newest, which has the best chance of being answered before its caller gives up.
+// Among calls of one rank that are not late, the one with the earliest latestStart is next, or with
+// PolicyValue the first one planned. Among late calls of one rank it is the newest, which has the
+// best chance of being answered before its caller gives up.
 type callQueue struct {
 	byRank [rankCount][]waiter // each in order of arrival
 	size   int
--- a/src/booking/core.go
+++ b/src/booking/core.go
@@ -96,7 +96,8 @@
 
 // Load returns the load for the caller's daemon. Free is the concurrency limit minus the running and the queued calls, or fewer under a limit that the backend server has named, so it may be negative;
 // it is at most 0 while isDraining holds or the backend server is not up. Slots is the number of slots of the backend server.
-// Backlog is the expected wait of a further call and Service the mean service time at usual speed, both in milliseconds.
+// Backlog is the expected wait of a further call and Service the mean service time at usual speed,
+// both in milliseconds.
 func (c *Core) Load(now time.Time) wire.Load {
 	free := c.limit - len(c.running) - c.queue.size
 	if c.limit == 0 {
--- a/src/booking/health.go
+++ b/src/booking/health.go
@@ -76,7 +76,8 @@
 }
 
 // updateHealth updates the health from the health endpoint or, with heartbeats, from the last
-// heartbeat; the health endpoint is then queried only to check an unconfirmed limit or to refresh the speed.
+// heartbeat; the health endpoint is then queried only to check an unconfirmed limit or to refresh
+// the speed.
 func (s *Server) updateHealth(ctx context.Context) {
 	switch {
 	case !s.UsesHeartbeats:
@@ -94,7 +95,8 @@
 	s.setHealthLocked(s.health.evaluate(s.Now(), s.reportedHealth))
 }
 
-// needsCheck reports whether the limit that the backend server has named is unconfirmed, or the speed of its VM is to be refreshed.
+// needsCheck reports whether the limit that the backend server has named is unconfirmed, or the
+// speed of its VM is to be refreshed.
 func (s *Server) needsCheck() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/src/booking/kind_share.go
+++ b/src/booking/kind_share.go
@@ -32,7 +32,9 @@
 
 func (k *kindCount) share() float64 { return min(1, k.served/max(1, k.offered)) }
 
-// kindShares tracks how often calls of each kind are served. A call counts where it is run, or where it was sent as the last server to try. Counts instead of times make the bound hold for rare kinds too.
+// kindShares tracks how often calls of each kind are served. A call counts where it is run, or
+// where it was sent as the last server to try. Counts instead of times make the bound hold for rare
+// kinds too.
 type kindShares struct {
 	kinds map[kind]*kindCount
 	all   kindCount
@@ -71,7 +73,8 @@
 	s.all.served++
 }
 
-// isStarved reports whether serving one more call leaves the kind at or below minServedShare. A kind that is served as often as one of a more urgent rank is not starved.
+// isStarved reports whether serving one more call leaves the kind at or below minServedShare. A
+// kind that is served as often as one of a more urgent rank is not starved.
 func (s *kindShares) isStarved(k kind) bool {
 	n := s.kinds[k]
 	if n == nil || n.served+1 > minServedShare*n.offered*s.all.share() {
--- a/src/booking/limit.go
+++ b/src/booking/limit.go
@@ -2,7 +2,9 @@
 
 import "time"
 
-// adaptLimit records the service time of an answered call and adapts the concurrency limit: a shed call lowers it unless FixedLimit is set, and a reset by a full server to the number of calls that it still runs;
+// adaptLimit records the service time of an answered call and adapts the concurrency limit: a shed
+// call lowers it unless FixedLimit is set, and a reset by a full server to the number of calls that
+// it still runs;
 // once as many calls as the limit have been answered, it rises by one, up to Slots.
 func (c *Core) adaptLimit(now time.Time, route string, e Release) {
 	switch e.Result {
@@ -22,7 +24,8 @@
 	}
 }
 
-// decreaseLimit lowers the limit by a quarter, but at most once per mean service time and once per minRetryAfter.
+// decreaseLimit lowers the limit by a quarter, but at most once per mean service time and once per
+// minRetryAfter.
 func (c *Core) decreaseLimit(now time.Time) {
 	c.successes = 0
 	if now.Sub(c.lastDecrease) < max(c.serviceTimes.mean, minRetryAfter) {
--- a/src/booking/load_header.go
+++ b/src/booking/load_header.go
@@ -13,7 +13,8 @@
 	maxSpeed          = 1e6 // percent; bounds the conversion to an integer
 )
 
-// parseSpeed returns the speed in percent that a load header states as its fourth figure; ok is false if it states none.
+// parseSpeed returns the speed in percent that a load header states as its fourth figure; ok is
+// false if it states none.
 func parseSpeed(value []byte) (percent int, ok bool) {
 	for range fieldsBeforeSpeed {
 		if _, value, ok = bytes.Cut(value, []byte{','}); !ok {
--- a/src/booking/plan.go
+++ b/src/booking/plan.go
@@ -6,7 +6,8 @@
 	"time"
 )
 
-// maxWorkFactor bounds how far the expected service time of a route counts from the mean of all calls, and so what a wrong estimate costs the other calls of its rank.
+// maxWorkFactor bounds how far the expected service time of a route counts from the mean of all
+// calls, and so what a wrong estimate costs the other calls of its rank.
 const maxWorkFactor = 4
 
 // candidate is a queued call that is considered for an answer in time.
@@ -28,8 +29,11 @@
 	minWait func(n int) time.Duration // wait of a call with n calls ahead under the limit that the backend server has named
 }
 
-// plan chooses the calls to be answered in time and orders calls by rank and start. More urgent ranks are planned first. If all calls of a rank can be in time in the order of their latest start, that is their order.
-// Otherwise those with the lowest cost come first, since calls of a rank have the same value, and the ones that then start too late are left out.
+// plan chooses the calls to be answered in time and orders calls by rank and start. More urgent
+// ranks are planned first. If all calls of a rank can be in time in the order of their latest
+// start, that is their order.
+// Otherwise those with the lowest cost come first, since calls of a rank have the same value, and
+// the ones that then start too late are left out.
 // Among calls of one kind these are the ones with the latest start.
 func (p planner) plan(calls []candidate) {
 	slices.SortStableFunc(calls, func(a, b candidate) int {
@@ -53,7 +57,8 @@
 	}
 }
 
-// planRank assigns slots to the calls of one rank in their order and returns the number of those that can be in time.
+// planRank assigns slots to the calls of one rank in their order and returns the number of those
+// that can be in time.
 func (p planner) planRank(free []time.Duration, ahead int, calls []candidate) int {
 	taken := 0
 	for i := range calls {
@@ -65,7 +70,8 @@
 	return taken
 }
 
-// place finds the start of a call on the slot that is free first and reports whether it is in time; only then does the call take the slot.
+// place finds the start of a call on the slot that is free first and reports whether it is in time;
+// only then does the call take the slot.
 func (p planner) place(free []time.Duration, ahead int, c *candidate) bool {
 	i := slices.Index(free, slices.Min(free))
 	c.start = max(time.Duration(float64(free[i])*c.stretch), p.minWait(ahead))
--- a/src/booking/policy.go
+++ b/src/booking/policy.go
@@ -1,6 +1,7 @@
 package booking
 
-// Policy selects the order in which queued calls with an objective get slots, and which of them are refused when not all can be in time.
+// Policy selects the order in which queued calls with an objective get slots, and which of them are
+// refused when not all can be in time.
 type Policy string
 
 // Policies.
--- a/src/booking/rollout.go
+++ b/src/booking/rollout.go
@@ -11,7 +11,8 @@
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
-// maxRouteTimeout is the timeout from which on a call is one whose upload was still arriving when it was sent.
+// maxRouteTimeout is the timeout from which on a call is one whose upload was still arriving when
+// it was sent.
 const maxRouteTimeout = time.Minute
 
 // passesGate refuses a call that may not run on this version of the backend server, and reports
--- a/src/booking/server.go
+++ b/src/booking/server.go
@@ -268,7 +268,8 @@
 	}
 }
 
-// callLog returns the logger for per-call lines, with the tenant's name if there is one: at the default level with heartbeats, otherwise at verbosity 1.
+// callLog returns the logger for per-call lines, with the tenant's name if there is one: at the
+// default level with heartbeats, otherwise at verbosity 1.
 func (s *Server) callLog(tenant string) logr.Logger {
 	log := s.Log
 	if !s.UsesHeartbeats {
@@ -305,7 +306,8 @@
 	return s.core.Load(s.Now())
 }
 
-// loadFor returns the load for the caller's daemon, in milliseconds the time for which long answers use the network connection of this VM, and the current speed.
+// loadFor returns the load for the caller's daemon, in milliseconds the time for which long answers
+// use the network connection of this VM, and the current speed.
 func (s *Server) loadFor(h wire.CallHead) (wire.Load, int64, int32) {
 	e := Arrive{Priority: h.Priority}
 	if s.OutboundDelay != nil {
--- a/src/booking/value_policy.go
+++ b/src/booking/value_policy.go
@@ -16,7 +16,8 @@
 	first           *waiter // with the earliest latest start, if starved
 }
 
-// replan decides which queued calls are planned to be in time. The others count as late until the next plan. It does nothing unless Policy is PolicyValue.
+// replan decides which queued calls are planned to be in time. The others count as late until the
+// next plan. It does nothing unless Policy is PolicyValue.
 func (c *Core) replan(now time.Time) {
 	if c.Policy != PolicyValue || c.limit == 0 || c.queue.size == 0 {
 		return
@@ -66,7 +67,8 @@
 	return k
 }
 
-// stretch returns the factor by which calls that arrive later and precede a queued call lengthen its wait: more urgent ones and those of its rank that need less slot time.
+// stretch returns the factor by which calls that arrive later and precede a queued call lengthen
+// its wait: more urgent ones and those of its rank that need less slot time.
 func (c *Core) stretch(now time.Time, w *waiter, cost time.Duration) float64 {
 	share := c.usage.precedingShare(now, w.priority, false, c.limit)
 	for k, n := range c.shares.kinds {
@@ -96,7 +98,8 @@
 	return p
 }
 
-// valueArrival queues a call with an objective if it is planned to be in time, or as a late call if it is final and worth waiting; otherwise it refuses the call.
+// valueArrival queues a call with an objective if it is planned to be in time, or as a late call if
+// it is final and worth waiting; otherwise it refuses the call.
 // Calls that the new one displaces are refused, or wait as late calls.
 func (c *Core) valueArrival(now time.Time, e Arrive, actions []Action) []Action {
 	w, refusal, accepted := c.plannedWaiter(now, e)
@@ -142,7 +145,8 @@
 	return w, Refuse{}, true
 }
 
-// returnTime returns the Retry-After of a call that is refused with the given expected wait: while it could still be in time, half of the time until its latest start.
+// returnTime returns the Retry-After of a call that is refused with the given expected wait: while
+// it could still be in time, half of the time until its latest start.
 // Its latest start then precedes those of newcomers of its kind, so that plan leaves them out before it.
 func (c *Core) returnTime(now time.Time, w *waiter, wait time.Duration) time.Duration {
 	if slack := w.latestStart().Sub(now); !w.objectiveTime.IsZero() && slack > 0 {
--- a/src/booking/value_policy_test.go
+++ b/src/booking/value_policy_test.go
@@ -25,7 +25,8 @@
 	return out
 }
 
-// A burst that is longer than can be in time: a queued long call is refused for the sake of two short ones, instead of all calls that arrive after it.
+// A burst that is longer than can be in time: a queued long call is refused for the sake of two
+// short ones, instead of all calls that arrive after it.
 func TestValuePolicyBurst(t *testing.T) {
 	const ms = time.Millisecond
 	c := valueCore(map[string]time.Duration{"short": 50 * ms, "long": 150 * ms})
@@ -40,7 +41,9 @@
 	qt.Assert(t, c.queue.size, qt.Equals, 4)
 }
 
-// Returning callers: a refused call that comes back at its Retry-After, with the rest of its objective, is queued, and a newcomer of its kind is refused for it. It is not refused twice while newcomers are served.
+// Returning callers: a refused call that comes back at its Retry-After, with the rest of its
+// objective, is queued, and a newcomer of its kind is refused for it. It is not refused twice while
+// newcomers are served.
 func TestValuePolicyReturningCaller(t *testing.T) {
 	const ms = time.Millisecond
 	c := valueCore(map[string]time.Duration{"short": 50 * ms})
@@ -75,7 +78,8 @@
 	return 0
 }
 
-// Wrong estimates under overload: the learned time of a kind is 20 times too long. Its calls are still served a quarter as often as all, so that the estimate is corrected.
+// Wrong estimates under overload: the learned time of a kind is 20 times too long. Its calls are
+// still served a quarter as often as all, so that the estimate is corrected.
 func TestValuePolicyWrongEstimate(t *testing.T) {
 	const ms, work, n = time.Millisecond, 50 * time.Millisecond, 400
 	c := valueCore(map[string]time.Duration{"short": work, "wrong": 20 * work})
--- a/src/booking/wait_estimate.go
+++ b/src/booking/wait_estimate.go
@@ -103,7 +103,8 @@
 	return d
 }
 
-// usualServiceTime returns the mean service time of a route at usual speed, or that of all calls if the route has none.
+// usualServiceTime returns the mean service time of a route at usual speed, or that of all calls if
+// the route has none.
 func (c *Core) usualServiceTime(route string) time.Duration {
 	if d := c.serviceTimes.routeMean(route); d > 0 {
 		return d
--- a/src/deposit/action.go
+++ b/src/deposit/action.go
@@ -32,7 +32,8 @@
 	Reason   string   `json:"reason"`
 }
 
-// Close ends the operation of a Confirming, Ended or Rewriting and answers it; OK states whether the claim was confirmed, its ending recorded or the claim checked.
+// Close ends the operation of a Confirming, Ended or Rewriting and answers it; OK states whether
+// the claim was confirmed, its ending recorded or the claim checked.
 type Close struct {
 	Call   uint64 `json:"call"`
 	OK     bool   `json:"ok"`
--- a/src/deposit/claim_operation.go
+++ b/src/deposit/claim_operation.go
@@ -69,7 +69,8 @@
 	return c.answerRepeat(now, op, p, *found)
 }
 
-// claimFree claims a key of which the store shows no claim. A claim that the store has lost with an era is answered from
+// claimFree claims a key of which the store shows no claim. A claim that the store has lost with an
+// era is answered from
 // memory; while other holders may not have written theirs again, the request is refused.
 func (c *Core) claimFree(now time.Time, op *operation, p claimParams) []Action {
 	if known := c.knownFromEarlierEra(now, op); known != nil {
@@ -82,7 +83,8 @@
 	return c.writeClaim(now, op, p)
 }
 
-// knownFromEarlierEra returns the claim of this holder for the operation's key if it was last written in an earlier era and has not expired, or nil.
+// knownFromEarlierEra returns the claim of this holder for the operation's key if it was last
+// written in an earlier era and has not expired, or nil.
 func (c *Core) knownFromEarlierEra(now time.Time, op *operation) *wire.Claim {
 	r := c.memory.get(op.digest)
 	if r == nil || r.claim.Era >= eraOf(op.revision) || c.isExpired(now, r.claim) {
--- a/src/deposit/confirm_operation.go
+++ b/src/deposit/confirm_operation.go
@@ -30,7 +30,8 @@
 func (c *Core) evaluateConfirm(now time.Time, op *operation, p confirmParams) []Action {
 	found := findClaim(op.slot, func(claim wire.Claim) bool { return claim.ID == p.claim.ID })
 	if open := c.openClaims[p.claim.ID.Sequence]; open != nil && eraOf(op.revision) > open.era {
-		// The key may have been claimed again in an era that the store has lost too, so only a fresh claim is confirmed.
+		// The key may have been claimed again in an era that the store has lost too, so only a
+		// fresh claim is confirmed.
 		return c.fail(now, op, storeRestored)
 	}
 	if found == nil {
--- a/src/deposit/end_operation.go
+++ b/src/deposit/end_operation.go
@@ -66,7 +66,8 @@
 	}
 }
 
-// rememberEnd sets the ending in the remembered claim before it is in the store, and forgets a released claim.
+// rememberEnd sets the ending in the remembered claim before it is in the store, and forgets a
+// released claim.
 func (c *Core) rememberEnd(e Ended) {
 	r := c.memory.getOwn(e.Claim.Digest, e.Claim.ID)
 	switch {
--- a/src/deposit/era_check.go
+++ b/src/deposit/era_check.go
@@ -10,11 +10,13 @@
 	"github.com/yuccaport/yuccaport/src/problem"
 )
 
-// settledKey holds the highest era that a holder has found settled, so that a daemon that starts later need not wait. A
+// settledKey holds the highest era that a holder has found settled, so that a daemon that starts
+// later need not wait. A
 // restored copy never holds the era that it begins.
 const settledKey = slotPrefix + "settled-era"
 
-// startEraChecks makes a check of the store's era at intervals until ctx is done, and at once when the timer is reset to 0.
+// startEraChecks makes a check of the store's era at intervals until ctx is done, and at once when
+// the timer is reset to 0.
 func (g *Guard) startEraChecks(ctx context.Context) {
 	interval := g.core.Timeout / eraCheckFraction
 	g.checking.Lock()
@@ -32,7 +34,8 @@
 	})
 }
 
-// needsEra reports whether the era matters: a store that names eras can lack claims of this holder, or is not settled.
+// needsEra reports whether the era matters: a store that names eras can lack claims of this holder,
+// or is not settled.
 func (g *Guard) needsEra() bool {
 	store, ok := g.Store.(kv.Eras)
 	if !ok || !store.NamesEra() {
@@ -43,7 +46,8 @@
 	return g.core.memory.order.Len() > 0 || g.core.settling.unsettled
 }
 
-// checkEra reads the store's era, writes the claims again that the store may have lost with an era, and records that the era is settled.
+// checkEra reads the store's era, writes the claims again that the store may have lost with an era,
+// and records that the era is settled.
 func (g *Guard) checkEra(ctx context.Context) {
 	entry, err := g.Store.Get(ctx, settledKey)
 	if err != nil && !errors.Is(err, problem.NotFound) {
--- a/src/deposit/era_check_test.go
+++ b/src/deposit/era_check_test.go
@@ -12,7 +12,8 @@
 	"github.com/yuccaport/yuccaport/src/standin"
 )
 
-// An idle holder must notice over HTTP that the store came back from an older copy, and write its claim again by itself, before
+// An idle holder must notice over HTTP that the store came back from an older copy, and write its
+// claim again by itself, before
 // another holder grants the key.
 func TestIdleHolderWritesAgain(t *testing.T) {
 	const timeout = 3 * time.Second
--- a/src/deposit/event.go
+++ b/src/deposit/event.go
@@ -6,7 +6,8 @@
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
-// Event is an input of a Core: Arrived, Confirming, Ended, Rewriting, EraRead, SlotRead, SlotSwapped or Shared.
+// Event is an input of a Core: Arrived, Confirming, Ended, Rewriting, EraRead, SlotRead,
+// SlotSwapped or Shared.
 type Event interface{ isEvent() }
 
 // Arrived is a request that asks for a claim.
@@ -36,13 +37,15 @@
 	Holders int `json:"holders"`
 }
 
-// Rewriting starts to write a remembered claim again if the store, restored from an older copy, lacks it. It is answered by
+// Rewriting starts to write a remembered claim again if the store, restored from an older copy,
+// lacks it. It is answered by
 // Close, whose OK is false if no claim is left to check or the store failed.
 type Rewriting struct {
 	Call uint64 `json:"call"`
 }
 
-// EraRead is the answer of the store to a check of its era. Settled states that some holder has found this era settled.
+// EraRead is the answer of the store to a check of its era. Settled states that some holder has
+// found this era settled.
 type EraRead struct {
 	Era     uint64 `json:"era"`
 	Settled bool   `json:"settled"`
--- a/src/deposit/guard.go
+++ b/src/deposit/guard.go
@@ -26,8 +26,10 @@
 // Call Begin first. If it returns Granted, call Confirm right before each send, and end the claim with one of Finish, Release and Abandon.
 // These three retry for up to Timeout. Their error is of kind problem.Unavailable and means that the ending may not be recorded; the claim cannot be ended again.
 //
-// If the store names an era in its answers, a rise of the era means that it came back from an older copy, which may lack claims.
-// The Guard then writes its own claims again and, for up to Timeout, refuses new ones, since others may be lost.
+// If the store names an era in its answers, a rise of the era means that it came back from an older
+// copy, which may lack claims.
+// The Guard then writes its own claims again and, for up to Timeout, refuses new ones, since others
+// may be lost.
 //
 // All holders that share a store must have the same Expiry and Timeout. The methods may be called concurrently.
 type Guard struct {
@@ -99,7 +101,8 @@
 	g.step(Shared{Holders: holders})
 }
 
-// Close ends the checks of the store's era and waits for the background releases. Call it after all other methods have returned. Its error is always nil.
+// Close ends the checks of the store's era and waits for the background releases. Call it after all
+// other methods have returned. Its error is always nil.
 func (g *Guard) Close() error {
 	g.initialize()
 	g.stopChecks()
--- a/src/deposit/params.go
+++ b/src/deposit/params.go
@@ -2,7 +2,8 @@
 
 import "github.com/yuccaport/yuccaport/src/wire"
 
-// params are the inputs of an operation, and their type is its kind: claimParams, confirmParams, endParams or rewriteParams.
+// params are the inputs of an operation, and their type is its kind: claimParams, confirmParams,
+// endParams or rewriteParams.
 type params interface{ isParams() }
 
 // claimParams describes a claim to add.
--- a/src/deposit/remembered.go
+++ b/src/deposit/remembered.go
@@ -7,7 +7,8 @@
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
-// Bounds of the claims that a holder remembers. The oldest are forgotten first: a copy from which a store comes back is
+// Bounds of the claims that a holder remembers. The oldest are forgotten first: a copy from which a
+// store comes back is
 // some seconds to hours old, and claims that are older than the copy are in it.
 const (
 	maxRemembered     = 1 << 16
@@ -76,7 +77,8 @@
 	delete(m.byDigest, string(digest))
 }
 
-// nextUnfound returns the latest claim of which it is not known whether the store holds it in an era, or nil.
+// nextUnfound returns the latest claim of which it is not known whether the store holds it in an
+// era, or nil.
 func (m *memory) nextUnfound(era uint64) *rememberedClaim {
 	for e := m.order.Front(); e != nil; e = e.Next() {
 		if r, _ := e.Value.(*rememberedClaim); r.foundEra < era {
@@ -86,7 +88,8 @@
 	return nil
 }
 
-// setFound records that the store holds r, unchanged since its last write, in an era. The store's copy then was taken after
+// setFound records that the store holds r, unchanged since its last write, in an era. The store's
+// copy then was taken after
 // that write, so it holds all claims last written before it in the same era of the store.
 func (m *memory) setFound(r *rememberedClaim, era uint64) {
 	r.foundEra = era
--- a/src/deposit/restore_test.go
+++ b/src/deposit/restore_test.go
@@ -15,7 +15,8 @@
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
-// restoringStore may be copied and restored, and may lose the answer to a write, before and after each call.
+// restoringStore may be copied and restored, and may lose the answer to a write, before and after
+// each call.
 type restoringStore struct {
 	standin.Keyspace
 	disturb func() (loseAnswer bool)
@@ -108,7 +109,8 @@
 	m.holders[i] = m.newHolder()
 }
 
-// leave marks the payments of a holder that crashes or freezes. The store may lack them if it was restored since they were
+// leave marks the payments of a holder that crashes or freezes. The store may lack them if it was
+// restored since they were
 // granted and the holder has not checked them since.
 func (m *restoreModel) leave(g *Guard) {
 	for _, p := range m.payments {
@@ -217,8 +219,10 @@
 	return open[m.choose(len(open), "payment")]
 }
 
-// TestRestoredStore checks that a payment runs at most once while the store comes back from older copies at random moments,
-// also several times in a row and during store calls, unless its holder has crashed or was frozen and the store has forgotten its claim.
+// TestRestoredStore checks that a payment runs at most once while the store comes back from older
+// copies at random moments,
+// also several times in a row and during store calls, unless its holder has crashed or was frozen
+// and the store has forgotten its claim.
 func TestRestoredStore(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := &restoreModel{t: t, now: time.Unix(1000, 0), crashed: map[*Guard]bool{}, frozen: map[*Guard]bool{}, checked: map[*Guard]uint64{}, store: &restoringStore{}, restores: rapid.IntRange(0, 3).Draw(t, "disturbances")}
@@ -233,7 +237,8 @@
 	})
 }
 
-// After a restore a key that nobody claimed must be refused for no longer than Timeout, and by a daemon that starts later not
+// After a restore a key that nobody claimed must be refused for no longer than Timeout, and by a
+// daemon that starts later not
 // at all; a claim that its holder wrote again must not be granted by another holder.
 func TestSettledEra(t *testing.T) {
 	c := qt.New(t)
@@ -267,7 +272,8 @@
 	}
 }
 
-// A claim whose write crosses a restore must not be granted: the key may have been claimed in between. It must be released, so
+// A claim whose write crosses a restore must not be granted: the key may have been claimed in
+// between. It must be released, so
 // that the key is free once the era is settled.
 func TestClaimAcrossRestore(t *testing.T) {
 	c := qt.New(t)
@@ -294,7 +300,8 @@
 	c.Assert(m.holders[0].Close(), qt.IsNil)
 }
 
-// A claim that the store still holds shows only that the claims acknowledged before its write, in the same era, are there too;
+// A claim that the store still holds shows only that the claims acknowledged before its write, in
+// the same era, are there too;
 // any other must be checked, or a lost one would not be written again.
 func TestMemorySetFound(t *testing.T) {
 	at := func(s int64) time.Time { return time.Unix(s, 0) }
@@ -321,7 +328,8 @@
 	}
 }
 
-// A claim of an earlier era must not be confirmed once its stamp is old, even if the copy holds it: another holder may have been
+// A claim of an earlier era must not be confirmed once its stamp is old, even if the copy holds it:
+// another holder may have been
 // granted the key in an era that the store has lost too.
 func TestConfirmAfterRestore(t *testing.T) {
 	c := qt.New(t)
--- a/src/deposit/rewrite_operation.go
+++ b/src/deposit/rewrite_operation.go
@@ -23,7 +23,8 @@
 	return op.readSlot(delay)
 }
 
-// evaluateRewrite writes the remembered claim unless the slot holds it, or one of another holder of a later era.
+// evaluateRewrite writes the remembered claim unless the slot holds it, or one of another holder of
+// a later era.
 func (c *Core) evaluateRewrite(now time.Time, op *operation, p rewriteParams) []Action {
 	r := c.memory.getOwn(op.digest, p.id)
 	if r == nil {
@@ -50,7 +51,8 @@
 	return c.writeEnd(now, op, s)
 }
 
-// addRemembered returns the slot with the remembered claim in place of any other of its key, and the claim that it replaces.
+// addRemembered returns the slot with the remembered claim in place of any other of its key, and
+// the claim that it replaces.
 func (c *Core) addRemembered(now time.Time, op *operation, r *rememberedClaim) (wire.ClaimSlot, *wire.Claim) {
 	found := findClaim(op.slot, func(claim wire.Claim) bool {
 		return bytes.Equal(claim.Digest, op.digest) && (claim.ID == r.claim.ID || !c.isExpired(now, claim))
@@ -75,7 +77,8 @@
 	sentAt := op.firstWriteAt
 	r := &rememberedClaim{claim: written, sentAt: sentAt, ackAt: now, foundEra: written.Era}
 	if known := c.memory.getOwn(written.Digest, written.ID); known != nil && known.claim.State != written.State {
-		// The claim has been ended during the write. The store does not show this yet, so the claim stays to be checked.
+		// The claim has been ended during the write. The store does not show this yet, so the claim
+		// stays to be checked.
 		r.claim = known.claim
 		r.claim.Era = written.Era
 		r.foundEra = known.foundEra
--- a/src/deposit/settling.go
+++ b/src/deposit/settling.go
@@ -8,11 +8,13 @@
 
 // eraCheckFraction is the part of Timeout between two checks of the store's era.
 //
-// After the store came back from an older copy, its holders have Core.Timeout to write their claims again: up to a
+// After the store came back from an older copy, its holders have Core.Timeout to write their claims
+// again: up to a
 // sixth of it until they notice, one failed store call of kv.DefaultTimeout, and the rest to write.
 const eraCheckFraction = 6
 
-// settling tells whether the store's era is settled: whether all holders have had the time to write their claims again.
+// settling tells whether the store's era is settled: whether all holders have had the time to write
+// their claims again.
 type settling struct {
 	era       uint64 // highest that an answer of the store has shown
 	unsettled bool
--- a/src/dispatch/bench_test.go
+++ b/src/dispatch/bench_test.go
@@ -18,7 +18,9 @@
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
-// BenchmarkProxyCall measures calls through a proxy, with and without a log and tenants; a function replaces links and backend servers. Guards against allocations for a key: without lines, a call with tenants has none more than one without.
+// BenchmarkProxyCall measures calls through a proxy, with and without a log and tenants; a function
+// replaces links and backend servers. Guards against allocations for a key: without lines, a call
+// with tenants has none more than one without.
 func BenchmarkProxyCall(b *testing.B) {
 	null, err := os.OpenFile(os.DevNull, os.O_WRONLY, 0)
 	if err != nil {
--- a/src/dispatch/call.go
+++ b/src/dispatch/call.go
@@ -98,7 +98,8 @@
 	return c.objective.Sub(c.proxy.Now())
 }
 
-// cleanUp ends the background read of the caller's connection, drops the attempts whose answers were not accepted, returns the credit of a call that has not run and releases the request body.
+// cleanUp ends the background read of the caller's connection, drops the attempts whose answers
+// were not accepted, returns the credit of a call that has not run and releases the request body.
 //
 // If the body has not arrived completely, the connection is closed after the answer.
 func (c *call) cleanUp() {
--- a/src/dispatch/caller_conn.go
+++ b/src/dispatch/caller_conn.go
@@ -112,7 +112,8 @@
 	return c.Conn.Write(b)
 }
 
-// Close closes the connection. If part of a request body or a further request is unread, it first reads on for up to lingerTime, so that the caller still receives the answer.
+// Close closes the connection. If part of a request body or a further request is unread, it first
+// reads on for up to lingerTime, so that the caller still receives the answer.
 func (c *callerConn) Close() error {
 	c.closeOnce.Do(func() {
 		c.linger()
@@ -121,7 +122,8 @@
 	return c.Conn.Close()
 }
 
-// linger reads on for up to lingerTime if part of a request body or a further request is unread: closing at once would reset the connection, and the caller might lose the answer.
+// linger reads on for up to lingerTime if part of a request body or a further request is unread:
+// closing at once would reset the connection, and the caller might lose the answer.
 func (c *callerConn) linger() {
 	tc, ok := c.Conn.(*net.TCPConn)
 	c.mu.Lock()
@@ -175,7 +177,9 @@
 	return c.SetReadDeadline(time.Now().Add(c.stallTimeout))
 }
 
-// startRequest marks the connection busy when the first bytes of a request arrive, and starts the timeout of its header. It returns the number of bytes that belong to the present request; the others are kept for the next reads.
+// startRequest marks the connection busy when the first bytes of a request arrive, and starts the
+// timeout of its header. It returns the number of bytes that belong to the present request; the
+// others are kept for the next reads.
 func (c *callerConn) startRequest(b []byte) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/src/dispatch/caller_pipeline.go
+++ b/src/dispatch/caller_pipeline.go
@@ -11,7 +11,8 @@
 // only once it has nothing left to read, so that otherwise an answer would wait for the slow request
 // behind it, and only so is it known during a shutdown which requests have been read.
 
-// keepBehindHeader keeps what follows the end of the present header for the next reads, and returns the number of bytes up to there. c.mu must be held, and c.pending be empty.
+// keepBehindHeader keeps what follows the end of the present header for the next reads, and returns
+// the number of bytes up to there. c.mu must be held, and c.pending be empty.
 func (c *callerConn) keepBehindHeader(b []byte) int {
 	n := c.header.scan(b)
 	if n < len(b) {
@@ -37,7 +38,10 @@
 	}
 }
 
-// hasUnread reports whether further requests of the caller have arrived that have not been read. Closing the connection would reset it then, and the caller might lose the answer. It is false unless the last request was well-formed and had no body: what follows another one may have no end.
+// hasUnread reports whether further requests of the caller have arrived that have not been read.
+// Closing the connection would reset it then, and the caller might lose the answer. It is false
+// unless the last request was well-formed and had no body: what follows another one may have no
+// end.
 func (c *callerConn) hasUnread(tc *net.TCPConn) bool {
 	if !c.mayPipeline.Load() {
 		return false
--- a/src/dispatch/header_fields.go
+++ b/src/dispatch/header_fields.go
@@ -23,7 +23,10 @@
 	"Content-Length": true, "Host": true, "Expect": true,
 }
 
-// requestFields returns the caller's header fields that are passed on: all except unforwarded and reserved fields, fields listed in Connection, and fields that the daemons set. With hasTenants, which reports that the configuration holds tenants, the caller's key and the name of the tenant are not passed on either.
+// requestFields returns the caller's header fields that are passed on: all except unforwarded and
+// reserved fields, fields listed in Connection, and fields that the daemons set. With hasTenants,
+// which reports that the configuration holds tenants, the caller's key and the name of the tenant
+// are not passed on either.
 func (p *Proxy) requestFields(h *fasthttp.RequestHeader, hasTenants bool) []wire.Field {
 	options := connectionOptions(string(h.Peek("Connection")))
 	out := make([]wire.Field, 0, 8)
--- a/src/dispatch/service.go
+++ b/src/dispatch/service.go
@@ -83,13 +83,15 @@
 	m.errorRate = errorRates[(len(errorRates)-1)/2]
 }
 
-// mayEject reports whether one more server can be ejected without exceeding maxEjectedShare of the usable ones of its version.
+// mayEject reports whether one more server can be ejected without exceeding maxEjectedShare of the
+// usable ones of its version.
 func (s *service) mayEject(now time.Time, srv *server, maxEjectedShare float64) bool {
 	usable, ejected := s.countEjected(now, srv.isNew)
 	return float64(ejected+1) <= maxEjectedShare*float64(usable)
 }
 
-// limitEjected ends ejections, in order of expiry, until at most maxEjectedShare of the usable servers of each version is ejected.
+// limitEjected ends ejections, in order of expiry, until at most maxEjectedShare of the usable
+// servers of each version is ejected.
 func (s *service) limitEjected(now time.Time, maxEjectedShare float64) {
 	for _, isNew := range []bool{false, true} {
 		s.limitEjectedOf(now, isNew, maxEjectedShare)
--- a/src/dispatch/service_rollout.go
+++ b/src/dispatch/service_rollout.go
@@ -41,7 +41,8 @@
 	}
 }
 
-// applyRollout marks the servers of the new version of a service and chooses those that get requests before all are
+// applyRollout marks the servers of the new version of a service and chooses those that get
+// requests before all are
 // shifted.
 func (c *Core) applyRollout(serviceName string) {
 	svc, ro := c.services[serviceName], c.rollouts[serviceName]
--- a/src/dispatch/settings.go
+++ b/src/dispatch/settings.go
@@ -34,7 +34,8 @@
 	ExposureShare        float64       `json:"max_rollout_share,omitempty"`       // of the calls to a service under a rollout order that a bad version may get at most
 }
 
-// WithDefaults returns the settings with defaults for zero fields; SharedRetryBurst, LinkRate and ExposureShare have none.
+// WithDefaults returns the settings with defaults for zero fields; SharedRetryBurst, LinkRate and
+// ExposureShare have none.
 func (s Settings) WithDefaults() Settings {
 	setDefault(&s.Selection, SelectTwoChoices)
 	setDefault(&s.Timeout, 2*time.Second)
--- a/src/dispatch/split_test.go
+++ b/src/dispatch/split_test.go
@@ -66,7 +66,8 @@
 	return SendAttempt{}
 }
 
-// deviation sends a window of calls from random agents and returns by how much the share of a part deviates most.
+// deviation sends a window of calls from random agents and returns by how much the share of a part
+// deviates most.
 func (f *splitFleet) deviation(r *rand.Rand) float64 {
 	n := 200 + r.IntN(101)
 	counts := map[string]int{}
--- a/src/fleetmodel/admission_test.go
+++ b/src/fleetmodel/admission_test.go
@@ -10,7 +10,8 @@
 	"github.com/yuccaport/yuccaport/src/booking"
 )
 
-// overload is a fleet with two kinds of one rank, one more urgent and one less urgent kind; load is the offered work as a share of the slots.
+// overload is a fleet with two kinds of one rank, one more urgent and one less urgent kind; load is
+// the offered work as a share of the slots.
 func overload(policy booking.Policy, load float64, seed uint64) *Fleet {
 	const servers, slots = 12, 6
 	f := &Fleet{
@@ -34,7 +35,9 @@
 	return f
 }
 
-// Overload by two kinds of one rank, with callers that come back: the kind with the shorter work is in time more often, which the present order by latest start reverses, since it queues the kind with the longer objective when the other has no chance left.
+// Overload by two kinds of one rank, with callers that come back: the kind with the shorter work is
+// in time more often, which the present order by latest start reverses, since it queues the kind
+// with the longer objective when the other has no chance left.
 // More urgent kinds precede less urgent ones, and each kind is served at least a quarter as often as all.
 func TestOverloadByTwoKinds(t *testing.T) {
 	for _, load := range []float64{1.3, 2.2} {
--- a/src/fleetmodel/heterogeneous_test.go
+++ b/src/fleetmodel/heterogeneous_test.go
@@ -60,7 +60,8 @@
 	return f
 }
 
-// shares returns the share of all requests that were served in time, the attempts that crossed failure domains as a share of all, and the bytes that crossed them per request.
+// shares returns the share of all requests that were served in time, the attempts that crossed
+// failure domains as a share of all, and the bytes that crossed them per request.
 func (h heterogeneous) shares(seed uint64) (inTime, crossed, bytes float64) {
 	var asked, served, attempts, crossing, crossBytes int
 	for _, r := range h.fleet(seed).Run() {
--- a/src/fleetmodel/noisy_agent.go
+++ b/src/fleetmodel/noisy_agent.go
@@ -9,7 +9,8 @@
 	"github.com/yuccaport/yuccaport/src/booking"
 )
 
-// slowdown returns how many times as long work takes at the agent's server now, and the time until that may change, 0 for never.
+// slowdown returns how many times as long work takes at the agent's server now, and the time until
+// that may change, 0 for never.
 func (a *agent) slowdown() (float64, time.Duration) {
 	n := a.noise
 	if !a.noisy {
--- a/src/kv/protocol.go
+++ b/src/kv/protocol.go
@@ -10,7 +10,8 @@
 	HeaderRevision = "X-Revision"
 	// HeaderEra names the store's era in each answer; a store without it counts as era 0.
 	HeaderEra = "X-Era"
-	// ArgumentEra is the query argument with the era of an expected revision. A write whose era is not the store's conflicts.
+	// ArgumentEra is the query argument with the era of an expected revision. A write whose era is
+	// not the store's conflicts.
 	// Without it, which is how releases without eras write, the revision is taken as of the current era.
 	ArgumentEra = "era"
 )
--- a/src/kv/remote.go
+++ b/src/kv/remote.go
@@ -113,7 +113,8 @@
 	req.URI().QueryArgs().Set(name, strconv.FormatUint(n, 10))
 }
 
-// setRevision sets a revision as its number and its era. The era is left out for a store that names none, and for 0, which
+// setRevision sets a revision as its number and its era. The era is left out for a store that names
+// none, and for 0, which
 // stands for a missing key in any era.
 func (r *Remote) setRevision(req *fasthttp.Request, name string, revision uint64) {
 	era, number := SplitRevision(revision)
--- a/src/kv/store.go
+++ b/src/kv/store.go
@@ -28,9 +28,11 @@
 //
 // Errors are of the kinds problem.NotFound, problem.Conflict, problem.Unavailable (not carried out) and problem.Unsure (may have been carried out).
 type Store interface {
-	// Get returns the entry of a key, or an error of kind problem.NotFound with an entry that holds only the era.
+	// Get returns the entry of a key, or an error of kind problem.NotFound with an entry that holds
+	// only the era.
 	Get(ctx context.Context, key string) (Entry, error)
-	// Swap writes a value if the key is at revision expect and returns the new revision. 0 stands for a key that does
+	// Swap writes a value if the key is at revision expect and returns the new revision. 0 stands
+	// for a key that does
 	// not exist, in any era; JoinRevision(era, 0) for one that does not exist in that era.
 	Swap(ctx context.Context, key string, expect uint64, value []byte) (uint64, error)
 	// Delete removes a key that is at revision expect.
--- a/src/link/send_queue.go
+++ b/src/link/send_queue.go
@@ -219,7 +219,11 @@
 	return b[:0]
 }
 
-// sendMessage queues one frame of a control message or of its answer, a short one with the urgent frames unless urgentHighWater is reached, any other as bulk data. It waits until the previous bulk frame of f is taken and, with a long frame, for the limiter: frames of several large answers would otherwise fill the buffers of the network connection, and small frames wait behind them there. Messages need no credit.
+// sendMessage queues one frame of a control message or of its answer, a short one with the urgent
+// frames unless urgentHighWater is reached, any other as bulk data. It waits until the previous
+// bulk frame of f is taken and, with a long frame, for the limiter: frames of several large answers
+// would otherwise fill the buffers of the network connection, and small frames wait behind them
+// there. Messages need no credit.
 func (q *sendQueue) sendMessage(f *sendFlow, frame []byte) error {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/src/registry/propagation_test.go
+++ b/src/registry/propagation_test.go
@@ -52,7 +52,8 @@
 	return binary.BigEndian.Uint64(b)
 }
 
-// propagation is one run of the simulation: followers with links of linkRate on the clock of a synctest bubble.
+// propagation is one run of the simulation: followers with links of linkRate on the clock of a
+// synctest bubble.
 type propagation struct {
 	*slowNetwork
 	store     *standin.RegistryStore
--- a/src/registry/receipt.go
+++ b/src/registry/receipt.go
@@ -19,7 +19,8 @@
 	unpack   time.Duration
 }
 
-// receiptMetrics are the histograms of the time from a configuration's first announcement here to in force, by cause.
+// receiptMetrics are the histograms of the time from a configuration's first announcement here to
+// in force, by cause.
 type receiptMetrics struct{ cutOff, transfer, unpack, apply *metrics.Histogram }
 
 func newReceiptMetrics(s *metrics.Set) receiptMetrics {
@@ -29,7 +30,8 @@
 	return receiptMetrics{cutOff: seconds("cut_off"), transfer: seconds("transfer"), unpack: seconds("unpack"), apply: seconds("apply")}
 }
 
-// newGauges adds the version of the newest configuration, and the time without an answer of the store or a reader.
+// newGauges adds the version of the newest configuration, and the time without an answer of the
+// store or a reader.
 func (f *Follower) newGauges() {
 	f.Metrics.GetOrCreateGauge("yuccaport_registry_config_version", func() float64 {
 		_, version := f.config()
@@ -57,7 +59,8 @@
 	f.receipts = map[uint64]receipt{r.Config: how}
 }
 
-// noteStoreReceipt does the same for a configuration among the items of an answer of the store, to a question asked at began.
+// noteStoreReceipt does the same for a configuration among the items of an answer of the store, to
+// a question asked at began.
 func (f *Follower) noteStoreReceipt(items []Item, began time.Time) {
 	for _, i := range items {
 		if i.Key == f.Keys.Config && !i.Deleted {
--- a/src/registry/search.go
+++ b/src/registry/search.go
@@ -44,7 +44,8 @@
 	return false
 }
 
-// searchRound asks a few members at once, and those that they name. It returns the first that reads the store.
+// searchRound asks a few members at once, and those that they name. It returns the first that reads
+// the store.
 func (f *Follower) searchRound(ctx context.Context) (found wire.Member) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/src/registry/source.go
+++ b/src/registry/source.go
@@ -62,7 +62,10 @@
 	return src
 }
 
-// hasSlowLink reports whether this agent's link is too slow to read the store in time when versions follow one another quickly. If so, a failed reader is replaced by another one; the store is watched only after maxSkipped, or after two and maxSkipTime. slowLinkShare, which compares links with one another, is independent of it.
+// hasSlowLink reports whether this agent's link is too slow to read the store in time when versions
+// follow one another quickly. If so, a failed reader is replaced by another one; the store is
+// watched only after maxSkipped, or after two and maxSkipTime. slowLinkShare, which compares links
+// with one another, is independent of it.
 func (f *Follower) hasSlowLink() bool { return f.MaxTransferTime > relistTimeout }
 
 // isOfEarlierEra reports whether a revision is of an earlier era than the last answer of the store
@@ -73,7 +76,9 @@
 	return era < current
 }
 
-// watchReader waits for changes at a reader. A reader that does not answer, is in an earlier era of the store, follows it through this agent, or reports that it has lost the store or not yet listed it, is skipped for readerRetryDelay,
+// watchReader waits for changes at a reader. A reader that does not answer, is in an earlier era of
+// the store, follows it through this agent, or reports that it has lost the store or not yet listed
+// it, is skipped for readerRetryDelay,
 // or until the store has failed at this agent as well.
 func (f *Follower) watchReader(ctx context.Context, src source) error {
 	wait := readerWait
--- a/src/speed/memory.go
+++ b/src/speed/memory.go
@@ -15,15 +15,19 @@
 	priorPeriod = float64(time.Second)  // a report is assumed to lose its weight by e in this time
 )
 
-// Memory learns how much a report of a given age says of the present speed. The zero value assumes a decay over priorPeriod. It is not safe for concurrent use.
+// Memory learns how much a report of a given age says of the present speed. The zero value assumes
+// a decay over priorPeriod. It is not safe for concurrent use.
 //
-// For each range of ages it keeps the regression of a report on the one before, both as deviations from the machine's mean: 1 where machines keep their speed for longer, 0 where it has changed at random since.
+// For each range of ages it keeps the regression of a report on the one before, both as deviations
+// from the machine's mean: 1 where machines keep their speed for longer, 0 where it has changed at
+// random since.
 type Memory struct {
 	squares  [ageRanges]float64
 	products [ageRanges]float64
 }
 
-// learn records two reports of one machine, as deviations from its mean, and the range of the time between them.
+// learn records two reports of one machine, as deviations from its mean, and the range of the time
+// between them.
 func (m *Memory) learn(r int, before, after float64) {
 	if m == nil {
 		return
--- a/src/speed/tracker.go
+++ b/src/speed/tracker.go
@@ -27,7 +27,8 @@
 	at     time.Time
 }
 
-// Record stores a report in percent, 100 as usual and 250 for work that takes 2.5 times as long, and passes the change to m. A report out of range is ignored.
+// Record stores a report in percent, 100 as usual and 250 for work that takes 2.5 times as long,
+// and passes the change to m. A report out of range is ignored.
 func (t *Tracker) Record(now time.Time, percent int, m *Memory) {
 	if percent < 1 || percent > maxPercent {
 		return
@@ -49,7 +50,8 @@
 	t.factor, t.at = f, now
 }
 
-// compare passes to m how a report differs from earlier ones of all ages, so that m knows what a report says some time later even where reports come more often.
+// compare passes to m how a report differs from earlier ones of all ages, so that m knows what a
+// report says some time later even where reports come more often.
 func (t *Tracker) compare(now time.Time, f float64, m *Memory) {
 	for r := range t.earlier {
 		e := &t.earlier[r]
@@ -70,7 +72,9 @@
 // Age returns the time since the last report.
 func (t *Tracker) Age(now time.Time) time.Duration { return now.Sub(t.at) }
 
-// Factor returns how many times as long as usual work is expected to take now: the last report, weighted by what m has learned of reports that old, and the machine's mean. Without a report it is 1.
+// Factor returns how many times as long as usual work is expected to take now: the last report,
+// weighted by what m has learned of reports that old, and the machine's mean. Without a report it
+// is 1.
 func (t *Tracker) Factor(now time.Time, m *Memory) float64 {
 	if t.factor == 0 {
 		return 1
@@ -78,7 +82,8 @@
 	return t.mean + (t.factor-t.mean)*m.weight(t.Age(now))
 }
 
-// Expected returns how long work that starts now is expected to take, given its time at usual speed: at the speed expected for the middle of that time, since the speed may change meanwhile.
+// Expected returns how long work that starts now is expected to take, given its time at usual
+// speed: at the speed expected for the middle of that time, since the speed may change meanwhile.
 func (t *Tracker) Expected(now time.Time, usual time.Duration, m *Memory) time.Duration {
 	if t.factor == 0 {
 		return usual
@@ -94,7 +99,8 @@
 	return int32(max(1, usual*t.Factor(now, m)+0.5))
 }
 
-// Progress returns the time that the machine would have needed at usual speed for what it can have done until now, from an arbitrary start.
+// Progress returns the time that the machine would have needed at usual speed for what it can have
+// done until now, from an arbitrary start.
 func (t *Tracker) Progress(now time.Time) time.Duration {
 	if t.factor == 0 {
 		return 0
@@ -102,7 +108,8 @@
 	return t.work + time.Duration(float64(max(0, now.Sub(t.at)))/t.factor)
 }
 
-// Normal returns how long work that took the given time until now would have taken at usual speed, given Progress at its start. Without a report it is took.
+// Normal returns how long work that took the given time until now would have taken at usual speed,
+// given Progress at its start. Without a report it is took.
 func (t *Tracker) Normal(now time.Time, took, progressAtStart time.Duration) time.Duration {
 	if t.factor == 0 || took <= 0 {
 		return took
--- a/src/standin/store_server.go
+++ b/src/standin/store_server.go
@@ -153,7 +153,8 @@
 	return fasthttp.StatusServiceUnavailable
 }
 
-// revisionOf returns a query argument that is a revision, joined with its era, or with the current one if none is given. 0
+// revisionOf returns a query argument that is a revision, joined with its era, or with the current
+// one if none is given. 0
 // without an era stays 0.
 func (s *StoreServer) revisionOf(q *fasthttp.Args, name string) uint64 {
 	n, era := number(q, name), number(q, kv.ArgumentEra)
--- a/src/tenants/directory_test.go
+++ b/src/tenants/directory_test.go
@@ -82,7 +82,8 @@
 	}
 }
 
-// Guards against a version in force whose keys are ambiguous, and against a key in the error that is logged.
+// Guards against a version in force whose keys are ambiguous, and against a key in the error that
+// is logged.
 func TestNewDirectoryRefuses(t *testing.T) {
 	const secret = tenants.Key("s3cr3t-key")
 	tests := map[string]struct {
--- a/src/tenants/member_count.go
+++ b/src/tenants/member_count.go
@@ -4,7 +4,8 @@
 
 // memberCount is the number of members by which a granter divides the limits. It rises at once and
 // falls late: members that are gone may be cut off and use their parts for isolationTime. It falls
-// only where a majority follows the granter, so that it never falls on two sides of a partition. As the only exception, it falls after a long time if all listed members follow,
+// only where a majority follows the granter, so that it never falls on two sides of a partition. As
+// the only exception, it falls after a long time if all listed members follow,
 // since otherwise a fleet could not become smaller by more than half at once.
 type memberCount struct {
 	n       int
--- a/src/wire/rollout.go
+++ b/src/wire/rollout.go
@@ -4,7 +4,8 @@
 
 //msgp:limit arrays:256 maps:0
 
-// RolloutPlan is the record of a rollout in the store. It names its order, so that it can be followed without the order's key.
+// RolloutPlan is the record of a rollout in the store. It names its order, so that it can be
+// followed without the order's key.
 type RolloutPlan struct {
 	Order      uint64  `msg:"order"` // ID of the order
 	Service    string  `msg:"service"`
@@ -34,7 +35,8 @@
 	Routes    []RolloutRoute `msg:"routes"`
 }
 
-// RolloutRoute counts the answers of a backend server on one route since its daemon learned of the order. Array indexes of two are load classes, low and high.
+// RolloutRoute counts the answers of a backend server on one route since its daemon learned of the
+// order. Array indexes of two are load classes, low and high.
 type RolloutRoute struct {
 	Route    string   `msg:"route"`    // empty for all routes beyond the limit
 	Answers  []uint32 `msg:"answers"`  // complete answers and failures, by load class
