booking: a reset means a full server only where the settings say so

Since resets of a server in trouble counted as a full server's when half of its limit was in use: it was not ejected, and its limit fell.

Change: booking.Server.ResetsWhenFull, setting backend.resets_when_full, off by default.

--- a/src/agent/agent.go
+++ b/src/agent/agent.go
@@ -122,6 +122,7 @@
 		Grace: s.StopGrace.Std(), Limits: link.Limits{PingInterval: linkPingInterval + a.transferTime(assumedQueuedBytes)/4, HandshakeTimeout: linkHelloTimeout + a.transferTime(assumedQueuedBytes), Bandwidth: linkRate(s)}, Log: a.Log.WithName("link"), Metrics: a.Metrics,
 	}
 	a.booking.OnLeaving = a.handleLeavingAnswer
+	a.booking.ResetsWhenFull = s.Backend.ResetsWhenFull
 	a.booking.HasTenants = func() bool { t := a.table(); return t != nil && t.Tenants != nil }
 	a.booking.InboundDelay, a.booking.OutboundDelay, a.booking.LinkRate = a.pool.InboundDelay, a.pool.OutboundDelay, linkRate(s)
 	a.proxy = &dispatch.Proxy{
--- a/src/agent/settings.go
+++ b/src/agent/settings.go
@@ -44,7 +44,8 @@
 
 // Backend is the agent's backend server.
 type Backend struct {
-	Addr netip.AddrPort `toml:"addr"`
+	Addr           netip.AddrPort `toml:"addr"`
+	ResetsWhenFull bool           `toml:"resets_when_full"` // a reset of a connection means that the backend server is full, not that it fails
 }
 
 // Store is the key-value store that holds configuration and members.
--- a/src/booking/full_reset.go
+++ b/src/booking/full_reset.go
@@ -25,14 +25,15 @@
 	c.limit, c.successes, c.holdUntil = max(1, min(c.limit, len(c.running))), 0, now.Add(resetHold)
 }
 
-// isFullReset reports whether the backend server has reset the connection of x because it is full:
+// isFullReset reports whether the backend server, which ResetsWhenFull, has reset the connection of
+// x because it is full:
 // it sent no byte of an answer, accepts new connections, goes on running other calls, and runs
 // many. The request may have run all the same.
 //
 // Such a reset says nothing of the request, so that it is no reason to suspect it of a crash, nor
 // does it show that the server fails.
 func (s *Server) isFullReset(x *exchange) bool {
-	if !x.conn.wasReset || x.conn.overhead > 0 {
+	if !s.ResetsWhenFull || !x.conn.wasReset || x.conn.overhead > 0 {
 		return false
 	}
 	s.mu.Lock()
--- a/src/booking/server.go
+++ b/src/booking/server.go
@@ -45,6 +45,7 @@
 	Quarantine     *quarantine.Node                   // keeps requests away that crash backend servers; nil for none
 	Rollout        *rollout.Node                      // decides which calls may run while the service is under a rollout order, and gets the outcome of each run; nil for none
 	HasTenants     func() bool                        // reports whether the configuration holds tenants; nil for never
+	ResetsWhenFull bool                               // the backend server resets connections when it is full; of others, a reset is a fault
 	OnLeaving      func(instance string)              // called when the answers of an instance begin to say that it is leaving; nil for no call
 	Now            func() time.Time                   // nil for time.Now
 	Log            logr.Logger                        // zero for no logging
