--- a/review/_standin/client.go
+++ b/review/_standin/client.go
@@ -14,7 +14,6 @@
 	id, method, path, host string
 	deadline               time.Duration
 	body                   []byte
-	chunked                bool
 	header                 http.Header
 
 	sentAt, endedAt time.Time
@@ -42,9 +41,6 @@
 	var body io.Reader
 	if c.body != nil {
 		body = bytes.NewReader(c.body)
-		if c.chunked {
-			body = struct{ io.Reader }{body}
-		}
 	}
 	req, err := http.NewRequestWithContext(ctx, c.method, "http://"+m.addr("outbound")+c.path, body)
 	if err != nil {
--- a/review/_standin/drain.go
+++ b/review/_standin/drain.go
@@ -90,7 +90,7 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 	time.Sleep(leaveTime)
-	m.post("/Instances.Deregister/"+m.server.name(), nil)
+	m.deregister()
 	m.server.end()
 	if err := m.server.start(next); err != nil {
 		s.rec.note("server beside %s does not start: %v", m.name, err)
--- a/review/_standin/machine.go
+++ b/review/_standin/machine.go
@@ -183,9 +183,6 @@
 	s.mu.Lock()
 	s.sequence++
 	instance, draining := s.instance, s.draining
-	if s.gone {
-		instance = "" // it has said by Deregister that it leaves
-	}
 	msg := message.Heartbeat{Addr: m.addr("application"), Service: m.service, Domain: m.domain, Version: "v1", Slots: &s.slots, State: "ready", Born: s.born}
 	sequence := s.sequence
 	msg.Sequence = &sequence
@@ -207,6 +204,13 @@
 	return ok
 }
 
+// deregister says that the server has left.
+func (m *machine) deregister() {
+	b, _ := (&message.Leaving{Born: m.server.bornAt()}).MarshalMsg(nil) // to memory, cannot fail
+	ok := m.post("/Instances.Deregister/"+m.server.name(), b)
+	m.site.rec.note("server %s leaves, acknowledged: %t", m.server.name(), ok)
+}
+
 // post sends a message about the server to its agent and reports whether it was acknowledged.
 func (m *machine) post(path string, body []byte) bool {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
--- a/review/_standin/server.go
+++ b/review/_standin/server.go
@@ -29,9 +29,7 @@
 	ackedAt  time.Time // of the first acknowledged drain
 	waiting  int
 	slow     bool
-	gone     bool
 	work     func(r *http.Request) time.Duration
-	respond  func(w http.ResponseWriter, r *http.Request, body []byte) bool // answers in another way; false to answer as usual
 	sem      chan struct{}
 	http     *http.Server
 	runs     []run
@@ -62,7 +60,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.instance, s.born, s.sequence, s.draining, s.ackedAt, s.gone = instance, time.Now().UnixMilli(), 0, false, time.Time{}, false
+	s.instance, s.born, s.sequence, s.draining, s.ackedAt = instance, time.Now().UnixMilli(), 0, false, time.Time{}
 	s.sem = make(chan struct{}, s.slots)
 	s.http = &http.Server{Handler: http.HandlerFunc(s.handle), IdleTimeout: 10 * time.Second}
 	go func(h *http.Server) { _ = h.Serve(l) }(s.http)
@@ -101,7 +99,7 @@
 
 func (s *server) handle(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
-	instance, draining := s.instance, s.draining || s.gone
+	instance, draining := s.instance, s.draining
 	load := s.load()
 	s.mu.Unlock()
 	h := w.Header()
@@ -166,7 +164,7 @@
 	s.m.site.rec.note("server %s runs %s", instance, id)
 	s.mu.Lock()
 	ru.acked = s.ackedAt
-	work, respond := s.work, s.respond
+	work := s.work
 	s.mu.Unlock()
 	d := 20 * time.Millisecond
 	if work != nil {
@@ -196,9 +194,6 @@
 		return
 	}
 	s.m.site.rec.note("server %s answers %s", instance, id)
-	if respond != nil && respond(w, r, body) {
-		return
-	}
 	b := []byte(fmt.Sprintf("%s by %s", id, instance))
 	h.Set("Server-Stamp", "stamp-"+id)
 	h.Set("Server-Load", s.load())
@@ -216,8 +211,6 @@
 
 func (s *server) bornAt() int64 { s.mu.Lock(); defer s.mu.Unlock(); return s.born }
 
-func (s *server) left() { s.mu.Lock(); defer s.mu.Unlock(); s.gone = true }
-
 func (s *server) setSlow(v bool) { s.mu.Lock(); defer s.mu.Unlock(); s.slow = v }
 
 // workOfPath returns the work that the last segment of a path states in milliseconds.
--- a/review/_standin/site.go
+++ b/review/_standin/site.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/tinylib/msgp/msgp"
@@ -93,7 +94,7 @@
 func (s *site) close() {
 	s.cancel()
 	for _, m := range s.machines {
-		m.signal(18) // continues a process that stands still
+		m.signal(syscall.SIGCONT) // continues a process that stands still
 		m.end()
 		m.server.end()
 	}
