dispatch: a caller that leaves is noticed whatever it has sent before

Cause: the read that shows the end of a connection returned with the first bytes of a further request, and nothing read on; bytes held were served although the end was known. Evidence: callers without a further request were cancelled at once over the same links; the test at one agent shows it without a link. Change: the connection is read on while the call runs, also during a streamed answer; further requests are held within bounds, discarded beyond them, and not served once the caller has left. It works since reading never stops at a bound.

--- a/src/dispatch/answer.go
+++ b/src/dispatch/answer.go
@@ -53,7 +53,8 @@
 
 // streamAnswer passes on the body of a long answer while it arrives.
 func (c *call) streamAnswer(a *attempt) {
-	c.streaming = true
+	c.streaming.Store(true)
+	c.cancelStream() // the caller may have disconnected just before
 	size := a.reply.Head.BodyLength
 	c.ctx.SetBodyStream(&answerBody{call: c, attempt: a, hasLength: size >= 0, remaining: size}, int(max(size, -1)))
 }
@@ -109,6 +110,9 @@
 			b.call.payment.abandon()
 		}
 		_ = b.attempt.reply.Body.Close()
+		if b.call.detectsDisconnect {
+			b.call.conn.abortBackgroundRead()
+		}
 		b.call.endAttempt(b.attempt, b.truncated)
 		b.call.cancel()
 	})
--- a/src/dispatch/call.go
+++ b/src/dispatch/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -43,10 +44,10 @@
 	results           chan int                       // numbers of attempts that have a result
 	disconnected      chan struct{}                  // receives a value when the caller has disconnected
 	timers            []callTimer
-	detectsDisconnect bool // a background read of the caller's connection has been started
-	ended             bool // answered, refused or aborted
-	streaming         bool // the answer's body outlives run
-	mayHaveRun        bool // an attempt has been sent and is not proven not to have run
+	detectsDisconnect bool        // a background read of the caller's connection has been started
+	ended             bool        // answered, refused or aborted
+	mayHaveRun        bool        // an attempt has been sent and is not proven not to have run
+	streaming         atomic.Bool // the answer's body outlives run
 }
 
 // callTimer is a timer of a call. It is restarted with the same delay while the request body is still arriving.
@@ -98,12 +99,12 @@
 	return c.objective.Sub(c.proxy.Now())
 }
 
-// cleanUp ends the background read of the caller's connection, drops the attempts whose answers
+// cleanUp ends the background read of the caller's connection, unless a streamed answer goes on, drops the attempts whose answers
 // were not accepted, returns the credit of a call that has not run and releases the request body.
 //
 // If the body has not arrived completely, the connection is closed after the answer.
 func (c *call) cleanUp() {
-	if c.detectsDisconnect {
+	if c.detectsDisconnect && !c.streaming.Load() {
 		c.conn.abortBackgroundRead()
 	}
 	for _, a := range c.attempts {
@@ -114,7 +115,7 @@
 	if !c.mayHaveRun {
 		c.proxy.returnCredit(c.tenant)
 	}
-	if !c.streaming {
+	if !c.streaming.Load() {
 		c.cancel()
 	}
 	if !c.body.isComplete() {
@@ -271,15 +272,30 @@
 	return now.Sub(progress) < t.delay && progress.After(t.dueAt.Add(-t.delay))
 }
 
-// detectDisconnect starts a background read that detects whether the caller disconnects. While the request body is still arriving, it tries again after disconnectCheckDelay.
+// detectDisconnect starts a background read that detects whether the caller disconnects. While the request body is still arriving, perhaps without being read because the call waits, it checks for the end of the connection every disconnectCheckDelay.
 func (c *call) detectDisconnect(now time.Time) {
 	if c.conn == nil {
 		return
 	}
 	if !c.body.isComplete() {
+		if c.conn.hasLeftUnread() {
+			c.abortCall()
+			return
+		}
 		c.timers = append(c.timers, callTimer{dueAt: now.Add(disconnectCheckDelay)})
 		return
 	}
 	c.detectsDisconnect = true
-	c.conn.startBackgroundRead(func() { c.disconnected <- struct{}{} })
+	c.conn.startBackgroundRead(func() {
+		c.disconnected <- struct{}{}
+		c.cancelStream()
+	})
+}
+
+// cancelStream cancels the streamed answer, if there is one, of a caller that has disconnected. A
+// payment continues, so that its repeat is answered with the outcome.
+func (c *call) cancelStream() {
+	if c.streaming.Load() && len(c.disconnected) > 0 && c.payment == nil {
+		c.cancel()
+	}
 }
--- a/src/dispatch/caller_conn.go
+++ b/src/dispatch/caller_conn.go
@@ -13,10 +13,9 @@
 )
 
 const (
-	backgroundReadSize = 512             // bytes of the next request that are read while a call runs
-	lingerTime         = 2 * time.Second // for reading the rest of an unread request body
-	lingerSize         = 64 << 20        // bytes of it that are read at most
-	maxOverhead        = 64 << 10        // bytes of chunk sizes and trailers of a request body that are read without any of the body
+	lingerTime  = 2 * time.Second // for reading the rest of an unread request body
+	lingerSize  = 64 << 20        // bytes of it that are read at most
+	maxOverhead = 64 << 10        // bytes of chunk sizes and trailers of a request body that are read without any of the body
 )
 
 var errTooMuchOverhead = problem.New(problem.Protocol, "request body", "chunk sizes or trailers over "+strconv.Itoa(maxOverhead)+" bytes", "send chunks without long extensions, and short trailers")
@@ -27,6 +26,7 @@
 	stallTimeout time.Duration // longest time without progress in a read or write
 	limits       func() Limits
 	onClose      func(*callerConn)
+	heldBytes    *atomic.Int64 // bytes in pending of all connections
 	closeOnce    sync.Once
 	readFailed   atomic.Bool // a read has returned an error, io.EOF included
 	mayPipeline  atomic.Bool // further requests may follow the last one
@@ -38,7 +38,8 @@
 	idleDeadline       time.Time     // if stopping: until then an idle connection still accepts a request that was sent before
 	header             headerScanner // of the request that is being read
 	pending            []byte        // bytes from a background read or behind the present header; the next reads return them
-	pendingErr         error         // returned by reads once pending is empty
+	pendingErr         error         // returned by reads; the caller has left if it is of a background read
+	overflowed         bool          // further requests have been discarded, see discardPending
 	backgroundReadDone chan struct{} // closed when the background read has returned, nil for none
 	aborting           bool          // abortBackgroundRead is ending the background read
 	bodyUnread         bool          // part of a request body has not been read
@@ -117,6 +118,7 @@
 func (c *callerConn) Close() error {
 	c.closeOnce.Do(func() {
 		c.linger()
+		c.dropPending()
 		c.onClose(c)
 	})
 	return c.Conn.Close()
@@ -144,23 +146,13 @@
 	if tc, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tc.SetLinger(0)
 	}
-	c.closeOnce.Do(func() { c.onClose(c) })
+	c.closeOnce.Do(func() {
+		c.dropPending()
+		c.onClose(c)
+	})
 	_ = c.Conn.Close()
 }
 
-// readPending returns the bytes of a background read, then the error after which nothing more is read.
-func (c *callerConn) readPending(b []byte) (int, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.pending) > 0 {
-		n := c.header.scan(b[:copy(b, c.pending)])
-		c.pending = c.pending[n:]
-		c.busy = true
-		return n, nil
-	}
-	return 0, c.pendingErr
-}
-
 // updateReadDeadline sets the deadline of the next read; during a graceful shutdown, that of an idle connection may have passed already.
 func (c *callerConn) updateReadDeadline() error {
 	c.mu.Lock()
@@ -217,51 +209,6 @@
 	}
 }
 
-// startBackgroundRead reads once from the connection and calls onDisconnect if that fails, as when the caller disconnects; bytes that arrive are kept for the next reads.
-//
-// abortBackgroundRead must be called before the next Read.
-func (c *callerConn) startBackgroundRead(onDisconnect func()) {
-	done := make(chan struct{})
-	c.mu.Lock()
-	c.backgroundReadDone, c.aborting = done, false
-	_ = c.SetReadDeadline(time.Time{})
-	c.mu.Unlock()
-	go func() {
-		defer close(done)
-		buf := make([]byte, backgroundReadSize)
-		n, err := c.Conn.Read(buf)
-		if c.storePending(buf[:n], err) {
-			onDisconnect()
-		}
-	}()
-}
-
-// storePending stores the result of a background read and reports whether the caller has disconnected.
-func (c *callerConn) storePending(b []byte, err error) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.pending = append(c.pending, b...)
-	if err == nil || (c.aborting && os.IsTimeout(err)) {
-		return false
-	}
-	c.pendingErr = err
-	return true
-}
-
-// abortBackgroundRead ends the background read, if there is one, and waits until it has returned.
-func (c *callerConn) abortBackgroundRead() {
-	c.mu.Lock()
-	done := c.backgroundReadDone
-	c.backgroundReadDone, c.aborting = nil, true
-	if done != nil {
-		_ = c.SetReadDeadline(time.Unix(1, 0))
-	}
-	c.mu.Unlock()
-	if done != nil {
-		<-done
-	}
-}
-
 // stopReading ends a read in progress and leaves the rest of the request body unread; the connection accepts no further request and is closed after the answer.
 func (c *callerConn) stopReading() {
 	if c == nil {
--- a/src/dispatch/caller_listener.go
+++ b/src/dispatch/caller_listener.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -22,6 +23,7 @@
 	net.Listener
 	stallTimeout time.Duration
 	limits       func() Limits
+	heldBytes    atomic.Int64 // of further requests, by all connections
 
 	mu    sync.Mutex
 	conns map[*callerConn]struct{}
@@ -61,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	cc := &callerConn{Conn: c, stallTimeout: l.stallTimeout, limits: l.limits, onClose: l.remove}
+	cc := &callerConn{Conn: c, stallTimeout: l.stallTimeout, limits: l.limits, onClose: l.remove, heldBytes: &l.heldBytes}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns[cc] = struct{}{}
--- a/src/dispatch/caller_pipeline.go
+++ b/src/dispatch/caller_pipeline.go
@@ -16,7 +16,7 @@
 func (c *callerConn) keepBehindHeader(b []byte) int {
 	n := c.header.scan(b)
 	if n < len(b) {
-		c.pending = append([]byte(nil), b[n:]...)
+		c.hold(b[n:])
 	}
 	return n
 }
--- a/src/dispatch/proxy.go
+++ b/src/dispatch/proxy.go
@@ -160,6 +160,7 @@
 		p.traceIDPrefix = strconv.FormatUint(rand.Uint64(), 36) + "-"
 		p.counters = newCounters(p.Metrics)
 		p.callerListener = newCallerListener(p.Listener, p.StallTimeout, p.limits)
+		p.Metrics.GetOrCreateGauge("yuccaport_dispatch_held_bytes", func() float64 { return float64(p.callerListener.heldBytes.Load()) })
 		p.pool.Max = p.Settings.MaxCalls
 		p.baseCtx, p.kill = context.WithCancel(context.Background())
 		p.graceEnded = make(chan struct{})
--- a/src/dispatch/serve.go
+++ b/src/dispatch/serve.go
@@ -29,7 +29,7 @@
 	}
 	conn.setMayPipeline(isWhole)
 	p.echoRequestID(ctx)
-	if p.stopping.Load() && !conn.hasPending() { // requests that have been read are still answered
+	if p.stopping.Load() && !conn.hasPending() || conn.hasOverflowed() { // requests that have been read are still answered
 		ctx.SetConnectionClose()
 	}
 }
