booking: requests that wait for a leaving server reach it in time or are refused

Cause: a leave closed admission, but what was queued kept its own longest wait of 5 s. Evidence: the agent's log has such a request queued before the leave, and admission refuses all later ones. Change: the core knows how long the server stays (backend.drain_time), refuses at once what is not expected to get a slot by then, and everything at the bound; an admitted call is checked once more before its first byte, by a clock that counts suspensions. It works since no state between admission and the first byte is left without the bound, and nothing is refused once a byte may have been sent.

--- a/src/agent/backend.go
+++ b/src/agent/backend.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -10,7 +11,7 @@
 
 const (
 	tombstoneTimeout     = 800 * time.Millisecond // for each read or write of a tombstone; the backend server waits 1 s for the acknowledgement of a drain
-	queueGrace           = time.Second            // not used; it was meant as the time for which queued calls may still reach a leaving backend server
+	defaultDrainTime     = 2 * time.Second
 	backendCheckInterval = 300 * time.Millisecond // between checks whether the member entry has changed, and between probes while the instance ID is unknown
 	probeTimeout         = 500 * time.Millisecond // for one probe, including the read of the tombstone
 )
@@ -90,7 +91,7 @@
 }
 
 // drain writes a tombstone to the store, so that a restarted agent honors the acknowledged drain,
-// and makes booking refuse new calls.
+// and makes booking refuse new calls, and those that would reach the backend server too late.
 //
 // Until the tombstone is written, nothing is acknowledged and the backend server goes on serving,
 // so it still gets calls: while the store is down, it may be one of the last of its service. The
@@ -103,7 +104,7 @@
 	written := a.tombstoneInstance == instance && !latestStart.After(a.tombstoneStart)
 	a.backendMu.Unlock()
 	if written {
-		a.booking.DrainAfter(0)
+		a.booking.LeaveWithin(a.drainTime())
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, tombstoneTimeout)
@@ -115,11 +116,17 @@
 	a.backendMu.Lock()
 	a.tombstoneInstance, a.tombstoneStart = instance, latestStart
 	a.backendMu.Unlock()
-	a.booking.DrainAfter(0) // without a grace period: calls that arrive from now on must not reach a leaving backend server; those already queued still run
+	a.booking.LeaveWithin(a.drainTime()) // the acknowledgement follows, so that its bound ends later
 	a.Log.Info("tombstone written", "instance", instance)
 	return nil
 }
 
+// drainTime returns the time from the acknowledgement of a leave in which requests may still reach
+// the backend server.
+func (a *Agent) drainTime() time.Duration {
+	return cmp.Or(a.Settings.Backend.DrainTime.Std(), defaultDrainTime)
+}
+
 // readTombstone returns the latest start time that the instance's tombstone covers, zero if there
 // is no tombstone. Incarnations that started at or before this time have announced that they are
 // leaving. The follower knows it once it has listed the store and asked a peer; otherwise the store
--- a/src/agent/settings.go
+++ b/src/agent/settings.go
@@ -46,6 +46,8 @@
 type Backend struct {
 	Addr           netip.AddrPort `toml:"addr"`
 	ResetsWhenFull bool           `toml:"resets_when_full"` // a reset of a connection means that the backend server is full, not that it fails
+	// DrainTime is the time from the acknowledgement that the backend server is leaving in which requests may still reach it, 0 for 2 s.
+	DrainTime settings.Duration `toml:"drain_time"`
 }
 
 // Store is the key-value store that holds configuration and members.
@@ -132,6 +134,9 @@
 			return settingsError(file, key, d, "set it to a time above zero, such as 2s")
 		}
 	}
+	if d := s.Backend.DrainTime.Std(); d < 0 {
+		return settingsError(file, "backend.drain_time", d, "set it to a time above zero, such as 2s, or leave it out")
+	}
 	if d := s.Store.MaxStaleness.Std(); d < 0 {
 		return settingsError(file, "store.max_staleness", d, "set it to a time above zero, such as 2s, or leave it out")
 	}
--- a/src/booking/backend_state.go
+++ b/src/booking/backend_state.go
@@ -94,8 +94,11 @@
 	s.mu.Unlock()
 }
 
-// Resume ends a drain started by Drain or DrainAfter, for a new instance of the backend server.
+// Resume ends a drain started by Drain or DrainAfter, or a leave, for a new instance of the backend server.
 func (s *Server) Resume() {
 	s.init()
-	s.step(Resume{})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaveBy = time.Time{}
+	s.stepLocked(Resume{})
 }
--- a/src/booking/call_queue.go
+++ b/src/booking/call_queue.go
@@ -63,6 +63,15 @@
 // rank returns the queue rank of a priority. Rank 0 is the most urgent; priorities from rankCount-1 on share the last rank.
 func rank(priority uint8) int { return min(int(priority), rankCount-1) }
 
+// clone returns a copy of the queue.
+func (q *callQueue) clone() callQueue {
+	out := callQueue{size: q.size}
+	for r := range q.byRank {
+		out.byRank[r] = slices.Clone(q.byRank[r])
+	}
+	return out
+}
+
 func (q *callQueue) push(w waiter) {
 	r := rank(w.priority)
 	q.byRank[r] = append(q.byRank[r], w)
--- a/src/booking/core.go
+++ b/src/booking/core.go
@@ -44,6 +44,7 @@
 	health         HealthState
 	drainRequested bool
 	drainStart     time.Time // time from which new calls are refused
+	leave          leave
 }
 
 // Step applies one event at the given time, which must not precede that of the event before, and returns the resulting actions.
@@ -71,6 +72,8 @@
 		}
 	case Drain:
 		c.drain(now.Add(e.Grace))
+	case Leave:
+		return c.startLeave(now, e.Within)
 	case Health:
 		return c.setHealth(now, e.State)
 	case CallLimit:
@@ -85,7 +88,7 @@
 	case Reported:
 		return c.reported(now, e)
 	case Resume:
-		c.drainRequested = false
+		c.drainRequested, c.leave = false, leave{}
 	}
 	return nil
 }
@@ -329,7 +332,7 @@
 	c.drainRequested, c.drainStart = true, from
 }
 
-// refuseExpired refuses the queued calls whose wait has expired, and the late ones for which worthWaiting is false:
+// refuseExpired refuses the queued calls whose wait has expired, those that a leaving backend server cannot run any more, and the late ones for which worthWaiting is false:
 // calls in time that keep arriving precede a late one, so that its wait may become hopeless long before it expires.
 func (c *Core) refuseExpired(now time.Time, actions []Action) []Action {
 	for _, w := range c.queue.removeExpired(now) {
@@ -346,7 +349,7 @@
 	for _, w := range c.queue.removeLate(now, func(w *waiter) bool { return worthWaiting(now, w, lateWait(w)) }) {
 		actions = append(actions, Refuse{Call: w.call, Reason: wire.ReasonQueueFull, RetryAfter: c.lateRetryAfter(now, &w, lateWait(&w))})
 	}
-	return actions
+	return c.refuseUnreachable(now, actions)
 }
 
 // admitQueued admits queued calls while slots are free and the limit that the backend server has
@@ -364,8 +367,12 @@
 }
 
 // NextTick returns the time until the Core needs a Tick because a queued call, for which a slot is
-// free, waits for the limit that the backend server has named; it reports false if there is none.
+// free, waits for the limit that the backend server has named, or because the backend server is
+// leaving; it reports false if there is none.
 func (c *Core) NextTick(now time.Time) (time.Duration, bool) {
+	if d, ok := c.nextLeaveCheck(now); ok {
+		return d, true
+	}
 	if !c.rate.limited || c.queue.size == 0 || c.busySlots() >= c.limit {
 		return 0, false
 	}
--- a/src/booking/core_test.go
+++ b/src/booking/core_test.go
@@ -171,6 +171,7 @@
 			"abandon": m.abandon,
 			"advance": m.advance,
 			"health":  m.health,
+			"leave":   m.leave,
 			"":        m.check, // invariants, checked by rapid after each action
 		})
 	})
@@ -185,12 +186,16 @@
 	lastCall uint64
 	queued   map[uint64]time.Time
 	running  map[uint64]bool
+	leaveBy  time.Time // zero while the backend server is not leaving
 }
 
 func (m *coreModel) step(e Event) {
 	for _, a := range m.core.Step(m.now, e) {
 		switch a := a.(type) {
 		case Admit:
+			if !m.leaveBy.IsZero() && !m.now.Before(m.leaveBy) {
+				m.t.Fatalf("call %d was admitted after the backend server may have ended", a.Call)
+			}
 			if m.running[a.Call] {
 				m.t.Fatalf("call %d was admitted twice", a.Call)
 			}
@@ -238,6 +243,18 @@
 	m.step(Tick{})
 }
 
+func (m *coreModel) leave(t *rapid.T) {
+	within := time.Duration(rapid.IntRange(0, 2000).Draw(t, "within")) * time.Millisecond
+	if by := m.now.Add(within); m.leaveBy.IsZero() || by.Before(m.leaveBy) {
+		m.leaveBy = by
+	}
+	m.step(Leave{Within: within})
+	if rapid.Bool().Draw(t, "replaced") {
+		m.leaveBy = time.Time{}
+		m.step(Resume{})
+	}
+}
+
 func (m *coreModel) health(t *rapid.T) {
 	m.step(Health{State: HealthState(rapid.IntRange(0, 3).Draw(t, "state"))})
 	m.step(Health{State: HealthUp})
--- a/src/booking/exchange.go
+++ b/src/booking/exchange.go
@@ -68,6 +68,10 @@
 		return
 	}
 	x.conn = c
+	if x.s.hasLeft() {
+		x.refuseLeft()
+		return
+	}
 	x.instance = x.s.Instance()
 	x.countConnection()
 	x.cancelled = make(chan struct{})
--- a/src/booking/replay.go
+++ b/src/booking/replay.go
@@ -56,6 +56,8 @@
 		return decode[Configure](b)
 	case "drain":
 		return decode[Drain](b)
+	case "leave":
+		return decode[Leave](b)
 	case "call_limit":
 		return decode[CallLimit](b)
 	case "speed":
--- a/src/booking/reserved_slots.go
+++ b/src/booking/reserved_slots.go
@@ -36,9 +36,10 @@
 
 // reservedSlots returns how many slots calls of the given priority must leave free, so that more urgent calls can meet their objective.
 //
-// It returns 0 without a fixed limit, and while slots are released often enough without a reserve.
+// It returns 0 without a fixed limit, while slots are released often enough without a reserve, and
+// while the backend server is leaving, since no more urgent calls arrive.
 func (c *Core) reservedSlots(now time.Time, priority uint8) int {
-	if !c.FixedLimit || len(c.running) == 0 {
+	if !c.FixedLimit || len(c.running) == 0 || !c.leave.by.IsZero() {
 		return 0
 	}
 	slack := c.slack.lowestMoreUrgent(now, priority)
--- a/src/booking/server.go
+++ b/src/booking/server.go
@@ -73,6 +73,7 @@
 	awaitsAll bool                   // set by AwaitAll
 	runs      map[*exchange]struct{} // exchanges whose request the backend server may run
 	crashes   crashTracker
+	leaveBy   time.Time // by clock.NowWithSuspension; no request is sent to the leaving backend server from then on, zero if it is not leaving
 
 	protocolErrors      int // since the last log line on them
 	protocolErrorLogged time.Time
