--- a/src/registry/core.go
+++ b/src/registry/core.go
@@ -210,7 +210,7 @@
 			c.tombstones.addItem(strings.TrimPrefix(i.Key, c.Keys.TombstonePrefix), i)
 		case strings.HasPrefix(i.Key, c.Keys.MemberPrefix):
 			membersChanged = c.applyEntry(now, i) || membersChanged
-			if i.Key == c.EntryKey && i.Deleted {
+			if i.Key == c.EntryKey && (i.Deleted || c.isOverwritten(i)) {
 				out = append(out, Announce{})
 			}
 		}
@@ -257,7 +257,7 @@
 		return false
 	}
 	m, err := decodeMember(i.Value)
-	if err != nil || m.ID == 0 || !m.Addr.IsValid() || c.Keys.memberKey(m.Addr) != i.Key {
+	if err != nil || !isUsable(m) || c.Keys.memberKey(m.Addr) != i.Key {
 		return false // ignored: malformed, or not under the key of its address
 	}
 	if old != nil && isOlderCopy(old, m, i.Revision) {
@@ -267,6 +267,13 @@
 	return old == nil || old.member != m
 }
 
+// isOverwritten reports whether this agent's entry holds what no agent writes. It is then to be written
+// again: others cannot read it.
+func (c *Core) isOverwritten(i Item) bool {
+	m, err := decodeMember(i.Value)
+	return err != nil || !isUsable(m)
+}
+
 // isOlderCopy reports whether an entry of a new era lacks the leave of a member that was known
 // before: the store came back from a copy that is older than the leave.
 func isOlderCopy(old *entry, m wire.Member, revision uint64) bool {
--- a/src/registry/entry.go
+++ b/src/registry/entry.go
@@ -19,6 +19,19 @@
 	announcedAt     time.Time // when the member itself told it, zero if it is from the store; revision is then that of the entry before
 }
 
+const maxNameBytes = 256 // of each name in an entry
+
+// isUsable reports whether a member could have been written by an agent. Another writer may have left
+// an entry that decodes but names no server, or whose size would fill the replies to others.
+func isUsable(m wire.Member) bool {
+	for _, name := range []string{m.Service, m.Domain, m.Region, m.Version} {
+		if len(name) > maxNameBytes {
+			return false
+		}
+	}
+	return m.ID != 0 && m.Addr.IsValid() && m.Addr.Port() != 0 && m.State <= wire.StateDead
+}
+
 // encodeMember returns the value of a member's entry in the store.
 func encodeMember(m wire.Member) ([]byte, error) {
 	value, err := m.MarshalMsg(nil)
--- a/src/registry/peer_announcement.go
+++ b/src/registry/peer_announcement.go
@@ -14,8 +14,8 @@
 func (c *Core) applyPeerAnnouncement(now time.Time, m wire.Member) []Action {
 	key := c.Keys.memberKey(m.Addr)
 	isSelf := m.ID == c.ID || key == c.EntryKey
-	isUsable := m.ID != 0 && m.Ready && m.State == wire.StateAlive && !c.left[m.ID]
-	if isSelf || !isUsable {
+	isServing := isUsable(m) && m.Ready && m.State == wire.StateAlive && !c.left[m.ID]
+	if isSelf || !isServing {
 		return nil
 	}
 	old := c.entries[key]
--- a/src/registry/peer_query.go
+++ b/src/registry/peer_query.go
@@ -67,8 +67,8 @@
 			if old != nil {
 				membersChanged = c.markMissing(now, m.Key, old, m.Revision) || membersChanged
 			}
-		case m.Key == c.EntryKey && !e.Authoritative, old != nil && m.Revision <= old.revision, c.Keys.memberKey(m.Member.Addr) != m.Key:
-			// ignored: own entry from a peer that is not authoritative, entry that is not newer, entry under a wrong key
+		case m.Key == c.EntryKey && !e.Authoritative, old != nil && m.Revision <= old.revision, c.Keys.memberKey(m.Member.Addr) != m.Key, !isUsable(m.Member), len(m.Version) > maxNameBytes:
+			// ignored: own entry from a peer that is not authoritative, entry that is not newer, entry under a wrong key or that names no server
 		default:
 			m.Member.Version = m.Version
 			c.setEntry(m.Key, m.Member, m.Revision)
