booking: an answer without an ID is not believed on a used connection

Callers: a faulty server that wrote an earlier refusal once more, without an ID, made its agent tell the caller of the running request that it has not run, while the server ran it; the request could then run at a second server. Cause: an answer without an ID counted as the running request's, since only a different ID was taken for another request's. Change: on a connection that has been used, an answer without an ID is skipped if the instance echoes IDs; the own answer is awaited, and if it does not come the call may have run. The first answer on a connection needs no ID: nothing else can be due there. Servers that echo no IDs are believed as before; nothing tells their answers apart.

--- a/src/booking/counters.go
+++ b/src/booking/counters.go
@@ -21,6 +21,7 @@
 	dialed      *metrics.Counter
 	reused      *metrics.Counter
 	reclaimed   *metrics.Counter // slots released after the backend server did not end a cancelled or failed call in time, or before ReleaseCancelled was called
+	skipped     *metrics.Counter // answers that belong to no request on their connection
 	lost        *metrics.Counter // calls that the backend server ended without an answer
 	namedLimit  *metrics.Gauge   // requests a second that the backend server takes, noLimit for no limit
 	leaving     *metrics.Gauge   // 1 if the backend server says in its answers that it is leaving
@@ -41,6 +42,7 @@
 		dialed:      s.GetOrCreateCounter("yuccaport_booking_connections_dialed_total"),
 		reused:      s.GetOrCreateCounter("yuccaport_booking_connections_reused_total"),
 		reclaimed:   s.GetOrCreateCounter("yuccaport_booking_slots_reclaimed_total"),
+		skipped:     s.GetOrCreateCounter("yuccaport_booking_answers_skipped_total"),
 		lost:        s.GetOrCreateCounter("yuccaport_booking_calls_lost_total"),
 		speed:       s.GetOrCreateGauge("yuccaport_booking_backend_speed_percent", nil),
 		namedLimit:  s.GetOrCreateGauge("yuccaport_booking_backend_limit_per_second", nil),
--- a/src/booking/request.go
+++ b/src/booking/request.go
@@ -116,6 +116,7 @@
 		if err := x.checkAnswer(); err != nil {
 			return err
 		}
+		x.recordEcho()
 		if !x.isShed() {
 			x.s.recordAnswer(x)
 		}
@@ -126,18 +127,9 @@
 	}
 }
 
-// isForOtherRequest reports whether the answer carries the ID of another request, as a late or duplicate answer does.
-func (x *exchange) isForOtherRequest() bool {
-	name := x.s.Headers.RequestID
-	if name == "" {
-		return false
-	}
-	id := x.resp.Header.Peek(name)
-	return len(id) > 0 && string(id) != x.head.TraceID
-}
-
 // skipAnswer discards an answer to another request. The connection is not reused after this exchange.
 func (x *exchange) skipAnswer() error {
+	x.s.counters.skipped.Inc()
 	if x.skippedAnswers++; x.skippedAnswers > maxSkipped || x.resp.Header.ContentLength() < 0 {
 		return errUnexpectedAnswer
 	}
--- a/src/booking/server.go
+++ b/src/booking/server.go
@@ -70,6 +70,8 @@
 	health    healthTracker
 	instance  string // the only instance that may run calls; empty if none is set
 	notices   noticeTracker
+	echoing   string                 // instance that echoes says something of
+	echoes    bool                   // its answers bear the IDs of requests
 	awaitsAll bool                   // set by AwaitAll
 	runs      map[*exchange]struct{} // exchanges whose request the backend server may run
 	crashes   crashTracker
