booking: the stand-in of TestServerSpeed says that it closes connections

Cause: the stand-in closed each connection without saying so, and the health path was asked on one that was closing; then the speed stays as it was. Change: its answers bear Connection: close, so that the test is about the speed.

--- a/src/booking/speed_test.go
+++ b/src/booking/speed_test.go
@@ -70,7 +70,9 @@
 func TestServerSpeed(t *testing.T) {
 	c := qt.New(t)
 	b := startRawBackend(t)
-	const ok = "HTTP/1.1 200 OK\r\nX-Load: 1,0,4,250\r\nContent-Length: 2\r\n\r\nok"
+	// The server closes each connection, so that without a word of it the health path may be asked on
+	// one that is closing.
+	const ok = "HTTP/1.1 200 OK\r\nX-Load: 1,0,4,250\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok"
 	b.answer = func(string) string { return ok }
 	b.health = func() string { return "X-Instance: i-1\r\nX-Load: 0,0,4,70\r\n" }
 	names := header.Default()
