booking, registry: the leave in files of its own, proofs, the age of what peers tell

Cause: read as a newcomer: an event and a server's part stood in one file with the core's; a direct read over a link below 2 Mbit/s could follow another at once.

--- a/src/booking/core.go
+++ b/src/booking/core.go
@@ -44,7 +44,7 @@
 	health         HealthState
 	drainRequested bool
 	drainStart     time.Time // time from which new calls are refused
-	leave          leave
+	leaveBy        time.Time // the leaving backend server may end then, zero if it is not leaving
 }
 
 // Step applies one event at the given time, which must not precede that of the event before, and returns the resulting actions.
@@ -88,7 +88,7 @@
 	case Reported:
 		return c.reported(now, e)
 	case Resume:
-		c.drainRequested, c.leave = false, leave{}
+		c.drainRequested, c.leaveBy = false, time.Time{}
 	}
 	return nil
 }
--- a/src/booking/event.go
+++ b/src/booking/event.go
@@ -48,6 +48,12 @@
 	Grace time.Duration `json:"grace_ns"`
 }
 
+// Leave makes the Core refuse new calls, and those queued calls that are not expected to reach the
+// backend server in time: it may end afterwards.
+type Leave struct {
+	Within time.Duration `json:"within_ns"`
+}
+
 // Health reports the state of the backend server, derived from its health reports and from the outcome of calls.
 type Health struct {
 	State HealthState `json:"state"`
@@ -85,6 +91,7 @@
 func (Tick) isEvent()      {}
 func (Configure) isEvent() {}
 func (Drain) isEvent()     {}
+func (Leave) isEvent()     {}
 func (Health) isEvent()    {}
 func (CallLimit) isEvent() {}
 func (Speed) isEvent()     {}
--- a/src/booking/leave_test.go
+++ b/src/booking/leave_test.go
@@ -62,7 +62,7 @@
 				qt.Check(t, ok && d <= leaveCheckInterval, qt.IsTrue)
 			}
 			qt.Check(t, c.Step(epoch.Add(tc.ran), Arrive{Call: 99, Route: "read"}), qt.DeepEquals, refuse(99))
-			by := c.leave.by
+			by := c.leaveBy
 			c.Step(by, Tick{})
 			qt.Check(t, c.queue.size, qt.Equals, 0, qt.Commentf("calls are queued when the backend server may have ended"))
 			qt.Check(t, c.InFlight(), qt.Equals, 1, qt.Commentf("a running call is cut"))
--- a/src/booking/reserved_slots.go
+++ b/src/booking/reserved_slots.go
@@ -39,7 +39,7 @@
 // It returns 0 without a fixed limit, while slots are released often enough without a reserve, and
 // while the backend server is leaving, since no more urgent calls arrive.
 func (c *Core) reservedSlots(now time.Time, priority uint8) int {
-	if !c.FixedLimit || len(c.running) == 0 || !c.leave.by.IsZero() {
+	if !c.FixedLimit || len(c.running) == 0 || !c.leaveBy.IsZero() {
 		return 0
 	}
 	slack := c.slack.lowestMoreUrgent(now, priority)
--- a/src/dispatch/caller_watch.go
+++ b/src/dispatch/caller_watch.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"os"
-
 	"time"
 
 	"golang.org/x/sys/unix"
--- a/src/registry/staleness.go
+++ b/src/registry/staleness.go
@@ -101,8 +101,8 @@
 	}
 }
 
-// readDirectly lists the store and applies the result. It reports whether that took as long as a
-// listing usually does: a store that is slow for this agent is not to be read more often.
+// readDirectly lists the store and applies the result. It reports whether that took no longer than a
+// listing may: a store that is slow for this agent is not to be read again at once.
 func (f *Follower) readDirectly(ctx context.Context, age time.Duration) bool {
 	f.directReads.Inc()
 	sentAt := clock.NowWithSuspension()
@@ -117,5 +117,5 @@
 	f.noteStoreReceipt(items, sentAt)
 	f.step(Listed{Items: items, Revision: revision})
 	f.noteAsOf(sentAt)
-	return took <= relistTimeout+f.MaxTransferTime/3
+	return took <= min(relistTimeout+f.MaxTransferTime/3, minDirectReadAge)
 }
--- a/src/registry/staleness_test.go
+++ b/src/registry/staleness_test.go
@@ -168,3 +168,27 @@
 		})
 	}
 }
+
+// Guards against knowledge of any age that peers told during an outage of the store and that counts as
+// new: such peers do not know what the store has acknowledged since.
+func TestAgeOfWhatLostPeersTell(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := startPropagation(4, 1, func(*propagation) {})
+		defer p.stop()
+		for _, v := range p.views {
+			v.Set(func() { v.Fail = problem.New(problem.Unavailable, "store", "down", "wait") })
+		}
+		began := time.Now()
+		time.Sleep(5 * time.Second) // agents without a source ask one another all the while
+		for i, f := range p.followers {
+			lastAnswer := time.Since(began) - registry.WatchWait // a watch that began before still answered
+			qt.Check(t, f.Age() >= lastAnswer, qt.IsTrue, qt.Commentf("agent %d: %s", i, f.Age()))
+		}
+		p.views[3].Set(func() { p.views[3].Fail = nil })
+		p.store.Put(testKeys.Config, newDocument(2))
+		time.Sleep(2 * registry.DefaultMaxStaleness)
+		for i, f := range p.followers {
+			qt.Check(t, f.Age() <= registry.DefaultMaxStaleness, qt.IsTrue, qt.Commentf("agent %d, one agent reads the store again: %s", i, f.Age()))
+		}
+	})
+}
