dispatch: bytes that arrive while a connection ends do not count as held

Callers: none seen; after enough answers that were cut, further requests of all callers would have been discarded, as the bound of all connections was used up. Cause: found while reading the change as a newcomer: a background read under way could hold bytes after the connection had been closed and what it held released. Change: a closed connection holds nothing more.

--- a/src/dispatch/caller_conn.go
+++ b/src/dispatch/caller_conn.go
@@ -40,6 +40,7 @@
 	pending            []byte        // bytes from a background read or behind the present header; the next reads return them
 	pendingErr         error         // returned by reads; the caller has left if it is of a background read
 	overflowed         bool          // further requests have been discarded, see discardPending
+	ended              bool          // the connection has been closed, so that nothing more is held
 	backgroundReadDone chan struct{} // closed when the background read has returned, nil for none
 	aborting           bool          // abortBackgroundRead is ending the background read
 	bodyUnread         bool          // part of a request body has not been read
--- a/src/dispatch/caller_left_test.go
+++ b/src/dispatch/caller_left_test.go
@@ -220,3 +220,39 @@
 		})
 	}
 }
+
+// Guards against bytes that count as held for ever since they arrived while the agent ended their
+// connection, as after an answer that was cut: they would use up the bound of all connections.
+func TestHeldBytesEndWithConnection(t *testing.T) {
+	const callers = 150
+	c := qt.New(t)
+	set := metrics.NewSet()
+	p := startProxy(t, slowRoute(), func(context.Context, link.Peer, wire.CallHead, io.Reader) link.Outcome {
+		time.Sleep(15 * time.Millisecond) // until the connection is watched
+		r, w := io.Pipe()
+		go func() {
+			_, _ = io.WriteString(w, strings.Repeat("x", 70_000))
+			time.Sleep(5 * time.Millisecond)
+			_ = w.CloseWithError(io.ErrUnexpectedEOF)
+		}()
+		return link.Reply{Head: wire.ReplyHead{Status: 200, BodyLength: 200_000}, Body: r}
+	}, func(p *dispatch.Proxy) { p.Metrics = set })
+	held := func() float64 { return set.GetOrCreateGauge("yuccaport_dispatch_held_bytes", nil).Get() }
+	var wg sync.WaitGroup
+	for range callers {
+		conn := p.sendRaw(c, pipelined(1))
+		wg.Go(func() { _, _ = io.Copy(io.Discard, conn) })
+		wg.Go(func() {
+			for {
+				if _, err := io.WriteString(conn, pipelined(1)); err != nil {
+					return
+				}
+				time.Sleep(50 * time.Microsecond)
+			}
+		})
+	}
+	wg.Wait()
+	for end := time.Now().Add(testTimeout / 5); held() > 0 && time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+	}
+	c.Check(held(), qt.Equals, 0.0)
+}
--- a/src/dispatch/caller_watch.go
+++ b/src/dispatch/caller_watch.go
@@ -71,8 +71,11 @@
 	return false, true
 }
 
-// hold keeps bytes for the next reads; the caller must hold c.mu.
+// hold keeps bytes for the next reads, unless there are none; the caller must hold c.mu.
 func (c *callerConn) hold(b []byte) {
+	if c.ended {
+		return // a background read was under way
+	}
 	c.pending = append(c.pending, b...)
 	c.heldBytes.Add(int64(len(b)))
 }
@@ -92,11 +95,12 @@
 	c.overflowed, c.bodyUnread, c.pendingErr = true, true, io.EOF
 }
 
-// dropPending forgets the bytes that are held when the connection ends.
+// dropPending forgets the bytes that are held, and those to come, when the connection ends.
 func (c *callerConn) dropPending() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.release(len(c.pending))
+	c.ended = true
 }
 
 // hasOverflowed reports whether further requests have been discarded, so that the connection must
