link: a message that is overtaken on its link is not dropped

Callers: a server that had left got calls again after a restart and a restored store, since the new agent's question for tombstones got no answer; in general a request to a member waited until its time was over while all was well. Cause: messages may arrive in another order than their IDs, behind calls and messages of other senders; the accepting end took a first frame with a lower ID for the rest of a refused message and dropped it. Change: the accepting end remembers refused messages until their last fragment and takes every other ID for a new message.

--- a/src/link/connection.go
+++ b/src/link/connection.go
@@ -33,6 +33,7 @@
 	exchanges       map[uint64]*pendingExchange // messages without an answer yet, at the dialling end
 	inboundCalls    map[uint64]*inboundCall     // at the accepting end
 	partialMessages map[uint64]*inboundMessage  // messages without their last fragment yet, at the accepting end
+	refusedMessages map[uint64]struct{}         // messages refused before their last fragment, at the accepting end
 	servingMessages int                         // messages queued for the handler, in it or being answered, at the accepting end
 	closing         bool                        // no new calls or messages
 	lastUsed        time.Time                   // when a call or message was last seen in progress
@@ -57,6 +58,7 @@
 	c.exchanges = map[uint64]*pendingExchange{}
 	c.inboundCalls = map[uint64]*inboundCall{}
 	c.partialMessages = map[uint64]*inboundMessage{}
+	c.refusedMessages = map[uint64]struct{}{}
 	return c
 }
 
--- a/src/link/limits.go
+++ b/src/link/limits.go
@@ -14,6 +14,7 @@
 	batchSize             = 64 << 10  // bytes; size of a batch from which no further bulk frame is added to it, and the largest buffer kept for reuse
 	readBufferSize        = 4 << 10   // bytes; most frames are heads and short bodies
 	maxMessageSize        = 8 << 20   // bytes of one control message
+	maxRefusedMessages    = 4096      // messages refused on one link whose last fragment is still to come
 	maxConcurrentMessages = 64        // inbound control messages in progress on one link; also the number of message workers of a Pool and the length of their queue
 
 	writeTimeout     = 10 * time.Second
--- a/src/link/message.go
+++ b/src/link/message.go
@@ -104,20 +104,22 @@
 	}
 }
 
-// receiveMessage reassembles a message and serves it when it is complete.
+// receiveMessage reassembles a message and serves it when it is complete. Messages may arrive in
+// another order than their IDs: calls, and messages of other senders, overtake one that waits for
+// its turn on the link.
 func (c *connection) receiveMessage(f wire.MessageFrame) error {
 	c.mu.Lock()
 	m, ok := c.partialMessages[f.ID]
-	if !ok && f.ID <= c.lastID {
-		c.mu.Unlock()
-		return nil // refused before its last fragment
-	}
-	if !ok && c.closing {
+	_, isRefused := c.refusedMessages[f.ID]
+	if isRefused || !ok && c.closing {
+		if f.Last {
+			delete(c.refusedMessages, f.ID)
+		}
 		c.mu.Unlock()
 		return nil
 	}
 	if !ok {
-		c.lastID = f.ID
+		c.lastID = max(c.lastID, f.ID)
 		m = &inboundMessage{pool: c.pool, kind: MessageKind(f.Kind)}
 	}
 	delete(c.partialMessages, f.ID)
@@ -126,7 +128,7 @@
 	if atLimit || !m.appendFragment(f.Payload) {
 		m.discard()
 		c.sendAnswer(f.ID, wire.AnswerBusy, nil)
-		return nil
+		return c.noteRefused(f)
 	}
 	if !f.Last {
 		c.mu.Lock()
@@ -138,6 +140,21 @@
 	return nil
 }
 
+// noteRefused remembers a refused message until its last fragment, so that the fragments to come are
+// not taken for messages. It fails if the peer begins ever more messages without an end.
+func (c *connection) noteRefused(f wire.MessageFrame) error {
+	if f.Last {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.refusedMessages) >= maxRefusedMessages {
+		return protocolError(c.peer.Addr.String(), "too many messages without their last fragment")
+	}
+	c.refusedMessages[f.ID] = struct{}{}
+	return nil
+}
+
 func (c *connection) serveMessage(id uint64, m *inboundMessage) {
 	c.mu.Lock()
 	c.servingMessages++
--- a/src/link/message_test.go
+++ b/src/link/message_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
+	"sync"
+	"sync/atomic"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/yuccaport/yuccaport/src/problem"
+	"github.com/yuccaport/yuccaport/src/wire"
 )
 
 func TestExchange(t *testing.T) {
@@ -51,3 +55,53 @@
 		})
 	}
 }
+
+// Guards against messages that are lost without an answer since a message or a call that was begun
+// later has overtaken them on their link: their senders wait until their time is over.
+func TestNoMessageIsLostWhenOvertaken(t *testing.T) {
+	const senders, rounds = 32, 40
+	handler := messageHandlerFunc(func(_ Peer, _ MessageKind, payload []byte) ([]byte, error) { return payload, nil })
+	tests := map[string]struct{ size, calls int }{ // calls of so many callers meanwhile
+		"short":                   {10, 0},
+		"short, beside calls":     {10, 16},
+		"in fragments, and calls": {3 * chunkSize, 16},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			to, _ := startPool(t, &Pool{Self: 2, Messages: handler, Calls: callHandlerFunc(echo)})
+			p := startClient(t)
+			stop, callers := make(chan struct{}), sync.WaitGroup{}
+			for range tc.calls {
+				callers.Go(func() {
+					for {
+						select {
+						case <-stop:
+							return
+						default:
+							p.Call(testContext(t), to, wire.CallHead{Target: to.ID}, nil)
+						}
+					}
+				})
+			}
+			var wg sync.WaitGroup
+			var lost atomic.Int64
+			for range senders {
+				wg.Go(func() {
+					for range rounds {
+						ctx, cancel := context.WithTimeout(context.Background(), testTimeout/4)
+						got, err := p.Exchange(ctx, to, KindPull, make([]byte, tc.size))
+						cancel()
+						if err != nil && !errors.Is(err, problem.Busy) || err == nil && len(got) != tc.size {
+							lost.Add(1)
+							return
+						}
+					}
+				})
+			}
+			wg.Wait()
+			close(stop)
+			callers.Wait()
+			qt.Check(t, lost.Load(), qt.Equals, int64(0))
+		})
+	}
+}
