Read as a newcomer: own header names, smaller files, tests joined into tables

Cause: a test named header fields of the platform; booking/core.go and dispatch/caller_watch.go held several jobs; cases stood in tests of their own.

--- a/src/booking/attribution.go
+++ b/src/booking/attribution.go
@@ -48,12 +48,12 @@
 	}
 	x.s.mu.Lock()
 	defer x.s.mu.Unlock()
-	x.s.echoing, x.s.echoes = x.instance, true
+	x.s.echoInstance, x.s.echoKnown = x.instance, true
 }
 
 // echoesIDs reports whether an instance has answered with the ID of a request before.
 func (s *Server) echoesIDs(instance string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.echoes && s.echoing == instance
+	return s.echoKnown && s.echoInstance == instance
 }
--- a/src/booking/attribution_test.go
+++ b/src/booking/attribution_test.go
@@ -1,52 +1,16 @@
 package booking
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/yuccaport/yuccaport/src/header"
-	"github.com/yuccaport/yuccaport/src/settings"
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
-// scriptedBackend answers the requests of each connection, which it keeps, with the bytes of answer.
-type scriptedBackend struct {
-	answer      func(conn, request int, id string) string
-	connections atomic.Int64
-}
-
-func (b *scriptedBackend) serve(l net.Listener) {
-	for {
-		nc, err := l.Accept()
-		if err != nil {
-			return
-		}
-		conn := int(b.connections.Add(1))
-		go func() {
-			defer func() { _ = nc.Close() }()
-			r := bufio.NewReader(nc)
-			for n := 1; ; n++ {
-				req, err := http.ReadRequest(r)
-				if err != nil {
-					return
-				}
-				if _, err := io.WriteString(nc, b.answer(conn, n, req.Header.Get("Request-Id"))); err != nil {
-					return
-				}
-			}
-		}()
-	}
-}
-
 // Guards against the refusal of an earlier request that a backend server writes once more: the request
 // that runs meanwhile was told that it has not run, so that it ran twice.
 func TestRefusalWrittenOnceMore(t *testing.T) {
@@ -54,7 +18,7 @@
 		return "HTTP/1.1 200 OK\r\n" + idField(id) + "Content-Length: 2\r\n\r\nok"
 	}
 	refusal := func(id string) string {
-		return "HTTP/1.1 503 Service Unavailable\r\n" + idField(id) + "Not-Executed: 1\r\nRetry-After: 0.1\r\nContent-Length: 4\r\n\r\nfull"
+		return "HTTP/1.1 503 Service Unavailable\r\n" + idField(id) + "X-Not-Run: 1\r\nRetry-After: 0.1\r\nContent-Length: 4\r\n\r\nfull"
 	}
 	tests := map[string]struct {
 		answer      func(conn, request int, id string) string
@@ -98,21 +62,13 @@
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			l := listen(c)
 			b := &scriptedBackend{answer: tc.answer}
-			go b.serve(l)
-			c.Cleanup(func() { _ = l.Close() })
-			s := &Server{
-				Backend: settings.Backend{Addr: addrOf(l), Slots: 4, Connections: 8}, Service: "bookings", Self: 7, UsesHeartbeats: true,
-				Headers: header.Names{RequestID: "Request-Id", NotRun: "Not-Executed", Deadline: "Deadline-Milliseconds"},
-			}
-			s.SetInstance("i-1", 4, true)
-			c.Cleanup(func() { s.pool.close() })
+			s := b.start(c)
 			got := []string{}
 			for n := range tc.want {
 				in := newInbound("GET", "/diary", "", nil, 0)
 				in.head.TraceID = fmt.Sprint("r-", n+1)
-				in.head.Fields = []wire.Field{{Name: "Request-Id", Value: in.head.TraceID}}
+				in.head.Fields = []wire.Field{{Name: "X-Call-Id", Value: in.head.TraceID}}
 				ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
 				s.ServeCall(ctx, in)
 				cancel()
@@ -128,7 +84,7 @@
 	if id == "" {
 		return ""
 	}
-	return "Request-Id: " + id + "\r\n"
+	return "X-Call-Id: " + id + "\r\n"
 }
 
 // outcomeOf returns the status of the answer to a call, or whether its refusal says that it has not run.
--- a/src/booking/core.go
+++ b/src/booking/core.go
@@ -134,11 +134,6 @@
 	return l
 }
 
-// isDraining reports whether new calls are refused because the backend server reports that it is draining, or because the grace period of a requested drain has passed.
-func (c *Core) isDraining(now time.Time) bool {
-	return c.health == HealthDraining || c.drainRequested && !now.Before(c.drainStart)
-}
-
 // meanWaitBehind returns the expected wait of a call that has n calls ahead of it in the queue, estimated from the mean service time alone.
 // It is used for calls without an objective, for the Retry-After of newRefusal and in Load; for calls with an objective, expectedWait estimates more closely.
 func (c *Core) meanWaitBehind(now time.Time, n int) time.Duration {
@@ -275,17 +270,6 @@
 	return w, Refuse{}, true
 }
 
-// unavailableRefusal returns a refusal and true while isDraining holds or the backend server is not up, otherwise false.
-func (c *Core) unavailableRefusal(now time.Time, call uint64) (Action, bool) {
-	switch {
-	case c.isDraining(now):
-		return Refuse{Call: call, Reason: wire.ReasonLeaving, RetryAfter: minRetryAfter}, true
-	case c.health != HealthUp:
-		return Refuse{Call: call, Reason: wire.ReasonNotReady, RetryAfter: notReadyRetryAfter}, true
-	}
-	return nil, false
-}
-
 func (c *Core) admit(now time.Time, w waiter) Action {
 	r := &runningCall{route: w.route, admitted: now, expected: c.expectedServiceTime(now, w.route), progress: c.speed.tracker.Progress(now), transferTime: w.transferTime, objectiveTime: w.objectiveTime}
 	c.running[w.call] = r
@@ -324,14 +308,6 @@
 	return c.admitQueued(now, c.refuseExpired(now, nil))
 }
 
-// drain sets the time from which new calls are refused. A second drain cannot postpone the first.
-func (c *Core) drain(from time.Time) {
-	if c.drainRequested && c.drainStart.Before(from) {
-		return
-	}
-	c.drainRequested, c.drainStart = true, from
-}
-
 // refuseExpired refuses the queued calls whose wait has expired, those that a leaving backend server cannot run any more, and the late ones for which worthWaiting is false:
 // calls in time that keep arriving precede a late one, so that its wait may become hopeless long before it expires.
 func (c *Core) refuseExpired(now time.Time, actions []Action) []Action {
@@ -379,25 +355,3 @@
 	d := c.rate.wait(now, 0)
 	return d, d > 0 // without a wait, the free slots are reserved, and a release admits the call
 }
-
-// setHealth sets the state. A backend server that recovers from down starts with initialLimit again; when it goes down, the queued calls are refused.
-func (c *Core) setHealth(now time.Time, s HealthState) []Action {
-	if s == HealthUp && c.health == HealthDown {
-		c.limit = c.initialLimit()
-		c.successes = 0
-	}
-	c.health = s
-	if s != HealthDown {
-		return nil
-	}
-	var actions []Action
-	for {
-		w, wasQueued := c.queue.pop(now, rankCount-1)
-		if !wasQueued {
-			return actions
-		}
-		if r, refused := c.unavailableRefusal(now, w.call); refused {
-			actions = append(actions, r)
-		}
-	}
-}
--- a/src/booking/core_test.go
+++ b/src/booking/core_test.go
@@ -117,13 +117,15 @@
 	}
 }
 
-// A drain does not stop queued calls from running.
+// A drain does not stop queued calls from running, nor does it set a bound to their wait as a leave does.
 func TestCoreDrainKeepsQueue(t *testing.T) {
 	c := warmCore(1, 4, time.Millisecond)
 	fillSlots(c, 1)
 	c.Step(epoch, Arrive{Call: 1})
 	c.Step(epoch, Drain{})
-	qt.Assert(t, c.Step(epoch, Release{Call: 1000}), qt.DeepEquals, []Action{Admit{Call: 1}})
+	_, needsTick := c.NextTick(epoch)
+	qt.Check(t, needsTick, qt.IsFalse)
+	qt.Assert(t, c.Step(epoch.Add(900*time.Millisecond), Release{Call: 1000}), qt.DeepEquals, []Action{Admit{Call: 1}})
 }
 
 // When the backend server goes down, queued calls are refused at once.
--- a/src/booking/leave_test.go
+++ b/src/booking/leave_test.go
@@ -73,17 +73,6 @@
 	}
 }
 
-// Guards against queued calls that a stop of the agent alone refuses: its backend server stays.
-func TestCoreDrainSetsNoBound(t *testing.T) {
-	c := warmCore(1, 4, time.Second)
-	fillSlots(c, 1)
-	c.Step(epoch, Arrive{Call: 1, Route: "read"})
-	c.Step(epoch, Drain{})
-	_, ok := c.NextTick(epoch)
-	qt.Check(t, ok, qt.IsFalse)
-	qt.Check(t, c.Step(epoch.Add(900*time.Millisecond), Release{Call: 1000}), qt.DeepEquals, []Action{Admit{Call: 1}})
-}
-
 // newLeavingServer returns a server with one slot for a backend server that is reported by heartbeats.
 func newLeavingServer(c *qt.C, b *standin.Backend) *Server {
 	startBackend(c, b)
--- a/src/booking/server.go
+++ b/src/booking/server.go
@@ -63,19 +63,19 @@
 	calls           atomic.Int64 // calls that ServeCall has not ended
 	reportedHealth  HealthState  // last state reported by a heartbeat (guarded by mu) or, without heartbeats, by a probe (accessed only by Run)
 
-	mu        sync.Mutex
-	core      Core
-	limits    document.Limits
-	pending   map[uint64]chan Action // calls not yet admitted or refused, with the channel for the decision
-	health    healthTracker
-	instance  string // the only instance that may run calls; empty if none is set
-	notices   noticeTracker
-	echoing   string                 // instance that echoes says something of
-	echoes    bool                   // its answers bear the IDs of requests
-	awaitsAll bool                   // set by AwaitAll
-	runs      map[*exchange]struct{} // exchanges whose request the backend server may run
-	crashes   crashTracker
-	leaveBy   time.Time // by clock.NowWithSuspension; no request is sent to the leaving backend server from then on, zero if it is not leaving
+	mu           sync.Mutex
+	core         Core
+	limits       document.Limits
+	pending      map[uint64]chan Action // calls not yet admitted or refused, with the channel for the decision
+	health       healthTracker
+	instance     string // the only instance that may run calls; empty if none is set
+	notices      noticeTracker
+	echoInstance string                 // last instance whose answers bore the IDs of requests
+	echoKnown    bool                   // there has been one
+	awaitsAll    bool                   // set by AwaitAll
+	runs         map[*exchange]struct{} // exchanges whose request the backend server may run
+	crashes      crashTracker
+	leaveBy      time.Time // by clock.NowWithSuspension; no request is sent to the leaving backend server from then on, zero if it is not leaving
 
 	protocolErrors      int // since the last log line on them
 	protocolErrorLogged time.Time
--- a/src/dispatch/caller_left_test.go
+++ b/src/dispatch/caller_left_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -20,8 +21,28 @@
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
-// leaveTime is the longest time from the end of a caller's connection until its call is cancelled.
-const leaveTime = 500 * time.Millisecond
+const (
+	leaveTime    = 500 * time.Millisecond // longest time from the end of a caller's connection until its call is cancelled
+	firstRequest = "GET /diary/first HTTP/1.1\r\nHost: bookings.example\r\n\r\n"
+)
+
+// runLog records the requests that are sent to backend servers.
+type runLog struct {
+	mu   sync.Mutex
+	uris []string
+}
+
+func (l *runLog) add(uri string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.uris = append(l.uris, uri)
+}
+
+func (l *runLog) check(c *qt.C, want ...string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.Check(l.uris, qt.DeepEquals, want)
+}
 
 // slowRoute is diaryRoute for calls that run until they are cancelled.
 func slowRoute() document.Route {
@@ -30,65 +51,100 @@
 	return route
 }
 
-// Guards against callers that leave unnoticed since they have sent more than one request: the first
-// one runs on, and the others are run although nobody waits for them.
-func TestCallerLeavesBehindFurtherRequests(t *testing.T) {
-	further := map[string]string{
-		"none":                 "",
-		"one":                  pipelined(1),
-		"several":              pipelined(5),
-		"half of one":          pipelined(1)[:20],
-		"one and half":         pipelined(1) + pipelined(1)[:20],
-		"more than any buffer": pipelined(100_000),
-		"no end of a header":   "GET /diary/1 HTTP/1.1\r\nX: " + strings.Repeat("x", 1<<20),
+// stalledReply returns a long answer that stalls after its first bytes until ctx ends.
+func stalledReply(ctx context.Context, cancelled chan<- struct{}) link.Outcome {
+	time.Sleep(30 * time.Millisecond) // until the connection is watched
+	r, w := io.Pipe()
+	go func() {
+		_, _ = io.WriteString(w, strings.Repeat("x", 100_000))
+		<-ctx.Done()
+		_ = w.CloseWithError(ctx.Err())
+		close(cancelled)
+	}()
+	return link.Reply{Head: wire.ReplyHead{Status: 200, BodyLength: 200_000}, Body: r}
+}
+
+// Guards against callers that leave unnoticed: behind further requests, in an upload that nobody reads
+// while it waits for a slot, in an answer that stalls. Their call runs on, and the further requests
+// are run although nobody waits for them.
+func TestCallerLeaves(t *testing.T) {
+	upload := func(size, sent int) string {
+		return fmt.Sprintf("POST /diary/first HTTP/1.1\r\nHost: bookings.example\r\nContent-Length: %d\r\n\r\n", size) + strings.Repeat("x", sent)
 	}
-	ends := map[string]func(net.Conn){
-		"close":      func(conn net.Conn) { _ = conn.Close() },
-		"half-close": func(conn net.Conn) { _ = conn.(*net.TCPConn).CloseWrite() },
-		"reset": func(conn net.Conn) {
-			_ = conn.(*net.TCPConn).SetLinger(0)
+	tests := map[string]struct {
+		request, further string
+		stalls           bool // the answer has begun
+		reads            bool // the body is read
+	}{
+		"one request":                       {firstRequest, "", false, false},
+		"one further":                       {firstRequest, pipelined(1), false, false},
+		"several further":                   {firstRequest, pipelined(5), false, false},
+		"half of a further":                 {firstRequest, pipelined(1)[:20], false, false},
+		"one and half":                      {firstRequest, pipelined(1) + pipelined(1)[:20], false, false},
+		"more than any buffer":              {firstRequest, pipelined(100_000), false, false},
+		"no end of a header":                {firstRequest, "GET /diary/1 HTTP/1.1\r\nX: " + strings.Repeat("x", 1<<20), false, false},
+		"after its body":                    {upload(4, 4), "", false, true},
+		"in its body":                       {upload(100_000, 70_000), "", false, true},
+		"unread upload":                     {upload(1_000_000, 100_000), "", false, false},
+		"stalled answer":                    {firstRequest, "", true, false},
+		"stalled answer, a further request": {firstRequest, pipelined(1), true, false},
+	}
+	ends := map[string]func(*net.TCPConn){
+		"close":      func(conn *net.TCPConn) { _ = conn.Close() },
+		"half-close": func(conn *net.TCPConn) { _ = conn.CloseWrite() },
+		"reset": func(conn *net.TCPConn) {
+			_ = conn.SetLinger(0)
 			_ = conn.Close()
 		},
 	}
-	for name, text := range further {
+	for name, tc := range tests {
 		for end, leave := range ends {
-			for _, together := range []bool{false, true} {
-				t.Run(name+"/"+end+map[bool]string{true: "/with the first"}[together], func(t *testing.T) {
+			for when, together := range map[string]bool{"at once": true, "later": false} {
+				t.Run(name+"/"+end+"/"+when, func(t *testing.T) {
 					c := qt.New(t)
 					arrived, cancelled := make(chan struct{}), make(chan struct{})
-					var mu sync.Mutex
-					var run []string
-					p := startProxy(t, slowRoute(), func(ctx context.Context, _ link.Peer, head wire.CallHead, _ io.Reader) link.Outcome {
-						mu.Lock()
-						run = append(run, head.URI)
-						mu.Unlock()
-						if head.URI == "/diary/first" {
+					runs := &runLog{}
+					p := startProxy(t, slowRoute(), func(ctx context.Context, _ link.Peer, head wire.CallHead, body io.Reader) link.Outcome {
+						runs.add(head.URI)
+						switch {
+						case head.URI != "/diary/first":
+						case tc.stalls:
+							close(arrived)
+							return stalledReply(ctx, cancelled)
+						default:
 							close(arrived)
-							<-ctx.Done()
+							var err error
+							if tc.reads {
+								_, err = io.Copy(io.Discard, body)
+							}
+							if err == nil {
+								<-ctx.Done()
+							}
 							close(cancelled)
 						}
 						return newRefusal(wire.ReasonCancelled, true)
 					})
-					first := "GET /diary/first HTTP/1.1\r\nHost: bookings.example\r\n\r\n"
-					var conn net.Conn
+					text := tc.request
 					if together {
-						conn = p.sendRaw(c, first+text)
-						waitFor(c, arrived, "the call")
-					} else {
-						conn = p.sendRaw(c, first)
-						waitFor(c, arrived, "the call")
+						text += tc.further
+					}
+					conn := p.sendRaw(c, text)
+					waitFor(c, arrived, "the call")
+					if tc.stalls {
+						_, err := io.ReadFull(conn, make([]byte, 60_000))
+						c.Assert(err, qt.IsNil)
+					}
+					if !together {
 						time.Sleep(20 * time.Millisecond)
-						_, err := io.WriteString(conn, text)
+						_, err := io.WriteString(conn, tc.further)
 						c.Assert(err, qt.IsNil)
 					}
-					leave(conn)
+					leave(conn.(*net.TCPConn))
 					left := time.Now()
 					waitFor(c, cancelled, "the cancellation")
 					c.Check(time.Since(left) < leaveTime, qt.IsTrue, qt.Commentf("%s", time.Since(left)))
 					time.Sleep(50 * time.Millisecond)
-					mu.Lock()
-					defer mu.Unlock()
-					c.Check(run, qt.DeepEquals, []string{"/diary/first"})
+					runs.check(c, "/diary/first")
 				})
 			}
 		}
@@ -99,46 +155,35 @@
 // one was answered.
 func TestCallerLeavesBeforeFurtherRequestRuns(t *testing.T) {
 	c := qt.New(t)
-	arrived, release := make(chan struct{}), make(chan struct{})
-	var mu sync.Mutex
-	var run []string
+	arrived, release, runs := make(chan struct{}), make(chan struct{}), &runLog{}
 	p := startProxy(t, slowRoute(), func(_ context.Context, _ link.Peer, head wire.CallHead, _ io.Reader) link.Outcome {
-		mu.Lock()
-		run = append(run, head.URI)
-		mu.Unlock()
-		if head.URI == "/diary/0" {
+		runs.add(head.URI)
+		if head.URI == "/diary/first" {
 			close(arrived)
 			<-release
 		}
 		return newReply(200, head.URI)
 	})
-	conn := p.sendRaw(c, pipelined(3))
+	conn := p.sendRaw(c, firstRequest+pipelined(2))
 	waitFor(c, arrived, "the call")
 	_ = conn.Close()
 	close(release)
 	time.Sleep(100 * time.Millisecond)
-	mu.Lock()
-	defer mu.Unlock()
-	c.Check(run, qt.DeepEquals, []string{"/diary/0"})
+	runs.check(c, "/diary/first")
 }
 
-// Guards against an upload whose caller has left unnoticed because nobody reads its body: the call
-// waits for a slot.
-func TestCallerLeavesDuringUnreadUpload(t *testing.T) {
-	c := qt.New(t)
-	arrived, cancelled := make(chan struct{}), make(chan struct{})
-	p := startProxy(t, slowRoute(), func(ctx context.Context, _ link.Peer, _ wire.CallHead, _ io.Reader) link.Outcome {
-		close(arrived)
-		<-ctx.Done()
-		close(cancelled)
-		return newRefusal(wire.ReasonCancelled, false)
-	})
-	conn := p.sendRaw(c, "POST /diary HTTP/1.1\r\nHost: bookings.example\r\nContent-Length: 1000000\r\n\r\n"+strings.Repeat("x", 100_000))
-	waitFor(c, arrived, "the call")
-	_ = conn.Close()
-	left := time.Now()
-	waitFor(c, cancelled, "the cancellation")
-	c.Check(time.Since(left) < leaveTime, qt.IsTrue, qt.Commentf("%s", time.Since(left)))
+// startMeteredProxy returns a proxy and a function that returns the bytes of further requests that it holds.
+func startMeteredProxy(t *testing.T, transport transportFunc) (*testProxy, func() float64) {
+	set := metrics.NewSet()
+	p := startProxy(t, slowRoute(), transport, func(p *dispatch.Proxy) { p.Metrics = set })
+	return p, func() float64 { return set.GetOrCreateGauge("yuccaport_dispatch_held_bytes", nil).Get() }
+}
+
+// checkHeldBytesEnd checks that nothing is held once all connections have ended.
+func checkHeldBytesEnd(c *qt.C, held func() float64) {
+	for end := time.Now().Add(testTimeout / 5); held() > 0 && time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+	}
+	c.Check(held(), qt.Equals, 0.0)
 }
 
 // Guards against an agent whose memory callers can fill with requests that it has not begun, and
@@ -146,19 +191,19 @@
 func TestFurtherRequestsAreBounded(t *testing.T) {
 	const callers = 300
 	c := qt.New(t)
-	set := metrics.NewSet()
 	var started sync.WaitGroup
 	started.Add(callers)
 	release := make(chan struct{})
-	p := startProxy(t, slowRoute(), func(_ context.Context, _ link.Peer, head wire.CallHead, _ io.Reader) link.Outcome {
-		started.Done()
+	p, held := startMeteredProxy(t, func(_ context.Context, _ link.Peer, head wire.CallHead, _ io.Reader) link.Outcome {
+		if head.URI == "/diary/first" {
+			started.Done()
+		}
 		<-release
 		return newReply(200, head.URI)
-	}, func(p *dispatch.Proxy) { p.Metrics = set })
-	held := func() float64 { return set.GetOrCreateGauge("yuccaport_dispatch_held_bytes", nil).Get() }
+	})
 	var conns []net.Conn
 	for range callers {
-		conns = append(conns, p.sendRaw(c, pipelined(1)))
+		conns = append(conns, p.sendRaw(c, firstRequest))
 	}
 	started.Wait()
 	most := 0.0
@@ -167,14 +212,13 @@
 		if i%10 == 0 {
 			n = 5000
 		}
-		_, err := io.WriteString(conn, strings.ReplaceAll(pipelined(n), "/diary/", "/diary/behind-"))
+		_, err := io.WriteString(conn, pipelined(n))
 		c.Assert(err, qt.IsNil)
 		most = max(most, held())
 	}
 	c.Check(most > 0, qt.IsTrue)
 	c.Check(most <= 8<<20+callers*4096, qt.IsTrue, qt.Commentf("%.0f bytes", most))
 	time.Sleep(100 * time.Millisecond) // until all has been read
-	started.Add(1_000_000)
 	close(release)
 	for i, conn := range conns {
 		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
@@ -182,43 +226,11 @@
 		b, err := io.ReadAll(resp.Body)
 		_ = resp.Body.Close()
 		c.Check(err, qt.IsNil)
-		c.Check(string(b), qt.Equals, "/diary/0")
+		c.Check(string(b), qt.Equals, "/diary/first")
 		c.Check(resp.Close || i%10 != 0, qt.IsTrue, qt.Commentf("further requests that were discarded are to be sent again"))
 		_ = conn.Close()
 	}
-	for end := time.Now().Add(testTimeout); held() > 0 && time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
-	}
-	c.Check(held(), qt.Equals, 0.0)
-}
-
-// Guards against a backend server that works on for a caller that has left in the middle of a long
-// answer: nothing is written meanwhile, so that only a read shows it.
-func TestCallerLeavesDuringStalledAnswer(t *testing.T) {
-	tests := map[string]string{"one request": "", "a further request": pipelined(1)}
-	for name, text := range tests {
-		t.Run(name, func(t *testing.T) {
-			c := qt.New(t)
-			cancelled := make(chan struct{})
-			p := startProxy(t, slowRoute(), func(ctx context.Context, _ link.Peer, _ wire.CallHead, _ io.Reader) link.Outcome {
-				time.Sleep(30 * time.Millisecond)
-				r, w := io.Pipe()
-				go func() {
-					_, _ = io.WriteString(w, strings.Repeat("x", 100_000))
-					<-ctx.Done()
-					_ = w.CloseWithError(ctx.Err())
-					close(cancelled)
-				}()
-				return link.Reply{Head: wire.ReplyHead{Status: 200, BodyLength: 200_000}, Body: r}
-			})
-			conn := p.sendRaw(c, pipelined(1)+text)
-			_, err := io.ReadFull(conn, make([]byte, 60_000))
-			c.Assert(err, qt.IsNil)
-			_ = conn.Close()
-			left := time.Now()
-			waitFor(c, cancelled, "the cancellation")
-			c.Check(time.Since(left) < leaveTime, qt.IsTrue, qt.Commentf("%s", time.Since(left)))
-		})
-	}
+	checkHeldBytesEnd(c, held)
 }
 
 // Guards against bytes that count as held for ever since they arrived while the agent ended their
@@ -226,8 +238,7 @@
 func TestHeldBytesEndWithConnection(t *testing.T) {
 	const callers = 150
 	c := qt.New(t)
-	set := metrics.NewSet()
-	p := startProxy(t, slowRoute(), func(context.Context, link.Peer, wire.CallHead, io.Reader) link.Outcome {
+	p, held := startMeteredProxy(t, func(context.Context, link.Peer, wire.CallHead, io.Reader) link.Outcome {
 		time.Sleep(15 * time.Millisecond) // until the connection is watched
 		r, w := io.Pipe()
 		go func() {
@@ -236,23 +247,17 @@
 			_ = w.CloseWithError(io.ErrUnexpectedEOF)
 		}()
 		return link.Reply{Head: wire.ReplyHead{Status: 200, BodyLength: 200_000}, Body: r}
-	}, func(p *dispatch.Proxy) { p.Metrics = set })
-	held := func() float64 { return set.GetOrCreateGauge("yuccaport_dispatch_held_bytes", nil).Get() }
+	})
 	var wg sync.WaitGroup
 	for range callers {
-		conn := p.sendRaw(c, pipelined(1))
+		conn := p.sendRaw(c, firstRequest)
 		wg.Go(func() { _, _ = io.Copy(io.Discard, conn) })
 		wg.Go(func() {
-			for {
-				if _, err := io.WriteString(conn, pipelined(1)); err != nil {
-					return
-				}
-				time.Sleep(50 * time.Microsecond)
+			for err := error(nil); err == nil; time.Sleep(50 * time.Microsecond) {
+				_, err = io.WriteString(conn, pipelined(1))
 			}
 		})
 	}
 	wg.Wait()
-	for end := time.Now().Add(testTimeout / 5); held() > 0 && time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
-	}
-	c.Check(held(), qt.Equals, 0.0)
+	checkHeldBytesEnd(c, held)
 }
--- a/src/dispatch/proxy_callers_test.go
+++ b/src/dispatch/proxy_callers_test.go
@@ -19,39 +19,6 @@
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
-// TestCallerDisconnect checks that a caller's disconnect cancels its call.
-func TestCallerDisconnect(t *testing.T) {
-	tests := map[string]string{
-		"without a body": "GET /diary HTTP/1.1\r\nHost: bookings.example\r\n\r\n",
-		"after its body": "POST /diary HTTP/1.1\r\nHost: bookings.example\r\nContent-Length: 4\r\n\r\nbody",
-		"in its body":    "POST /diary HTTP/1.1\r\nHost: bookings.example\r\nContent-Length: 100000\r\n\r\n" + strings.Repeat("x", 70_000),
-	}
-	for name, request := range tests {
-		t.Run(name, func(t *testing.T) {
-			c := qt.New(t)
-			arrived, cancelled := make(chan struct{}), make(chan struct{})
-			route := diaryRoute
-			route.Timeout, route.Deadline = document.Duration(6*testTimeout), document.Duration(6*testTimeout)
-			p := startProxy(t, route, func(ctx context.Context, _ link.Peer, _ wire.CallHead, body io.Reader) link.Outcome {
-				close(arrived)
-				if body != nil {
-					if _, err := io.Copy(io.Discard, body); err != nil {
-						close(cancelled)
-						return newRefusal(wire.ReasonCancelled, true)
-					}
-				}
-				<-ctx.Done()
-				close(cancelled)
-				return newRefusal(wire.ReasonCancelled, true)
-			})
-			conn := p.sendRaw(c, request)
-			waitFor(c, arrived, "the call")
-			_ = conn.Close()
-			waitFor(c, cancelled, "the cancellation")
-		})
-	}
-}
-
 // TestTruncatedUpload checks that a body does not reach the backend server as a complete one if the caller's connection is closed in the middle of it.
 func TestTruncatedUpload(t *testing.T) {
 	tests := map[string]string{
--- a/src/registry/staleness_test.go
+++ b/src/registry/staleness_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/yuccaport/yuccaport/src/problem"
 	"github.com/yuccaport/yuccaport/src/registry"
+	"github.com/yuccaport/yuccaport/src/standin"
 )
 
 // Guards against agents that the store serves and that act on an old configuration for longer than
@@ -72,7 +73,6 @@
 						}
 					}
 					t.Logf("%d calls to the store in %s", calls, registry.DefaultMaxStaleness)
-
 					qt.Check(t, calls <= 5*tc.agents, qt.IsTrue, qt.Commentf("%d calls to the store", calls))
 				})
 			})
@@ -119,76 +119,55 @@
 	}
 }
 
-// Guards against a reader that states what it knows as new while the store is silent for it.
-func TestAgeBehindLostReader(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		p := startPropagation(3, 1, func(*propagation) {})
-		defer p.stop()
-		p.views[0].Set(func() { p.views[0].Hold, p.views[0].Stuck = make(chan struct{}), true })
-		began := time.Now()
-		time.Sleep(registry.WatchWait / 2)
-		for _, f := range p.followers[1:] {
-			qt.Check(t, f.Age() >= time.Since(began), qt.IsTrue, qt.Commentf("%s", f.Age()))
-		}
-	})
-}
-
-// Guards against a large fleet that calls the store again and again while it is down for all, and
-// against agents that miss its return.
+// Guards against a large fleet that calls the store again and again while it is down for all, against
+// agents that miss its return, and against knowledge of any age that counts as new since a reader or
+// a peer told it that does not know what the store has acknowledged since.
 func TestStalenessOutage(t *testing.T) {
 	const outage = 10 * time.Second
-	for _, agents := range []int{10, 80} {
-		t.Run(fmt.Sprint(agents), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				p := startPropagation(agents, 3, func(p *propagation) {
-					p.linkMbps = func(agent int) uint32 { return []uint32{200, 50, 5}[agent%3] }
-				})
-				defer p.stop()
-				setFail := func(err error) {
+	modes := map[string]func(v *standin.RegistryStore){
+		"refuses": func(v *standin.RegistryStore) { v.Fail = problem.New(problem.Unavailable, "store", "down", "wait") },
+		"silent":  func(v *standin.RegistryStore) { v.Hold, v.Stuck = make(chan struct{}), true },
+	}
+	for mode, fail := range modes {
+		for _, agents := range []int{10, 80} {
+			t.Run(fmt.Sprint(mode, "/", agents), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					p := startPropagation(agents, 3, func(p *propagation) {
+						p.linkMbps = func(agent int) uint32 { return []uint32{200, 50, 5}[agent%3] }
+					})
+					defer p.stop()
+					calls, began := p.calls(), time.Now()
 					for _, v := range p.views {
-						v.Set(func() { v.Fail = err })
+						v.Set(func() { fail(v) })
 					}
-				}
-				calls := p.calls()
-				setFail(problem.New(problem.Unavailable, "store", "down", "wait"))
-				time.Sleep(outage)
-				rate := float64(p.calls()-calls) / outage.Seconds()
-				t.Logf("%.1f calls to the store a second", rate)
-				qt.Check(t, rate <= float64(agents), qt.IsTrue, qt.Commentf("%.1f calls a second", rate))
-				setFail(nil)
-				p.store.Put(testKeys.Config, newDocument(2))
-				time.Sleep(registry.DefaultMaxStaleness)
-				p.mu.Lock()
-				defer p.mu.Unlock()
-				for i, versions := range p.inForce {
-					_, ok := versions[2]
-					qt.Check(t, ok, qt.IsTrue, qt.Commentf("agent %d", i))
-				}
+					for ; time.Since(began) < outage; time.Sleep(100 * time.Millisecond) { // agents without a source ask one another all the while
+						lastAnswer := time.Since(began) - registry.WatchWait // a watch that began before may still answer
+						for i, f := range p.followers {
+							qt.Assert(t, f.Age() >= lastAnswer, qt.IsTrue, qt.Commentf("agent %d: %s after %s", i, f.Age(), time.Since(began)))
+						}
+					}
+					rate := float64(p.calls()-calls) / outage.Seconds()
+					t.Logf("%.1f calls to the store a second", rate)
+					qt.Check(t, rate <= float64(agents), qt.IsTrue, qt.Commentf("%.1f calls a second", rate))
+					for _, v := range p.views {
+						v.Set(func() {
+							if v.Hold != nil {
+								close(v.Hold)
+							}
+							v.Fail, v.Hold, v.Stuck = nil, nil, false
+						})
+					}
+					p.store.Put(testKeys.Config, newDocument(2))
+					time.Sleep(registry.DefaultMaxStaleness)
+					p.mu.Lock()
+					defer p.mu.Unlock()
+					for i, versions := range p.inForce {
+						_, ok := versions[2]
+						qt.Check(t, ok, qt.IsTrue, qt.Commentf("agent %d", i))
+						qt.Check(t, p.followers[i].Age() <= registry.DefaultMaxStaleness, qt.IsTrue, qt.Commentf("agent %d: %s", i, p.followers[i].Age()))
+					}
+				})
 			})
-		})
-	}
-}
-
-// Guards against knowledge of any age that peers told during an outage of the store and that counts as
-// new: such peers do not know what the store has acknowledged since.
-func TestAgeOfWhatLostPeersTell(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		p := startPropagation(4, 1, func(*propagation) {})
-		defer p.stop()
-		for _, v := range p.views {
-			v.Set(func() { v.Fail = problem.New(problem.Unavailable, "store", "down", "wait") })
-		}
-		began := time.Now()
-		time.Sleep(5 * time.Second) // agents without a source ask one another all the while
-		for i, f := range p.followers {
-			lastAnswer := time.Since(began) - registry.WatchWait // a watch that began before still answered
-			qt.Check(t, f.Age() >= lastAnswer, qt.IsTrue, qt.Commentf("agent %d: %s", i, f.Age()))
 		}
-		p.views[3].Set(func() { p.views[3].Fail = nil })
-		p.store.Put(testKeys.Config, newDocument(2))
-		time.Sleep(2 * registry.DefaultMaxStaleness)
-		for i, f := range p.followers {
-			qt.Check(t, f.Age() <= registry.DefaultMaxStaleness, qt.IsTrue, qt.Commentf("agent %d, one agent reads the store again: %s", i, f.Age()))
-		}
-	})
+	}
 }
