dispatch, link: a line and a count for each request that is cut

Cause: around a planned stop an agent logged one count of calls cut, and "answered" was logged when the head of an answer was accepted, though its body could be cut later. Nothing told how far a request had come or who ended it.

Change: package cut has the states of a request and who can end it. dispatch writes "request cut" for each request that is cut or refused at a stop, and "answer ended" once a streamed answer has been written; link writes "request cut" for each call in progress, or whose answer the peer has not acknowledged, when its link is closed. Counters by state and by: yuccaport_dispatch_requests_cut_total, yuccaport_link_calls_cut_total. What is closed or refused, and when, is unchanged.

--- a/src/dispatch/answer.go
+++ b/src/dispatch/answer.go
@@ -21,6 +21,7 @@
 	elapsed := c.proxy.Now().Sub(c.start)
 	c.proxy.counters.answerSeconds.Update(elapsed.Seconds())
 	c.log().Info("answered", "request_id", c.head.TraceID, "status", h.Status, "attempt", a.number, "by", a.member.ID, "took_ms", elapsed.Milliseconds())
+	c.progress.answer(int(h.Status), h.BodyLength, !a.buffered && !c.ctx.IsHead())
 	c.ctx.SetStatusCode(int(h.Status))
 	setFields(&c.ctx.Response.Header, h.Fields)
 	switch {
@@ -76,6 +77,7 @@
 	if b.hasLength {
 		n, err = b.checkLength(n, err)
 	}
+	b.setMissing()
 	if err == nil {
 		return n, nil
 	}
@@ -85,6 +87,7 @@
 	}
 	b.truncated = true
 	b.call.proxy.counters.answersTruncated.Inc()
+	b.call.progress.cut(b.call.proxy.cuts.enderOfRead(err), err.Error())
 	b.call.conn.abort()
 	return n, io.ErrUnexpectedEOF
 }
@@ -101,6 +104,13 @@
 	return n, err
 }
 
+// setMissing passes on how much of the answer is still to be read.
+func (b *answerBody) setMissing() {
+	if b.hasLength {
+		b.call.progress.setMissing(b.remaining)
+	}
+}
+
 // Close records the outcome of a payment and ends the call; closing it again has no effect.
 func (b *answerBody) Close() error {
 	b.closeOnce.Do(func() {
--- a/src/dispatch/attempt.go
+++ b/src/dispatch/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/yuccaport/yuccaport/src/cut"
 	"github.com/yuccaport/yuccaport/src/link"
 	"github.com/yuccaport/yuccaport/src/wire"
 )
@@ -47,6 +48,7 @@
 	a.ctx, a.cancel = context.WithCancel(c.baseCtx)
 	a.requestBody = c.body.newReader()
 	c.attempts[s.Attempt] = a
+	c.progress.advance(cut.Sent)
 	c.mayHaveRun = true
 	head := c.head
 	head.Target, head.Service, head.Attempt, head.Final = s.Member, s.Service, uint8(s.Attempt), s.Final
@@ -119,6 +121,7 @@
 		return
 	}
 	a.buffered = true
+	a.call.progress.advance(cut.AnswerArriving)
 	a.body = make([]byte, n)
 	_, err := io.ReadFull(a.reply.Body, a.body)
 	if err == nil {
--- a/src/dispatch/call.go
+++ b/src/dispatch/call.go
@@ -26,6 +26,7 @@
 	id        uint64
 	ctx       *fasthttp.RequestCtx
 	conn      *callerConn
+	progress  *progress // nil for none
 	match     *Match
 	policy    *Policy
 	body      *requestBody
@@ -173,6 +174,7 @@
 	}
 	log.Info("refused", "request_id", c.head.TraceID, "reason", a.Reason.String(), "may_have_run", a.MayHaveRun, "retry_after_ms", a.RetryAfter.Milliseconds(), "took_ms", c.proxy.Now().Sub(c.start).Milliseconds())
 	c.proxy.writeRefusal(c.ctx, a)
+	c.recordRefusal(a)
 }
 
 // handleResult reports an attempt's result to the core.
@@ -208,6 +210,7 @@
 	c.payment.abandon()
 	c.perform(c.proxy.step(CallerGone{Call: c.id}))
 	c.ctx.SetConnectionClose()
+	c.progress.cut(c.enderOfAbort(), "")
 	c.conn.abort()
 }
 
--- a/src/dispatch/caller_conn.go
+++ b/src/dispatch/caller_conn.go
@@ -27,11 +27,15 @@
 	limits       func() Limits
 	onClose      func(*callerConn)
 	heldBytes    *atomic.Int64 // bytes in pending of all connections
+	cuts         *cuts         // nil to record none
+	written      atomic.Int64  // bytes
+	writeErr     atomic.Pointer[error]
 	closeOnce    sync.Once
 	readFailed   atomic.Bool // a read has returned an error, io.EOF included
 	mayPipeline  atomic.Bool // further requests may follow the last one
 
 	mu                 sync.Mutex
+	progress           *progress     // of the last request whose header has been read
 	busy               bool          // a request has begun to arrive and its answer is not yet written
 	headerDeadline     time.Time     // of a header that has begun to arrive, zero for none
 	stopping           bool          // accepts no further request once idleDeadline has passed
@@ -111,13 +115,19 @@
 	if err := c.SetWriteDeadline(time.Now().Add(c.stallTimeout)); err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(b)
+	n, err := c.Conn.Write(b)
+	c.written.Add(int64(n))
+	if err != nil {
+		c.writeErr.Store(&err)
+	}
+	return n, err
 }
 
 // Close closes the connection. If part of a request body or a further request is unread, it first
 // reads on for up to lingerTime, so that the caller still receives the answer.
 func (c *callerConn) Close() error {
 	c.closeOnce.Do(func() {
+		c.recordClose()
 		c.linger()
 		c.dropPending()
 		c.onClose(c)
@@ -148,6 +158,7 @@
 		_ = tc.SetLinger(0)
 	}
 	c.closeOnce.Do(func() {
+		c.recordAbort()
 		c.dropPending()
 		c.onClose(c)
 	})
--- /dev/null
+++ b/src/dispatch/caller_cut.go
@@ -0,0 +1,131 @@
+package dispatch
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"net"
+	"net/textproto"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/yuccaport/yuccaport/src/cut"
+)
+
+// beginProgress starts the progress of a request whose header has been read.
+func (c *callerConn) beginProgress(id string) {
+	if c == nil || c.cuts == nil {
+		return
+	}
+	p := &progress{conn: c, writtenBefore: c.written.Load(), request: cut.Request{ID: id, State: cut.Body, Missing: -1}}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.progress = p
+}
+
+// currentProgress returns the progress of the last request whose header has been read, nil for none.
+func (c *callerConn) currentProgress() *progress {
+	if c == nil {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.progress
+}
+
+// recordAbort records the requests that are lost by resetting the connection.
+func (c *callerConn) recordAbort() {
+	if c.cuts != nil {
+		c.recordLost(c.cuts.ender(cut.Caller), true)
+	}
+}
+
+// recordClose records the requests that are lost by closing the connection.
+func (c *callerConn) recordClose() {
+	if c.cuts == nil {
+		return
+	}
+	if err := c.writeErr.Load(); err != nil {
+		c.currentProgress().cut(c.cuts.ender(cut.Caller), (*err).Error())
+	}
+	c.currentProgress().complete()
+	c.mu.Lock()
+	stopping := c.stopping
+	c.mu.Unlock()
+	if stopping {
+		c.recordLost(c.cuts.ender(cut.ProxyDrain), false)
+	}
+}
+
+// recordLost records the request in progress, those behind it, and an answer that a reset would discard.
+func (c *callerConn) recordLost(by cut.Ender, resets bool) {
+	p := c.currentProgress()
+	c.mu.Lock()
+	readsHeader := c.busy && !c.headerDeadline.IsZero()
+	bodyUnread := c.bodyUnread
+	held := bytes.Clone(c.pending)
+	c.mu.Unlock()
+	inProgress := false
+	if p != nil {
+		p.mu.Lock()
+		inProgress = !p.ended
+		p.mu.Unlock()
+	}
+	if unacked := c.unacked(); resets && !inProgress && p != nil && unacked > 0 {
+		p.mu.Lock()
+		q := p.request
+		p.mu.Unlock()
+		q.State, q.By, q.Unacked, q.Missing = cut.AnswerWritten, by, unacked, 0
+		c.cuts.Record(q)
+	}
+	p.cut(by, "")
+	if readsHeader {
+		c.cuts.Record(cut.Request{State: cut.Header, By: by, Missing: -1})
+	}
+	for _, id := range requestIDs(held, c.cuts.requestID) {
+		c.cuts.Record(cut.Request{ID: id, State: cut.Held, By: by, Missing: -1})
+	}
+	if !bodyUnread && c.unread() > 0 {
+		c.cuts.Record(cut.Request{State: cut.Unread, By: by, Missing: -1})
+	}
+}
+
+// requestIDs returns the IDs of the requests, without bodies, whose headers are whole, empty for those without one.
+func requestIDs(b []byte, field string) []string {
+	var ids []string
+	r := textproto.NewReader(bufio.NewReader(bytes.NewReader(b)))
+	for {
+		if _, err := r.ReadLine(); err != nil {
+			return ids
+		}
+		h, err := r.ReadMIMEHeader()
+		if err != nil {
+			return ids
+		}
+		ids = append(ids, h.Get(field))
+	}
+}
+
+// unacked returns the bytes that the caller has not acknowledged.
+func (c *callerConn) unacked() int { return c.queued(unix.SIOCOUTQ) }
+
+// unread returns the bytes that have arrived and have not been read.
+func (c *callerConn) unread() int { return c.queued(unix.SIOCINQ) }
+
+// queued returns the size of one of the socket's queues, 0 if it is unknown.
+func (c *callerConn) queued(request uint) int {
+	tc, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return 0
+	}
+	raw, err := tc.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	ctrlErr := raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), request) })
+	if errors.Join(err, ctrlErr) != nil {
+		return 0
+	}
+	return n
+}
--- a/src/dispatch/caller_listener.go
+++ b/src/dispatch/caller_listener.go
@@ -24,6 +24,7 @@
 	stallTimeout time.Duration
 	limits       func() Limits
 	heldBytes    atomic.Int64 // of further requests, by all connections
+	cuts         *cuts
 
 	mu    sync.Mutex
 	conns map[*callerConn]struct{}
@@ -63,7 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
-	cc := &callerConn{Conn: c, stallTimeout: l.stallTimeout, limits: l.limits, onClose: l.remove, heldBytes: &l.heldBytes}
+	cc := &callerConn{Conn: c, stallTimeout: l.stallTimeout, limits: l.limits, onClose: l.remove, heldBytes: &l.heldBytes, cuts: l.cuts}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns[cc] = struct{}{}
--- a/src/dispatch/proxy.go
+++ b/src/dispatch/proxy.go
@@ -15,6 +15,7 @@
 	"github.com/go-logr/logr"
 	"github.com/valyala/fasthttp"
 
+	"github.com/yuccaport/yuccaport/src/cut"
 	"github.com/yuccaport/yuccaport/src/header"
 	"github.com/yuccaport/yuccaport/src/link"
 	"github.com/yuccaport/yuccaport/src/problem"
@@ -78,6 +79,7 @@
 
 	traceIDPrefix string
 	counters      *counters
+	cuts          *cuts
 
 	mu        sync.Mutex
 	core      *Core
@@ -112,6 +114,7 @@
 // Kill aborts the requests in flight, resets the callers' connections and makes Run return. It may be called from any goroutine, also before Run.
 func (p *Proxy) Kill() {
 	p.init()
+	p.cuts.endAll(cut.KillTimer)
 	p.kill()
 	p.callerListener.abort()
 }
@@ -159,7 +162,9 @@
 		p.core = &Core{Settings: p.Settings, Rand: p.Rand}
 		p.traceIDPrefix = strconv.FormatUint(rand.Uint64(), 36) + "-"
 		p.counters = newCounters(p.Metrics)
+		p.cuts = newCuts(p)
 		p.callerListener = newCallerListener(p.Listener, p.StallTimeout, p.limits)
+		p.callerListener.cuts = p.cuts
 		p.Metrics.GetOrCreateGauge("yuccaport_dispatch_held_bytes", func() float64 { return float64(p.callerListener.heldBytes.Load()) })
 		p.pool.Max = p.Settings.MaxCalls
 		p.baseCtx, p.kill = context.WithCancel(context.Background())
@@ -197,6 +202,7 @@
 	refusalCtx, cancelRefusal := context.WithTimeout(p.baseCtx, refusalTimeout)
 	defer cancelRefusal()
 	p.callerListener.stop(refusalCtx)
+	p.cuts.endAll(cut.ProxyGrace)
 	p.kill()
 	p.callerListener.abort()
 	killCtx, cancelKill := context.WithTimeout(context.Background(), killTimeout)
@@ -230,6 +236,7 @@
 // markIdle marks a caller's connection idle once its answer is written.
 func markIdle(c net.Conn, s fasthttp.ConnState) {
 	if cc, ok := c.(*callerConn); ok && s == fasthttp.StateIdle {
+		cc.currentProgress().complete()
 		cc.setBusy(false)
 	}
 }
--- a/src/dispatch/serve.go
+++ b/src/dispatch/serve.go
@@ -20,6 +20,7 @@
 	conn, _ := ctx.Conn().(*callerConn)
 	if conn != nil {
 		conn.setBusy(true)
+		conn.beginProgress(p.requestID(ctx))
 	}
 	p.counters.calls.Inc()
 	isWhole := false
@@ -187,6 +188,8 @@
 		BodyLength: body.length(), Priority: m.Route.Priority.Rank(), Idempotent: c.policy.Idempotent,
 		Depth: c.parent.Depth, RetryLayer: c.mayRetryAfterRun(), Version: m.Table.Version,
 	}
+	c.progress = conn.currentProgress()
+	c.progress.begin(c.head.TraceID, m.Route.Name)
 	if tenant != nil {
 		c.head.Tenant = tenant.Name
 		if tenant.Priority != nil {
--- a/src/link/connection.go
+++ b/src/link/connection.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/yuccaport/yuccaport/src/wire"
@@ -39,6 +40,8 @@
 	lastUsed        time.Time                   // when a call or message was last seen in progress
 	err             error
 
+	written atomic.Int64 // bytes written to the socket
+
 	bytesReceived   uint64 // used only by readLoop, as are the next three fields
 	bytesAtLastTick uint64
 	silentPeriods   int // consecutive ping intervals without a received byte
@@ -84,6 +87,7 @@
 		return
 	}
 	c.queue.fail(err)
+	c.recordCuts(err) // before handlers end their calls
 	c.cancel()
 	_ = c.nc.Close()
 }
@@ -135,6 +139,7 @@
 			c.fail(err)
 			return
 		}
+		c.written.Add(int64(len(batch)))
 	}
 }
 
@@ -173,6 +178,7 @@
 		c.silentPeriods++
 	}
 	c.frames.releaseBuffer()
+	c.forgetAcked()
 	switch {
 	case !busy && c.dialed && idle > c.pool.limits.IdleTimeout:
 		return errLinkIdle
--- a/src/link/inbound_call.go
+++ b/src/link/inbound_call.go
@@ -17,7 +17,9 @@
 	sendFlow   *sendFlow
 	ctx        context.Context
 	cancel     context.CancelCauseFunc
-	replyTimer *time.Timer // cancels the call if no answer has begun within its timeout; nil without a timeout
+	replied    bool           // guarded by the mutex of the send queue, as is replyHead
+	replyHead  wire.ReplyHead // without its fields
+	replyTimer *time.Timer    // cancels the call if no answer has begun within its timeout; nil without a timeout
 }
 
 // receiveOpen admits a call or refuses it as not run.
@@ -128,6 +130,7 @@
 	}
 	in.c.pool.countBytes(wire.FrameReply, directionSent, int(end-before))
 	q.expectBody(in.sendFlow, h.BodyLength)
+	in.replied, in.replyHead = true, wire.ReplyHead{Status: h.Status, BodyLength: h.BodyLength}
 	if h.BodyLength < 0 || h.BodyLength > maxUrgentPayload {
 		q.hasFrames.Signal() // a short body signals when it is queued, immediately after this, so that head and body are written together
 	}
@@ -185,6 +188,9 @@
 func (w *replyWriter) Close() error {
 	in := w.in
 	err := in.c.queue.sendEnd(in.sendFlow, in.id)
+	if err == nil {
+		in.recordSent()
+	}
 	if in.remove() {
 		in.c.queue.stopFlow(in.sendFlow, errCallEnded)
 	}
--- /dev/null
+++ b/src/link/lost_error.go
@@ -0,0 +1,34 @@
+package link
+
+import (
+	"errors"
+	"io"
+
+	"github.com/yuccaport/yuccaport/src/cut"
+)
+
+// LostError is the error of a Read of an answer whose link has ended; it matches io.ErrUnexpectedEOF.
+type LostError struct {
+	By    cut.Ender
+	Cause error
+}
+
+// Error returns who ended the link and why.
+func (e *LostError) Error() string { return e.By.String() + ": " + e.Cause.Error() }
+
+// Unwrap returns io.ErrUnexpectedEOF and the cause.
+func (e *LostError) Unwrap() []error { return []error{io.ErrUnexpectedEOF, e.Cause} }
+
+// linkEnder returns who closed a link for the given reason.
+func linkEnder(err error) cut.Ender {
+	switch {
+	case errors.Is(err, errPoolKilled):
+		return cut.KillTimer
+	case errors.Is(err, errPoolStopped):
+		return cut.LinkGrace
+	case errors.Is(err, io.EOF):
+		return cut.LinkClosed
+	default:
+		return cut.LinkLost
+	}
+}
--- a/src/link/outbound_call.go
+++ b/src/link/outbound_call.go
@@ -12,6 +12,8 @@
 type outboundCall struct {
 	c            *connection
 	id           uint64
+	traceID      string
+	route        string
 	openFrameEnd uint64       // position of the end of the open frame in the stream of urgent bytes
 	outcome      chan Outcome // only the first Outcome is received from it
 	recvBuffer   *recvBuffer
@@ -27,7 +29,7 @@
 	if c.closing {
 		return nil, wire.ReasonLinkLost
 	}
-	o := &outboundCall{c: c, id: c.lastID + 1, outcome: make(chan Outcome, 1), sendFlow: c.queue.newBodyFlow(&head)}
+	o := &outboundCall{c: c, id: c.lastID + 1, traceID: head.TraceID, route: head.Route, outcome: make(chan Outcome, 1), sendFlow: c.queue.newBodyFlow(&head)}
 	o.recvBuffer = newRecvBuffer(c.pool, c.recvLimiter, o.sendCredit)
 	c.queue.mu.Lock()
 	defer c.queue.mu.Unlock()
@@ -123,7 +125,7 @@
 }
 
 // linkLost ends the call because its link has ended. The call may have run if its open frame was taken by the writer.
-func (o *outboundCall) linkLost(error) {
+func (o *outboundCall) linkLost(err error) {
 	o.c.queue.stopFlow(o.sendFlow, errCallEnded)
 	o.c.queue.mu.Lock()
 	openSent := o.openFrameEnd <= o.c.queue.urgentTaken
@@ -132,7 +134,7 @@
 	case o.outcome <- Refused{Refusal: wire.Refusal{Reason: wire.ReasonLinkLost, MayHaveRun: openSent}}:
 	default:
 	}
-	o.recvBuffer.fail(io.ErrUnexpectedEOF)
+	o.recvBuffer.fail(&LostError{By: linkEnder(err), Cause: err})
 }
 
 // finishCall unregisters a call whose answer has arrived completely.
--- a/src/link/pool.go
+++ b/src/link/pool.go
@@ -13,6 +13,7 @@
 	"github.com/alitto/pond/v2"
 	"github.com/go-logr/logr"
 
+	"github.com/yuccaport/yuccaport/src/cut"
 	"github.com/yuccaport/yuccaport/src/problem"
 	"github.com/yuccaport/yuccaport/src/wire"
 	"github.com/yuccaport/yuccaport/src/workers"
@@ -40,6 +41,7 @@
 	once           sync.Once
 	limits         Limits
 	counters       *counters
+	cuts           cut.Recorder
 	baseCtx        context.Context // cancelled when all links are closed
 	cancelBase     context.CancelFunc
 	tasks          sync.WaitGroup
@@ -71,6 +73,7 @@
 			p.Log = logr.Discard()
 		}
 		p.counters = newCounters(p.Metrics)
+		p.cuts.Counter, p.cuts.Log, p.cuts.Metrics = "yuccaport_link_calls_cut_total", p.Log, p.Metrics
 		p.baseCtx, p.cancelBase = context.WithCancel(context.Background())
 		p.dialSlots = make(chan struct{}, p.limits.Handshakes)
 		p.callWorkers.Max = p.limits.Calls
--- a/src/link/send_flow.go
+++ b/src/link/send_flow.go
@@ -9,8 +9,9 @@
 
 // sendFlow is the sending state of one body, or of one message in fragments.
 type sendFlow struct {
-	credit      int  // bytes of a body that the peer still accepts; not used for messages
-	frameQueued bool // a bulk frame of the flow is queued
+	credit      int   // bytes of a body that the peer still accepts; not used for messages
+	sent        int64 // bytes of a body that have been queued
+	frameQueued bool  // a bulk frame of the flow is queued
 	err         error
 	ready       sync.Cond // signalled when credit arrives, the bulk frame is taken, or the flow ends
 
--- a/src/link/send_queue.go
+++ b/src/link/send_queue.go
@@ -11,12 +11,14 @@
 // sendQueue queues the outgoing frames of a link with two priorities: heads, control frames, and short body parts and message frames are urgent and are sent before bulk data.
 type sendQueue struct {
 	mu           sync.Mutex
-	hasFrames    sync.Cond   // signalled when a frame is queued, or the link ends
-	urgentRoom   sync.Cond   // signalled when the writer has taken urgent frames, or a flow or the link ends
-	urgent       []byte      // encoded frames
-	bulk         []bulkFrame // at most one per flow, so that calls take turns
-	urgentQueued uint64      // urgent bytes queued since the link was opened
-	urgentTaken  uint64      // urgent bytes taken by the writer, which may have reached the peer
+	hasFrames    sync.Cond    // signalled when a frame is queued, or the link ends
+	urgentRoom   sync.Cond    // signalled when the writer has taken urgent frames, or a flow or the link ends
+	urgent       []byte       // encoded frames
+	bulk         []bulkFrame  // at most one per flow, so that calls take turns
+	urgentQueued uint64       // urgent bytes queued since the link was opened
+	urgentTaken  uint64       // urgent bytes taken by the writer, which may have reached the peer
+	taken        int64        // bytes taken by the writer
+	sentAnswers  []sentAnswer // not known to be acknowledged, oldest first
 	err          error
 	limiter      *sendLimiter // of the network connection; nil for no limit
 }
@@ -113,6 +115,7 @@
 			q.limiter.charge(n)
 		}
 		q.pushData(f, call, p[:n])
+		f.sent += int64(n)
 		p = p[n:]
 	}
 	return nil
@@ -207,6 +210,7 @@
 		n++
 	}
 	q.bulk = append(q.bulk[:0], q.bulk[n:]...)
+	q.noteTaken(len(batch))
 	q.urgentRoom.Broadcast()
 	return batch
 }
