link: a silent peer no longer holds a stop to its end

Cause: a draining link whose answers are written counts as idle, so its peer is not pinged, and a peer that is dead or frozen held the stop for the whole Grace. So did a connection that never says hello, and messages to peers, of which components that still run send ever more.

--- a/src/link/connection.go
+++ b/src/link/connection.go
@@ -169,9 +169,10 @@
 	_ = c.nc.SetReadDeadline(time.Now().Add(c.pool.limits.PingInterval))
 }
 
-// tick runs once per ping interval. On a link in use it pings a silent peer. It returns an error that closes the link if the peer stays silent or the link is idle; an accepting end first drains an idle link.
+// tick runs once per ping interval. On a link in use, or one that the peer is to close, it pings a silent peer. It returns an error that closes the link if the peer stays silent or the link is idle; an accepting end first drains an idle link.
 func (c *connection) tick() error {
 	busy, idle := c.usage()
+	draining := c.isDraining()
 	if c.bytesReceived != c.bytesAtLastTick {
 		c.bytesAtLastTick, c.silentPeriods = c.bytesReceived, 0
 	} else {
@@ -184,9 +185,9 @@
 		return errLinkIdle
 	case !busy && idle > acceptedIdleFactor*c.pool.limits.IdleTimeout:
 		return errLinkIdle
-	case !busy && idle > (acceptedIdleFactor-1)*c.pool.limits.IdleTimeout:
+	case !busy && !draining && idle > (acceptedIdleFactor-1)*c.pool.limits.IdleTimeout:
 		c.startDrain() // at the accepting end; the dialling end can close the link without losing a call that it is about to open
-	case !busy:
+	case !busy && !draining:
 		c.silentPeriods = 0
 	case c.silentPeriods > maxSilentPeriods:
 		return errPeerSilent
@@ -209,6 +210,20 @@
 	return false, now.Sub(c.lastUsed)
 }
 
+// hasOutboundCalls reports whether calls of this end are in progress.
+func (c *connection) hasOutboundCalls() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.outboundCalls) > 0
+}
+
+// isDraining reports whether new calls on the link have been stopped.
+func (c *connection) isDraining() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing
+}
+
 // startDrain stops new calls on the link. An accepting end notifies the dialling end, which closes the link when its calls have ended.
 func (c *connection) startDrain() {
 	c.mu.Lock()
--- /dev/null
+++ b/src/link/drain_test.go
@@ -0,0 +1,54 @@
+package link
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/yuccaport/yuccaport/src/wire"
+)
+
+// A stop waits for peers that are alive and have not taken all answers yet, and for no others.
+func TestDrainWaitsForLivePeers(t *testing.T) {
+	const grace = 2 * time.Second
+	tests := map[string]struct {
+		peer  func(tb testing.TB, to Peer) // opens a link and returns once the stop may begin
+		waits bool
+	}{
+		"without links": {peer: func(testing.TB, Peer) {}},
+		"no hello": {peer: func(tb testing.TB, to Peer) {
+			nc, err := net.Dial("tcp", to.Addr.String())
+			qt.Assert(tb, err, qt.IsNil)
+			tb.Cleanup(func() { _ = nc.Close() })
+			time.Sleep(10 * time.Millisecond) // until it is accepted
+		}},
+		"silent, without calls": {peer: func(tb testing.TB, to Peer) { dialFakePeer(tb, to) }},
+		"silent, with an answer": {peer: func(tb testing.TB, to Peer) {
+			p := dialFakePeer(tb, to)
+			p.send(wire.FrameOpen, &wire.OpenFrame{Call: 1})
+			p.expect(wire.FrameEnd, &wire.EndFrame{})
+		}},
+		"alive": {waits: true, peer: func(tb testing.TB, to Peer) {
+			p := dialFakePeer(tb, to)
+			go func() {
+				for range time.NewTicker(10 * time.Millisecond).C {
+					if _, err := p.nc.Write(appendFrame(nil, wire.FramePong, &wire.PongFrame{})); err != nil {
+						return
+					}
+				}
+			}()
+		}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			to, stop := startPool(t, &Pool{Self: 2, Grace: grace, Calls: callHandlerFunc(echo), Limits: Limits{PingInterval: 50 * time.Millisecond}})
+			test.peer(t, to)
+			start := time.Now()
+			stop()
+			qt.Assert(t, time.Since(start) >= grace, qt.Equals, test.waits, qt.Commentf("%s", time.Since(start)))
+		})
+	}
+}
--- a/src/link/pool.go
+++ b/src/link/pool.go
@@ -117,6 +117,9 @@
 	p.closeListener()
 	p.mu.Lock()
 	p.draining = true
+	for nc := range p.handshaking { // the peer has not opened a call yet
+		_ = nc.SetReadDeadline(time.Now().Add(contendedHandshakeTimeout))
+	}
 	conns := p.listConnections()
 	p.mu.Unlock()
 	for _, c := range conns {
@@ -140,7 +143,7 @@
 	}
 }
 
-// busy reports whether a call or message is in flight, an accepted link is in its handshake, or an answer may still be on its way to a peer.
+// busy reports whether a call is in flight, an accepted link is in its handshake, or an answer may still be on its way to a peer. Messages to peers do not count: a running component would send ever more of them.
 func (p *Pool) busy() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -148,8 +151,7 @@
 		return true
 	}
 	for c := range p.conns {
-		inUse, _ := c.usage()
-		if inUse || !c.dialed { // the peer closes an accepted link once it has received all answers
+		if !c.dialed || c.hasOutboundCalls() { // the peer closes an accepted link once it has received all answers
 			return true
 		}
 	}
