agent: a stop drains the links before the other components end

Callers: downloads at other agents broke off at the moment at which the agent beside the server ended, 2.8 s after its signal, with 3.2 s of its grace left. Cause: the slot of a buffered answer is free before the answer is sent, the stop waited for slots only, and then 200 ms for links.

Change: once the proxy has ended, Run drains the links: goaway first, then until the peers have received all answers and have closed them, or until kill. Calls that wait for a slot, bodies that arrive and slots are covered, since all of them are calls on links. The other components end afterwards; the heartbeats of the backend server are served meanwhile.

For a plan of the stop: Pool.Grace is only a bound, to be set to no less than the time to the kill; Pool.Kill ends the wait. stopLinks goes after the end of the proxy and after quota.Leave, which needs the links.

--- a/src/agent/agent_test.go
+++ b/src/agent/agent_test.go
@@ -45,6 +45,7 @@
 	leaving     atomic.Bool  // its answers say that it is leaving
 	failShare   atomic.Int64 // percent of the calls that it answers with 500
 	limit       atomic.Int64 // calls a second that its answers name, 0 for none
+	answerSize  atomic.Int64 // bytes of its answers, 0 for a short one that names it
 
 	mu         sync.Mutex
 	lastHeader http.Header
@@ -80,6 +81,9 @@
 	ctx.Response.Header.Set("X-Proof", "s-"+b.instance)
 	ctx.Response.Header.SetBytesV("X-Call-Id", ctx.Request.Header.Peek("X-Call-Id"))
 	ctx.SetBodyString("by " + b.instance)
+	if n := b.answerSize.Load(); n > 0 {
+		ctx.SetBody(make([]byte, n))
+	}
 }
 
 // vm is an agent with its backend server.
@@ -165,9 +169,12 @@
 	c.Assert(verdict, qt.Equals, registry.VerdictAccepted)
 }
 
-// call sends a request through the VM's agent and returns the status and the body.
-func (v *vm) call(path string) (int, string, error) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+v.callerAddr+path, bytes.NewReader([]byte("x")))
+// call sends a short request through the VM's agent and returns the status and the body.
+func (v *vm) call(path string) (int, string, error) { return v.post(path, []byte("x")) }
+
+// post sends a request with the given body through the VM's agent and returns the status and the body.
+func (v *vm) post(path string, body []byte) (int, string, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+v.callerAddr+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, "", err
 	}
--- a/src/agent/run.go
+++ b/src/agent/run.go
@@ -15,11 +15,9 @@
 )
 
 const (
-	handoverTime      = 2200 * time.Millisecond // from the stop signal until the proxy accepts no more requests; long enough for the two failed readiness probes after which the platform routes no client to this agent
-	responseMargin    = 600 * time.Millisecond  // reserved at the end of StopGrace for writing and delivering the last responses
-	admissionTime     = 1900 * time.Millisecond // time for which a stopping agent still accepts new calls to its backend server; must be shorter than handoverTime
-	linkCloseTimeout  = 200 * time.Millisecond  // time after stop has returned for the last calls on links to finish and for peers to close their links; dead peers never close theirs
-	drainPollInterval = 20 * time.Millisecond
+	handoverTime   = 2200 * time.Millisecond // from the stop signal until the proxy accepts no more requests; long enough for the two failed readiness probes after which the platform routes no client to this agent
+	responseMargin = 600 * time.Millisecond  // reserved at the end of StopGrace for writing and delivering the last responses
+	admissionTime  = 1900 * time.Millisecond // time for which a stopping agent still accepts new calls to its backend server; must be shorter than handoverTime
 )
 
 // Run serves until ctx is canceled or a component fails, then stops gracefully within Settings.StopGrace, which must exceed handoverTime plus responseMargin (2.8 s). It returns nil if the cause of the stop is context.Canceled, and otherwise the cause. Run must be called at most once.
@@ -29,10 +27,12 @@
 	defer fail(nil)
 	baseCtx := context.WithoutCancel(ctx)
 	proxyCtx, stopProxy := context.WithCancel(baseCtx)
+	linkCtx, stopLinks := context.WithCancel(baseCtx)
 	backgroundCtx, stopBackground := context.WithCancel(baseCtx)
 	defer stopProxy()
+	defer stopLinks()
 	defer stopBackground()
-	var proxyGroup, backgroundGroup sync.WaitGroup
+	var proxyGroup, linkGroup, backgroundGroup sync.WaitGroup
 	// A component that fails stops the agent.
 	goRun := func(wg *sync.WaitGroup, ctx context.Context, run func(context.Context) error) {
 		wg.Go(func() {
@@ -41,7 +41,7 @@
 			}
 		})
 	}
-	goRun(&backgroundGroup, backgroundCtx, a.pool.Run)
+	goRun(&linkGroup, linkCtx, a.pool.Run)
 	goRun(&backgroundGroup, backgroundCtx, a.booking.Run)
 	goRun(&backgroundGroup, backgroundCtx, a.follower.Run)
 	goRun(&backgroundGroup, backgroundCtx, a.announcer.Run)
@@ -64,6 +64,9 @@
 	<-ctx.Done()
 	a.stop(ctx, stopProxy, &proxyGroup)
 	a.quota.Leave(baseCtx)
+	a.Log.Info("stopping", "step", "draining the links", "in_flight", a.booking.InFlight())
+	stopLinks()
+	linkGroup.Wait()
 	a.Log.Info("stopping", "step", "stopping the other components")
 	stopBackground()
 	backgroundGroup.Wait()
@@ -74,14 +77,14 @@
 	return nil
 }
 
-// stop makes booking refuse new calls after admissionTime and stops the proxy after handoverTime, when the platform routes its clients elsewhere. It then waits for the calls at the backend server until responseMargin before the end of StopGrace. It also starts a timer that calls kill in the middle of responseMargin; Run stops it by a.stopKillTimer.
+// stop makes booking refuse new calls after admissionTime and stops the proxy after handoverTime, when the platform routes its clients elsewhere. Run then drains the links, until the peers have received all answers of the backend server. stop also starts a timer that calls kill in the middle of responseMargin; Run stops it by a.stopKillTimer.
 func (a *Agent) stop(ctx context.Context, stopProxy func(), proxyGroup *sync.WaitGroup) {
 	drainDeadline := time.Now().Add(a.Settings.StopGrace.Std() - responseMargin)
 	killTimer := time.AfterFunc(time.Until(drainDeadline)+responseMargin/2, a.kill)
 	a.stopKillTimer = killTimer.Stop
 	a.stopping.Store(true)
 	a.booking.AwaitAll()
-	a.pool.Grace = linkCloseTimeout
+	a.pool.Grace = a.Settings.StopGrace.Std() // ended sooner by kill
 	a.proxy.Grace = a.Settings.StopGrace.Std() - handoverTime - responseMargin
 	a.Log.Info("stopping", "reason", context.Cause(ctx).Error(), "in_flight", a.booking.InFlight())
 	time.Sleep(admissionTime)
@@ -92,10 +95,6 @@
 	a.Log.Info("stopping", "step", "draining the proxy")
 	stopProxy()
 	proxyGroup.Wait()
-	a.Log.Info("stopping", "step", "draining the backend server", "in_flight", a.booking.InFlight())
-	for a.booking.InFlight() > 0 && time.Now().Before(drainDeadline) {
-		time.Sleep(drainPollInterval)
-	}
 }
 
 // kill aborts the calls in flight, shortly before StopGrace ends.
