booking: an upload that began to arrive before a drain is not refused by it

Callers: an upload over a slow link to a server whose agent stops got a 503 after its whole body had been sent; longer than 64 kB, it can't be sent to another server. Cause: a body is buffered before its call requests a slot, and a call that requests one after a drain has begun is refused, unlike one that waits for its slot by then.

Change: Arrive carries the time since the call arrived; a drain that began later does not refuse it. One that the backend server reports still does, and a leaving server still gets nothing after its time.

--- a/src/agent/link_drain_test.go
+++ b/src/agent/link_drain_test.go
@@ -22,6 +22,7 @@
 	}{
 		"downloads over 25 Mbit/s": {mbps: 25, calls: 4, answer: size},
 		"download over 5 Mbit/s":   {mbps: 5, calls: 1, answer: size},
+		"upload over 5 Mbit/s":     {mbps: 5, calls: 1, upload: size},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/src/booking/admission.go
+++ b/src/booking/admission.go
@@ -63,7 +63,7 @@
 
 // newArrive returns the event for a call, from another VM if remote is set, that arrived the given time ago.
 func (s *Server) newArrive(call uint64, h wire.CallHead, remote bool, elapsed time.Duration) Arrive {
-	e := Arrive{Call: call, Route: h.Route, Priority: h.Priority, Attempt: int(h.Attempt), Final: h.Final, Patience: time.Duration(h.PatienceMS) * time.Millisecond, Remote: remote}
+	e := Arrive{Call: call, Route: h.Route, Priority: h.Priority, Attempt: int(h.Attempt), Final: h.Final, Patience: time.Duration(h.PatienceMS) * time.Millisecond, Remote: remote, Waited: elapsed}
 	if remote && s.OutboundDelay != nil {
 		e.LinkDelay, e.LinkDelayIfLate = s.OutboundDelay()
 	}
--- a/src/booking/availability.go
+++ b/src/booking/availability.go
@@ -11,10 +11,10 @@
 	return c.health == HealthDraining || c.drainRequested && !now.Before(c.drainStart)
 }
 
-// unavailableRefusal returns a refusal and true while isDraining holds or the backend server is not up, otherwise false.
-func (c *Core) unavailableRefusal(now time.Time, call uint64) (Action, bool) {
+// unavailableRefusal returns a refusal and true for a call that arrived while isDraining held, or while the backend server is not up, otherwise false.
+func (c *Core) unavailableRefusal(now, arrived time.Time, call uint64) (Action, bool) {
 	switch {
-	case c.isDraining(now):
+	case c.isDraining(arrived):
 		return Refuse{Call: call, Reason: wire.ReasonLeaving, RetryAfter: minRetryAfter}, true
 	case c.health != HealthUp:
 		return Refuse{Call: call, Reason: wire.ReasonNotReady, RetryAfter: notReadyRetryAfter}, true
@@ -46,7 +46,7 @@
 		if !wasQueued {
 			return actions
 		}
-		if r, refused := c.unavailableRefusal(now, w.call); refused {
+		if r, refused := c.unavailableRefusal(now, now, w.call); refused {
 			actions = append(actions, r)
 		}
 	}
--- a/src/booking/core.go
+++ b/src/booking/core.go
@@ -147,7 +147,7 @@
 // or, if the call has an objective and no slot is free for it or its answer takes time on the network connection, for one of the reasons of waiterOrRefusal. False does not mean that the call would be admitted:
 // whether the timeout leaves enough time to run the call is not checked, nor is the queue for a call without an objective. The queue and the slots stay unchanged.
 func (c *Core) WouldRefuse(now time.Time, e Arrive) (Refuse, bool) {
-	if r, refused := c.unavailableRefusal(now, e.Call); refused {
+	if r, refused := c.unavailableRefusal(now, now.Add(-e.Waited), e.Call); refused {
 		return r.(Refuse), true
 	}
 	if c.limit == 0 || e.Objective == 0 || c.canStartNow(now, e.Priority) && c.transferTime(e) == 0 {
@@ -168,7 +168,7 @@
 }
 
 func (c *Core) arrive(now time.Time, e Arrive) []Action {
-	if refusal, refused := c.unavailableRefusal(now, e.Call); refused {
+	if refusal, refused := c.unavailableRefusal(now, now.Add(-e.Waited), e.Call); refused {
 		return []Action{refusal}
 	}
 	c.countOffer(e)
--- a/src/booking/core_test.go
+++ b/src/booking/core_test.go
@@ -82,6 +82,14 @@
 			before: func(c *Core) { c.Step(epoch, Drain{}); c.Step(epoch, Drain{Grace: time.Second}) }, event: Arrive{Call: 1},
 			want: []Action{Refuse{Call: 1, Reason: wire.ReasonLeaving, RetryAfter: minRetryAfter}},
 		},
+		"draining since its body began to arrive": {
+			before: func(c *Core) { c.Step(epoch, Drain{}) }, event: Arrive{Call: 1, Waited: ms},
+			want: []Action{Admit{Call: 1}},
+		},
+		"backend server reports draining, since its body began to arrive": {
+			before: func(c *Core) { c.Step(epoch, Health{State: HealthDraining}) }, event: Arrive{Call: 1, Waited: ms},
+			want: []Action{Refuse{Call: 1, Reason: wire.ReasonLeaving, RetryAfter: minRetryAfter}},
+		},
 		"backend server reports draining": {
 			before: func(c *Core) { c.Step(epoch, Health{State: HealthDraining}) }, event: Arrive{Call: 1},
 			want: []Action{Refuse{Call: 1, Reason: wire.ReasonLeaving, RetryAfter: minRetryAfter}},
--- a/src/booking/event.go
+++ b/src/booking/event.go
@@ -17,6 +17,7 @@
 	LinkDelay       time.Duration `json:"link_delay_ns,omitempty"`         // time that the network connection needs for the answers in time that wait to be sent
 	LinkDelayIfLate time.Duration `json:"link_delay_if_late_ns,omitempty"` // the same for all answers that wait
 	Attempt         int           `json:"attempt,omitempty"`               // number of the call's attempt, from 1; 0 if unknown
+	Waited          time.Duration `json:"waited_ns,omitempty"`             // time since the call arrived, for its body; a drain that has begun meanwhile does not refuse it
 	Final           bool          `json:"final,omitempty"`                 // no other server is expected to answer sooner, so a call that is expected to miss its objective is still queued if its answer is expected within maxLateShare of the time left
 }
 
