link: an orderly close lets what is written reach the peer

Callers: answers that the agent beside the server had written, and had logged as answered, broke off with a reset when it closed its links. Cause: a link was closed at once; queued frames were dropped, and a window credit or ping of the peer that arrived later made the kernel reset the connection and drop what the peer had not read.

Change: at the end of a drain, of the grace period and at Kill, a link takes no more frames, writes those that are queued, half-closes and reads on until the peer has closed its end, at most 100 ms. Kill sends goaway first, and a link whose handshake ends meanwhile gets one too, so that calls that cross it are known not to run. A dialling end drops its queued frames.

--- a/src/link/accept.go
+++ b/src/link/accept.go
@@ -82,9 +82,6 @@
 	}
 	p.mu.Lock()
 	delete(p.handshaking, rawConn)
-	if err == nil && p.stopped {
-		err = errPoolStopped
-	}
 	if err != nil {
 		p.acceptedLinks--
 		p.mu.Unlock()
@@ -94,11 +91,15 @@
 	}
 	c := newConnection(p, nc, fr, Peer{ID: h.Self, Addr: h.Addr}, false)
 	p.conns[c] = struct{}{}
-	draining := p.draining
+	draining, stopped := p.draining, p.stopped
 	p.mu.Unlock()
-	if draining {
+	if draining || stopped {
 		c.startDrain()
 	}
+	if stopped {
+		p.counters.linksRefused.Inc()
+		c.shut(errPoolStopped)
+	}
 	c.run()
 	p.mu.Lock()
 	delete(p.conns, c)
--- a/src/link/connection.go
+++ b/src/link/connection.go
@@ -74,8 +74,28 @@
 	c.endPending()
 }
 
-// fail closes the link. Only the first error is kept.
+// fail closes the link at once. Only the first error is kept.
 func (c *connection) fail(err error) {
+	c.end(err)
+	c.queue.fail(err)
+	_ = c.nc.Close()
+}
+
+// shut closes the link once what is queued has been written and the peer has closed its end, or after closeTimeout. A close with unread bytes in the socket, or one that more bytes follow, would destroy what the peer has not read yet. Only the first error is kept.
+func (c *connection) shut(err error) {
+	if !c.end(err) {
+		return
+	}
+	if c.dialed {
+		c.queue.fail(err) // what is queued can wait for no answer
+	} else {
+		c.queue.close(err)
+	}
+	time.AfterFunc(closeTimeout, func() { _ = c.nc.Close() })
+}
+
+// end records why the link is closed and cancels its context. It reports whether that is the first reason.
+func (c *connection) end(err error) bool {
 	c.mu.Lock()
 	first := c.err == nil
 	if first {
@@ -84,12 +104,11 @@
 	}
 	c.mu.Unlock()
 	if !first {
-		return
+		return false
 	}
-	c.queue.fail(err)
 	c.recordCuts(err) // before handlers end their calls
 	c.cancel()
-	_ = c.nc.Close()
+	return true
 }
 
 // endPending ends the calls and messages that were in progress when the link was closed.
@@ -132,6 +151,7 @@
 	for {
 		batch = c.queue.nextBatch(resetBuffer(batch))
 		if len(batch) == 0 {
+			c.closeWrite()
 			return
 		}
 		_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
@@ -143,6 +163,14 @@
 	}
 }
 
+// closeWrite tells the peer that nothing more follows.
+func (c *connection) closeWrite() {
+	if w, ok := c.nc.(interface{ CloseWrite() error }); ok && w.CloseWrite() == nil {
+		return
+	}
+	_ = c.nc.Close()
+}
+
 // readLoop receives frames until the link ends and returns the reason.
 func (c *connection) readLoop() error {
 	c.resetReadDeadline()
@@ -243,6 +271,6 @@
 	drained := c.dialed && c.closing && len(c.outboundCalls)+len(c.exchanges) == 0
 	c.mu.Unlock()
 	if drained {
-		c.fail(errLinkDrained)
+		c.shut(errLinkDrained)
 	}
 }
--- a/src/link/drain_test.go
+++ b/src/link/drain_test.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"context"
 	"net"
 	"testing"
 	"time"
@@ -52,3 +53,36 @@
 		})
 	}
 }
+
+// What a pool has written when it closes its links reaches a peer that reads it late and still sends.
+func TestCloseKeepsWhatIsWritten(t *testing.T) {
+	const size = 200 << 10
+	tests := map[string]func(p *Pool, stop func()){
+		"Kill":                    func(p *Pool, _ func()) { p.Kill() },
+		"end of the grace period": func(_ *Pool, stop func()) { go stop() },
+	}
+	for name, end := range tests {
+		t.Run(name, func(t *testing.T) {
+			answered := make(chan struct{}, 1)
+			server := &Pool{Self: 2, Grace: time.Millisecond, Calls: callHandlerFunc(func(_ context.Context, in InboundCall) {
+				w, err := in.Reply(wire.ReplyHead{BodyLength: size})
+				qt.Check(t, err, qt.IsNil)
+				_, err = w.Write(make([]byte, size))
+				qt.Check(t, err, qt.IsNil)
+				qt.Check(t, w.Close(), qt.IsNil)
+				answered <- struct{}{}
+			})}
+			to, stop := startPool(t, server)
+			peer := dialFakePeer(t, to)
+			qt.Assert(t, peer.nc.(*net.TCPConn).SetReadBuffer(32<<10), qt.IsNil)
+			peer.send(wire.FrameOpen, &wire.OpenFrame{Call: 1})
+			peer.send(wire.FrameWindow, &wire.WindowFrame{Call: 1, Add: size - initialWindow})
+			<-answered
+			end(server, stop)
+			time.Sleep(closeTimeout / 5)
+			peer.send(wire.FramePing, &wire.PingFrame{})
+			time.Sleep(closeTimeout / 5)
+			peer.expect(wire.FrameEnd, &wire.EndFrame{})
+		})
+	}
+}
--- a/src/link/limits.go
+++ b/src/link/limits.go
@@ -18,7 +18,8 @@
 	maxConcurrentMessages = 64        // inbound control messages in progress on one link; also the number of message workers of a Pool and the length of their queue
 
 	writeTimeout     = 10 * time.Second
-	maxSilentPeriods = 3 // consecutive ping intervals without a received byte that are allowed on a link in use; one more closes it
+	closeTimeout     = 100 * time.Millisecond // longest wait, at an orderly close, for the peer to read what is written and to close its end
+	maxSilentPeriods = 3                      // consecutive ping intervals without a received byte that are allowed on a link in use; one more closes it
 	minBackoff       = 50 * time.Millisecond
 	maxBackoff       = 5 * time.Second
 )
--- a/src/link/pool.go
+++ b/src/link/pool.go
@@ -193,16 +193,20 @@
 	p.stopped = true
 	conns := p.listConnections()
 	for nc := range p.handshaking {
-		_ = nc.Close()
+		_ = nc.SetReadDeadline(time.Now()) // not closed: a peer that has our hello must be told that none of its calls runs
+		time.AfterFunc(closeTimeout, func() { _ = nc.Close() })
 	}
 	p.mu.Unlock()
 	for _, c := range conns {
-		c.fail(reason)
+		if !c.dialed {
+			c.startDrain()
+		}
+		c.shut(reason)
 	}
 	p.cancelBase()
 }
 
-// Kill closes all links without draining, and does not wait for handlers. Run then returns. After Kill or Run, Call returns a Refused with wire.ReasonLeaving, and Exchange an error of kind problem.Unavailable.
+// Kill closes all links without draining, and does not wait for handlers. What has been written is not destroyed: links stay half open until their peers have read it, at most closeTimeout. Run then returns. After Kill or Run, Call returns a Refused with wire.ReasonLeaving, and Exchange an error of kind problem.Unavailable.
 func (p *Pool) Kill() {
 	p.init()
 	p.closeLinks(errPoolKilled)
--- a/src/link/send_queue.go
+++ b/src/link/send_queue.go
@@ -175,13 +175,26 @@
 	q.urgentRoom.Broadcast()
 }
 
-// fail ends the sending of all frames. It does not wake senders that wait for their flow: a call stops its flow when it ends, but the flow of a message is never stopped, so a sender that waits in sendMessage hangs.
+// close ends the sending of further frames; the writer still takes those that are queued. It does not wake senders that wait for their flow: a call stops its flow when it ends, but the flow of a message is never stopped, so a sender that waits in sendMessage hangs.
+func (q *sendQueue) close(err error) {
+	q.mu.Lock()
+	q.closeLocked(err)
+	q.mu.Unlock()
+}
+
+// fail does as close and drops the queued frames.
 func (q *sendQueue) fail(err error) {
 	q.mu.Lock()
+	q.urgent, q.bulk = nil, nil
+	q.closeLocked(err)
+	q.mu.Unlock()
+}
+
+// closeLocked records why no more frames are queued; q.mu must be held.
+func (q *sendQueue) closeLocked(err error) {
 	if q.err == nil {
 		q.err = err
 	}
-	q.mu.Unlock()
 	q.urgentRoom.Broadcast()
 	q.hasFrames.Broadcast()
 }
@@ -193,7 +206,7 @@
 	for q.err == nil && len(q.urgent) == 0 && len(q.bulk) == 0 {
 		q.hasFrames.Wait()
 	}
-	if q.err != nil {
+	if len(q.urgent) == 0 && len(q.bulk) == 0 {
 		return nil
 	}
 	batch = append(batch[:0], q.urgent...)
