agent, daemon, dispatch: a call is taken late in a planned stop only if it ends in time

Callers saw: requests sent 3.0 to 5.4 s after the signal were taken from connections that never fell idle, passed on, and answered with 502 at the end of the grace while their server worked.

Cause: each part of a stop had a grace of its own, and none of them asked how much of it was left when a request was read.

Change: drain.Plan is computed once from the signal and stop_grace, by a clock that counts suspension, and tells proxy, admission and links their moments. After the handover a request is refused at once, as not run, unless the time left covers its deadline; before it, if it is not expected to end in time. The requests held behind it are answered, then the connection closes. The callers' address stays open while the own backend server runs calls, since those may make calls of their own. yuccaport run follows the same plan.

--- a/src/agent/agent.go
+++ b/src/agent/agent.go
@@ -65,7 +65,7 @@
 	stopping        atomic.Bool   // the agent is stopping, after a cancellation or a failure; IsReady then reports false
 	backendCheck    chan struct{} // wakes watchBackend for a check at once
 	refusesNewCalls atomic.Bool   // new calls to the backend server are refused because the agent is stopping; queued calls still run
-	stopKillTimer   func() bool   // stops the timer that calls kill; set by stop
+	cancelKill      func()        // ends the task that calls kill; set by stop
 
 	tableMu    sync.Mutex   // guards memberView and the replacement of serving
 	memberView *roster.View // its digest is not used
@@ -128,6 +128,7 @@
 	a.proxy = &dispatch.Proxy{
 		Listener: a.CallerListener, Self: a.member, Table: a.table, Transport: a.pool, Headers: a.Headers, Limits: a.limits,
 		Settings: a.dispatchSettings(), Grace: s.StopGrace.Std(), StartTimeout: startTimeout, Log: a.Log.WithName("dispatch"), Metrics: a.Metrics,
+		HoldOpen: func() bool { return a.booking.InFlight() > 0 },
 	}
 	a.buildRegistry()
 	a.proxy.KeysOutdated = (&keyAge{revocation: s.Revocation, follower: a.follower, log: a.Log.WithName("tenants")}).isOutdated
--- a/src/agent/run.go
+++ b/src/agent/run.go
@@ -10,17 +10,18 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
 
+	"github.com/yuccaport/yuccaport/src/clock"
+	"github.com/yuccaport/yuccaport/src/drain"
 	"github.com/yuccaport/yuccaport/src/quarantine"
 	"github.com/yuccaport/yuccaport/src/registry"
 )
 
 const (
-	handoverTime   = 2200 * time.Millisecond // from the stop signal until the proxy accepts no more requests; long enough for the two failed readiness probes after which the platform routes no client to this agent
-	responseMargin = 600 * time.Millisecond  // reserved at the end of StopGrace for writing and delivering the last responses
-	admissionTime  = 1900 * time.Millisecond // time for which a stopping agent still accepts new calls to its backend server; must be shorter than handoverTime
+	handoverTime  = 2200 * time.Millisecond // from the stop signal until the proxy hands over; long enough for the two failed readiness probes after which the platform routes no client to this agent
+	admissionLead = 300 * time.Millisecond  // before the handover, from which a stopping agent refuses new calls to its backend server; calls that the proxy has taken by then still find another one
 )
 
-// Run serves until ctx is canceled or a component fails, then stops gracefully within Settings.StopGrace, which must exceed handoverTime plus responseMargin (2.8 s). It returns nil if the cause of the stop is context.Canceled, and otherwise the cause. Run must be called at most once.
+// Run serves until ctx is canceled or a component fails, then stops gracefully within Settings.StopGrace, as it is when the stop begins. It returns nil if the cause of the stop is context.Canceled, and otherwise the cause. Run must be called at most once.
 func (a *Agent) Run(ctx context.Context) error {
 	a.Build()
 	ctx, fail := context.WithCancelCause(ctx)
@@ -70,31 +71,44 @@
 	a.Log.Info("stopping", "step", "stopping the other components")
 	stopBackground()
 	backgroundGroup.Wait()
-	a.stopKillTimer()
+	a.cancelKill()
 	if err := context.Cause(ctx); !errors.Is(err, context.Canceled) {
 		return err
 	}
 	return nil
 }
 
-// stop makes booking refuse new calls after admissionTime and stops the proxy after handoverTime, when the platform routes its clients elsewhere. Run then drains the links, until the peers have received all answers of the backend server. stop also starts a timer that calls kill in the middle of responseMargin; Run stops it by a.stopKillTimer.
+// stop carries out the plan of the stop up to the end of the proxy, which follows the plan by itself; booking refuses new calls admissionLead before the handover. Run then drains the links, until the peers have received all answers of the backend server. stop also starts the task that calls kill; Run ends it by a.cancelKill.
 func (a *Agent) stop(ctx context.Context, stopProxy func(), proxyGroup *sync.WaitGroup) {
-	drainDeadline := time.Now().Add(a.Settings.StopGrace.Std() - responseMargin)
-	killTimer := time.AfterFunc(time.Until(drainDeadline)+responseMargin/2, a.kill)
-	a.stopKillTimer = killTimer.Stop
+	plan := drain.NewPlan(clock.NowWithSuspension(), a.stopGrace(), handoverTime)
+	killCtx, cancelKill := context.WithCancel(context.WithoutCancel(ctx))
+	a.cancelKill = cancelKill
+	go func() {
+		if plan.Await(killCtx, plan.Kill) == nil {
+			a.kill()
+		}
+	}()
 	a.stopping.Store(true)
 	a.booking.AwaitAll()
-	a.pool.Grace = a.Settings.StopGrace.Std() // ended sooner by kill
-	a.proxy.Grace = a.Settings.StopGrace.Std() - handoverTime - responseMargin
-	a.Log.Info("stopping", "reason", context.Cause(ctx).Error(), "in_flight", a.booking.InFlight())
-	time.Sleep(admissionTime)
+	a.pool.Grace = plan.Kill // ended sooner by kill
+	a.pool.StopBegan(plan.Signal)
+	a.proxy.Drain(plan)
+	a.Log.Info("stopping", "reason", context.Cause(ctx).Error(), "in_flight", a.booking.InFlight(), "handover", plan.Handover.String(), "last_answer", plan.LastAnswer.String(), "kill", plan.Kill.String())
+	_ = plan.Await(killCtx, plan.Handover-admissionLead)
 	a.refusesNewCalls.Store(true)
 	a.announce()
 	a.booking.DrainAfter(0)
-	time.Sleep(handoverTime - admissionTime)
+	_ = plan.Await(killCtx, plan.Handover)
 	a.Log.Info("stopping", "step", "draining the proxy")
-	stopProxy()
 	proxyGroup.Wait()
+	stopProxy()
+}
+
+// stopGrace returns the time from the stop signal until the process is killed.
+func (a *Agent) stopGrace() time.Duration {
+	a.backendMu.Lock()
+	defer a.backendMu.Unlock()
+	return a.Settings.StopGrace.Std()
 }
 
 // kill aborts the calls in flight, shortly before StopGrace ends.
--- a/src/agent/settings.go
+++ b/src/agent/settings.go
@@ -19,7 +19,7 @@
 	Domain      string            `toml:"domain"`     // failure domain
 	Region      string            `toml:"region"`     // of the failure domain
 	Heartbeat   settings.Duration `toml:"heartbeat"`  // interval at which the backend server sends heartbeats
-	StopGrace   settings.Duration `toml:"stop_grace"` // time from the stop signal until the agent's process is killed; must exceed 2.8 s, which is not validated, see Agent.Run
+	StopGrace   settings.Duration `toml:"stop_grace"` // time from the stop signal until the agent's process is killed
 	MemoryMB    int               `toml:"memory_mb"`  // memory above which the agent's process is killed
 	LinkMbps    float64           `toml:"link_mbps"`  // speed of the VM's link in megabits per second
 	Listen      Listen            `toml:"listen"`
--- a/src/cut/recorder.go
+++ b/src/cut/recorder.go
@@ -7,6 +7,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
+
+	"github.com/yuccaport/yuccaport/src/clock"
 )
 
 // Recorder logs and counts the requests that were cut at one component. Its fields are set before
@@ -19,7 +21,7 @@
 	signal atomic.Pointer[time.Time]
 }
 
-// StopBegan tells when a planned stop began.
+// StopBegan tells when a planned stop began, by clock.NowWithSuspension.
 func (r *Recorder) StopBegan(at time.Time) { r.signal.Store(&at) }
 
 // Stopping reports whether a planned stop has begun.
@@ -45,7 +47,7 @@
 		return log
 	}
 	if at := r.signal.Load(); at != nil {
-		return log.WithValues("since_signal_ms", time.Since(*at).Milliseconds())
+		return log.WithValues("since_signal_ms", clock.NowWithSuspension().Sub(*at).Milliseconds())
 	}
 	return log
 }
--- a/src/daemon/run.go
+++ b/src/daemon/run.go
@@ -6,6 +6,9 @@
 	"net"
 	"net/netip"
 	"time"
+
+	"github.com/yuccaport/yuccaport/src/clock"
+	"github.com/yuccaport/yuccaport/src/drain"
 )
 
 const (
@@ -17,7 +20,7 @@
 
 // Run serves until ctx is done or a component fails, then stops gracefully.
 //
-// To stop, it announces its leave to the roster, starts the drain and lets the calls in flight finish; those still in flight when stop_grace has ended are aborted. After Kill it neither announces its leave nor waits for calls. It returns nil if ctx was cancelled, otherwise the cause: the error of the component that failed, or the cause with which ctx ended. Run must be called at most once.
+// To stop, it announces its leave to the roster, hands over after drain_news, starts the drain and lets the calls in flight finish; those still in flight shortly before stop_grace ends are answered, then aborted: see drain.Plan. After Kill it neither announces its leave nor waits for calls. It returns nil if ctx was cancelled, otherwise the cause: the error of the component that failed, or the cause with which ctx ended. Run must be called at most once.
 func (d *Daemon) Run(ctx context.Context) error {
 	d.Build()
 	ctx, fail := context.WithCancelCause(ctx)
@@ -36,9 +39,16 @@
 	updateTasks.start(d.publishReadiness)
 
 	<-ctx.Done()
-	abortTimer := time.AfterFunc(d.Settings.StopGrace.Std(), d.abortCalls)
-	defer abortTimer.Stop()
+	plan := drain.NewPlan(clock.NowWithSuspension(), d.Settings.StopGrace.Std(), d.Settings.DrainNews.Std())
+	abortCtx, cancelAbort := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancelAbort()
+	go func() {
+		if plan.Await(abortCtx, plan.Kill) == nil {
+			d.abortCalls()
+		}
+	}()
 	if !d.killed.Load() {
+		d.proxy.Drain(plan)
 		d.leave(rosterTasks.ctx)
 	}
 	updateTasks.stop()
--- a/src/dispatch/arrival.go
+++ b/src/dispatch/arrival.go
@@ -36,6 +36,9 @@
 	if wait := ch.server.backlog(now, cs.policy.Route); wait > e.Remaining && cs.objective.IsZero() { // with an objective, the server judges by urgency and by what can be in time
 		return c.refuseCall(cs, wire.ReasonDeadline, wait)
 	}
+	if !c.endsInTime(now, e, cs, ch) {
+		return c.refuseCall(cs, wire.ReasonLeaving, minRetryAfter)
+	}
 	c.services[serviceName].budget.refill()
 	out := c.send(now, cs, ch)
 	if c.mayHedge(cs) {
--- a/src/dispatch/call.go
+++ b/src/dispatch/call.go
@@ -65,10 +65,15 @@
 	if !c.admitPayment() {
 		return
 	}
-	c.perform(c.proxy.step(CallArrived{
+	arrived := CallArrived{
 		Call: c.id, Policy: c.policy, Remaining: c.deadline.Sub(c.proxy.Now()),
 		ParentRetries: c.parent.MayRetryAfterRun, HasBody: c.body != nil, BodyLength: c.body.length(), Objective: c.timeToObjective(),
-	}))
+	}
+	c.boundByStop(&arrived)
+	c.perform(c.proxy.step(arrived))
+	if c.ended && arrived.Longest > 0 {
+		c.conn.endAfterPending()
+	}
 	c.timers = append(c.timers, callTimer{dueAt: c.start.Add(disconnectCheckDelay)})
 	timer := time.NewTimer(disconnectCheckDelay)
 	defer timer.Stop()
@@ -214,19 +219,6 @@
 	c.conn.abort()
 }
 
-// endAtShutdown refuses a call that is still in flight when the grace period of a graceful shutdown ends.
-//
-// A payment is not refused: it continues until the proxy is killed, and its repeat is answered with the outcome if it ends by then.
-func (c *call) endAtShutdown() {
-	if c.payment != nil {
-		c.abortCall()
-		return
-	}
-	sent := c.attempts[1] != nil
-	c.perform(c.proxy.step(CallerGone{Call: c.id}))
-	c.refuse(RefuseCall{Call: c.id, Reason: wire.ReasonLeaving, MayHaveRun: sent, RetryAfter: minRetryAfter})
-}
-
 // timeToNextTimer returns the time until the next timer is due.
 func (c *call) timeToNextTimer() time.Duration {
 	next := c.start.Add(time.Hour)
--- /dev/null
+++ b/src/dispatch/call_stop.go
@@ -0,0 +1,50 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"github.com/yuccaport/yuccaport/src/clock"
+	"github.com/yuccaport/yuccaport/src/drain"
+	"github.com/yuccaport/yuccaport/src/wire"
+)
+
+// boundByStop sets the time in which the call must end if the proxy is stopping.
+func (c *call) boundByStop(e *CallArrived) {
+	plan := c.proxy.plan.Load()
+	if plan == nil {
+		return
+	}
+	now := clock.NowWithSuspension()
+	e.EndWithin = max(1, plan.Left(now, plan.LastAnswer)) // 0 would mean no stop
+	switch {
+	case plan.Phase(now) < drain.PhaseFinish:
+	case !c.body.isComplete():
+		e.Longest = math.MaxInt64 // an upload may take any time
+	default:
+		e.Longest = max(1, e.Remaining)
+	}
+}
+
+// endsInTime reports whether a call ends before the last answer of this daemon's planned stop: at the latest and as expected.
+func (c *Core) endsInTime(now time.Time, e CallArrived, cs *callState, ch choice) bool {
+	if e.EndWithin == 0 {
+		return true
+	}
+	serviceTime := ch.server.serviceTime(now, cs.policy.Route)
+	expected := c.transferTime(ch.server, cs) + c.expectedAnswerWait(now, ch.server, cs, serviceTime) + serviceTime
+	return max(expected, e.Longest) <= e.EndWithin
+}
+
+// endAtShutdown refuses a call that is still in flight at the last answer of a planned stop.
+//
+// A payment is not refused: it continues until the proxy is killed, and its repeat is answered with the outcome if it ends by then.
+func (c *call) endAtShutdown() {
+	if c.payment != nil {
+		c.abortCall()
+		return
+	}
+	sent := c.attempts[1] != nil
+	c.perform(c.proxy.step(CallerGone{Call: c.id}))
+	c.refuse(RefuseCall{Call: c.id, Reason: wire.ReasonLeaving, MayHaveRun: sent, RetryAfter: minRetryAfter})
+}
--- a/src/dispatch/caller_conn.go
+++ b/src/dispatch/caller_conn.go
@@ -44,6 +44,8 @@
 	pending            []byte        // bytes from a background read or behind the present header; the next reads return them
 	pendingErr         error         // returned by reads; the caller has left if it is of a background read
 	overflowed         bool          // further requests have been discarded, see discardPending
+	ending             bool          // only the requests in the first answerable bytes of pending are still answered
+	answerable         int
 	ended              bool          // the connection has been closed, so that nothing more is held
 	backgroundReadDone chan struct{} // closed when the background read has returned, nil for none
 	aborting           bool          // abortBackgroundRead is ending the background read
@@ -211,13 +213,15 @@
 	c.header = headerScanner{done: busy}
 }
 
-// stop ends the connection once it is idle and idleDeadline has passed; until then it still accepts a request that was sent before.
+// stop ends the connection once it is idle and idleDeadline has passed; until then it still accepts a request that was sent before. Further calls do not postpone it.
 func (c *callerConn) stop(idleDeadline time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.stopping, c.idleDeadline = true, idleDeadline
+	if !c.stopping {
+		c.stopping, c.idleDeadline = true, idleDeadline
+	}
 	if !c.busy {
-		_ = c.SetReadDeadline(idleDeadline)
+		_ = c.SetReadDeadline(c.idleDeadline)
 	}
 }
 
--- a/src/dispatch/caller_held.go
+++ b/src/dispatch/caller_held.go
@@ -47,6 +47,7 @@
 		c.pending = nil
 	}
 	c.heldBytes.Add(-int64(n))
+	c.answerable -= n
 }
 
 // discardPending discards all further requests, those that are still to come included; the caller
--- a/src/dispatch/caller_listener.go
+++ b/src/dispatch/caller_listener.go
@@ -87,19 +87,21 @@
 	return out
 }
 
-// stop stops accepting, ends idle connections and waits until the others have ended or ctx is done.
-func (l *callerListener) stop(ctx context.Context) {
-	_ = l.Close()
-	idleDeadline := time.Now().Add(idleGrace)
+// stop stops accepting once holdOpen reports false, ends idle connections and waits until the others have ended or ctx is done.
+func (l *callerListener) stop(ctx context.Context, holdOpen func() bool) {
 	tick := time.NewTicker(pollInterval)
 	defer tick.Stop()
 	for {
+		open := holdOpen()
+		if !open {
+			_ = l.Close()
+		}
 		conns := l.openConns()
-		if len(conns) == 0 {
+		if len(conns) == 0 && !open {
 			return
 		}
 		for _, c := range conns {
-			c.stop(idleDeadline)
+			c.stop(time.Now().Add(idleGrace))
 		}
 		select {
 		case <-ctx.Done():
--- a/src/dispatch/event.go
+++ b/src/dispatch/event.go
@@ -32,8 +32,10 @@
 	Remaining     time.Duration `json:"left_ns"`               // until the call's deadline
 	ParentRetries bool          `json:"retry_layer,omitempty"` // Parent.MayRetryAfterRun of the call's parent; this call is then retried only if it has not run
 	HasBody       bool          `json:"has_body,omitempty"`
-	BodyLength    int64         `json:"body,omitempty"`         // of the request body in bytes, negative if unknown
-	Objective     time.Duration `json:"objective_ns,omitempty"` // time left to answer within the latency objective, 0 for no objective
+	BodyLength    int64         `json:"body,omitempty"`          // of the request body in bytes, negative if unknown
+	Objective     time.Duration `json:"objective_ns,omitempty"`  // time left to answer within the latency objective, 0 for no objective
+	EndWithin     time.Duration `json:"end_within_ns,omitempty"` // time in which the call must end because this daemon is stopping, 0 if it is not
+	Longest       time.Duration `json:"longest_ns,omitempty"`    // time that the call takes at the latest, 0 if only the time that it is expected to take counts
 }
 
 // AttemptAnswered reports that the head of an attempt's answer has arrived; a short answer has arrived completely.
--- a/src/dispatch/proxy.go
+++ b/src/dispatch/proxy.go
@@ -15,7 +15,9 @@
 	"github.com/go-logr/logr"
 	"github.com/valyala/fasthttp"
 
+	"github.com/yuccaport/yuccaport/src/clock"
 	"github.com/yuccaport/yuccaport/src/cut"
+	"github.com/yuccaport/yuccaport/src/drain"
 	"github.com/yuccaport/yuccaport/src/header"
 	"github.com/yuccaport/yuccaport/src/link"
 	"github.com/yuccaport/yuccaport/src/problem"
@@ -38,7 +40,7 @@
 	defaultStartTimeout = 2 * time.Second
 	startPollInterval   = 5 * time.Millisecond
 	killTimeout         = 5 * time.Second        // for aborted connections to end
-	refusalTimeout      = 150 * time.Millisecond // for refusing the requests still in flight when the grace period ends
+	refusalTimeout      = 150 * time.Millisecond // for refusing the requests still in flight when Grace ends
 	defaultBodyBytes    = 256 << 20
 )
 
@@ -58,7 +60,8 @@
 	Headers      header.Names                      // zero for header.Default
 	Limits       func() Limits                     // bounds on callers' requests, nil for the defaults
 	Settings     Settings                          // of the core
-	Grace        time.Duration                     // for requests in flight at a graceful shutdown
+	Grace        time.Duration                     // for requests in flight at a graceful shutdown without Drain
+	HoldOpen     func() bool                       // reports whether connections are still accepted after the handover of a planned stop, as while the backend server runs calls that may make calls of their own; nil for never
 	StartTimeout time.Duration                     // longest time that Run waits, before it accepts connections, until every service has a member that is alive and ready
 	StallTimeout time.Duration                     // longest time without progress on a caller's connection
 	Now          func() time.Time                  // nil for time.Now
@@ -72,8 +75,9 @@
 	pool           workers.Pool
 	baseCtx        context.Context // cancelled by Kill and when Run returns
 	kill           context.CancelFunc
-	stopping       atomic.Bool
-	graceEnded     chan struct{} // closed when the grace period of a graceful shutdown ends
+	plan           atomic.Pointer[drain.Plan] // of the planned stop, nil before it
+	draining       chan struct{}              // closed when plan is set
+	graceEnded     chan struct{}              // closed at the last answer of a planned stop
 	graceEndOnce   sync.Once
 	lastCallID     atomic.Uint64
 
@@ -88,9 +92,9 @@
 	initOnce sync.Once
 }
 
-// Run waits up to StartTimeout until every service has a member that is alive and ready, then serves callers until ctx is done.
+// Run waits up to StartTimeout until every service has a member that is alive and ready, then serves callers until Drain is called or ctx is done.
 //
-// It then accepts no more connections, lets the requests in flight finish within Grace, and refuses or aborts the rest. It returns once all connections have ended; an error is of kind problem.Unavailable. Run must be called at most once.
+// At the handover of the plan, or at once if ctx is done without one, it accepts no more connections unless HoldOpen says so, takes only requests that end in time, lets those in flight finish, and refuses or aborts the rest. It returns once all connections have ended; an error is of kind problem.Unavailable. Run must be called at most once.
 func (p *Proxy) Run(ctx context.Context) error {
 	p.init()
 	defer p.kill()
@@ -100,7 +104,11 @@
 	var err error
 	select {
 	case err = <-done:
+	case <-p.draining:
+		p.stop()
+		err = <-done
 	case <-ctx.Done():
+		p.Drain(drain.Plan{Signal: clock.NowWithSuspension(), LastAnswer: p.Grace, Kill: p.Grace + refusalTimeout})
 		p.stop()
 		err = <-done
 	}
@@ -119,6 +127,15 @@
 	p.callerListener.abort()
 }
 
+// Drain begins a planned stop; further calls have no effect. It may be called from any goroutine, also before Run.
+func (p *Proxy) Drain(plan drain.Plan) {
+	p.init()
+	if p.plan.CompareAndSwap(nil, &plan) {
+		p.StopBegan(plan.Signal)
+		close(p.draining)
+	}
+}
+
 // awaitServers waits up to StartTimeout for a table in which every service has a member that is alive and ready; meanwhile callers' connections wait in the listener.
 func (p *Proxy) awaitServers(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, p.StartTimeout)
@@ -168,10 +185,22 @@
 		p.Metrics.GetOrCreateGauge("yuccaport_dispatch_held_bytes", func() float64 { return float64(p.callerListener.heldBytes.Load()) })
 		p.pool.Max = p.Settings.MaxCalls
 		p.baseCtx, p.kill = context.WithCancel(context.Background())
-		p.graceEnded = make(chan struct{})
+		p.draining, p.graceEnded = make(chan struct{}), make(chan struct{})
+		if p.HoldOpen == nil {
+			p.HoldOpen = never
+		}
 	})
 }
 
+// phase returns how far the planned stop is.
+func (p *Proxy) phase() drain.Phase {
+	plan := p.plan.Load()
+	if plan == nil {
+		return drain.PhaseNone
+	}
+	return plan.Phase(clock.NowWithSuspension())
+}
+
 // limits returns the bounds on callers' requests in force.
 func (p *Proxy) limits() Limits { return p.Limits().withDefaults(p.StallTimeout) }
 
@@ -187,29 +216,39 @@
 	}
 }
 
-// stop lets the requests in flight finish, then refuses or aborts those that outlast Grace.
+// stop carries out the plan of a planned stop.
 func (p *Proxy) stop() {
-	p.stopping.Store(true)
-	ctx, cancel := context.WithTimeout(p.baseCtx, p.Grace)
-	defer cancel()
-	p.callerListener.stop(ctx)
-	if ctx.Err() == nil {
+	plan := p.plan.Load()
+	_ = plan.Await(p.baseCtx, plan.Handover)
+	if p.finishBy(plan.LastAnswer, p.HoldOpen) {
 		return
 	}
 	remaining := p.callerListener.openConns()
-	p.Log.Info("ending open connections at graceful shutdown", "count", len(remaining), "reason", "grace period has ended", "grace", p.Grace.String())
+	p.Log.Info("ending open connections at graceful shutdown", "count", len(remaining), "reason", "grace period has ended", "after", plan.LastAnswer.String())
 	p.graceEndOnce.Do(func() { close(p.graceEnded) })
-	refusalCtx, cancelRefusal := context.WithTimeout(p.baseCtx, refusalTimeout)
-	defer cancelRefusal()
-	p.callerListener.stop(refusalCtx)
+	p.finishBy(plan.Kill, never)
 	p.cuts.endAll(cut.ProxyGrace)
 	p.kill()
 	p.callerListener.abort()
 	killCtx, cancelKill := context.WithTimeout(context.Background(), killTimeout)
 	defer cancelKill()
-	p.callerListener.stop(killCtx)
+	p.callerListener.stop(killCtx, never)
 }
 
+// finishBy waits for the end of all connections and reports whether they have ended by a moment of the plan, or all at once if the proxy is killed.
+func (p *Proxy) finishBy(moment time.Duration, holdOpen func() bool) bool {
+	ctx, cancel := context.WithCancel(p.baseCtx)
+	defer cancel()
+	go func() {
+		_ = p.plan.Load().Await(ctx, moment)
+		cancel()
+	}()
+	p.callerListener.stop(ctx, holdOpen)
+	return ctx.Err() == nil
+}
+
+func never() bool { return false }
+
 // connServer returns the HTTP server of the next connection, whose buffer holds a header within the limit; only the listener's accept loop calls it.
 func (p *Proxy) connServer() *fasthttp.Server {
 	size := p.limits().HeaderBytes + requestLineSize
--- a/src/dispatch/serve.go
+++ b/src/dispatch/serve.go
@@ -9,6 +9,8 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/yuccaport/yuccaport/src/clock"
+	"github.com/yuccaport/yuccaport/src/drain"
 	"github.com/yuccaport/yuccaport/src/tenants"
 	"github.com/yuccaport/yuccaport/src/wire"
 )
@@ -30,7 +32,7 @@
 	}
 	conn.setMayPipeline(isWhole)
 	p.echoRequestID(ctx)
-	if p.stopping.Load() && !conn.hasPending() || conn.hasOverflowed() { // requests that have been read are still answered
+	if p.phase() >= drain.PhaseFinish && !conn.hasPending() || conn.hasOverflowed() || conn.hasAnsweredLast() { // requests that have been read are still answered
 		ctx.SetConnectionClose()
 	}
 }
@@ -123,6 +125,11 @@
 		})
 		return
 	}
+	if !p.endsInTime(ctx, m) {
+		conn.endAfterPending()
+		p.refuse(ctx, RefuseCall{Reason: wire.ReasonLeaving, RetryAfter: minRetryAfter})
+		return
+	}
 	tenant, ok := p.identify(ctx, conn, m)
 	if !ok || !p.takeCredit(ctx, conn, m, tenant) {
 		return
@@ -142,6 +149,19 @@
 	p.newCall(ctx, conn, m, tenant, body).run()
 }
 
+// endsInTime reports whether a request whose body has yet to arrive may end before the last answer of a planned stop.
+func (p *Proxy) endsInTime(ctx *fasthttp.RequestCtx, m *Match) bool {
+	plan := p.plan.Load()
+	if plan == nil {
+		return true
+	}
+	longest := p.routeDeadline(m)
+	if d, ok := p.callerDeadline(ctx); ok {
+		longest = min(longest, d)
+	}
+	return plan.Admits(clock.NowWithSuspension(), longest)
+}
+
 // refuse answers a request that was not sent to any member.
 func (p *Proxy) refuse(ctx *fasthttp.RequestCtx, r RefuseCall) {
 	p.counters.notRun.Inc()
@@ -170,7 +190,7 @@
 		results: make(chan int, maxTotalAttempts), disconnected: make(chan struct{}, 1),
 	}
 	c.parent = p.parentOf(ctx)
-	c.deadline = c.start.Add(c.routeDeadline())
+	c.deadline = c.start.Add(p.routeDeadline(m))
 	if d, ok := p.callerDeadline(ctx); ok && c.start.Add(d).Before(c.deadline) {
 		c.deadline = c.start.Add(d)
 	}
@@ -215,11 +235,11 @@
 }
 
 // routeDeadline returns the route's deadline, or the default one, as a duration from the call's start.
-func (c *call) routeDeadline() time.Duration {
-	if d := c.match.Route.Deadline.Std(); d > 0 {
+func (p *Proxy) routeDeadline(m *Match) time.Duration {
+	if d := m.Route.Deadline.Std(); d > 0 {
 		return d
 	}
-	return c.proxy.Settings.Deadline
+	return p.Settings.Deadline
 }
 
 // mayRetryAfterRun reports whether this call, or an earlier one in the chain, may be sent again after it may have run; it is passed on to the daemons later in the chain.
