dispatch: the close of a caller's connection loses no answer

Cause: serve announced the close with the head of a streamed answer, while further requests that arrived during its body were held and never answered; Close then closed the socket at once, since the kernel's buffer was empty, and the next bytes of the caller reset the connection: what the caller had not received was gone.

A kill resets only connections whose answer is incomplete, and ends those that linger without waiting for them. A streamed answer does not announce the close; what has arrived before another answer's head is read and answered first. A connection whose last answer could not announce the close stays open for 0.2 s, so that a request that crosses its end is still answered.

--- a/src/dispatch/caller_conn.go
+++ b/src/dispatch/caller_conn.go
@@ -12,11 +12,8 @@
 	"github.com/yuccaport/yuccaport/src/problem"
 )
 
-const (
-	lingerTime  = 2 * time.Second // for reading the rest of an unread request body
-	lingerSize  = 64 << 20        // bytes of it that are read at most
-	maxOverhead = 64 << 10        // bytes of chunk sizes and trailers of a request body that are read without any of the body
-)
+// maxOverhead bounds the bytes of chunk sizes and trailers of a request body that are read without any of the body.
+const maxOverhead = 64 << 10
 
 var errTooMuchOverhead = problem.New(problem.Protocol, "request body", "chunk sizes or trailers over "+strconv.Itoa(maxOverhead)+" bytes", "send chunks without long extensions, and short trailers")
 
@@ -26,10 +23,11 @@
 	stallTimeout time.Duration // longest time without progress in a read or write
 	limits       func() Limits
 	onClose      func(*callerConn)
-	heldBytes    *atomic.Int64 // bytes in pending of all connections
-	cuts         *cuts         // nil to record none
-	written      atomic.Int64  // bytes
-	writeErr     atomic.Pointer[error]
+	heldBytes    *atomic.Int64         // bytes in pending of all connections
+	cuts         *cuts                 // nil to record none
+	written      atomic.Int64          // bytes
+	writeErr     atomic.Pointer[error] // the answer is incomplete
+	recordOnce   sync.Once
 	closeOnce    sync.Once
 	readFailed   atomic.Bool // a read has returned an error, io.EOF included
 	mayPipeline  atomic.Bool // further requests may follow the last one
@@ -47,6 +45,8 @@
 	ending             bool          // only the requests in the first answerable bytes of pending are still answered
 	answerable         int
 	ended              bool          // the connection has been closed, so that nothing more is held
+	callerEnded        bool          // a read has returned the end of the caller's side, or a failure of the connection
+	halfClosed         bool          // all answers are written and followed by the end of our side
 	backgroundReadDone chan struct{} // closed when the background read has returned, nil for none
 	aborting           bool          // abortBackgroundRead is ending the background read
 	bodyUnread         bool          // part of a request body has not been read
@@ -75,10 +75,18 @@
 	}
 	if err != nil {
 		c.readFailed.Store(true)
+		c.noteEnd(err)
 	}
 	return n, err
 }
 
+// noteEnd records a failed read, after which nothing more can arrive unless it has timed out.
+func (c *callerConn) noteEnd(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.callerEnded = c.callerEnded || !os.IsTimeout(err)
+}
+
 // hasTooMuchOverhead reports whether a request body sends chunk sizes or trailers on and on.
 func (c *callerConn) hasTooMuchOverhead() bool {
 	c.mu.Lock()
@@ -125,11 +133,16 @@
 	return n, err
 }
 
-// Close closes the connection. If part of a request body or a further request is unread, it first
-// reads on for up to lingerTime, so that the caller still receives the answer.
+// Close closes the connection once the caller has received what was written, see linger. After a
+// failed write it resets the connection.
 func (c *callerConn) Close() error {
+	if c.writeErr.Load() != nil {
+		c.recordOnce.Do(c.recordClose)
+		c.abort()
+		return nil
+	}
 	c.closeOnce.Do(func() {
-		c.recordClose()
+		c.recordOnce.Do(c.recordClose)
 		c.linger()
 		c.dropPending()
 		c.onClose(c)
@@ -137,34 +150,21 @@
 	return c.Conn.Close()
 }
 
-// linger reads on for up to lingerTime if part of a request body or a further request is unread:
-// closing at once would reset the connection, and the caller might lose the answer.
-func (c *callerConn) linger() {
-	tc, ok := c.Conn.(*net.TCPConn)
-	c.mu.Lock()
-	bodyUnread := c.bodyUnread
-	c.mu.Unlock()
-	if !ok || !bodyUnread && !c.hasUnread(tc) || tc.CloseWrite() != nil {
-		return
-	}
-	_ = tc.SetReadDeadline(time.Now().Add(lingerTime))
-	_, _ = io.CopyN(io.Discard, tc, lingerSize)
-}
-
 // abort resets the connection, so that the caller cannot take a truncated answer for a complete one.
+// If its answers are complete, it only closes the connection: the system delivers what is written.
 func (c *callerConn) abort() {
 	if c == nil {
 		return
 	}
-	if tc, ok := c.Conn.(*net.TCPConn); ok {
+	c.recordOnce.Do(c.recordAbort)
+	if tc, ok := c.Conn.(*net.TCPConn); ok && !c.isHalfClosed() {
 		_ = tc.SetLinger(0)
 	}
+	_ = c.Conn.Close() // first, since it ends a Close that lingers
 	c.closeOnce.Do(func() {
-		c.recordAbort()
 		c.dropPending()
 		c.onClose(c)
 	})
-	_ = c.Conn.Close()
 }
 
 // updateReadDeadline sets the deadline of the next read; during a graceful shutdown, that of an idle connection may have passed already.
@@ -209,6 +209,9 @@
 func (c *callerConn) setBusy(busy bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.stopping && c.busy && !busy { // the answer has not announced the close
+		c.idleDeadline = time.Now().Add(idleGrace)
+	}
 	c.busy, c.headerDeadline, c.readsBody = busy, time.Time{}, false
 	c.header = headerScanner{done: busy}
 }
@@ -217,9 +220,10 @@
 func (c *callerConn) stop(idleDeadline time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.stopping {
-		c.stopping, c.idleDeadline = true, idleDeadline
+	if c.stopping {
+		return
 	}
+	c.stopping, c.idleDeadline = true, idleDeadline
 	if !c.busy {
 		_ = c.SetReadDeadline(c.idleDeadline)
 	}
--- a/src/dispatch/caller_held.go
+++ b/src/dispatch/caller_held.go
@@ -113,16 +113,16 @@
 		})
 		switch {
 		case readErr != nil:
-			c.pendingErr = readErr
+			c.pendingErr, c.callerEnded = readErr, true
 			return
 		case errors.Is(err, unix.EINTR):
 		case errors.Is(err, unix.EAGAIN):
 			return
 		case err != nil:
-			c.pendingErr = os.NewSyscallError("read", err)
+			c.pendingErr, c.callerEnded = os.NewSyscallError("read", err), true
 			return
 		case n == 0:
-			c.pendingErr = io.EOF
+			c.pendingErr, c.callerEnded = io.EOF, true
 			return
 		default:
 			c.hold(buf[:n])
--- a/src/dispatch/caller_watch.go
+++ b/src/dispatch/caller_watch.go
@@ -57,7 +57,7 @@
 	case c.aborting && os.IsTimeout(err):
 		return false, false
 	}
-	c.pendingErr = err
+	c.pendingErr, c.callerEnded = err, true
 	return false, true
 }
 
--- a/src/dispatch/serve.go
+++ b/src/dispatch/serve.go
@@ -32,7 +32,7 @@
 	}
 	conn.setMayPipeline(isWhole)
 	p.echoRequestID(ctx)
-	if p.phase() >= drain.PhaseFinish && !conn.hasPending() || conn.hasOverflowed() || conn.hasAnsweredLast() { // requests that have been read are still answered
+	if p.phase() >= drain.PhaseFinish && conn.mayAnnounceClose(ctx.Response.IsBodyStream()) || conn.hasOverflowed() || conn.hasAnsweredLast() {
 		ctx.SetConnectionClose()
 	}
 }
