link: an answer whose link has ended does not look complete

Where the peer had closed the link, that is io.EOF, and the proxy took an answer without a length, broken off, for a whole one.

Change: LostError matches io.ErrUnexpectedEOF alone. TestProxyCuts checks the lines on requests in each state, and this case.

--- a/src/link/lost_error.go
+++ b/src/link/lost_error.go
@@ -16,8 +16,8 @@
 // Error returns who ended the link and why.
 func (e *LostError) Error() string { return e.By.String() + ": " + e.Cause.Error() }
 
-// Unwrap returns io.ErrUnexpectedEOF and the cause.
-func (e *LostError) Unwrap() []error { return []error{io.ErrUnexpectedEOF, e.Cause} }
+// Unwrap returns io.ErrUnexpectedEOF, and not the cause: an io.EOF would make the answer look complete.
+func (e *LostError) Unwrap() error { return io.ErrUnexpectedEOF }
 
 // linkEnder returns who closed a link for the given reason.
 func linkEnder(err error) cut.Ender {
