--- a/src/report/builder.go
+++ b/src/report/builder.go
@@ -32,7 +32,8 @@
 	routes   map[string]*Route
 	waits    map[string]*waitSum
 	servers  map[string]*Server
-	isDown   map[string]bool   // by agent, since its last line on it
+	isDown   map[string]bool // by agent, since its last line on it
+	cuts     map[cutKey]*Cut
 	windows  map[int64]*window // by number since the Unix epoch
 }
 
@@ -56,6 +57,7 @@
 	b.pending, b.services = map[string]pendingCall{}, map[string]string{}
 	b.routes, b.waits, b.servers = map[string]*Route{}, map[string]*waitSum{}, map[string]*Server{}
 	b.windows, b.isDown = map[int64]*window{}, map[string]bool{}
+	b.cuts = map[cutKey]*Cut{}
 }
 
 // Read adds the lines of a log. A line without an end, as of a log that is still written, counts as
@@ -98,6 +100,10 @@
 	if l.Agent != "" && !b.isDown[l.Agent] {
 		b.window(l.Time).serving[l.Agent] = true
 	}
+	if l.Message == "request cut" {
+		b.addCut(l)
+		return
+	}
 	switch l.Logger {
 	case "dispatch":
 		b.addCall(l)
@@ -260,6 +266,7 @@
 		}
 		out.Routes = append(out.Routes, r)
 	}
+	out.Cuts = b.sortedCuts()
 	out.Bounds = b.bounds(out.Routes)
 	idle := b.idleSlots()
 	for _, agent := range slices.Sorted(maps.Keys(b.servers)) {
--- a/src/report/line.go
+++ b/src/report/line.go
@@ -26,6 +26,9 @@
 	Objective int64     `json:"objective_ms"`
 	Is        string    `json:"is"`
 	Leaving   bool      `json:"leaving"`
+	State     any       `json:"state"` // a string in the lines that are read here
+	EndedBy   string    `json:"ended_by"`
+	SignalMS  *int64    `json:"since_signal_ms"` // nil outside a planned stop
 }
 
 // parseLine parses a log line, which may follow a prefix such as the name of its process.
--- a/src/report/report.go
+++ b/src/report/report.go
@@ -11,6 +11,7 @@
 	Routes  []Route   `json:"routes"`  // by name
 	Bounds  []Bound   `json:"bounds"`  // by service
 	Servers []Server  `json:"servers"` // by agent
+	Cuts    []Cut     `json:"cuts"`    // the most frequent first
 	Windows []Window  `json:"windows"` // the worst first
 }
 
--- a/src/report/report_test.go
+++ b/src/report/report_test.go
@@ -58,6 +58,26 @@
 	return fmt.Sprintf("%s %s %d %.2f %.2f %.2f %.2f %d", s.Agent, s.Service, s.Slots, s.Answers, s.InVain, s.Unanswered, s.IdleRefused, s.Refusals)
 }
 
+// TestReportCuts checks the counts of requests that were cut, by state and by who ended them.
+func TestReportCuts(t *testing.T) {
+	c := qt.New(t)
+	b := &Builder{}
+	c.Assert(b.Read(strings.NewReader(`{"time":"2026-03-01T10:00:00Z","msg":"entry or tombstone written","agent":"a","state":1}
+{"time":"2026-03-01T10:00:00Z","logger":"dispatch","msg":"request cut","agent":"a","request_id":"r1","route":"read","state":"sent","ended_by":"proxy_grace","since_signal_ms":5400}
+{"time":"2026-03-01T10:00:00Z","logger":"dispatch","msg":"request cut","agent":"a","request_id":"r2","route":"read","state":"sent","ended_by":"proxy_grace","since_signal_ms":5300}
+{"time":"2026-03-01T10:00:00Z","logger":"link","msg":"request cut","agent":"b","request_id":"r3","route":"read","state":"sent","ended_by":"link_closed"}
+`)), qt.IsNil)
+	r := b.Report()
+	c.Check(r.Skipped, qt.Equals, 0)
+	c.Check(r.Cuts, qt.DeepEquals, []Cut{
+		{"dispatch", "sent", "proxy_grace", 2, 2, 5300, 5400, []string{"r1", "r2"}},
+		{"link", "sent", "link_closed", 1, 0, 0, 0, []string{"r3"}},
+	})
+	var table bytes.Buffer
+	c.Assert(r.WriteTable(&table, 1), qt.IsNil)
+	c.Check(table.String(), qt.Matches, `(?s).*dispatch +sent +proxy_grace +2 +2 +5300-5400 ms +r1 r2\n.*`)
+}
+
 // TestReportUse checks that a run counts in each window in which it held its slot.
 func TestReportUse(t *testing.T) {
 	c := qt.New(t)
--- a/src/report/table.go
+++ b/src/report/table.go
@@ -9,6 +9,8 @@
 	"text/tabwriter"
 )
 
+const maxIDsInTable = 3 // of requests that were cut; all are in the JSON
+
 // WriteTable writes the report for people, with the worst windows, at most the given number.
 func (r *Report) WriteTable(w io.Writer, windows int) error {
 	fmt.Fprintf(w, "%d log lines from %s to %s, %d lines skipped\n\n", r.Lines, r.From.Format("15:04:05.000"), r.To.Format("15:04:05.000"), r.Skipped)
@@ -28,6 +30,7 @@
 		fmt.Fprintf(t, "%s\t%s\t%d\t%.1f s\t%.1f s\t%.1f s\t%.1f s\t%d\n", x.Agent, x.Service, x.Slots, x.Answers, x.InVain, x.Unanswered, x.IdleRefused, x.Refusals)
 	}
 	fmt.Fprintln(t, "\t")
+	r.writeCuts(t)
 	fmt.Fprintln(t, "WINDOW\tASKED\tLOST\tLATE\tIDLE SLOTS\tLARGEST CAUSES")
 	for _, x := range r.Windows[:min(windows, len(r.Windows))] {
 		causes := []string{}
@@ -39,6 +42,19 @@
 	return t.Flush()
 }
 
+// writeCuts writes the requests that were cut, with the first of their IDs, if there are any.
+func (r *Report) writeCuts(w io.Writer) {
+	if len(r.Cuts) == 0 {
+		return
+	}
+	fmt.Fprintln(w, "CUT AT\tSTATE\tBY\tREQUESTS\tAT OWN STOP\tSINCE SIGNAL\tREQUEST IDS")
+	for _, x := range r.Cuts {
+		ids := x.IDs[:min(len(x.IDs), maxIDsInTable)]
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d-%d ms\t%s\n", x.Logger, x.State, x.By, x.Requests, x.Stopping, x.FirstMS, x.LastMS, strings.Join(ids, " "))
+	}
+	fmt.Fprintln(w, "\t")
+}
+
 // formatCounts formats counts by name, "0" for none.
 func formatCounts(counts map[string]int) string {
 	parts := []string{}
