dispatch: a request has one line when its connection is reset

Cause: a streamed answer that was cut was also logged as answer_written if the reset found bytes in the send buffer. TestProxyCuts, with the race detector, found it; it also stopped the proxy before it had accepted the connection, and such a request can have no line.

Change: answer_written is logged for whole answers alone. The test makes sure that the connection has been accepted.

--- a/src/dispatch/caller_cut.go
+++ b/src/dispatch/caller_cut.go
@@ -65,18 +65,8 @@
 	bodyUnread := c.bodyUnread
 	held := bytes.Clone(c.pending)
 	c.mu.Unlock()
-	inProgress := false
-	if p != nil {
-		p.mu.Lock()
-		inProgress = !p.ended
-		p.mu.Unlock()
-	}
-	if unacked := c.unacked(); resets && !inProgress && p != nil && unacked > 0 {
-		p.mu.Lock()
-		q := p.request
-		p.mu.Unlock()
-		q.State, q.By, q.Unacked, q.Missing = cut.AnswerWritten, by, unacked, 0
-		c.cuts.Record(q)
+	if resets {
+		p.cutWritten(by)
 	}
 	p.cut(by, "")
 	if readsHeader {
--- a/src/dispatch/cuts_test.go
+++ b/src/dispatch/cuts_test.go
@@ -1,11 +1,13 @@
 package dispatch_test
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -101,13 +103,20 @@
 			conn, err := net.Dial("tcp", strings.TrimPrefix(p.url, "http://"))
 			c.Assert(err, qt.IsNil)
 			defer conn.Close()
+			_, err = io.WriteString(conn, "GET /other HTTP/1.1\r\nHost: bookings.example\r\n\r\n")
+			c.Assert(err, qt.IsNil)
+			br := bufio.NewReader(conn)
+			resp, err := http.ReadResponse(br, nil) // now the connection has been accepted
+			c.Assert(err, qt.IsNil)
+			_, err = io.Copy(io.Discard, resp.Body)
+			c.Assert(err, qt.IsNil)
 			_, err = io.WriteString(conn, tc.sent)
 			c.Assert(err, qt.IsNil)
 			if !strings.HasPrefix(tc.want[0], " header") && !strings.HasPrefix(tc.want[0], "r1 body") {
 				<-started
 			}
 			if tc.length != 0 && !strings.Contains(tc.want[0], "arriving") {
-				_, err = io.ReadFull(conn, make([]byte, 200)) // the answer has begun
+				_, err = io.ReadFull(br, make([]byte, 200)) // the answer has begun
 				c.Check(err, qt.IsNil)
 			}
 			p.StopBegan(time.Now())
--- a/src/dispatch/progress.go
+++ b/src/dispatch/progress.go
@@ -15,6 +15,7 @@
 	request  cut.Request
 	streamed bool // its answer is passed on while it arrives
 	ended    bool // written, or recorded as cut
+	written  bool // the whole answer has been written
 }
 
 // begin sets the ID and route once the route is known.
@@ -81,8 +82,28 @@
 // complete records that the whole answer has been written.
 func (p *progress) complete() {
 	q, streamed, ok := p.end()
-	if ok && streamed {
+	if !ok {
+		return
+	}
+	p.mu.Lock()
+	p.written = true
+	p.mu.Unlock()
+	if streamed {
 		s := p.conn.cuts
 		s.WithSignal(s.Log).Info("answer ended", "request_id", q.ID, "route", q.Route, "status", q.Status, "written_bytes", q.Written)
 	}
 }
+
+// cutWritten records that the connection is reset before the caller has acknowledged the whole answer.
+func (p *progress) cutWritten(by cut.Ender) {
+	if p == nil {
+		return
+	}
+	p.mu.Lock()
+	q, written := p.request, p.written
+	p.mu.Unlock()
+	if q.Unacked = p.conn.unacked(); written && q.Unacked > 0 {
+		q.State, q.By, q.Written, q.Missing = cut.AnswerWritten, by, p.conn.written.Load()-p.writtenBefore, 0
+		p.conn.cuts.Record(q)
+	}
+}
