dispatch, drain: a stopping agent takes no call whose answer usually ends too late

Callers saw: downloads sent up to 2.2 s after the signal were reset at 5.55 s, 0.45 s before the process is killed, their server long done: slow links, or callers that read slowly.

Cause: the stop reset connections long before its end, and until the handover a call was taken whatever its answer usually takes to reach its caller.

Change: connections are reset 0.2 s before the kill. The core learns how long the answers of a route take from head to end, and a stopping agent refuses a call that is not expected to end in time.

--- a/src/dispatch/attempt_result.go
+++ b/src/dispatch/attempt_result.go
@@ -32,7 +32,7 @@
 			return out
 		}
 	}
-	cs.accepted = true
+	cs.accepted, cs.acceptedAt = true, now
 	return append(c.cancelOthers(now, cs, e.Attempt), AcceptAnswer{Call: cs.id, Attempt: e.Attempt})
 }
 
@@ -185,6 +185,7 @@
 		return
 	}
 	a.end()
+	c.answerTimes.add(cs.routeKey(), now.Sub(cs.acceptedAt)) // also if it was cut, which it was no sooner
 	if e.Truncated {
 		c.observeFailure(now, a.server, wire.ReasonCut, Load{})
 	}
--- a/src/dispatch/call_state.go
+++ b/src/dispatch/call_state.go
@@ -41,6 +41,7 @@
 	counted        *serviceRollout // whose limiter has counted the call, nil for none
 	countedOrder   uint64          // under which it was counted
 	accepted       bool            // an answer is being passed on to the caller
+	acceptedAt     time.Time
 }
 
 // attemptState is one attempt of a call.
--- a/src/dispatch/call_stop.go
+++ b/src/dispatch/call_stop.go
@@ -32,7 +32,8 @@
 		return true
 	}
 	serviceTime := ch.server.serviceTime(now, cs.policy.Route)
-	expected := c.transferTime(ch.server, cs) + c.expectedAnswerWait(now, ch.server, cs, serviceTime) + serviceTime
+	transfer := max(c.transferTime(ch.server, cs), c.answerTimes.usual(cs.routeKey()))
+	expected := transfer + c.expectedAnswerWait(now, ch.server, cs, serviceTime) + serviceTime
 	return max(expected, e.Longest) <= e.EndWithin
 }
 
--- a/src/dispatch/core.go
+++ b/src/dispatch/core.go
@@ -18,6 +18,7 @@
 	calls           map[uint64]*callState
 	inFlightByRoute map[routeKey]int // calls in flight of the routes that have any
 	answerSizes     answerSizes
+	answerTimes     answerTimes
 	patience        callerPatience
 	latencies       []float64 // of expectedLatencies
 	sharedVMs       bool      // a backend server has reported the speed of its VM
--- a/src/drain/plan.go
+++ b/src/drain/plan.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	exitMargin     = 300 * time.Millisecond // from the reset of what remains until the process is killed
+	exitMargin     = 200 * time.Millisecond // from the reset of what remains until the process is killed
 	deliveryMargin = 150 * time.Millisecond // from the last answers of this process until then, for callers to get them
 	marginShare    = 10                     // a margin is at most this part of the grace
 	maxSleep       = 100 * time.Millisecond // timers do not count the suspension of the VM, so that long waits look at the clock
