link: a draining end serves a message that its goaway covers

Cause: a message may be overtaken on its link by a call with a higher ID. The goaway frame then covers the message, but the accepting end dropped it; its sender waited until its time was over, and kept the link open for as long.

Change: only messages above the last ID of the goaway frame are dropped.

--- a/src/link/drain_test.go
+++ b/src/link/drain_test.go
@@ -86,3 +86,24 @@
 		})
 	}
 }
+
+// A goaway frame covers a message that a call has overtaken on the link; its sender would wait for
+// the answer until its time is over.
+func TestDrainServesOvertakenMessage(t *testing.T) {
+	server := &Pool{Self: 2, Calls: callHandlerFunc(echo), Messages: messageHandlerFunc(func(_ Peer, _ MessageKind, payload []byte) ([]byte, error) { return payload, nil })}
+	to, stop := startPool(t, server)
+	peer := dialFakePeer(t, to)
+	peer.send(wire.FrameOpen, &wire.OpenFrame{Call: 2})
+	peer.expect(wire.FrameEnd, &wire.EndFrame{})
+	go stop()
+	var goaway wire.GoawayFrame
+	peer.expect(wire.FrameGoaway, &goaway)
+	qt.Assert(t, goaway.Last, qt.Equals, uint64(2))
+	peer.send(wire.FrameMessage, &wire.MessageFrame{ID: 3, Last: true}) // not covered
+	peer.send(wire.FrameMessage, &wire.MessageFrame{ID: 1, Last: true})
+	var answer wire.AnswerFrame
+	_ = peer.nc.SetDeadline(time.Now().Add(time.Second))
+	peer.expect(wire.FrameAnswer, &answer)
+	qt.Assert(t, answer.ID, qt.Equals, uint64(1))
+	_ = peer.nc.Close()
+}
--- a/src/link/message.go
+++ b/src/link/message.go
@@ -111,7 +111,8 @@
 	c.mu.Lock()
 	m, ok := c.partialMessages[f.ID]
 	_, isRefused := c.refusedMessages[f.ID]
-	if isRefused || !ok && c.closing {
+	isRefused = isRefused || !ok && c.closing && f.ID > c.lastID // the goaway frame covers one that calls have overtaken
+	if isRefused {
 		if f.Last {
 			delete(c.refusedMessages, f.ID)
 		}
