link: an upload that crosses a goaway no longer ends its link

Callers: at the stop of the agent beside the server, calls of other agents were lost as possibly run, and answers broke off, all at once. Cause: a call opened after the goaway frame was sent is dropped, as the dialling end knows it to be; its data was then taken for that of a call never opened, a protocol error, which closed the link with all calls in progress.

Change: a draining end drops all frames of calls above the last ID of its goaway frame.

--- a/src/link/drain_test.go
+++ b/src/link/drain_test.go
@@ -87,9 +87,10 @@
 	}
 }
 
-// A goaway frame covers a message that a call has overtaken on the link; its sender would wait for
-// the answer until its time is over.
-func TestDrainServesOvertakenMessage(t *testing.T) {
+// Frames that cross a goaway frame must not end the link: an upload on its way would cut all calls
+// in progress. The goaway frame covers a message that a call has overtaken on the link; its sender
+// would wait for the answer until its time is over.
+func TestFramesCrossingGoaway(t *testing.T) {
 	server := &Pool{Self: 2, Calls: callHandlerFunc(echo), Messages: messageHandlerFunc(func(_ Peer, _ MessageKind, payload []byte) ([]byte, error) { return payload, nil })}
 	to, stop := startPool(t, server)
 	peer := dialFakePeer(t, to)
@@ -99,7 +100,11 @@
 	var goaway wire.GoawayFrame
 	peer.expect(wire.FrameGoaway, &goaway)
 	qt.Assert(t, goaway.Last, qt.Equals, uint64(2))
-	peer.send(wire.FrameMessage, &wire.MessageFrame{ID: 3, Last: true}) // not covered
+	peer.send(wire.FrameOpen, &wire.OpenFrame{Call: 3, Head: wire.CallHead{BodyLength: -1}})
+	peer.send(wire.FrameData, &wire.DataFrame{Call: 3, Bytes: []byte("x")})
+	peer.send(wire.FrameEnd, &wire.EndFrame{Call: 3})
+	peer.send(wire.FrameWindow, &wire.WindowFrame{Call: 3, Add: 1})
+	peer.send(wire.FrameMessage, &wire.MessageFrame{ID: 4, Last: true})
 	peer.send(wire.FrameMessage, &wire.MessageFrame{ID: 1, Last: true})
 	var answer wire.AnswerFrame
 	_ = peer.nc.SetDeadline(time.Now().Add(time.Second))
--- a/src/link/receive.go
+++ b/src/link/receive.go
@@ -129,10 +129,13 @@
 	return nil
 }
 
-// findBody returns the receive buffer and the send flow of a call in progress. The buffer is nil before the head of an answer. Both are nil if the call has ended, so that its late frames are dropped.
+// findBody returns the receive buffer and the send flow of a call in progress. The buffer is nil before the head of an answer. Both are nil if the call has ended or was opened after the goaway frame, so that its frames are dropped.
 func (c *connection) findBody(id uint64) (*recvBuffer, *sendFlow, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if id > c.lastID && c.closing && !c.dialed {
+		return nil, nil, nil // its open frame has crossed the goaway frame
+	}
 	if id == 0 || id > c.lastID {
 		return nil, nil, protocolError(c.peer.Addr.String(), fmt.Sprintf("call %d was not opened", id))
 	}
