link: a lost link is logged with the requests that it carried

Cause: a link closed at a stop was logged at V(1) whatever it carried, and the count was taken after the handlers of its calls had returned, so it showed 0.

--- a/src/link/connection.go
+++ b/src/link/connection.go
@@ -13,7 +13,10 @@
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
-const acceptedIdleFactor = 5 // an accepted link is closed after this many idle timeouts, in case the dialling end has not closed it
+const (
+	acceptedIdleFactor = 5  // an accepted link is closed after this many idle timeouts, in case the dialling end has not closed it
+	maxLoggedCalls     = 32 // most requests that are named when their link is lost
+)
 
 // connection is an established link, after both hellos. Only the dialling end opens calls and sends messages on it; the accepting end answers them.
 type connection struct {
@@ -39,6 +42,8 @@
 	closing         bool                        // no new calls or messages
 	lastUsed        time.Time                   // when a call or message was last seen in progress
 	err             error
+	carried         int      // calls and messages in progress when err was set
+	carriedIDs      []string // requests among them, at most maxLoggedCalls
 
 	written atomic.Int64 // bytes written to the socket
 
@@ -101,6 +106,7 @@
 	if first {
 		c.err = err
 		c.closing = true
+		c.noteCarried()
 	}
 	c.mu.Unlock()
 	if !first {
@@ -111,6 +117,18 @@
 	return true
 }
 
+// noteCarried records the calls and messages in progress, before their handlers return; c.mu must be held.
+func (c *connection) noteCarried() {
+	c.carried = len(c.outboundCalls) + len(c.exchanges) + len(c.inboundCalls) + len(c.partialMessages)
+	for _, o := range c.outboundCalls {
+		c.carriedIDs = append(c.carriedIDs, o.traceID)
+	}
+	for _, in := range c.inboundCalls {
+		c.carriedIDs = append(c.carriedIDs, in.head.TraceID)
+	}
+	c.carriedIDs = c.carriedIDs[:min(len(c.carriedIDs), maxLoggedCalls)]
+}
+
 // endPending ends the calls and messages that were in progress when the link was closed.
 func (c *connection) endPending() {
 	c.mu.Lock()
@@ -130,14 +148,16 @@
 	for _, m := range partialMessages {
 		m.discard()
 	}
-	c.logClosed(err, len(outboundCalls)+len(exchanges)+len(inboundCalls)+len(partialMessages))
+	c.logClosed(err)
 }
 
-// logClosed logs why the link was closed, an orderly close at V(1). An EOF is orderly if nothing was in progress.
-func (c *connection) logClosed(err error, pending int) {
-	log := c.pool.Log.WithValues("peer", c.peer.ID, "addr", c.peer.Addr.String(), "dialed", c.dialed, "carried", pending)
+// logClosed logs why the link was closed and the requests that it carried, an orderly close without any at V(1).
+func (c *connection) logClosed(err error) {
+	log := c.pool.Log.WithValues("peer", c.peer.ID, "addr", c.peer.Addr.String(), "dialed", c.dialed, "carried", c.carried)
 	switch {
-	case errors.Is(err, io.EOF) && pending == 0, errors.Is(err, errLinkIdle), errors.Is(err, errLinkDrained), errors.Is(err, errPoolStopped):
+	case c.carried > 0:
+		log.Info("link closed", "reason", err.Error(), "request_ids", c.carriedIDs)
+	case errors.Is(err, io.EOF), errors.Is(err, errLinkIdle), errors.Is(err, errLinkDrained), errors.Is(err, errPoolStopped):
 		log.V(1).Info("link closed", "reason", err.Error())
 	default:
 		log.Info("link closed", "reason", err.Error())
--- a/src/link/pool_test.go
+++ b/src/link/pool_test.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr/funcr"
 
 	"github.com/yuccaport/yuccaport/src/wire"
 )
@@ -80,19 +82,29 @@
 	}
 }
 
-// Calls still in flight when the grace period ends are cut, as calls that may have run.
+// Calls still in flight when the grace period ends are cut, as calls that may have run, and named in the log.
 func TestGracePeriodExpiry(t *testing.T) {
 	started := make(chan struct{})
-	server := &Pool{Self: 2, Grace: time.Millisecond, Calls: callHandlerFunc(func(ctx context.Context, _ InboundCall) {
+	var mu sync.Mutex
+	var log strings.Builder
+	server := &Pool{Self: 2, Grace: time.Millisecond, Log: funcr.New(func(_, line string) {
+		mu.Lock()
+		defer mu.Unlock()
+		log.WriteString(line)
+	}, funcr.Options{}), Calls: callHandlerFunc(func(ctx context.Context, _ InboundCall) {
 		close(started)
 		<-ctx.Done()
 	})}
 	to, stop := startPool(t, server)
 	p := startClient(t)
-	ch := startCall(t, p, to, "a", nil, 0)
+	outcome := make(chan Outcome, 1)
+	go func() { outcome <- p.Call(testContext(t), to, wire.CallHead{Target: to.ID, TraceID: "r-7"}, nil) }()
 	<-started
 	stop()
-	qt.Assert(t, (<-ch).refusal(t), qt.Equals, wire.Refusal{Reason: wire.ReasonLinkLost, MayHaveRun: true})
+	qt.Assert(t, <-outcome, qt.Equals, Outcome(Refused{wire.Refusal{Reason: wire.ReasonLinkLost, MayHaveRun: true}}))
+	mu.Lock()
+	defer mu.Unlock()
+	qt.Assert(t, strings.Contains(log.String(), `"carried"=1 "reason"="daemon is stopping" "request_ids"=["r-7"]`), qt.IsTrue, qt.Commentf("%s", log.String()))
 }
 
 // Kill ends calls in flight as calls that may have run; later calls have not run.
