--- a/src/agent/run.go
+++ b/src/agent/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"sync"
 	"time"
 
@@ -128,17 +127,3 @@
 	a.Metrics.WritePrometheus(ctx)
 	metrics.WriteProcessMetrics(ctx)
 }
-
-// serveHTTP serves HTTP on a listener until ctx is done.
-func serveHTTP(ctx context.Context, l net.Listener, h fasthttp.RequestHandler) error {
-	s := &fasthttp.Server{Handler: h, Name: "yuccaport", NoDefaultServerHeader: true, NoDefaultDate: true, ReadBufferSize: 4 << 10, CloseOnShutdown: true}
-	failed := make(chan error, 1)
-	go func() { failed <- s.Serve(l) }()
-	select {
-	case err := <-failed:
-		return err
-	case <-ctx.Done():
-	}
-	_ = l.Close()
-	return nil
-}
