dispatch: the header timeout covers a further request that was held

Cause: readPending marked the connection busy without starting the timeout, so that half a header that had arrived behind a request had only the stall timeout; a stop waited for it until its grace ended and reset the connection.

Change: both ways to begin a request start the timeout.

--- a/src/dispatch/caller_conn.go
+++ b/src/dispatch/caller_conn.go
@@ -189,10 +189,15 @@
 func (c *callerConn) startRequest(b []byte) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.beginRequest()
+	return c.keepBehindHeader(b)
+}
+
+// beginRequest marks an idle connection busy and starts the timeout of a header; the caller must hold c.mu.
+func (c *callerConn) beginRequest() {
 	if !c.busy {
 		c.busy, c.headerDeadline = true, time.Now().Add(c.limits().HeaderTimeout)
 	}
-	return c.keepBehindHeader(b)
 }
 
 // headerTimedOut reports whether the timeout of a header that has begun to arrive has passed.
--- a/src/dispatch/caller_held.go
+++ b/src/dispatch/caller_held.go
@@ -89,7 +89,7 @@
 	}
 	n := c.header.scan(b[:copy(b, c.pending)])
 	c.release(n)
-	c.busy = true
+	c.beginRequest()
 	return n, nil
 }
 
--- a/src/dispatch/caller_linger_test.go
+++ b/src/dispatch/caller_linger_test.go
@@ -30,6 +30,7 @@
 		answers          int // to all requests
 	}{
 		"stop":             {firstRequest, pipelined(1), true, 200, 2},
+		"stop, half a one": {firstRequest, pipelined(1)[:20], true, 200, 2},
 		"asked for":        {"GET /diary HTTP/1.1\r\nHost: bookings.example\r\nConnection: close\r\n\r\n", pipelined(1), false, 200, 1},
 		"HTTP/1.0":         {"GET /diary HTTP/1.0\r\nHost: bookings.example\r\n\r\n", pipelined(1), false, 200, 1},
 		"unreadable":       {"GET /diary HTTP/1.1\r\nHost bookings.example\r\n\r\n", pipelined(1), false, 400, 1},
