agent: a SIGHUP just after the start does not end the agent

Operators saw: a SIGHUP 0.1 to 0.2 s after a start ended the process for good, with its requests.

Cause: the signal was caught only once the component that reloads the settings ran; until then the default action, to end the process, applied.

Change: the command catches it before anything else and passes it to the agent.

Not shown by a test of its own: the gap is a few milliseconds wide.

--- a/src/agent/agent.go
+++ b/src/agent/agent.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,8 +30,9 @@
 //
 // Its exported fields are set before Build. Settings, Store, Keys, DecodeConfig, both handlers and all listeners but MetricsListener are required. DecodeConfig must be safe for concurrent use. Run must be called at most once. The other methods may be called concurrently once Build has returned; the handlers may always call them, since Run serves after Build.
 type Agent struct {
-	Settings     Settings // Run changes StopGrace and Heartbeat on a reload; not to be read while Run runs
-	SettingsFile string   // read again when it changes and on SIGHUP; if empty, the settings are not reloaded
+	Settings     Settings         // Run changes StopGrace and Heartbeat on a reload; not to be read while Run runs
+	SettingsFile string           // read again when it changes and on each value of Reload; if empty, the settings are not reloaded
+	Reload       <-chan os.Signal // nil for none
 	Store        registry.Store
 	Keys         registry.Keys
 	Headers      header.Names                        // zero for header.Default
--- a/src/agent/reload.go
+++ b/src/agent/reload.go
@@ -3,18 +3,13 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 )
 
 const settingsPollInterval = time.Second // interval between checks of the settings file's modification time
 
-// watchSettings reloads the settings on SIGHUP and when the file's modification time changes.
+// watchSettings reloads the settings on a value of Reload and when the file's modification time changes.
 func (a *Agent) watchSettings(ctx context.Context) error {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	t := time.NewTicker(settingsPollInterval)
 	defer t.Stop()
 	lastModTime := a.settingsModTime()
@@ -22,7 +17,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-hup:
+		case <-a.Reload:
 			a.reload("SIGHUP")
 		case <-t.C:
 			if at := a.settingsModTime(); !at.Equal(lastModTime) {
--- a/src/command/agent.go
+++ b/src/command/agent.go
@@ -35,6 +35,9 @@
 }
 
 func runAgent(ctx context.Context, cmd *cli.Command) error {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP) // first, since a SIGHUP without a handler ends the process
+	defer signal.Stop(hup)
 	file := cmd.String("config")
 	s, err := agent.LoadSettings(file)
 	if err != nil {
@@ -51,7 +54,7 @@
 	if err != nil {
 		return err
 	}
-	a.SettingsFile = file
+	a.SettingsFile, a.Reload = file, hup
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(s.MemoryMB) << 20 / memoryPart)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
