--- a/src/link/cuts_test.go
+++ b/src/link/cuts_test.go
@@ -45,7 +45,7 @@
 			server.Log, client.Log = cutLog(serverCuts), cutLog(clientCuts)
 			to, stop := startPool(t, server)
 			body, w := io.Pipe()
-			defer w.Close()
+			defer func() { _ = w.Close() }()
 			go client.Call(testContext(t), to, wire.CallHead{Target: 2, TraceID: "r1", BodyLength: tc.bodyLength}, body)
 			<-started
 			server.StopBegan(time.Now())
