link: a message whose link ends does not wait for ever

Callers and operators saw: a stop that hung until the process was killed, and an exchange that did not return at its deadline.

Cause: when a link failed, its queued bulk frames were dropped and the flow that waited for its frame to be taken was not woken; calls stop their flows, messages never do.

Change: the flows of dropped frames are woken. TestSendMessageEndsWithLink deadlocked before.

--- a/src/link/send_message_test.go
+++ b/src/link/send_message_test.go
@@ -56,3 +56,18 @@
 		writers.Wait()
 	})
 }
+
+// A link that ends while a message waits for its previous frame: its sender must not wait for ever,
+// and with it the stop of the Pool.
+func TestSendMessageEndsWithLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := &sendQueue{}
+		q.init()
+		f, sent := q.newMessageFlow(), make(chan error, 1)
+		qt.Assert(t, q.sendMessage(f, make([]byte, chunkSize)), qt.IsNil)
+		go func() { sent <- q.sendMessage(f, make([]byte, chunkSize)) }()
+		synctest.Wait()
+		q.fail(errPoolKilled)
+		qt.Check(t, <-sent, qt.Equals, errPoolKilled)
+	})
+}
--- a/src/link/send_queue.go
+++ b/src/link/send_queue.go
@@ -175,7 +175,7 @@
 	q.urgentRoom.Broadcast()
 }
 
-// close ends the sending of further frames; the writer still takes those that are queued. It does not wake senders that wait for their flow: a call stops its flow when it ends, but the flow of a message is never stopped, so a sender that waits in sendMessage hangs.
+// close ends the sending of further frames; the writer still takes those that are queued.
 func (q *sendQueue) close(err error) {
 	q.mu.Lock()
 	q.closeLocked(err)
@@ -185,8 +185,13 @@
 // fail does as close and drops the queued frames.
 func (q *sendQueue) fail(err error) {
 	q.mu.Lock()
+	dropped := q.bulk
 	q.urgent, q.bulk = nil, nil
 	q.closeLocked(err)
+	for _, b := range dropped { // their senders wait until they are taken
+		b.sendFlow.frameQueued = false
+		b.sendFlow.ready.Broadcast()
+	}
 	q.mu.Unlock()
 }
 
