dispatch: a stopping proxy sends no further attempt that ends too late

Cause: only arriving calls were checked against the end of the stop. Also found there: the first answer of a route counted threefold in the usual time of its answers; answers that were read before they were passed on counted as if they took no time; the deadline of a parent call was not looked at; a payment kept its goroutine busy after the last answer.

Change: the core knows when calls end (StopBegan) and checks each attempt; only streamed answers count, and a first one with its own time.

--- a/src/dispatch/answer.go
+++ b/src/dispatch/answer.go
@@ -48,7 +48,7 @@
 
 // endAttempt reports to the core that an accepted answer has ended, and cancels the attempt's context.
 func (c *call) endAttempt(a *attempt, truncated bool) {
-	c.proxy.step(AttemptEnded{Call: c.id, Attempt: a.number, Truncated: truncated})
+	c.proxy.step(AttemptEnded{Call: c.id, Attempt: a.number, Truncated: truncated, Streamed: c.streaming.Load()})
 	a.cancel()
 }
 
--- a/src/dispatch/answer_time.go
+++ b/src/dispatch/answer_time.go
@@ -21,7 +21,7 @@
 	}
 	a, ok := t.byRoute[k]
 	if !ok {
-		a = answerTime{mean: d, deviation: d / 2}
+		a.mean = d
 	}
 	diff := d - a.mean
 	a.mean += diff / answerTimeDivisor
--- a/src/dispatch/arrival.go
+++ b/src/dispatch/arrival.go
@@ -9,6 +9,9 @@
 // callArrived sends a call's first attempt or refuses the call.
 func (c *Core) callArrived(now time.Time, e CallArrived) []Action {
 	cs := &callState{id: e.Call, policy: e.Policy, deadline: now.Add(e.Remaining), parentRetries: e.ParentRetries, hasBody: e.HasBody, bodyLength: e.BodyLength}
+	if e.EndWithin != 0 {
+		c.endBy = now.Add(e.EndWithin)
+	}
 	cs.answerSize = c.answerSizes.mean(cs.routeKey())
 	k := cs.routeKey()
 	if e.Objective != 0 {
@@ -36,7 +39,7 @@
 	if wait := ch.server.backlog(now, cs.policy.Route); wait > e.Remaining && cs.objective.IsZero() { // with an objective, the server judges by urgency and by what can be in time
 		return c.refuseCall(cs, wire.ReasonDeadline, wait)
 	}
-	if !c.endsInTime(now, e, cs, ch) {
+	if e.EndWithin != 0 && e.Longest > e.EndWithin || !c.endsInTime(now, cs, ch) {
 		return c.refuseCall(cs, wire.ReasonLeaving, minRetryAfter)
 	}
 	c.services[serviceName].budget.refill()
--- a/src/dispatch/attempt_result.go
+++ b/src/dispatch/attempt_result.go
@@ -137,7 +137,7 @@
 		c.selectVersion(now, cs, cs.policy.Fallback)
 		ch, ok = c.chooseServer(now, cs.policy, cs.policy.Fallback, cs)
 	}
-	if !ok {
+	if !ok || !c.endsInTime(now, cs, ch) {
 		return nil, false
 	}
 	if requireInTime && !c.isInTime(now, cs, ch) {
@@ -208,7 +208,9 @@
 		return
 	}
 	a.end()
-	c.answerTimes.add(cs.routeKey(), now.Sub(cs.acceptedAt)) // also if it was cut, which it was no sooner
+	if e.Streamed {
+		c.answerTimes.add(cs.routeKey(), now.Sub(cs.acceptedAt)) // also if it was cut, which it was no sooner
+	}
 	if e.Truncated {
 		c.observeFailure(now, a.server, wire.ReasonCut, Load{})
 	}
--- a/src/dispatch/call.go
+++ b/src/dispatch/call.go
@@ -78,6 +78,7 @@
 	c.timers = append(c.timers, callTimer{dueAt: c.start.Add(disconnectCheckDelay)})
 	timer := time.NewTimer(disconnectCheckDelay)
 	defer timer.Stop()
+	graceEnded := c.proxy.graceEnded
 	for !c.ended {
 		timer.Reset(c.timeToNextTimer())
 		select {
@@ -94,7 +95,8 @@
 			c.parent.Done = nil
 		case <-c.baseCtx.Done():
 			c.abortCall()
-		case <-c.proxy.graceEnded:
+		case <-graceEnded:
+			graceEnded = nil // a payment goes on
 			c.endAtShutdown()
 		}
 	}
--- a/src/dispatch/call_stop.go
+++ b/src/dispatch/call_stop.go
@@ -26,15 +26,14 @@
 	}
 }
 
-// endsInTime reports whether a call ends before the last answer of this daemon's planned stop: at the latest and as expected.
-func (c *Core) endsInTime(now time.Time, e CallArrived, cs *callState, ch choice) bool {
-	if e.EndWithin == 0 {
+// endsInTime reports whether an attempt at the chosen server is expected to end before the last answer of this daemon's planned stop.
+func (c *Core) endsInTime(now time.Time, cs *callState, ch choice) bool {
+	if c.endBy.IsZero() {
 		return true
 	}
 	serviceTime := ch.server.serviceTime(now, cs.policy.Route)
 	transfer := max(c.transferTime(ch.server, cs), c.answerTimes.usual(cs.routeKey()))
-	expected := transfer + c.expectedAnswerWait(now, ch.server, cs, serviceTime) + serviceTime
-	return max(expected, e.Longest) <= e.EndWithin
+	return now.Add(transfer + c.expectedAnswerWait(now, ch.server, cs, serviceTime) + serviceTime).Before(c.endBy)
 }
 
 // endAtShutdown refuses a call that is still in flight at the last answer of a planned stop.
--- a/src/dispatch/core.go
+++ b/src/dispatch/core.go
@@ -19,6 +19,7 @@
 	inFlightByRoute map[routeKey]int // calls in flight of the routes that have any
 	answerSizes     answerSizes
 	answerTimes     answerTimes
+	endBy           time.Time // of the calls in flight when this daemon stops, zero before
 	patience        callerPatience
 	latencies       []float64 // of expectedLatencies
 	sharedVMs       bool      // a backend server has reported the speed of its VM
@@ -49,6 +50,8 @@
 		return c.attemptRefused(now, e)
 	case AttemptDoubted:
 		return c.attemptDoubted(now, e)
+	case StopBegan:
+		c.endBy = now.Add(e.EndWithin)
 	case AttemptEnded:
 		c.attemptEnded(now, e)
 	case TimerFired:
--- a/src/dispatch/event.go
+++ b/src/dispatch/event.go
@@ -67,11 +67,17 @@
 	BodyConsumed bool   `json:"body_spent,omitempty"` // the request body cannot be sent again
 }
 
+// StopBegan reports that this daemon begins to stop and ends the calls in flight after a time.
+type StopBegan struct {
+	EndWithin time.Duration `json:"end_within_ns"`
+}
+
 // AttemptEnded reports that the body of an accepted answer has ended: it was passed on completely, truncated or abandoned.
 type AttemptEnded struct {
 	Call      uint64 `json:"call"`
 	Attempt   int    `json:"attempt"`
-	Truncated bool   `json:"cut,omitempty"` // the body ended early on the backend server's side
+	Truncated bool   `json:"cut,omitempty"`      // the body ended early on the backend server's side
+	Streamed  bool   `json:"streamed,omitempty"` // the body was passed on while it arrived
 }
 
 // TimerFired reports that a timer set by SetTimer is due.
@@ -93,5 +99,6 @@
 func (AttemptRefused) isEvent()  {}
 func (AttemptDoubted) isEvent()  {}
 func (AttemptEnded) isEvent()    {}
+func (StopBegan) isEvent()       {}
 func (TimerFired) isEvent()      {}
 func (CallerGone) isEvent()      {}
--- a/src/dispatch/proxy.go
+++ b/src/dispatch/proxy.go
@@ -132,6 +132,7 @@
 	p.init()
 	if p.plan.CompareAndSwap(nil, &plan) {
 		p.StopBegan(plan.Signal)
+		p.step(StopBegan{EndWithin: plan.Left(clock.NowWithSuspension(), plan.LastAnswer)})
 		close(p.draining)
 	}
 }
--- a/src/dispatch/replay.go
+++ b/src/dispatch/replay.go
@@ -53,6 +53,8 @@
 		return decode[AttemptRefused](b)
 	case trace.Kind(AttemptDoubted{}):
 		return decode[AttemptDoubted](b)
+	case trace.Kind(StopBegan{}):
+		return decode[StopBegan](b)
 	case trace.Kind(AttemptEnded{}):
 		return decode[AttemptEnded](b)
 	case trace.Kind(TimerFired{}):
--- a/src/dispatch/serve.go
+++ b/src/dispatch/serve.go
@@ -125,7 +125,7 @@
 		})
 		return
 	}
-	if !p.endsInTime(ctx, m) {
+	if !p.admitsLate(ctx, m) {
 		conn.endAfterPending()
 		p.refuse(ctx, RefuseCall{Reason: wire.ReasonLeaving, RetryAfter: minRetryAfter})
 		return
@@ -149,8 +149,8 @@
 	p.newCall(ctx, conn, m, tenant, body).run()
 }
 
-// endsInTime reports whether a request whose body has yet to arrive may end before the last answer of a planned stop.
-func (p *Proxy) endsInTime(ctx *fasthttp.RequestCtx, m *Match) bool {
+// admitsLate reports whether a planned stop still admits a request, by its deadline.
+func (p *Proxy) admitsLate(ctx *fasthttp.RequestCtx, m *Match) bool {
 	plan := p.plan.Load()
 	if plan == nil {
 		return true
@@ -159,6 +159,9 @@
 	if d, ok := p.callerDeadline(ctx); ok {
 		longest = min(longest, d)
 	}
+	if d := p.parentOf(ctx).Deadline; !d.IsZero() {
+		longest = min(longest, d.Sub(p.Now()))
+	}
 	return plan.Admits(clock.NowWithSuspension(), longest)
 }
 
--- a/src/drain/phase.go
+++ b/src/drain/phase.go
@@ -6,7 +6,7 @@
 // The phases of a planned stop, in order.
 const (
 	PhaseNone     Phase = iota // no stop has begun
-	PhaseHandover              // callers are still sent here; calls are taken as usual
+	PhaseHandover              // callers are still sent here
 	PhaseFinish                // calls in flight end; a call is taken only if it ends in time
 	PhaseRefuse                // calls in flight are answered by this process
 	PhaseKill                  // connections are reset
--- a/src/drain/plan.go
+++ b/src/drain/plan.go
@@ -16,7 +16,7 @@
 
 // Plan is the schedule of one planned stop, fixed when it begins. Its durations count from Signal, so that a pause of the process or a suspension of its VM shortens the stop and does not postpone its end.
 //
-// Up to Handover all calls are taken as usual. From then on a call is taken only if it ends before LastAnswer whatever happens. At LastAnswer the calls still in flight are answered by this process, and at Kill their connections are reset.
+// Up to Handover all calls are taken that are expected to end before LastAnswer. From then on a call is taken only if it ends before LastAnswer whatever happens. At LastAnswer the calls still in flight are answered by this process, and at Kill their connections are reset.
 type Plan struct {
 	Signal     time.Time // by clock.NowWithSuspension
 	Handover   time.Duration
