booking, agent, daemon: calls without a slot yet hold a stop open

Cause, from a review of the code: the callers' address closed at the handover if no call held a slot, though an upload that began to arrive before the drain is still admitted, and its run may call back. Runs of callers of an older build could still be ended by a doubt while their daemon stopped. A server whose Serve had not begun kept its listener.

Change: Server.MayRun counts calls whose body arrives or that wait for a slot; no run is ended by a doubt while the daemon drains; the listener is closed first. Not run by tests of their own.

--- a/src/agent/agent.go
+++ b/src/agent/agent.go
@@ -130,7 +130,7 @@
 	a.proxy = &dispatch.Proxy{
 		Listener: a.CallerListener, Self: a.member, Table: a.table, Transport: a.pool, Headers: a.Headers, Limits: a.limits,
 		Settings: a.dispatchSettings(), Grace: s.StopGrace.Std(), StartTimeout: startTimeout, Log: a.Log.WithName("dispatch"), Metrics: a.Metrics,
-		HoldOpen: func() bool { return a.booking.InFlight() > 0 },
+		HoldOpen: a.booking.MayRun,
 	}
 	a.buildRegistry()
 	a.proxy.KeysOutdated = (&keyAge{revocation: s.Revocation, follower: a.follower, log: a.Log.WithName("tenants")}).isOutdated
--- a/src/agent/http_server.go
+++ b/src/agent/http_server.go
@@ -21,6 +21,7 @@
 		return err
 	case <-ctx.Done():
 	}
+	_ = l.Close() // Serve may not have begun
 	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), httpCloseTimeout)
 	defer cancel()
 	_ = s.ShutdownWithContext(stopCtx) // an error only tells that connections are still open
--- a/src/booking/lost_exchange.go
+++ b/src/booking/lost_exchange.go
@@ -42,7 +42,7 @@
 			continue
 		}
 		x.doubted.Store(true)
-		if !x.in.Doubt() {
+		if !x.in.Doubt() && !s.core.drainRequested { // a daemon that stops owes the answer
 			x.lose(errLost)
 		}
 	}
--- a/src/booking/server.go
+++ b/src/booking/server.go
@@ -61,6 +61,7 @@
 	counters        *counters
 	lastCall        atomic.Uint64
 	calls           atomic.Int64 // calls that ServeCall has not ended
+	unadmitted      atomic.Int64 // those whose body arrives or that wait for a slot
 	reportedHealth  HealthState  // last state reported by a heartbeat (guarded by mu) or, without heartbeats, by a probe (accessed only by Run)
 
 	mu           sync.Mutex
@@ -215,6 +216,9 @@
 		s.refuse(in, h, r)
 		return
 	}
+	s.unadmitted.Add(1)
+	decided := sync.OnceFunc(func() { s.unadmitted.Add(-1) })
+	defer decided()
 	body, release, ok := s.bufferBody(ctx, in, &h)
 	if !ok {
 		return
@@ -228,6 +232,7 @@
 		s.refuse(in, h, r)
 		return
 	}
+	decided()
 	s.counters.admitted.Inc()
 	x := &exchange{s: s, ctx: ctx, in: in, head: h, content: content, body: body, call: call, arrived: arrived, admitted: s.Now()}
 	x.run()
@@ -337,5 +342,8 @@
 	return s.core.InFlight()
 }
 
+// MayRun reports whether a call holds a slot or may still get one.
+func (s *Server) MayRun() bool { return s.unadmitted.Load() > 0 || s.InFlight() > 0 }
+
 // Parent returns the call in flight for which a token was issued, and false if there is none.
 func (s *Server) Parent(token string) (Parent, bool) { return s.tokens.lookup(token) }
--- a/src/daemon/daemon.go
+++ b/src/daemon/daemon.go
@@ -110,7 +110,7 @@
 	d.proxy = &dispatch.Proxy{
 		Listener: d.ProxyListener, Self: d.Member, Table: d.currentTable, Transport: d.pool, LookupParent: d.lookupParent,
 		Deposits: d.deposits,
-		HoldOpen: func() bool { return d.booking.InFlight() > 0 },
+		HoldOpen: d.booking.MayRun,
 		Settings: d.DispatchSettings, Grace: d.Settings.StopGrace.Std(), Log: d.Log.WithName("dispatch"), Metrics: d.Metrics, Record: d.newRecorder("dispatch"),
 	}
 }
--- a/src/daemon/run.go
+++ b/src/daemon/run.go
@@ -85,7 +85,7 @@
 // waitForCalls waits until no call is in flight at the backend server, at most stop_grace plus abortMargin from now. abortCalls normally ends the wait sooner.
 func (d *Daemon) waitForCalls() {
 	deadline := time.Now().Add(d.Settings.StopGrace.Std() + abortMargin)
-	for d.booking.InFlight() > 0 && time.Now().Before(deadline) {
+	for d.booking.MayRun() && time.Now().Before(deadline) {
 		time.Sleep(inFlightPollInterval)
 	}
 }
