dispatch: a caller that has vanished holds a stop for two seconds at most

Cause, from a review of the code: a connection whose last bytes are never acknowledged lingered for the stall timeout, so that the stop went on to the kill. Change: 2 s without an acknowledgement. The system goes on delivering what is written after the close.

--- a/src/dispatch/caller_linger.go
+++ b/src/dispatch/caller_linger.go
@@ -77,12 +77,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case left > 0:
+	case left > 0 && !c.stopping:
 		return c.stallTimeout
 	case left == 0 && c.stopping:
 		return idleGrace
 	}
-	return lingerTime
+	return lingerTime // during a stop also for a caller that acknowledges nothing, which may be gone
 }
 
 // unacknowledged returns the number of bytes that the caller's system has not acknowledged, the end of our side included; -1 if it is unknown.
