link: handlers add nothing to a link that is closed in order

Cause: the orderly close cancelled handlers before it closed the queue, so that their last refusals raced with it.

--- a/src/link/connection.go
+++ b/src/link/connection.go
@@ -83,6 +83,7 @@
 func (c *connection) fail(err error) {
 	c.end(err)
 	c.queue.fail(err)
+	c.cancel()
 	_ = c.nc.Close()
 }
 
@@ -96,10 +97,11 @@
 	} else {
 		c.queue.close(err)
 	}
+	c.cancel() // after the queue, so that handlers add nothing about calls that the link ends
 	time.AfterFunc(closeTimeout, func() { _ = c.nc.Close() })
 }
 
-// end records why the link is closed and cancels its context. It reports whether that is the first reason.
+// end records why the link is closed, and the calls that are cut by it. It reports whether that is the first reason.
 func (c *connection) end(err error) bool {
 	c.mu.Lock()
 	first := c.err == nil
@@ -113,7 +115,6 @@
 		return false
 	}
 	c.recordCuts(err) // before handlers end their calls
-	c.cancel()
 	return true
 }
 
