dispatch: a request refused late in a stop has its line, and its test no race

Cause: the test began the stop while the request's header was on its way; read after it, the request is refused at once, since its deadline does not fit, and such a refusal wrote no line.

--- a/src/cut/ender.go
+++ b/src/cut/ender.go
@@ -7,7 +7,7 @@
 const (
 	Caller      Ender = iota + 1 // left, or took no bytes for too long
 	Parent                       // the call within which the request was made
-	ProxyDrain                   // the proxy closed the connection while it waited for requests in flight
+	ProxyDrain                   // the proxy, which waited for requests in flight, closed the connection or took no further request
 	ProxyGrace                   // the proxy, at the end of its grace
 	KillTimer                    // shortly before the end of stop_grace
 	LinkGrace                    // this agent closed the link, at the end of the grace of links
--- a/src/dispatch/cuts.go
+++ b/src/dispatch/cuts.go
@@ -72,6 +72,9 @@
 func (c *call) enderOfRefusal(r wire.RefusalReason) cut.Ender {
 	switch r {
 	case wire.ReasonLeaving:
+		if c.attempts[1] == nil {
+			return cut.ProxyDrain
+		}
 		select {
 		case <-c.proxy.graceEnded:
 			return cut.ProxyGrace
--- a/src/dispatch/cuts_test.go
+++ b/src/dispatch/cuts_test.go
@@ -116,6 +116,12 @@
 			if !strings.HasPrefix(tc.want[0], " header") && !strings.HasPrefix(tc.want[0], "r1 body") {
 				<-started
 			}
+			if strings.HasPrefix(tc.want[0], "r1 body") { // else the stop may refuse it before its body
+				calls := p.Metrics.GetOrCreateCounter("yuccaport_dispatch_calls_total")
+				for calls.Get() < 2 {
+					time.Sleep(time.Millisecond)
+				}
+			}
 			if tc.length != 0 && !strings.Contains(tc.want[0], "arriving") {
 				_, err = io.ReadFull(br, make([]byte, 200)) // the answer has begun
 				c.Check(err, qt.IsNil)
--- a/src/dispatch/serve.go
+++ b/src/dispatch/serve.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/yuccaport/yuccaport/src/clock"
+	"github.com/yuccaport/yuccaport/src/cut"
 	"github.com/yuccaport/yuccaport/src/drain"
 	"github.com/yuccaport/yuccaport/src/tenants"
 	"github.com/yuccaport/yuccaport/src/wire"
@@ -128,6 +129,10 @@
 	if !p.admitsLate(ctx, m) {
 		conn.endAfterPending()
 		p.refuse(ctx, RefuseCall{Reason: wire.ReasonLeaving, RetryAfter: minRetryAfter})
+		progress := conn.currentProgress()
+		progress.begin(p.requestID(ctx), m.Route.Name)
+		progress.setStatus(ctx.Response.StatusCode())
+		progress.cut(cut.ProxyDrain, wire.ReasonLeaving.String())
 		return
 	}
 	tenant, ok := p.identify(ctx, conn, m)
