--- a/src/dispatch/cuts_test.go
+++ b/src/dispatch/cuts_test.go
@@ -47,7 +47,7 @@
 
 // TestProxyCuts checks the lines on requests that are cut, or refused, in each state.
 func TestProxyCuts(t *testing.T) {
-	const request, further = "GET /diary HTTP/1.1\r\nHost: bookings.example\r\nX-Request-Id: r1\r\n\r\n", "GET /diary HTTP/1.1\r\nHost: bookings.example\r\nX-Request-Id: r2\r\n\r\n"
+	const request, further = "GET /diary HTTP/1.1\r\nHost: bookings.example\r\nX-Trace-Id: r1\r\n\r\n", "GET /diary HTTP/1.1\r\nHost: bookings.example\r\nX-Trace-Id: r2\r\n\r\n"
 	part := strings.Repeat("part", 4<<10)
 	closed := &link.LostError{By: cut.LinkClosed, Cause: io.EOF}
 	tests := map[string]struct {
@@ -83,7 +83,7 @@
 				}
 				return link.Reply{Head: wire.ReplyHead{Status: 200, BodyLength: tc.length}, Body: &endingBody{ctx, strings.NewReader(tc.part), tc.err}}
 			}, func(p *dispatch.Proxy) {
-				p.Grace, p.Headers = 300*time.Millisecond, header.Names{RequestID: "X-Request-Id"}
+				p.Grace, p.Headers = 300*time.Millisecond, header.Names{RequestID: "X-Trace-Id"}
 				p.Log = funcr.NewJSON(func(text string) {
 					var l struct {
 						Message string `json:"msg"`
