--- a/src/agent/run.go
+++ b/src/agent/run.go
@@ -88,7 +88,7 @@
 		}
 	}()
 	a.stopping.Store(true)
-	a.pool.Grace = plan.Kill // ended sooner by kill
+	a.pool.Grace = plan.Kill // an upper bound: kill ends the drain of the links
 	a.pool.StopBegan(plan.Signal)
 	a.proxy.Drain(plan)
 	a.Log.Info("stopping", "reason", context.Cause(ctx).Error(), "in_flight", a.booking.InFlight(), "handover", plan.Handover.String(), "last_answer", plan.LastAnswer.String(), "kill", plan.Kill.String())
