dispatch: a request that arrived before its idle connection ends is read

What callers saw: a request on a kept connection whose agent ends it, at a planned stop or at the idle timeout, got no answer although it had been sent long before. Cause: the read deadline of an idle connection passes while the process is not scheduled; the read then reports the timeout whatever has arrived, and the orderly close reads the request and discards it. The class: one's own pause is taken for the silence of the other side. Change: after the deadline what has arrived is read, without waiting, and served or refused as any other request.

--- a/src/dispatch/caller_conn.go
+++ b/src/dispatch/caller_conn.go
@@ -67,6 +67,9 @@
 		return 0, errTooMuchOverhead
 	}
 	n, err := c.Conn.Read(b)
+	if os.IsTimeout(err) && c.hasLateArrivals() {
+		return c.readPending(b)
+	}
 	c.addOverhead(n)
 	if n > 0 {
 		n = c.startRequest(b[:n])
--- a/src/dispatch/caller_held.go
+++ b/src/dispatch/caller_held.go
@@ -93,6 +93,19 @@
 	return n, nil
 }
 
+// hasLateArrivals reads what has arrived on an idle connection whose read deadline has passed, and
+// reports whether there was anything. The deadline says only when this process got to run: a request
+// may have arrived long before.
+func (c *callerConn) hasLateArrivals() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.busy || c.pendingErr != nil {
+		return false
+	}
+	c.readArrived()
+	return len(c.pending) > 0 || c.pendingErr != nil
+}
+
 // readArrived reads what has arrived, without waiting, up to the bounds, and notes the end of the
 // connection behind it; the caller must hold c.mu.
 func (c *callerConn) readArrived() {
