booking: a second copy of an answer, however large, does not end the run behind it

What callers saw: a 502 of the agent's own for a request at which its backend server was at work. Cause: an answer to an earlier request, which a backend server may write once more where the next answer is due, was skipped only up to 64 KiB and only with a stated length; any other ended the exchange, so that the connection was closed and the server dropped the run. Downloads are larger. Change: it is skipped up to 16 MiB, also in chunks. One that ends with its connection still ends the exchange, since no answer can follow.

--- a/src/booking/answer.go
+++ b/src/booking/answer.go
@@ -140,10 +140,10 @@
 	}
 }
 
-// discardBody reads the body of an answer that is not forwarded. It fails if the body has maxDiscard bytes or more.
-func (x *exchange) discardBody() error {
-	n, err := io.Copy(io.Discard, io.LimitReader(x.answerBody(), maxDiscard))
-	if err == nil && n == maxDiscard {
+// discardBody reads the body of an answer that is not forwarded. It fails if the body has limit bytes or more.
+func (x *exchange) discardBody(limit int64) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(x.answerBody(), limit))
+	if err == nil && n >= limit {
 		return errBodyTooLong
 	}
 	return err
--- a/src/booking/attribution_test.go
+++ b/src/booking/attribution_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -63,23 +64,65 @@
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			b := &scriptedBackend{answer: tc.answer}
-			s := b.start(c)
-			got := []string{}
-			for n := range tc.want {
-				in := newInbound("GET", "/diary", "", nil, 0)
-				in.head.TraceID = fmt.Sprint("r-", n+1)
-				in.head.Fields = []wire.Field{{Name: "X-Call-Id", Value: in.head.TraceID}}
-				ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
-				s.ServeCall(ctx, in)
-				cancel()
-				got = append(got, outcomeOf(in))
-			}
+			got, _ := serveInTurn(b.start(c), len(tc.want))
 			c.Check(got, qt.DeepEquals, tc.want)
 			c.Check(int(b.connections.Load()), qt.Equals, tc.connections)
 		})
 	}
 }
 
+// Guards against a second copy of an earlier answer, large or in chunks, that ends the run of the
+// request behind it.
+func TestCallBehindSecondCopy(t *testing.T) {
+	sized := func(id, body string) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", idField(id), len(body), body)
+	}
+	chunked := func(id, body string) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", idField(id), len(body), body)
+	}
+	tests := map[string]struct {
+		copy string
+		want string
+	}{
+		"short":                    {sized("r-1", "early"), "200"},
+		"large":                    {sized("r-1", strings.Repeat("e", 540_000)), "200"},
+		"chunked":                  {chunked("r-1", "early"), "200"},
+		"large chunk":              {chunked("r-1", strings.Repeat("e", 540_000)), "200"},
+		"three":                    {strings.Repeat(sized("r-1", "early"), 3), "200"},
+		"ever more":                {strings.Repeat(sized("r-1", "early"), 4), "may have run"},
+		"without end":              {sized("r-1", strings.Repeat("e", maxSkippedSize)), "may have run"},
+		"ends with its connection": {"HTTP/1.1 200 OK\r\n" + idField("r-1") + "\r\nearly", "may have run"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			b := &scriptedBackend{answer: func(_, n int, id string) string {
+				if n == 1 {
+					return sized(id, "first")
+				}
+				return tc.copy + sized(id, "second")
+			}}
+			got, last := serveInTurn(b.start(c), 2)
+			c.Check(got, qt.DeepEquals, []string{"200", tc.want})
+			c.Check(tc.want != "200" || last.answer.String() == "second", qt.IsTrue, qt.Commentf("%q", last.answer.String()))
+		})
+	}
+}
+
+// serveInTurn serves n requests, one after the other, and returns their outcomes and the last one.
+func serveInTurn(s *Server, n int) (outcomes []string, last *fakeInbound) {
+	for i := range n {
+		last = newInbound("GET", "/diary", "", nil, 0)
+		last.head.TraceID = fmt.Sprint("r-", i+1)
+		last.head.Fields = []wire.Field{{Name: "X-Call-Id", Value: last.head.TraceID}}
+		ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+		s.ServeCall(ctx, last)
+		cancel()
+		outcomes = append(outcomes, outcomeOf(last))
+	}
+	return outcomes, last
+}
+
 func idField(id string) string {
 	if id == "" {
 		return ""
--- a/src/booking/exchange.go
+++ b/src/booking/exchange.go
@@ -245,7 +245,7 @@
 func (x *exchange) refuseShed(detach func() bool) {
 	after := shedRetryAfter(string(x.resp.Header.Peek("Retry-After")))
 	x.s.counters.shed.Inc()
-	bodyRead := x.discardBody() == nil
+	bodyRead := x.discardBody(maxDiscard) == nil
 	x.finish(detach, bodyRead, ResultShed)
 	if x.isMisdirected() {
 		x.s.handleMisdirected(x.instance)
--- a/src/booking/request.go
+++ b/src/booking/request.go
@@ -14,7 +14,10 @@
 
 const reservedPrefix = "Yuccaport-" // prefix of header fields that are never forwarded, neither from callers nor from backend servers
 
-const maxSkipped = 3 // answers to other requests that are skipped before an exchange fails
+const (
+	maxSkipped     = 3        // answers to other requests that are skipped before an exchange fails
+	maxSkippedSize = 16 << 20 // bytes of the body of each
+)
 
 var (
 	errTimeout          = os.ErrDeadlineExceeded
@@ -127,13 +130,17 @@
 	}
 }
 
-// skipAnswer discards an answer to another request. The connection is not reused after this exchange.
+// skipAnswer discards an answer to another request, whatever its length, since the backend server is
+// at work on the present one behind it. The connection is not reused after this exchange.
 func (x *exchange) skipAnswer() error {
 	x.s.counters.skipped.Inc()
-	if x.skippedAnswers++; x.skippedAnswers > maxSkipped || x.resp.Header.ContentLength() < 0 {
+	endsWithConnection := !x.hasNoBody() && x.resp.Header.ContentLength() == -2
+	if x.skippedAnswers++; x.skippedAnswers > maxSkipped || endsWithConnection {
 		return errUnexpectedAnswer
 	}
-	return x.discardBody()
+	err := x.discardBody(maxSkippedSize)
+	x.resp.ResetBody()
+	return err
 }
 
 // checkAnswer returns errUnexpectedAnswer for a 101 or 2xx answer that lacks the proof that it comes from the backend server.
