link: the silence of a peer doubts its calls and does not end them

What callers saw: a 502 of the agent's own, or a download that broke off, at a request at which the backend server was at work, since the agent beside it had been late for a second. Cause: a link on which nothing had come for four ping intervals was closed with all calls on it, and the accepting end broke off the runs of a peer as late. A process that is short of processor time or frozen is as silent as a dead one. The class: an inference from silence that ends work, as that of lost answers. Change: at the dialling end the calls are doubted, that is, tried elsewhere where they may run again, new calls get a link of their own, and messages end as before; the link is closed once it carries no call or after 10 s. The accepting end leaves the runs alone, each of which has a timeout. A stop still waits no longer than before for a silent peer that only has answers to take.

--- a/src/dispatch/attempt.go
+++ b/src/dispatch/attempt.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -30,6 +31,7 @@
 	cancel context.CancelFunc
 
 	requestBody io.Reader // nil for none
+	silent      atomic.Bool
 
 	reply    *link.Reply
 	body     []byte // the answer's body, if buffered
@@ -114,11 +116,14 @@
 	a.call.results <- a.number
 }
 
-// onDoubt passes the doubt of the member to the call.
-func (a *attempt) onDoubt() {
+// onDoubt passes a doubt to the call.
+func (a *attempt) onDoubt(d link.Doubt) {
+	if d == link.DoubtSilent {
+		a.silent.Store(true)
+	}
 	select {
 	case a.call.doubts <- a.number:
-	default: // the member has repeated it
+	default: // it is not the first one
 	}
 }
 
--- a/src/dispatch/attempt_result.go
+++ b/src/dispatch/attempt_result.go
@@ -100,6 +100,9 @@
 		return nil
 	}
 	a.doubted = true
+	if e.Silent {
+		c.observeFailure(now, a.server, wire.ReasonLinkLost, Load{})
+	}
 	cs.retriesCharged = true
 	cs.bodyConsumed = cs.bodyConsumed || e.BodyConsumed
 	if cs.awaitsOther(e.Attempt) {
--- a/src/dispatch/call.go
+++ b/src/dispatch/call.go
@@ -213,8 +213,8 @@
 	if a.isDelivered() || !c.body.isComplete() {
 		return
 	}
-	c.log().Info("attempt doubted", "request_id", c.head.TraceID, "attempt", n, "by", a.member.ID)
-	c.perform(c.proxy.step(AttemptDoubted{Call: c.id, Attempt: n, BodyConsumed: c.body.isConsumed()}))
+	c.log().Info("attempt doubted", "request_id", c.head.TraceID, "attempt", n, "by", a.member.ID, "silent", a.silent.Load())
+	c.perform(c.proxy.step(AttemptDoubted{Call: c.id, Attempt: n, BodyConsumed: c.body.isConsumed(), Silent: a.silent.Load()}))
 }
 
 // abortCall cancels the call and resets the caller's connection without an answer: the call may have run, and a refusal might state that it has not.
--- a/src/dispatch/doubt_test.go
+++ b/src/dispatch/doubt_test.go
@@ -32,6 +32,7 @@
 		"second answers 503": {nil, []Event{answered(2, 503)}, []string{"send 2", "cancel 1", "accept 2"}},
 		"first times out":    {nil, []Event{timedOut(1), answered(2, 200)}, []string{"send 2", "cancel 1", "accept 2"}},
 		"both time out":      {nil, []Event{timedOut(1), timedOut(2)}, []string{"send 2", "cancel 1", "cancel 2", "refuse timeout true"}},
+		"silent again":       {nil, []Event{AttemptDoubted{Call: 1, Attempt: 1, Silent: true}, answered(2, 200)}, []string{"send 2", "cancel 1", "accept 2"}},
 		"one attempt":        {func(_ *Core, p *Policy, _ *CallArrived) { p.Attempts = 1 }, []Event{answered(1, 200)}, []string{"accept 1"}},
 		"once only":          {func(_ *Core, p *Policy, _ *CallArrived) { p.Idempotent = false }, []Event{answered(1, 200)}, []string{"accept 1"}},
 		"parent retries":     {func(_ *Core, _ *Policy, e *CallArrived) { e.ParentRetries = true }, []Event{answered(1, 200)}, []string{"accept 1"}},
--- a/src/dispatch/event.go
+++ b/src/dispatch/event.go
@@ -60,11 +60,12 @@
 	Load         Load               `json:"load"`
 }
 
-// AttemptDoubted reports that the backend server of an attempt seems to have ended it without an answer, which may still come.
+// AttemptDoubted reports that the answer of an attempt may not come.
 type AttemptDoubted struct {
 	Call         uint64 `json:"call"`
 	Attempt      int    `json:"attempt"`
 	BodyConsumed bool   `json:"body_spent,omitempty"` // the request body cannot be sent again
+	Silent       bool   `json:"silent,omitempty"`     // the member has sent nothing for some time; otherwise its backend server seems to have ended the attempt
 }
 
 // StopBegan reports that this daemon begins to stop and ends the calls in flight after a time.
--- a/src/dispatch/proxy_calls_test.go
+++ b/src/dispatch/proxy_calls_test.go
@@ -76,7 +76,7 @@
 		if h.Attempt > 1 {
 			return newReply(200, "second")
 		}
-		link.ContextDoubt(ctx)()
+		link.ContextDoubt(ctx)(link.DoubtLost)
 		<-ctx.Done()
 		close(cancelled)
 		return newRefusal(wire.ReasonCancelled, true)
--- a/src/link/connection.go
+++ b/src/link/connection.go
@@ -218,7 +218,7 @@
 	_ = c.nc.SetReadDeadline(time.Now().Add(c.pool.limits.PingInterval))
 }
 
-// tick runs once per ping interval. On a link in use, or one that the peer is to close, it pings a silent peer. It returns an error that closes the link if the peer stays silent or the link is idle; an accepting end first drains an idle link.
+// tick runs once per ping interval. On a link in use, or one that the peer is to close, it pings a silent peer. If the peer stays silent, the calls are doubted. It returns an error that closes the link if it is idle, or silent without calls or for maxDoubtedTime; an accepting end first drains an idle link.
 func (c *connection) tick() error {
 	busy, idle := c.usage()
 	draining := c.isDraining()
@@ -238,8 +238,11 @@
 		c.startDrain() // at the accepting end; the dialling end can close the link without losing a call that it is about to open
 	case !busy && !draining:
 		c.silentPeriods = 0
-	case c.silentPeriods > maxSilentPeriods:
+	case c.silentPeriods > maxSilentPeriods && (!busy || draining && c.onlyDelivers()), time.Duration(c.silentPeriods)*c.pool.limits.PingInterval > maxDoubtedTime:
 		return errPeerSilent
+	case c.silentPeriods == maxSilentPeriods+1:
+		c.onSilence()
+		fallthrough
 	case c.silentPeriods > 0:
 		c.pingNonce++
 		c.sendControl(wire.FramePing, &wire.PingFrame{Nonce: c.pingNonce})
--- a/src/link/doubt.go
+++ b/src/link/doubt.go
@@ -6,18 +6,27 @@
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
+// Doubt is why the answer of a call may not come.
+type Doubt uint8
+
+// The reasons for a doubt.
+const (
+	DoubtLost   Doubt = iota + 1 // the member says that its backend server seems to have ended the call without an answer
+	DoubtSilent                  // the member has sent nothing for several ping intervals
+)
+
 // doubtKey is the key of the function that WithDoubt adds to a context.
 type doubtKey struct{}
 
-// WithDoubt returns a context for Caller.Call that runs f, which must not block, when the member
-// tells that its backend server seems to have ended the call without an answer; the call goes on.
-func WithDoubt(ctx context.Context, f func()) context.Context {
+// WithDoubt returns a context for Caller.Call that runs f, which must not block, when the answer may
+// not come; the call goes on.
+func WithDoubt(ctx context.Context, f func(Doubt)) context.Context {
 	return context.WithValue(ctx, doubtKey{}, f)
 }
 
 // ContextDoubt returns the function that WithDoubt has added to ctx, nil if there is none.
-func ContextDoubt(ctx context.Context) func() {
-	f, _ := ctx.Value(doubtKey{}).(func())
+func ContextDoubt(ctx context.Context) func(Doubt) {
+	f, _ := ctx.Value(doubtKey{}).(func(Doubt))
 	return f
 }
 
@@ -39,7 +48,7 @@
 		return protocolError(c.peer.Addr.String(), "doubt of a call that was not opened")
 	}
 	if told {
-		o.doubt()
+		o.doubt(DoubtLost)
 	}
 	return nil
 }
--- a/src/link/doubt_test.go
+++ b/src/link/doubt_test.go
@@ -33,7 +33,7 @@
 	to, accept := listenFakePeer(t, 2)
 	p := startClient(t)
 	told := make(chan struct{}, 2)
-	ctx := WithDoubt(testContext(t), func() { told <- struct{}{} })
+	ctx := WithDoubt(testContext(t), func(Doubt) { told <- struct{}{} })
 	outcomes := make(chan Outcome, 1)
 	go func() { outcomes <- p.Call(ctx, to, wire.CallHead{}, nil) }()
 	peer := accept()
--- a/src/link/limits.go
+++ b/src/link/limits.go
@@ -19,7 +19,8 @@
 
 	writeTimeout     = 10 * time.Second
 	closeTimeout     = 100 * time.Millisecond // longest wait, at an orderly close, for the peer to read what is written and to close its end
-	maxSilentPeriods = 3                      // consecutive ping intervals without a received byte that are allowed on a link in use; one more closes it
+	maxSilentPeriods = 3                      // consecutive ping intervals without a received byte on a link in use, after which its calls are doubted
+	maxDoubtedTime   = 10 * time.Second       // without a received byte, after which a link is closed whatever it carries
 	minBackoff       = 50 * time.Millisecond
 	maxBackoff       = 5 * time.Second
 )
--- a/src/link/outbound_call.go
+++ b/src/link/outbound_call.go
@@ -18,13 +18,13 @@
 	outcome      chan Outcome // only the first Outcome is received from it
 	recvBuffer   *recvBuffer
 	sendFlow     *sendFlow
-	doubt        func()      // runs when the peer doubts the call, nil for none
+	doubt        func(Doubt) // runs when the answer may not come, nil for none
 	replied      bool        // the head of the answer has arrived; guarded by c.mu
 	stopWatch    func() bool // stops the watch of the context; nil if there is none
 }
 
 // openCall registers a call and queues its open frame, or returns the reason for refusing it.
-func (c *connection) openCall(head wire.CallHead, doubt func()) (*outboundCall, wire.RefusalReason) {
+func (c *connection) openCall(head wire.CallHead, doubt func(Doubt)) (*outboundCall, wire.RefusalReason) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closing {
--- a/src/link/outbound_call_test.go
+++ b/src/link/outbound_call_test.go
@@ -180,7 +180,8 @@
 	peer.expectClosed()
 }
 
-// A link in use stays open while the peer answers pings, and is closed when the peer no longer does.
+// A link in use stays open while the peer answers pings, and is closed when the peer no longer does,
+// as its calls take no doubt.
 func TestSilentPeerClosed(t *testing.T) {
 	to, accept := listenFakePeer(t, 2)
 	p := &Pool{Self: 1, Limits: Limits{PingInterval: 1e8}}
