dispatch: a call that may be repeated does not wait for a silent member alone

Cause: the retry budget was used up, so that no further attempt stood beside the doubted one. Change: an idempotent call whose attempts are all silent is refused as possibly run, as a lost link did before; one that may run once waits, and so does each call of an agent that is stopping.

--- a/src/dispatch/attempt_result.go
+++ b/src/dispatch/attempt_result.go
@@ -90,6 +90,8 @@
 }
 
 // attemptDoubted sends a further attempt if the doubted one could be retried after a refusal. The doubted one goes on, and the first answer is accepted.
+//
+// Where no further attempt can be sent beside silent ones, an idempotent call is refused, since its caller may repeat it in time. A daemon that stops owes the answer.
 func (c *Core) attemptDoubted(now time.Time, e AttemptDoubted) []Action {
 	cs := c.calls[e.Call]
 	if cs == nil || cs.accepted {
@@ -99,7 +101,7 @@
 	if a == nil || a.doubted {
 		return nil
 	}
-	a.doubted = true
+	a.doubted, a.silent = true, e.Silent
 	if e.Silent {
 		c.observeFailure(now, a.server, wire.ReasonLinkLost, Load{})
 	}
@@ -108,8 +110,12 @@
 	if cs.awaitsOther(e.Attempt) {
 		return nil
 	}
-	out, _ := c.retry(now, cs, false)
-	return out
+	out, ok := c.retry(now, cs, false)
+	if ok || !cs.policy.Idempotent || !c.endBy.IsZero() || !cs.isSilent() {
+		return out
+	}
+	cs.mayHaveRun = true
+	return append(c.cancelOthers(now, cs, 0), c.refuseCall(cs, wire.ReasonLinkLost, 0)...)
 }
 
 // retryOrRefuse continues a call after an attempt without an answer: it retries or refuses the call, unless another attempt is active. Beside doubted attempts alone it retries too.
--- a/src/dispatch/call_state.go
+++ b/src/dispatch/call_state.go
@@ -50,7 +50,8 @@
 	backendStart time.Time // Member.StartedAt of the server when the attempt was sent
 	sentAt       time.Time
 	active       bool // it has no result yet, or its answer is still being passed on
-	doubted      bool // its backend server seems to have ended it without an answer
+	doubted      bool // its answer may not come
+	silent       bool // and its member has sent nothing for some time
 	wrongVersion bool // it was refused by the server's gate
 	full         bool // it was refused as not run, since the wait for a slot was too long for a first choice
 }
@@ -84,6 +85,11 @@
 	return false
 }
 
+// isSilent reports whether all active attempts are silent.
+func (cs *callState) isSilent() bool {
+	return !slices.ContainsFunc(cs.attempts, func(a *attemptState) bool { return a.active && !a.silent })
+}
+
 // routeKey returns the key of the call's route.
 func (cs *callState) routeKey() routeKey { return routeKey{cs.policy.Service, cs.policy.Route} }
 
