command: an agent that is stopped while it starts loses no request

Cause: the listeners were opened before SIGTERM had a handler; in between the signal ended the process, and the system reset the connections and requests that it had taken by then. Change: the handler comes first, as that of SIGHUP does. The plan of the stop then begins with the start.

--- a/src/command/agent.go
+++ b/src/command/agent.go
@@ -36,8 +36,10 @@
 
 func runAgent(ctx context.Context, cmd *cli.Command) error {
 	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP) // first, since a SIGHUP without a handler ends the process
+	signal.Notify(hup, syscall.SIGHUP) // first, since a signal without a handler ends the process and resets its connections
 	defer signal.Stop(hup)
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
 	file := cmd.String("config")
 	s, err := agent.LoadSettings(file)
 	if err != nil {
@@ -57,8 +59,6 @@
 	a.SettingsFile, a.Reload = file, hup
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(s.MemoryMB) << 20 / memoryPart)
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	a.Build()
 	log.Info("agent started", "member", a.ID(), "callers", s.Listen.Callers.String(), "service", s.Service, "domain", s.Domain)
 	err = a.Run(ctx)
