command: the daemon handles SIGTERM before it listens

Cause: as of the agent: a signal between the opening of the listeners and its handler ended the process and reset what they had taken. Change: the handler comes first.

--- a/src/command/run.go
+++ b/src/command/run.go
@@ -33,6 +33,8 @@
 }
 
 func runDaemon(ctx context.Context, cmd *cli.Command) error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT) // first, since a signal without a handler ends the process and resets its connections
 	s, err := settings.Load(cmd.String("config"))
 	if err != nil {
 		return err
@@ -51,7 +53,7 @@
 	if rec.prefix != "" {
 		d.NewRecorder = rec.open
 	}
-	ctx, stop := planStop(ctx, d, log)
+	ctx, stop := planStop(ctx, signals, d, log)
 	defer stop()
 	log.Info("daemon started", "proxy", d.ProxyListener.Addr().String(), "control", d.ControlListener.Addr().String(), "admin", d.AdminListener.Addr().String(), "service", s.Service, "domain", s.Domain)
 	return d.Run(ctx)
@@ -91,10 +93,8 @@
 }
 
 // planStop ends the context at the first signal; the second one ends the process and says what it cuts.
-func planStop(ctx context.Context, d *daemon.Daemon, log logr.Logger) (context.Context, context.CancelFunc) {
+func planStop(ctx context.Context, signals <-chan os.Signal, d *daemon.Daemon, log logr.Logger) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
 		s := <-signals
 		log.Info("planned stop", "reason", s.String())
