quarantine: a request that had no time to be answered is not set aside

Cause: three crashes without an answer in between were taken for proof, also where no answer could have come: the crashes lay 0.4 s apart, the request takes 1 s. The first probe came 10 s later, and innocent and guilty were probed at one server at the same time, so that the innocent one crashed again and waited for 60 s.

Change: crashes bear the time within which the request had been answered before; it is set aside that long after the first one. One that never was answered is set aside as before. Requests that share all crashes are probed after 1 and 10 s; a server runs one probe at a time.

TestCoreAnsweredBefore: new.

--- a/src/booking/exchange.go
+++ b/src/booking/exchange.go
@@ -276,7 +276,7 @@
 	}
 	x.release(r)
 	if r == ResultAnswered && x.resp.StatusCode() < fasthttp.StatusInternalServerError {
-		x.s.Quarantine.Answered(x.content)
+		x.s.Quarantine.Answered(x.content, x.s.Now().Sub(x.admitted))
 	}
 }
 
--- a/src/fleetmodel/inbound.go
+++ b/src/fleetmodel/inbound.go
@@ -111,7 +111,7 @@
 	}
 	delete(a.inbound, id)
 	now := a.fleet.clock.now
-	a.stepQuarantine(quarantine.Answered{Content: in.request.content})
+	a.stepQuarantine(quarantine.Answered{Content: in.request.content, Took: now.Sub(in.admittedAt)})
 	if a.limit > 0 {
 		a.stepBooking(booking.CallLimit{PerSecond: a.limit})
 	}
--- a/src/quarantine/core.go
+++ b/src/quarantine/core.go
@@ -10,10 +10,11 @@
 	maxCrashes          = 8                // kept of a request
 
 	burstWindow        = 500 * time.Millisecond // crashes within it may have one cause, such as a loss of power, and say little about the requests
-	burstProbeDelay    = time.Second            // from the last crash to the first probe, if all crashes were within burstWindow
+	earlyProbeDelay    = time.Second            // from the last crash to the first probe, if all crashes were within burstWindow or another request shares them
 	probeRetryInterval = 2 * time.Second        // after the store has not answered a claim
 	minRetryAfter      = 2 * time.Second        // told to callers of a request that is quarantined
 	maxRetryAfter      = time.Minute
+	maxAnswerWait      = 10 * time.Second // for a request that had been answered before to be answered again, and for a probe
 )
 
 // probeDelays are the times from the last crash to the first, second, ... probe. After the last
@@ -25,11 +26,16 @@
 // for concurrent use.
 //
 // A request is quarantined after quarantineThreshold crashes. A complete answer to it, anywhere
-// after the
-// crash, clears it: what ran beside the cause, as requests that many callers send do, is answered
-// by the next backend server.
+// after the crash, clears it: what ran beside the cause, as requests that many callers send do, is answered
+// by the next backend server. A request that had been answered before is quarantined only once it
+// has had the time to be answered again.
 type Core struct {
 	suspects  map[uint64]*suspect
+	pending   map[uint64]struct{} // suspects that have crashed often enough and may still be answered
+	durations durations           // at the backend server beside this daemon
+
+	probing      uint64 // content of the probe that runs at that server, 0 for none; no other one may run beside it
+	probingUntil time.Time
 	digest    uint64
 	expiredAt time.Time // when expired crashes were last forgotten
 }
@@ -37,7 +43,7 @@
 // Step processes an event and returns the actions to carry out.
 func (c *Core) Step(now time.Time, e Event) []Action {
 	if c.suspects == nil {
-		c.suspects = map[uint64]*suspect{}
+		c.suspects, c.pending = map[uint64]*suspect{}, map[uint64]struct{}{}
 	}
 	c.expire(now)
 	var out []Action
@@ -45,21 +51,28 @@
 	case Crashed:
 		crashes := make([]Crash, 0, len(e.Contents))
 		for _, content := range e.Contents {
-			crashes = append(crashes, Crash{ID: e.ID, Content: content, Instance: e.Instance, Time: now})
+			crashes = append(crashes, Crash{ID: e.ID, Content: content, Instance: e.Instance, Time: now, Usual: c.durations.usual(content)})
 		}
-		out = append(c.add(crashes), Broadcast{Crashes: crashes})
+		c.probing = 0
+		c.add(crashes)
+		out = append(out, Broadcast{Crashes: crashes})
 	case Answered:
+		if e.Content == c.probing {
+			c.probing = 0
+		}
+		c.durations.add(e.Content, e.Took)
 		out = c.clear(e.Content)
 	case Released:
 		out = c.clear(e.Content)
 	case Received:
-		out = c.add(e.Crashes)
+		c.add(e.Crashes)
 		for _, p := range e.Probes {
-			c.addProbe(p)
+			c.addProbe(now, p)
 		}
 	case ProbeClaimed:
-		c.addProbe(e.Probe)
+		c.addProbe(now, e.Probe)
 		if e.Own {
+			c.probing, c.probingUntil = e.Content, now.Add(maxAnswerWait)
 			out = []Action{Broadcast{Probes: []Probe{e.Probe}}}
 		}
 	case ProbeFailed:
@@ -67,21 +80,23 @@
 			s.probeRetryAt = now.Add(probeRetryInterval)
 		}
 	}
-	return out
+	return append(c.judge(now), out...)
 }
 
 // Verdict returns whether a request may be sent to a backend server now.
 func (c *Core) Verdict(now time.Time, content uint64) Verdict {
 	s := c.suspects[content]
-	if s == nil || !s.isQuarantined() || !now.Before(s.expiry()) {
+	if s == nil || !s.isQuarantined(now) || !now.Before(s.expiry()) {
 		return Allowed{}
 	}
-	number, at, ok := s.nextProbe()
+	number, at, ok := c.nextProbe(content)
 	switch {
 	case !ok:
 		return Refused{RetryAfter: maxRetryAfter}
 	case now.Before(at):
 		return Refused{RetryAfter: min(max(minRetryAfter, at.Sub(now)), maxRetryAfter)}
+	case c.probing != 0 && c.probing != content && now.Before(c.probingUntil):
+		return Refused{RetryAfter: minRetryAfter}
 	}
 	return ProbeDue{Number: number}
 }
@@ -124,16 +139,14 @@
 	return out
 }
 
-func (c *Core) addProbe(p Probe) {
-	if s := c.suspects[p.Content]; s != nil && s.isQuarantined() {
+func (c *Core) addProbe(now time.Time, p Probe) {
+	if s := c.suspects[p.Content]; s != nil && s.isQuarantined(now) {
 		s.probes = max(s.probes, p.Number)
 	}
 }
 
-// add adds crashes and returns Quarantined for each request that is newly quarantined, and Cleared for
-// each that no longer is.
-func (c *Core) add(crashes []Crash) []Action {
-	var out []Action
+// add adds crashes.
+func (c *Core) add(crashes []Crash) {
 	for _, crash := range crashes {
 		if crash.Content == 0 {
 			continue
@@ -143,19 +156,36 @@
 			s = &suspect{}
 			c.suspects[crash.Content] = s
 		}
-		wasQuarantined := s.isQuarantined()
 		c.digest ^= s.digest()
 		s.add(crash)
 		c.digest ^= s.digest()
-		switch isQuarantined := s.isQuarantined(); {
-		case isQuarantined && !wasQuarantined:
-			out = append(out, Quarantined{Content: crash.Content, Crashes: s.uncleared()})
-		case wasQuarantined && !isQuarantined:
-			s.probes, s.probeRetryAt = 0, time.Time{}
-			out = append(out, Cleared{Content: crash.Content})
-		}
+		c.pending[crash.Content] = struct{}{}
 	}
 	c.limitSuspects()
+}
+
+// judge returns Quarantined for each pending request that is newly quarantined, and Cleared for each
+// that no longer is.
+func (c *Core) judge(now time.Time) []Action {
+	var out []Action
+	for content := range c.pending {
+		s := c.suspects[content]
+		if s == nil {
+			delete(c.pending, content)
+			continue
+		}
+		switch isQuarantined := s.isQuarantined(now); {
+		case isQuarantined && !s.quarantined:
+			s.quarantined = true
+			out = append(out, Quarantined{Content: content, Crashes: s.uncleared()})
+		case s.quarantined && !isQuarantined:
+			s.quarantined, s.probes, s.probeRetryAt = false, 0, time.Time{}
+			out = append(out, Cleared{Content: content})
+		}
+		if s.quarantined || !s.hasCrashedOften() {
+			delete(c.pending, content)
+		}
+	}
 	return out
 }
 
@@ -172,7 +202,43 @@
 	for i := range crashes {
 		crashes[i].Cleared = true
 	}
-	return append(c.add(crashes), Broadcast{Crashes: crashes})
+	c.add(crashes)
+	return []Action{Broadcast{Crashes: crashes}}
+}
+
+// nextProbe returns the number of the next probe of a suspect and the time at which it is due; it
+// reports false if there is none.
+//
+// Of requests that share all crashes, one at most is likely to be the cause, so that they are probed
+// sooner.
+func (c *Core) nextProbe(content uint64) (int, time.Time, bool) {
+	s := c.suspects[content]
+	if s.probes >= len(probeDelays) {
+		return 0, time.Time{}, false
+	}
+	delay := probeDelays[s.probes]
+	switch shared := c.isShared(content); {
+	case s.probes == 0 && (shared || s.isBurst()):
+		delay = earlyProbeDelay
+	case shared:
+		delay = probeDelays[0]
+	}
+	at := s.lastCrash().Add(delay)
+	if at.Before(s.probeRetryAt) {
+		at = s.probeRetryAt
+	}
+	return s.probes + 1, at, true
+}
+
+// isShared reports whether another request may be the cause of all crashes under a suspect.
+func (c *Core) isShared(content uint64) bool {
+	s := c.suspects[content]
+	for other, o := range c.suspects {
+		if other != content && o.mayExplain(s) {
+			return true
+		}
+	}
+	return false
 }
 
 // expire forgets expired crashes, once a second.
--- a/src/quarantine/core_test.go
+++ b/src/quarantine/core_test.go
@@ -63,6 +63,49 @@
 	return out
 }
 
+// The crashes of a request that ran beside the cause of three crashes within its own usual time
+// must not set it aside; it used to be refused until its first probe, for 10 s and more.
+func TestCoreAnsweredBefore(t *testing.T) {
+	const content, beside = 2, 1
+	tests := map[string]struct {
+		usual   time.Duration // 0 for a request that has never been answered
+		shared  bool          // by another request
+		probing bool          // that one
+		after   time.Duration // from the last crash
+		want    Verdict
+	}{
+		"may still be answered":               {usual: 3 * time.Second, after: 999 * time.Millisecond, want: Allowed{}},
+		"would have been answered":            {usual: 3 * time.Second, after: time.Second, want: Refused{RetryAfter: 9 * time.Second}},
+		"answers that take a minute":          {usual: time.Minute, after: 8 * time.Second, want: Refused{RetryAfter: minRetryAfter}},
+		"never answered":                      {want: Refused{RetryAfter: 10 * time.Second}},
+		"beside another, soon before a probe": {shared: true, after: 900 * time.Millisecond, want: Refused{RetryAfter: minRetryAfter}},
+		"beside another, probe":               {shared: true, after: time.Second, want: ProbeDue{Number: 1}},
+		"beside another, whose probe runs":    {shared: true, probing: true, after: time.Second, want: Refused{RetryAfter: minRetryAfter}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			now := time.Unix(1000, 0)
+			var core Core
+			for range 20 {
+				core.Step(now, Answered{Content: content, Took: tc.usual})
+			}
+			for i := range uint64(quarantineThreshold) {
+				e := Crashed{ID: i + 1, Instance: fmt.Sprint("i-", i), Contents: []uint64{content}}
+				if tc.shared {
+					e.Contents = append(e.Contents, beside)
+				}
+				core.Step(now.Add(time.Duration(i)*time.Second), e)
+			}
+			last := now.Add((quarantineThreshold - 1) * time.Second)
+			if tc.probing {
+				core.Step(last.Add(tc.after), ProbeClaimed{Probe: Probe{Content: beside, Number: 1}, Own: true})
+			}
+			c.Check(core.Verdict(last.Add(tc.after), content), qt.Equals, tc.want)
+		})
+	}
+}
+
 // An answer, and an operator's release, allow a request again in all daemons, whatever the order in
 // which those are told; the next three crashes set it aside again.
 func TestCoreCleared(t *testing.T) {
--- a/src/quarantine/crash.go
+++ b/src/quarantine/crash.go
@@ -8,5 +8,6 @@
 	Content  uint64
 	Instance string // that crashed
 	Time     time.Time
-	Cleared  bool // the request is known not to be the cause
+	Usual    time.Duration // within which the request had been answered before the crash, 0 if it never was
+	Cleared  bool          // the request is known not to be the cause
 }
--- a/src/quarantine/entry.go
+++ b/src/quarantine/entry.go
@@ -25,7 +25,7 @@
 	defer n.mu.Unlock()
 	out := []Entry{}
 	for content, s := range n.core.suspects {
-		if !s.isQuarantined() {
+		if !s.isQuarantined(n.Now()) {
 			continue
 		}
 		e := Entry{Content: FormatContent(content)}
--- a/src/quarantine/event.go
+++ b/src/quarantine/event.go
@@ -1,5 +1,7 @@
 package quarantine
 
+import "time"
+
 // Event is an input of Core.
 type Event interface{ isEvent() }
 
@@ -12,7 +14,10 @@
 
 // Answered reports that a backend server has answered a request completely, other than with a
 // failure of its own.
-type Answered struct{ Content uint64 }
+type Answered struct {
+	Content uint64
+	Took    time.Duration
+}
 
 // Released reports that an operator lifts the quarantine of a request.
 type Released struct{ Content uint64 }
--- a/src/quarantine/node.go
+++ b/src/quarantine/node.go
@@ -134,15 +134,9 @@
 
 // Answered reports that the backend server has answered a request completely, other than with a
 // failure of its own.
-func (n *Node) Answered(content uint64) {
-	if n == nil || n.suspects.Load() == 0 {
-		return
-	}
-	n.mu.Lock()
-	isSuspect := n.core.IsSuspect(content)
-	n.mu.Unlock()
-	if isSuspect {
-		n.step(Answered{Content: content})
+func (n *Node) Answered(content uint64, took time.Duration) {
+	if n != nil && content != 0 {
+		n.step(Answered{Content: content, Took: took})
 	}
 }
 
@@ -221,7 +215,7 @@
 	n.init()
 	n.mu.Lock()
 	s := n.core.suspects[content]
-	known := s != nil && s.isQuarantined()
+	known := s != nil && s.isQuarantined(n.Now())
 	n.mu.Unlock()
 	n.step(Released{Content: content})
 	return known
@@ -329,7 +323,7 @@
 	now := n.Now()
 	var out wire.QuarantineReport
 	for _, c := range crashes {
-		out.Crashes = append(out.Crashes, wire.QuarantineCrash{ID: c.ID, Content: c.Content, Instance: c.Instance, AgeMS: now.Sub(c.Time).Milliseconds(), Cleared: c.Cleared})
+		out.Crashes = append(out.Crashes, wire.QuarantineCrash{ID: c.ID, Content: c.Content, Instance: c.Instance, AgeMS: now.Sub(c.Time).Milliseconds(), UsualMS: c.Usual.Milliseconds(), Cleared: c.Cleared})
 	}
 	for _, p := range probes {
 		out.Probes = append(out.Probes, wire.QuarantineProbe{Content: p.Content, Number: p.Number})
@@ -346,7 +340,7 @@
 	var e Received
 	for _, c := range r.Crashes {
 		age := time.Duration(min(max(0, c.AgeMS), quarantineTime.Milliseconds())) * time.Millisecond
-		e.Crashes = append(e.Crashes, Crash{ID: c.ID, Content: c.Content, Instance: c.Instance, Time: now.Add(-age), Cleared: c.Cleared})
+		e.Crashes = append(e.Crashes, Crash{ID: c.ID, Content: c.Content, Instance: c.Instance, Time: now.Add(-age), Usual: time.Duration(max(0, min(c.UsualMS, maxAnswerWait.Milliseconds()))) * time.Millisecond, Cleared: c.Cleared})
 	}
 	for _, p := range r.Probes {
 		e.Probes = append(e.Probes, Probe{Content: p.Content, Number: p.Number})
--- a/src/quarantine/node_test.go
+++ b/src/quarantine/node_test.go
@@ -78,7 +78,7 @@
 	three.Compare(link.Peer{ID: 2}, two.Digest())
 	eventually(c, "and the third one", func() bool { return refuses(three) })
 
-	three.Answered(poison)
+	three.Answered(poison, time.Millisecond)
 	eventually(c, "all allow it again", func() bool { return !refuses(one) && !refuses(two) && !refuses(three) })
 	c.Check(one.Entries(), qt.HasLen, 0)
 	for _, n := range m.nodes {
--- a/src/quarantine/simulation_test.go
+++ b/src/quarantine/simulation_test.go
@@ -14,7 +14,8 @@
 const (
 	poisonContent  = 1 // crashes each server that runs it; higher numbers are other requests
 	popularContent = 2 // requested everywhere all the time
-	firstOther     = 3
+	slowContent    = 3 // the same, and takes a second
+	firstOther     = 4
 
 	simStableWindow = 3 * time.Second
 	allowedRepeats  = 3
@@ -70,7 +71,7 @@
 	crashes  []time.Time // under the poison request
 	sendings []time.Time // of the poison request, by daemons in touch
 	refused  map[uint64]time.Time
-	longest  time.Duration // for which the popular request was refused everywhere, without an answer in between
+	longest  time.Duration // for which a popular request was refused everywhere, without an answer in between
 	probes   int
 }
 
@@ -190,7 +191,7 @@
 		s.refused[content] = s.now
 		return
 	}
-	if content == popularContent {
+	if content == popularContent || content == slowContent {
 		s.longest = max(s.longest, s.now.Sub(first))
 	}
 }
@@ -206,7 +207,11 @@
 	s.lastRun++
 	run, start := s.lastRun, to.serverStart
 	to.running[run] = content
-	s.after(s.duration(10*time.Millisecond, 200*time.Millisecond), func() {
+	took := s.duration(10*time.Millisecond, 200*time.Millisecond)
+	if content == slowContent {
+		took += 800 * time.Millisecond
+	}
+	s.after(took, func() {
 		if to.serverStart != start || !to.serverUp {
 			return
 		}
@@ -218,7 +223,7 @@
 		delete(to.running, run)
 		delete(s.refused, content)
 		if to.up {
-			s.step(to, Answered{Content: content})
+			s.step(to, Answered{Content: content, Took: took})
 		}
 	})
 }
@@ -279,7 +284,7 @@
 
 // Whatever daemons restart, are cut off or lose their power, a request that crashes servers reaches
 // them at most three times once all daemons in touch could know of the third crash, at least one
-// daemon having kept what it knew, and a request that all callers send is never refused for longer
+// daemon having kept what it knew, and requests that all callers send are never refused for longer
 // than until its first probe.
 func TestSimulatedCrashes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -288,6 +293,7 @@
 		other := uint64(firstOther)
 		for _, d := range s.daemons {
 			s.repeat(time.Millisecond, 60*time.Millisecond, func() { s.request(d, popularContent) })
+			s.repeat(50*time.Millisecond, 500*time.Millisecond, func() { s.request(d, slowContent) })
 			s.repeat(time.Millisecond, 40*time.Millisecond, func() {
 				other++
 				s.request(d, other)
--- a/src/quarantine/suspect.go
+++ b/src/quarantine/suspect.go
@@ -12,6 +12,7 @@
 // suspect holds the crashes under one request.
 type suspect struct {
 	crashes      []Crash // by time, at most maxCrashes
+	quarantined  bool    // Quarantined has been returned, and not Cleared since
 	probes       int     // number of probes known to have been claimed
 	probeRetryAt time.Time
 }
@@ -32,7 +33,37 @@
 	return n
 }
 
-func (s *suspect) isQuarantined() bool { return s.crashCount() >= quarantineThreshold }
+// hasCrashedOften reports whether the request is quarantined unless it is answered soon.
+func (s *suspect) hasCrashedOften() bool { return s.crashCount() >= quarantineThreshold }
+
+// isQuarantined reports whether the request has crashed often and has not been answered within its
+// usual time after the first of the crashes. Before that, the lack of an answer says nothing.
+func (s *suspect) isQuarantined(now time.Time) bool {
+	if !s.hasCrashedOften() {
+		return false
+	}
+	uncleared, usual := s.uncleared(), time.Duration(0)
+	for _, c := range uncleared {
+		usual = max(usual, c.Usual)
+	}
+	return now.Sub(uncleared[0].Time) >= min(usual, maxAnswerWait)
+}
+
+// isBurst reports whether all crashes fell within burstWindow.
+func (s *suspect) isBurst() bool {
+	uncleared := s.uncleared()
+	return uncleared[len(uncleared)-1].Time.Sub(uncleared[0].Time) <= burstWindow
+}
+
+// mayExplain reports whether each crash under other that is not cleared is one under s as well.
+func (s *suspect) mayExplain(other *suspect) bool {
+	if s.crashCount() < other.crashCount() {
+		return false
+	}
+	return !slices.ContainsFunc(other.crashes, func(c Crash) bool {
+		return !c.Cleared && !slices.ContainsFunc(s.crashes, func(own Crash) bool { return own.ID == c.ID && !own.Cleared })
+	})
+}
 
 // digest returns a hash of the crashes that does not depend on their order.
 func (s *suspect) digest() uint64 {
@@ -78,25 +109,8 @@
 // isForgottenBefore reports whether s is forgotten before other when there are too many: requests
 // that are not quarantined first, then by the last crash.
 func (s *suspect) isForgottenBefore(other *suspect) bool {
-	if s.isQuarantined() != other.isQuarantined() {
-		return other.isQuarantined()
+	if s.hasCrashedOften() != other.hasCrashedOften() {
+		return other.hasCrashedOften()
 	}
 	return s.lastCrash().Before(other.lastCrash())
 }
-
-// nextProbe returns the number of the next probe and the time at which it is due; it reports false
-// if there is none.
-func (s *suspect) nextProbe() (int, time.Time, bool) {
-	if s.probes >= len(probeDelays) {
-		return 0, time.Time{}, false
-	}
-	delay := probeDelays[s.probes]
-	if uncleared := s.uncleared(); s.probes == 0 && uncleared[len(uncleared)-1].Time.Sub(uncleared[0].Time) <= burstWindow {
-		delay = burstProbeDelay
-	}
-	at := s.lastCrash().Add(delay)
-	if at.Before(s.probeRetryAt) {
-		at = s.probeRetryAt
-	}
-	return s.probes + 1, at, true
-}
--- a/src/wire/quarantine.go
+++ b/src/wire/quarantine.go
@@ -23,5 +23,6 @@
 	Content  uint64 `msg:"content"`  // hash of the request's content
 	Instance string `msg:"instance"` // that crashed
 	AgeMS    int64  `msg:"age_ms"`   // time since the crash
+	UsualMS  int64  `msg:"usual_ms"` // time within which the request had been answered before, 0 if it never was
 	Cleared  bool   `msg:"cleared"`  // the request is known not to be the cause
 }
--- a/src/wire/quarantine_gen.go
+++ b/src/wire/quarantine_gen.go
@@ -15,9 +15,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *QuarantineCrash) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "id"
-	o = append(o, 0x85, 0xa2, 0x69, 0x64)
+	o = append(o, 0x86, 0xa2, 0x69, 0x64)
 	o = msgp.AppendUint64(o, z.ID)
 	// string "content"
 	o = append(o, 0xa7, 0x63, 0x6f, 0x6e, 0x74, 0x65, 0x6e, 0x74)
@@ -28,6 +28,9 @@
 	// string "age_ms"
 	o = append(o, 0xa6, 0x61, 0x67, 0x65, 0x5f, 0x6d, 0x73)
 	o = msgp.AppendInt64(o, z.AgeMS)
+	// string "usual_ms"
+	o = append(o, 0xa8, 0x75, 0x73, 0x75, 0x61, 0x6c, 0x5f, 0x6d, 0x73)
+	o = msgp.AppendInt64(o, z.UsualMS)
 	// string "cleared"
 	o = append(o, 0xa7, 0x63, 0x6c, 0x65, 0x61, 0x72, 0x65, 0x64)
 	o = msgp.AppendBool(o, z.Cleared)
@@ -76,6 +79,12 @@
 				err = msgp.WrapError(err, "AgeMS")
 				return
 			}
+		case "usual_ms":
+			z.UsualMS, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "UsualMS")
+				return
+			}
 		case "cleared":
 			z.Cleared, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -96,7 +105,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *QuarantineCrash) Msgsize() (s int) {
-	s = 1 + 3 + msgp.Uint64Size + 8 + msgp.Uint64Size + 9 + msgp.StringPrefixSize + len(z.Instance) + 7 + msgp.Int64Size + 8 + msgp.BoolSize
+	s = 1 + 3 + msgp.Uint64Size + 8 + msgp.Uint64Size + 9 + msgp.StringPrefixSize + len(z.Instance) + 7 + msgp.Int64Size + 9 + msgp.Int64Size + 8 + msgp.BoolSize
 	return
 }
 
