booking: a connection closed alone is no crash once the server has gone on

Callers saw: nothing yet; a request whose connection the server had reset alone was counted as one under which it crashed, if another instance followed within 5 s without a stated leave.

Cause: cut connections were remembered for 5 s, whatever the server answered in between.

Change: an answer on a connection that was open at the cut, over 20 ms after it, forgets the cut. A server that resets one connection, is full, or closes an idle one refuses no new connection, so that it was no crash before either (TestServerDetectsCrash, TestFullServerResets).

Measured: TestServerDetectsCrashByNextInstance/another_instance,_after_the_old_one_went_on: 3 of 3 fail before, 0 of 3 now.

--- a/src/booking/conn.go
+++ b/src/booking/conn.go
@@ -23,9 +23,10 @@
 	mayHaveSent  atomic.Bool // a byte of the call may have been sent
 	remoteClosed bool        // the backend server has closed its side or the connection failed
 	wasReset     bool        // a read failed because the backend server has reset the connection; fasthttp returns io.EOF for that
-	lastAnswer   time.Time   // end of the last complete answer
-	answers      int         // complete answers received on it
-	overhead     int         // bytes read since the request or the last bytes of a body
+	opened       time.Time
+	lastAnswer   time.Time // end of the last complete answer
+	answers      int       // complete answers received on it
+	overhead     int       // bytes read since the request or the last bytes of a body
 }
 
 func newConn(nc net.Conn) *conn {
--- a/src/booking/conn_pool.go
+++ b/src/booking/conn_pool.go
@@ -100,7 +100,9 @@
 		p.mu.Unlock()
 		return nil, problem.Wrap(problem.NotRun, err, p.Addr.String(), "cannot connect to the backend server", "check that it is running and that backend.addr in the settings is right")
 	}
-	return newConn(nc), nil
+	c := newConn(nc)
+	c.opened = p.Now()
+	return c, nil
 }
 
 // isRefused reports whether the backend server refuses a new connection. One that it accepts is
--- a/src/booking/crash.go
+++ b/src/booking/crash.go
@@ -72,6 +72,17 @@
 	return x.crashed
 }
 
+// forgetCuts forgets the connections that the backend server closed before it answered x on another
+// one that was open then: it has not crashed by that.
+func (s *Server) forgetCuts(x *exchange) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Now()
+	s.crashes.cuts = slices.DeleteFunc(s.crashes.cuts, func(c cutRequest) bool {
+		return c.instance == x.instance && x.conn.opened.Before(c.cutAt) && now.Sub(c.cutAt) > crashCloseTime
+	})
+}
+
 // replaceInstanceLocked records that an instance has been replaced. If it had not said that it is
 // leaving, it has crashed: it was back before a refused connection could show that, or this VM was
 // suspended. s.mu must be held.
--- a/src/booking/crash_test.go
+++ b/src/booking/crash_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -19,6 +22,7 @@
 type crashingBackend struct {
 	listener       net.Listener
 	keepsListening bool
+	answers        chan struct{} // each value answers a request for /answered; nil for none
 
 	mu      sync.Mutex
 	conns   []net.Conn
@@ -47,12 +51,20 @@
 func (b *crashingBackend) serve(nc net.Conn) {
 	r := bufio.NewReader(nc)
 	for {
-		if _, err := http.ReadRequest(r); err != nil {
+		req, err := http.ReadRequest(r)
+		if err != nil {
 			return
 		}
 		b.mu.Lock()
 		b.running++
 		b.mu.Unlock()
+		if req.URL.Path == "/answered" {
+			b.mu.Lock()
+			b.conns = slices.DeleteFunc(b.conns, func(c net.Conn) bool { return c == nc }) // crash does not close it
+			b.mu.Unlock()
+			<-b.answers
+			_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
 	}
 }
 
@@ -69,43 +81,60 @@
 }
 
 // A backend server that is back as another instance before a refused connection could show that it
-// crashed has crashed all the same, unless it had said that it is leaving.
+// crashed has crashed all the same, unless it had said that it is leaving. A connection that it closed
+// alone, before it went on answering, must not make a request suspect once it is replaced.
 func TestServerDetectsCrashByNextInstance(t *testing.T) {
 	tests := map[string]struct {
 		next    string
 		drained bool
+		answers bool // on another connection after it has closed one
 		want    uint64
 	}{
 		"another instance": {next: "i-2", want: 1},
 		"same instance":    {next: "i-1"},
-		"another instance, after its planned stop": {next: "i-2", drained: true},
+		"another instance, after its planned stop":    {next: "i-2", drained: true},
+		"another instance, after the old one went on": {next: "i-2", answers: true},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			b := startCrashingBackend(c)
-			b.keepsListening = true
+			b.keepsListening, b.answers = true, make(chan struct{})
 			s := &Server{
 				Backend: settings.Backend{Addr: b.listener.Addr().(*net.TCPAddr).AddrPort(), Slots: 4, Connections: 8},
 				Service: "bookings", Self: 7, UsesHeartbeats: true, Quarantine: &quarantine.Node{Members: func() []wire.Member { return nil }},
 			}
 			s.SetInstance("i-1", 4, true)
-			in := newInbound("GET", "/diary", "", nil, 0)
-			done := make(chan struct{})
-			go func() {
-				defer close(done)
-				s.ServeCall(t.Context(), in)
-			}()
-			waitUntil(c, "the call runs", func() bool {
-				b.mu.Lock()
-				defer b.mu.Unlock()
-				return b.running == 1
-			})
+			running := 0
+			start := func(path string) <-chan struct{} {
+				done := make(chan struct{})
+				go func() {
+					defer close(done)
+					s.ServeCall(t.Context(), newInbound("GET", path, "", nil, 0))
+				}()
+				running++
+				waitUntil(c, "the call runs", func() bool {
+					b.mu.Lock()
+					defer b.mu.Unlock()
+					return b.running == running
+				})
+				return done
+			}
+			var answered <-chan struct{}
+			if tc.answers {
+				answered = start("/answered")
+			}
+			done := start("/diary")
 			if tc.drained {
 				s.DrainAfter(0)
 			}
 			b.crash()
 			<-done
+			if tc.answers {
+				time.Sleep(2 * crashCloseTime)
+				b.answers <- struct{}{}
+				<-answered
+			}
 			c.Check(s.counters.crashes.Get(), qt.Equals, uint64(0))
 			s.Resume()
 			s.SetInstance(tc.next, 4, true)
--- a/src/booking/exchange.go
+++ b/src/booking/exchange.go
@@ -275,6 +275,9 @@
 		x.s.pool.drop(x.conn)
 	}
 	x.release(r)
+	if r == ResultAnswered {
+		x.s.forgetCuts(x)
+	}
 	if r == ResultAnswered && x.resp.StatusCode() < fasthttp.StatusInternalServerError {
 		x.s.Quarantine.Answered(x.content, x.s.Now().Sub(x.admitted))
 	}
--- a/src/quarantine/core.go
+++ b/src/quarantine/core.go
@@ -36,8 +36,8 @@
 
 	probing      uint64 // content of the probe that runs at that server, 0 for none; no other one may run beside it
 	probingUntil time.Time
-	digest    uint64
-	expiredAt time.Time // when expired crashes were last forgotten
+	digest       uint64
+	expiredAt    time.Time // when expired crashes were last forgotten
 }
 
 // Step processes an event and returns the actions to carry out.
