--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	go test -count=1 -timeout 20m $(SKIP) ./...
 
 # Random faults on real processes, for example: make soak SEED=7 MINUTES=2 AGENTS=20; with planned
-# work alone: make soak SOAK=TestSoakPlanned
+# work alone: make soak SOAK=TestSoakPlanned; a saturated site: make soak SOAK=TestSoakSite AGENTS=10
 SOAK    ?= TestSoak
 SEED    ?= 1
 MINUTES ?= 1
