dispatch: one counter for each end of a request and each close of a connection

Each request whose header was read, or could not be read, now ends once in yuccaport_dispatch_requests_ended_total{end,sent,by,stopping}; those without another line have the line 'request cut' with end, sent and took_ms. The line 'call aborted' is replaced by it. Connections that close count in yuccaport_dispatch_connections_closed_total{reason,in_flight}.

--- a/src/cut/ender.go
+++ b/src/cut/ender.go
@@ -17,6 +17,7 @@
 	Backend                      // the backend server broke off, or its answer was not valid
 	Timeout                      // of the route, or the caller's deadline
 	Refusal                      // no server took it
+	numEnders
 )
 
 var enderNames = map[Ender]string{
--- a/src/cut/recorder.go
+++ b/src/cut/recorder.go
@@ -27,14 +27,18 @@
 // Stopping reports whether a planned stop has begun.
 func (r *Recorder) Stopping() bool { return r != nil && r.signal.Load() != nil }
 
-// Record logs and counts one request. A caller that leaves is logged at verbosity 1 outside a planned stop.
+// Record logs and counts one request. Where its end is not known, a caller that leaves is logged at
+// verbosity 1 outside a planned stop.
 func (r *Recorder) Record(q Request) {
 	if r == nil {
 		return
 	}
 	r.Metrics.GetOrCreateCounter(fmt.Sprintf("%s{state=%q,by=%q,stopping=\"%t\"}", r.Counter, q.State, q.By, r.Stopping())).Inc()
 	log := r.WithSignal(r.Log)
-	if q.By == Caller && !r.Stopping() {
+	switch {
+	case q.End != EndUnknown:
+		log = log.WithValues(q.endValues()...)
+	case q.By == Caller && !r.Stopping():
 		log = log.V(1)
 	}
 	log.Info("request cut", "request_id", q.ID, "route", q.Route, "state", q.State.String(), "ended_by", q.By.String(), "reason", q.Reason,
--- a/src/dispatch/answer.go
+++ b/src/dispatch/answer.go
@@ -20,8 +20,8 @@
 	h := a.reply.Head
 	elapsed := c.proxy.Now().Sub(c.start)
 	c.proxy.counters.answerSeconds.Update(elapsed.Seconds())
-	c.log().Info("answered", "request_id", c.head.TraceID, "status", h.Status, "attempt", a.number, "by", a.member.ID, "took_ms", elapsed.Milliseconds())
-	c.progress.answer(int(h.Status), h.BodyLength, !a.buffered && !c.ctx.IsHead())
+	c.proxy.cuts.WithSignal(c.log()).Info("answered", "request_id", c.head.TraceID, "status", h.Status, "attempt", a.number, "by", a.member.ID, "took_ms", elapsed.Milliseconds())
+	c.progress.answerFromServer(int(h.Status), h.BodyLength, !a.buffered && !c.ctx.IsHead())
 	c.ctx.SetStatusCode(int(h.Status))
 	setFields(&c.ctx.Response.Header, h.Fields)
 	switch {
@@ -87,7 +87,9 @@
 	}
 	b.truncated = true
 	b.call.proxy.counters.answersTruncated.Inc()
-	b.call.progress.cut(b.call.proxy.cuts.enderOfRead(err), err.Error())
+	by := b.call.proxy.cuts.enderOfRead(err)
+	b.call.conn.noteClose(closeReasonOf(by))
+	b.call.progress.cut(by, err)
 	b.call.conn.abort()
 	return n, io.ErrUnexpectedEOF
 }
--- a/src/dispatch/attempt.go
+++ b/src/dispatch/attempt.go
@@ -48,7 +48,7 @@
 	a.ctx, a.cancel = context.WithCancel(link.WithDoubt(c.baseCtx, a.onDoubt))
 	a.requestBody = c.body.newReader()
 	c.attempts[s.Attempt] = a
-	c.progress.advance(cut.Sent)
+	c.progress.send()
 	c.mayHaveRun = true
 	head := c.head
 	head.Target, head.Service, head.Attempt, head.Final = s.Member, s.Service, uint8(s.Attempt), s.Final
--- a/src/dispatch/call.go
+++ b/src/dispatch/call.go
@@ -178,13 +178,13 @@
 		c.proxy.counters.notRun.Inc()
 		c.payment.release()
 	}
-	log := c.log()
+	log := c.proxy.cuts.WithSignal(c.log())
 	if a.Reason == wire.ReasonCrashed || a.Reason == wire.ReasonQuarantined {
 		log = log.WithValues("content", quarantine.FormatContent(c.head.Content)) // the line "request quarantined" names the crashes
 	}
-	log.Info("refused", "request_id", c.head.TraceID, "reason", a.Reason.String(), "may_have_run", a.MayHaveRun, "retry_after_ms", a.RetryAfter.Milliseconds(), "took_ms", c.proxy.Now().Sub(c.start).Milliseconds())
+	log.Info("refused", "request_id", c.head.TraceID, "reason", a.Reason.String(), "may_have_run", a.MayHaveRun, "sent", c.attempts[1] != nil, "retry_after_ms", a.RetryAfter.Milliseconds(), "took_ms", c.proxy.Now().Sub(c.start).Milliseconds())
 	c.proxy.writeRefusal(c.ctx, a)
-	c.recordRefusal(a)
+	c.progress.refusedBy(c.enderOfRefusal(a.Reason), a.Reason.String())
 }
 
 // handleResult reports an attempt's result to the core.
@@ -226,11 +226,12 @@
 	}
 	c.ended = true
 	c.proxy.counters.callsAborted.Inc()
-	c.log().Info("call aborted", "request_id", c.head.TraceID, "after_ms", c.proxy.Now().Sub(c.start).Milliseconds())
 	c.payment.abandon()
 	c.perform(c.proxy.step(CallerGone{Call: c.id}))
 	c.ctx.SetConnectionClose()
-	c.progress.cut(c.enderOfAbort(), "")
+	by := c.enderOfAbort()
+	c.conn.noteClose(closeReasonOf(by))
+	c.progress.cut(by, nil)
 	c.conn.abort()
 }
 
--- a/src/dispatch/caller_conn.go
+++ b/src/dispatch/caller_conn.go
@@ -27,6 +27,7 @@
 	cuts         *cuts                 // nil to record none
 	written      atomic.Int64          // bytes
 	writeErr     atomic.Pointer[error] // the answer is incomplete
+	closeReason  atomic.Uint32         // of type closeReason
 	recordOnce   sync.Once
 	closeOnce    sync.Once
 	readFailed   atomic.Bool // a read has returned an error, io.EOF included
@@ -64,6 +65,7 @@
 	}
 	if c.hasTooMuchOverhead() {
 		c.readFailed.Store(true)
+		c.noteClose(closeOverhead)
 		return 0, errTooMuchOverhead
 	}
 	n, err := c.Conn.Read(b)
@@ -71,6 +73,7 @@
 	if n > 0 {
 		n = c.startRequest(b[:n])
 	} else if c.isStoppingIdle() {
+		c.noteClose(closeStop)
 		return 0, io.EOF
 	}
 	if err != nil {
@@ -85,6 +88,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.callerEnded = c.callerEnded || !os.IsTimeout(err)
+	c.noteReadError(os.IsTimeout(err))
 }
 
 // hasTooMuchOverhead reports whether a request body sends chunk sizes or trailers on and on.
@@ -129,6 +133,7 @@
 	c.written.Add(int64(n))
 	if err != nil {
 		c.writeErr.Store(&err)
+		c.noteWriteError(err)
 	}
 	return n, err
 }
@@ -136,6 +141,7 @@
 // Close closes the connection once the caller has received what was written, see linger. After a
 // failed write it resets the connection.
 func (c *callerConn) Close() error {
+	defer c.endProgress() // of a request that was read after the connection had been reset
 	if c.writeErr.Load() != nil {
 		c.recordOnce.Do(c.recordClose)
 		c.abort()
@@ -242,5 +248,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.bodyUnread, c.pendingErr = true, os.ErrDeadlineExceeded
+	c.noteClose(closeBodyUnread)
 	_ = c.SetReadDeadline(time.Unix(1, 0))
 }
--- a/src/dispatch/caller_cut.go
+++ b/src/dispatch/caller_cut.go
@@ -6,18 +6,29 @@
 	"errors"
 	"net"
 	"net/textproto"
+	"time"
 
 	"golang.org/x/sys/unix"
 
 	"github.com/yuccaport/yuccaport/src/cut"
 )
 
-// beginProgress starts the progress of a request whose header has been read.
-func (c *callerConn) beginProgress(id string) {
+// hasBegunRequest reports whether a request has begun to arrive.
+func (c *callerConn) hasBegunRequest() bool {
+	if c == nil {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.busy
+}
+
+// beginProgress starts the progress of a request whose header has been read, or could not be read.
+func (c *callerConn) beginProgress(id string, s cut.State) {
 	if c == nil || c.cuts == nil {
 		return
 	}
-	p := &progress{conn: c, writtenBefore: c.written.Load(), request: cut.Request{ID: id, State: cut.Body, Missing: -1}}
+	p := &progress{conn: c, began: time.Now(), writtenBefore: c.written.Load(), request: cut.Request{ID: id, State: s, Missing: -1}}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.progress = p
@@ -35,9 +46,13 @@
 
 // recordAbort records the requests that are lost by resetting the connection.
 func (c *callerConn) recordAbort() {
-	if c.cuts != nil {
-		c.recordLost(c.cuts.ender(cut.Caller), true)
+	if c.cuts == nil {
+		return
 	}
+	by := c.cuts.ender(cut.Caller)
+	c.noteClose(closeReasonOf(by))
+	c.recordLost(by, true)
+	c.countClose()
 }
 
 // recordClose records the requests that are lost by closing the connection.
@@ -45,10 +60,8 @@
 	if c.cuts == nil {
 		return
 	}
-	if err := c.writeErr.Load(); err != nil {
-		c.currentProgress().cut(c.cuts.ender(cut.Caller), (*err).Error())
-	}
-	c.currentProgress().complete()
+	c.endProgress()
+	c.countClose()
 	c.mu.Lock()
 	stopping := c.stopping
 	c.mu.Unlock()
@@ -57,6 +70,17 @@
 	}
 }
 
+// endProgress records the end of the last request: after a failed write, it has no whole answer.
+func (c *callerConn) endProgress() {
+	if c.cuts == nil {
+		return
+	}
+	if err := c.writeErr.Load(); err != nil {
+		c.currentProgress().cut(c.cuts.ender(cut.Caller), *err)
+	}
+	c.currentProgress().complete()
+}
+
 // recordLost records the request in progress, those behind it, and an answer that a reset would discard.
 func (c *callerConn) recordLost(by cut.Ender, resets bool) {
 	p := c.currentProgress()
@@ -68,7 +92,7 @@
 	if resets {
 		p.cutWritten(by)
 	}
-	p.cut(by, "")
+	p.cut(by, nil)
 	if readsHeader {
 		c.cuts.Record(cut.Request{State: cut.Header, By: by, Missing: -1})
 	}
--- a/src/dispatch/caller_held.go
+++ b/src/dispatch/caller_held.go
@@ -55,6 +55,7 @@
 func (c *callerConn) discardPending() {
 	c.release(len(c.pending))
 	c.overflowed, c.bodyUnread, c.pendingErr = true, true, io.EOF
+	c.noteClose(closeOverflow)
 }
 
 // dropPending forgets the bytes that are held, and those to come, when the connection ends.
@@ -85,6 +86,7 @@
 		c.readArrived()
 	}
 	if c.pendingErr != nil || len(c.pending) == 0 {
+		c.notePendingError()
 		return 0, c.pendingErr
 	}
 	n := c.header.scan(b[:copy(b, c.pending)])
@@ -93,6 +95,13 @@
 	return n, nil
 }
 
+// notePendingError records why no further request is read; c.mu must be held.
+func (c *callerConn) notePendingError() {
+	if c.pendingErr != nil && c.callerEnded {
+		c.noteClose(closeCaller)
+	}
+}
+
 // readArrived reads what has arrived, without waiting, up to the bounds, and notes the end of the
 // connection behind it; the caller must hold c.mu.
 func (c *callerConn) readArrived() {
--- a/src/dispatch/caller_last.go
+++ b/src/dispatch/caller_last.go
@@ -23,5 +23,11 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.ending && c.answerable <= 0
+	if !c.ending || c.answerable > 0 {
+		return false
+	}
+	if len(c.pending) > 0 {
+		c.noteClose(closeReadAhead)
+	}
+	return true
 }
--- a/src/dispatch/cuts.go
+++ b/src/dispatch/cuts.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"slices"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -12,9 +12,10 @@
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
-// cuts records the requests of callers that are cut.
+// cuts records the ends of callers' requests and connections.
 type cuts struct {
 	cut.Recorder
+	ends      cut.Ends
 	requestID string        // name of the header field with a request's ID, empty for none
 	endedBy   atomic.Uint32 // cut.Ender that ended all connections, 0 while none has
 }
@@ -28,6 +29,7 @@
 func newCuts(p *Proxy) *cuts {
 	return &cuts{
 		Recorder:  cut.Recorder{Counter: "yuccaport_dispatch_requests_cut_total", Log: p.Log, Metrics: p.Metrics},
+		ends:      cut.Ends{Counter: "yuccaport_dispatch_requests_ended_total", Metrics: p.Metrics},
 		requestID: p.Headers.RequestID,
 	}
 }
@@ -56,17 +58,9 @@
 	}
 }
 
-// endedByStop are the reasons for which calls are refused at planned stops of other agents.
-var endedByStop = []wire.RefusalReason{wire.ReasonLeaving, wire.ReasonLinkLost, wire.ReasonCut, wire.ReasonCancelled}
-
-// recordRefusal records a call that the proxy has refused, if that may be due to a planned stop.
-func (c *call) recordRefusal(a RefuseCall) {
-	s := c.proxy.cuts
-	if !s.Stopping() && !slices.Contains(endedByStop, a.Reason) {
-		return
-	}
-	c.progress.setStatus(c.ctx.Response.StatusCode())
-	c.progress.cut(c.enderOfRefusal(a.Reason), a.Reason.String())
+// countClose counts a connection that was closed.
+func (s *cuts) countClose(r closeReason, inFlight bool) {
+	s.Metrics.GetOrCreateCounter(fmt.Sprintf("yuccaport_dispatch_connections_closed_total{reason=%q,in_flight=\"%t\"}", r, inFlight)).Inc()
 }
 
 func (c *call) enderOfRefusal(r wire.RefusalReason) cut.Ender {
--- a/src/dispatch/payment.go
+++ b/src/dispatch/payment.go
@@ -111,6 +111,7 @@
 	if len(key) > maxKeySize || !c.body.isComplete() {
 		c.ctx.SetConnectionClose()
 		c.conn.stopReading()
+		c.proxy.logRejected(c.log(), c.head.TraceID, "payment_too_large", 413)
 		writeProxyAnswer(c.ctx, 413, outcomeNotRun, refusalBody{Reason: "payment_too_large", Remedy: "send a key of at most 256 bytes and a body of at most 64 KB"})
 		return false
 	}
@@ -132,7 +133,7 @@
 func (c *call) refusePayment(err error) {
 	c.proxy.counters.notRun.Inc()
 	after := max(deposit.RetryAfter(err), time.Millisecond)
-	c.log().Info("refused", "request_id", c.head.TraceID, "reason", "no_claim", "cause", err.Error())
+	c.proxy.cuts.WithSignal(c.log()).Info("refused", "request_id", c.head.TraceID, "reason", "no_claim", "cause", err.Error())
 	c.proxy.setRetryAfter(c.ctx, after)
 	writeProxyAnswer(c.ctx, 503, outcomeNotRun, refusalBody{
 		Reason: "no_claim", Remedy: "repeat the request with the same key after retry-after; see the metrics of the store", RetryAfterMS: after.Milliseconds(),
@@ -149,10 +150,12 @@
 		c.answerFromRecord(d.Record)
 	case deposit.InProgress:
 		c.proxy.setRetryAfter(c.ctx, d.RetryAfter)
+		c.proxy.logRejected(c.log(), c.head.TraceID, "key_in_progress", 409)
 		writeProxyAnswer(c.ctx, 409, outcomeInProgress, refusalBody{Reason: "key_in_progress", Remedy: "repeat the request with the same key after retry-after", RetryAfterMS: d.RetryAfter.Milliseconds()})
 	case deposit.Unknown:
 		writeProxyAnswer(c.ctx, 502, outcomeMayHaveRun, refusalBody{Reason: "earlier_request_may_have_run", Remedy: "look up whether the payment was taken before making a new one with another key"})
 	case deposit.Mismatch:
+		c.proxy.logRejected(c.log(), c.head.TraceID, "key_used_for_another_request", 422)
 		writeProxyAnswer(c.ctx, 422, outcomeNotRun, refusalBody{Reason: "key_used_for_another_request", Remedy: "use a new idempotency key for each payment"})
 	}
 	return false
@@ -161,10 +164,13 @@
 // answerFromRecord repeats the answer of a payment that has run; for an answer too large to keep it only states that the payment ran.
 func (c *call) answerFromRecord(r deposit.Record) {
 	if r.Omitted {
+		c.proxy.logRejected(c.log(), c.head.TraceID, "answer_not_kept", 409)
 		writeProxyAnswer(c.ctx, 409, outcomeRan, refusalBody{Reason: "answer_not_kept", Remedy: "the payment ran and its answer was too large to keep: look it up at the service"})
 		return
 	}
 	c.ctx.SetStatusCode(int(r.Status))
 	setFields(&c.ctx.Response.Header, r.Fields)
 	c.ctx.Response.SetBodyRaw(r.Body)
+	c.progress.answerFromServer(int(r.Status), 0, false)
+	c.proxy.cuts.WithSignal(c.log()).Info("answered", "request_id", c.head.TraceID, "status", r.Status, "replayed", true)
 }
--- a/src/dispatch/refusal.go
+++ b/src/dispatch/refusal.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/yuccaport/yuccaport/src/cut"
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
@@ -47,9 +48,25 @@
 // writeProxyAnswer writes an answer from the proxy itself.
 func writeProxyAnswer(ctx *fasthttp.RequestCtx, status int, outcome string, b refusalBody) {
 	b.Outcome = outcome
+	if conn, ok := ctx.Conn().(*callerConn); ok {
+		conn.currentProgress().answerFromProxy(status, endOfOwnAnswer(status, outcome))
+	}
 	ctx.SetStatusCode(status)
 	ctx.Response.Header.Set(outcomeField, outcome)
 	ctx.SetContentType("application/json")
 	body, _ := json.Marshal(b)
 	ctx.SetBody(append(body, '\n'))
 }
+
+// endOfOwnAnswer returns the end of a request that the proxy answers by itself.
+func endOfOwnAnswer(status int, outcome string) cut.End {
+	switch {
+	case status == fasthttp.StatusGatewayTimeout:
+		return cut.EndTimeout
+	case outcome == outcomeMayHaveRun:
+		return cut.EndMayHaveRun
+	case status == fasthttp.StatusServiceUnavailable, status == fasthttp.StatusTooManyRequests, status == fasthttp.StatusRequestTimeout:
+		return cut.EndNotRun
+	}
+	return cut.EndRejected
+}
--- a/src/dispatch/serve.go
+++ b/src/dispatch/serve.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"os"
 	"strconv"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/valyala/fasthttp"
 
 	"github.com/yuccaport/yuccaport/src/clock"
@@ -23,7 +25,7 @@
 	conn, _ := ctx.Conn().(*callerConn)
 	if conn != nil {
 		conn.setBusy(true)
-		conn.beginProgress(p.requestID(ctx))
+		conn.beginProgress(p.requestID(ctx), cut.Body)
 	}
 	p.counters.calls.Inc()
 	isWhole := false
@@ -33,7 +35,11 @@
 	}
 	conn.setMayPipeline(isWhole)
 	p.echoRequestID(ctx)
+	if ctx.Request.Header.ConnectionClose() {
+		conn.noteClose(closeRequested)
+	}
 	if p.phase() >= drain.PhaseFinish && conn.mayAnnounceClose(ctx.Response.IsBodyStream()) || conn.hasOverflowed() || conn.hasAnsweredLast() {
+		conn.noteClose(closeStop)
 		ctx.SetConnectionClose()
 	}
 }
@@ -63,30 +69,52 @@
 // reject refuses a request that must not be repeated unchanged, and closes its connection.
 func (p *Proxy) reject(ctx *fasthttp.RequestCtx, status int, reason, remedy string) {
 	p.counters.notRun.Inc()
-	p.Log.Info("rejected", "request_id", p.requestID(ctx), "reason", reason, "status", status)
+	p.logRejected(p.Log, p.requestID(ctx), reason, status)
 	ctx.SetConnectionClose()
 	if conn, ok := ctx.Conn().(*callerConn); ok {
+		conn.noteClose(closeReasonOfStatus(status))
 		conn.stopReading()
 	}
 	writeProxyAnswer(ctx, status, outcomeNotRun, refusalBody{Reason: reason, Remedy: remedy})
 }
 
+// logRejected logs a request that must not be repeated unchanged.
+func (p *Proxy) logRejected(log logr.Logger, id, reason string, status int) {
+	p.cuts.WithSignal(log).Info("rejected", "request_id", id, "reason", reason, "status", status)
+}
+
+// closeReasonOfStatus returns why a connection is closed after a request that could not be read.
+func closeReasonOfStatus(status int) closeReason {
+	switch status {
+	case fasthttp.StatusRequestTimeout:
+		return closeHeaderTimeout
+	case fasthttp.StatusRequestHeaderFieldsTooLarge:
+		return closeHeaderTooLarge
+	case fasthttp.StatusRequestEntityTooLarge:
+		return closeBodyUnread
+	}
+	return closeMalformed
+}
+
 // handleReadError answers a request whose header cannot be read or did not arrive in time.
 func (p *Proxy) handleReadError(ctx *fasthttp.RequestCtx, err error) {
-	if conn, ok := ctx.Conn().(*callerConn); ok {
-		conn.setMayPipeline(false)
-	}
+	conn, _ := ctx.Conn().(*callerConn)
+	conn.setMayPipeline(false)
 	status, reason := fasthttp.StatusBadRequest, "malformed"
 	var small *fasthttp.ErrSmallBuffer
-	conn, _ := ctx.Conn().(*callerConn)
 	switch {
 	case errors.As(err, &small):
 		status, reason = fasthttp.StatusRequestHeaderFieldsTooLarge, "header_too_large"
 	case errors.Is(err, os.ErrDeadlineExceeded) || conn.headerTimedOut():
 		status, reason = fasthttp.StatusRequestTimeout, "header_timeout"
 	}
+	if conn.hasBegunRequest() && !errors.Is(err, net.ErrClosed) {
+		conn.beginProgress("", cut.Header)
+		p.counters.calls.Inc()
+	}
 	p.counters.notRun.Inc()
-	p.Log.Info("rejected", "reason", reason, "status", status, "cause", readErrorText(err))
+	p.logRejected(p.Log.WithValues("cause", readErrorText(err)), "", reason, status)
+	conn.noteClose(closeReasonOfStatus(status))
 	ctx.SetConnectionClose()
 	writeProxyAnswer(ctx, status, outcomeNotRun, refusalBody{Reason: reason, Remedy: "send the whole header of a well-formed request in time"})
 }
@@ -118,7 +146,7 @@
 	m, ok := t.Match(string(ctx.Host()), path, string(ctx.Method()))
 	if !ok {
 		p.counters.noRoute.Inc()
-		p.Log.Info("refused", "request_id", p.requestID(ctx), "host", string(ctx.Host()), "path", path, "reason", "no_route", "version", t.Version)
+		p.cuts.WithSignal(p.Log).Info("refused", "request_id", p.requestID(ctx), "host", string(ctx.Host()), "path", path, "reason", "no_route", "status", fasthttp.StatusNotFound, "version", t.Version)
 		closeIfBodyUnread(ctx)
 		writeProxyAnswer(ctx, fasthttp.StatusNotFound, outcomeNotRun, refusalBody{
 			Reason: "no_route",
@@ -131,8 +159,7 @@
 		p.refuse(ctx, RefuseCall{Reason: wire.ReasonLeaving, RetryAfter: minRetryAfter})
 		progress := conn.currentProgress()
 		progress.begin(p.requestID(ctx), m.Route.Name)
-		progress.setStatus(ctx.Response.StatusCode())
-		progress.cut(cut.ProxyDrain, wire.ReasonLeaving.String())
+		progress.refusedBy(cut.ProxyDrain, wire.ReasonLeaving.String())
 		return
 	}
 	tenant, ok := p.identify(ctx, conn, m)
@@ -147,6 +174,8 @@
 	}
 	if err != nil {
 		p.returnCredit(tenant)
+		p.logRejected(m.tableRoute.logger(p.Log, m.Table.Version), p.requestID(ctx), "request_body", fasthttp.StatusBadRequest)
+		conn.noteClose(closeBodyUnread)
 		ctx.SetConnectionClose()
 		writeProxyAnswer(ctx, fasthttp.StatusBadRequest, outcomeNotRun, refusalBody{Reason: "request_body", Remedy: "send the whole body, of at most " + strconv.Itoa(defaultBodyBytes) + " bytes"})
 		return
@@ -173,7 +202,7 @@
 // refuse answers a request that was not sent to any member.
 func (p *Proxy) refuse(ctx *fasthttp.RequestCtx, r RefuseCall) {
 	p.counters.notRun.Inc()
-	p.Log.Info("refused", "request_id", p.requestID(ctx), "host", string(ctx.Host()), "path", string(ctx.Path()), "reason", r.Reason.String(), "may_have_run", false)
+	p.cuts.WithSignal(p.Log).Info("refused", "request_id", p.requestID(ctx), "host", string(ctx.Host()), "path", string(ctx.Path()), "reason", r.Reason.String(), "may_have_run", false)
 	closeIfBodyUnread(ctx)
 	p.writeRefusal(ctx, r)
 }
--- a/src/dispatch/tenant.go
+++ b/src/dispatch/tenant.go
@@ -92,7 +92,7 @@
 	if t != nil {
 		log = log.WithValues("tenant", t.Name)
 	}
-	log.Info("refused", "request_id", p.requestID(ctx), "reason", b.Reason, "status", status, "may_have_run", false, "retry_after_ms", b.RetryAfterMS)
+	p.cuts.WithSignal(log).Info("refused", "request_id", p.requestID(ctx), "reason", b.Reason, "status", status, "may_have_run", false, "retry_after_ms", b.RetryAfterMS)
 	discardBody(ctx, conn)
 	writeProxyAnswer(ctx, status, outcomeNotRun, b)
 }
