--- a/src/dispatch/caller_cut.go
+++ b/src/dispatch/caller_cut.go
@@ -13,6 +13,13 @@
 	"github.com/yuccaport/yuccaport/src/cut"
 )
 
+// readsHeader reports whether a header has begun to arrive and is not complete.
+func (c *callerConn) readsHeader() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.busy && !c.headerDeadline.IsZero()
+}
+
 // hasBegunRequest reports whether a request has begun to arrive.
 func (c *callerConn) hasBegunRequest() bool {
 	if c == nil {
@@ -84,8 +91,8 @@
 // recordLost records the request in progress, those behind it, and an answer that a reset would discard.
 func (c *callerConn) recordLost(by cut.Ender, resets bool) {
 	p := c.currentProgress()
+	readsHeader := c.readsHeader()
 	c.mu.Lock()
-	readsHeader := c.busy && !c.headerDeadline.IsZero()
 	bodyUnread := c.bodyUnread
 	held := bytes.Clone(c.pending)
 	c.mu.Unlock()
--- /dev/null
+++ b/src/dispatch/ends_test.go
@@ -0,0 +1,168 @@
+package dispatch_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr/funcr"
+
+	"github.com/yuccaport/yuccaport/src/cut"
+	"github.com/yuccaport/yuccaport/src/dispatch"
+	"github.com/yuccaport/yuccaport/src/link"
+	"github.com/yuccaport/yuccaport/src/wire"
+)
+
+// TestEnds checks how each kind of request is counted and logged when it ends, and why its
+// connection is closed.
+func TestEnds(t *testing.T) {
+	const get = "GET /diary HTTP/1.1\r\nHost: bookings.example\r\n\r\n"
+	const upload = "POST /diary HTTP/1.1\r\nHost: bookings.example\r\nContent-Length: "
+	leave := func(_ *testProxy, conn net.Conn) { _ = conn.Close() }
+	kill := func(p *testProxy, _ net.Conn) { p.Kill() }
+	stop := func(p *testProxy, _ net.Conn) { p.cancel() }
+	streamed := func(err error) func(context.Context) link.Outcome {
+		return func(ctx context.Context) link.Outcome {
+			return link.Reply{Head: wire.ReplyHead{Status: 200, BodyLength: 64 << 20}, Body: &endingBody{ctx, io.LimitReader(endless{}, 32<<20), err}}
+		}
+	}
+	refused := func(r wire.RefusalReason, mayHaveRun bool) func(context.Context) link.Outcome {
+		return func(context.Context) link.Outcome { return newRefusal(r, mayHaveRun) }
+	}
+	answered := func(status uint16) func(context.Context) link.Outcome {
+		return func(context.Context) link.Outcome { return newReply(status, "answer") }
+	}
+	running := func(ctx context.Context) link.Outcome {
+		<-ctx.Done()
+		return newRefusal(wire.ReasonCancelled, true)
+	}
+	tests := map[string]struct {
+		request string
+		answer  func(context.Context) link.Outcome
+		then    func(*testProxy, net.Conn) // once the request has been sent
+		reads   bool
+		ended   string // end, whether sent, by whom, whether stopping; empty for no request
+		closed  string // reason, whether in flight; empty if the test ends the connection
+		logged  bool
+	}{
+		"answered":            {request: get, answer: answered(200), ended: "answered true  false"},
+		"failure":             {request: get, answer: answered(500), ended: "answered_server_failure true  false"},
+		"last request":        {request: strings.Replace(get, "\r\n", "\r\nConnection: close\r\n", 1), answer: answered(200), ended: "answered true  false", closed: "requested false"},
+		"refused":             {request: get, answer: refused(wire.ReasonQueueFull, false), ended: "refused_not_run true refusal false"},
+		"may have run":        {request: get, answer: refused(wire.ReasonCut, true), ended: "refused_may_have_run true backend false", logged: true},
+		"timeout":             {request: get, answer: refused(wire.ReasonTimeout, true), ended: "timeout true timeout false", logged: true},
+		"no route":            {request: strings.Replace(get, "diary", "other", 1), ended: "rejected false refusal false"},
+		"two hosts":           {request: strings.Replace(get, "\r\n", "\r\nHost: a.example\r\n", 1), ended: "rejected false refusal false", closed: "malformed false"},
+		"unreadable":          {request: "GET /diary HTTP/1.1\r\nHost bookings\r\n\r\n", ended: "rejected false refusal false", closed: "malformed false"},
+		"header too large":    {request: strings.Replace(get, "\r\n", "\r\nX-A: "+strings.Repeat("d", 33<<10)+"\r\n", 1), ended: "rejected false refusal false", closed: "header_too_large false"},
+		"half a header":       {request: get[:30], ended: "refused_not_run false refusal false", closed: "header_timeout false"},
+		"idle":                {closed: "idle_timeout false"},
+		"unused":              {then: leave, closed: "caller false"},
+		"body too large":      {request: upload + "100000000\r\n\r\npart", ended: "rejected false refusal false", closed: "body_unread false"},
+		"endless extension":   {request: strings.TrimSuffix(upload, "Content-Length: ") + "Transfer-Encoding: chunked\r\n\r\n1;" + strings.Repeat("x", 100<<10), ended: "rejected false refusal false", closed: "body_overhead false"},
+		"refused upload":      {request: upload + "500000\r\n\r\n" + strings.Repeat("x", 70<<10), answer: refused(wire.ReasonQueueFull, false), ended: "refused_not_run true refusal false", closed: "body_unread false"},
+		"stalled upload":      {request: upload + "9\r\n\r\npart", ended: "rejected false refusal false", closed: "stall false"},
+		"left":                {request: get, answer: running, then: leave, ended: "caller_left true caller false", closed: "caller true", logged: true},
+		"left, further ones":  {request: get + pipelined(5), answer: running, then: leave, ended: "caller_left true caller false", closed: "caller true", logged: true},
+		"left while answered": {request: get, answer: streamed(nil), then: leave, ended: "caller_left true caller false", closed: "caller true", logged: true},
+		"reads nothing":       {request: get, answer: streamed(io.EOF), ended: "caller_stalled true caller false", closed: "stall true", logged: true},
+		"server broke off":    {request: get, answer: streamed(io.ErrUnexpectedEOF), reads: true, ended: "cut true backend false", closed: "answer_truncated true", logged: true},
+		"link lost":           {request: get, answer: streamed(&link.LostError{By: cut.LinkLost, Cause: io.EOF}), reads: true, ended: "cut true link_lost false", closed: "answer_truncated true", logged: true},
+		"killed":              {request: get, answer: running, then: kill, ended: "cut true kill_timer false", closed: "killed true", logged: true},
+		"grace ended":         {request: get, answer: running, then: stop, ended: "refused_may_have_run true proxy_grace true", closed: "stop false", logged: true},
+		"grace ended, answer": {request: get, answer: streamed(nil), then: stop, reads: true, ended: "cut true proxy_grace true", closed: "grace_ended true", logged: true},
+		"too many behind":     {request: get + strings.Repeat("x", 100<<10), answer: func(ctx context.Context) link.Outcome { time.Sleep(200 * time.Millisecond); return answered(200)(ctx) }, ended: "answered true  false", closed: "pipeline_overflow false"},
+		"parent ended":        {request: strings.Replace(get, "\r\n", "\r\nYuccaport-Parent: ended\r\n", 1), answer: running, ended: "parent_ended true parent false", closed: "parent_ended true", logged: true},
+		"stop, idle":          {then: stop, closed: "stop false"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			var mu sync.Mutex
+			var lines []string
+			route := diaryRoute
+			route.Retry.Attempts = 1
+			started := make(chan struct{}, 100)
+			p := startProxy(t, route, func(ctx context.Context, _ link.Peer, _ wire.CallHead, _ io.Reader) link.Outcome {
+				started <- struct{}{}
+				return tc.answer(ctx)
+			}, func(p *dispatch.Proxy) {
+				p.Grace, p.StallTimeout = 300*time.Millisecond, 300*time.Millisecond
+				p.Limits = func() dispatch.Limits {
+					return dispatch.Limits{HeaderTimeout: 100 * time.Millisecond, IdleTimeout: 600 * time.Millisecond, BodyBytes: 1 << 20}
+				}
+				done := make(chan struct{})
+				time.AfterFunc(100*time.Millisecond, func() { close(done) })
+				p.LookupParent = func(string) (dispatch.Parent, bool) { return dispatch.Parent{Done: done}, true }
+				p.Log = funcr.New(func(_, text string) {
+					mu.Lock()
+					defer mu.Unlock()
+					if strings.Contains(text, `"request cut"`) {
+						lines = append(lines, text)
+					}
+				}, funcr.Options{})
+			})
+			conn := p.sendRaw(c, tc.request)
+			if tc.reads {
+				go func() { _, _ = io.Copy(io.Discard, conn) }()
+			}
+			if tc.then != nil {
+				if tc.request != "" {
+					waitFor(c, started, "the call")
+				}
+				time.Sleep(50 * time.Millisecond)
+				tc.then(p, conn)
+			}
+			closed := func() []string { return p.nonZero("yuccaport_dispatch_connections_closed_total") }
+			ended := func() []string { return p.nonZero("yuccaport_dispatch_requests_ended_total") }
+			for start := time.Now(); time.Since(start) < testTimeout; time.Sleep(time.Millisecond) {
+				if len(ended()) > 0 == (tc.ended != "") && (tc.closed == "" || len(closed()) > 0) {
+					break
+				}
+			}
+			want := []string{}
+			if tc.ended != "" {
+				want = append(want, tc.ended)
+			}
+			c.Check(ended(), qt.DeepEquals, want)
+			if tc.closed != "" {
+				c.Check(closed(), qt.DeepEquals, []string{tc.closed})
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			c.Check(len(lines) > 0, qt.Equals, tc.logged, qt.Commentf("%v", lines))
+			if tc.logged {
+				c.Check(lines[0], qt.Contains, fmt.Sprintf(`"end"=%q "sent"=true`, strings.Fields(tc.ended)[0]))
+			}
+		})
+	}
+}
+
+// endless is an endless stream of bytes.
+type endless struct{}
+
+func (endless) Read(p []byte) (int, error) { return len(p), nil }
+
+// nonZero returns the label values of the counters of one name that are not zero, in the order of the labels.
+func (p *testProxy) nonZero(name string) []string {
+	out := []string{}
+	for labels, n := range p.countersOf(name) {
+		values := []string{}
+		for label := range strings.SplitSeq(labels, ",") {
+			_, v, _ := strings.Cut(label, "=")
+			values = append(values, strings.Trim(v, `"`))
+		}
+		if n > 0 {
+			out = append(out, strings.Join(values, " "))
+		}
+	}
+	slices.Sort(out)
+	return out
+}
--- a/src/dispatch/proxy_test.go
+++ b/src/dispatch/proxy_test.go
@@ -94,10 +94,37 @@
 	t.Cleanup(func() {
 		cancel()
 		c.Check(<-p.done, qt.IsNil)
+		p.checkAccount(c)
 	})
 	return p
 }
 
+// checkAccount checks that each request has ended once, in a known way, once none is in flight.
+func (p *testProxy) checkAccount(c *qt.C) {
+	c.Helper()
+	calls := p.Metrics.GetOrCreateCounter("yuccaport_dispatch_calls_total").Get()
+	sum := uint64(0)
+	for labels, n := range p.countersOf("yuccaport_dispatch_requests_ended_total") {
+		sum += n
+		c.Check(labels, qt.Not(qt.Contains), "unknown")
+	}
+	c.Check(sum, qt.Equals, calls, qt.Commentf("%v", p.countersOf("yuccaport_dispatch_requests_ended_total")))
+	for labels := range p.countersOf("yuccaport_dispatch_connections_closed_total") {
+		c.Check(labels, qt.Not(qt.Contains), "unknown")
+	}
+}
+
+// countersOf returns the counters of one name by their labels.
+func (p *testProxy) countersOf(name string) map[string]uint64 {
+	out := map[string]uint64{}
+	for _, full := range p.Metrics.ListMetricNames() {
+		if labels, ok := strings.CutPrefix(full, name+"{"); ok {
+			out[strings.TrimSuffix(labels, "}")] = p.Metrics.GetOrCreateCounter(full).Get()
+		}
+	}
+	return out
+}
+
 // response is what a caller has received.
 type response struct {
 	status int
