report: the account of a span; booking: who ended a run without its answer

A report listed cuts, but not what became of all requests, so that a request without an answer could not be seen by its absence. It now sums up received requests by end, lists the rest by cause, counts those without an end, and the requests that agents ended while a server was at work, joined by ID with who ended their runs. booking logs and counts that (ended_by, yuccaport_booking_runs_unanswered_total), also for buffered answers that could not be passed on, which had no line. link gives contexts of calls the reason for which their link ended as cause.

go test ./src/report ./src/command ./src/booking ./src/link: pass.

--- a/src/booking/answer.go
+++ b/src/booking/answer.go
@@ -78,21 +78,21 @@
 	x.finish(detach, !endsWithConnection, ResultAnswered)
 	x.s.recordCallOutcome(true)
 	w, err := x.in.Reply(x.replyHead(length))
-	if err != nil {
-		return
-	}
-	if len(body) > 0 {
+	if err == nil && len(body) > 0 {
 		_, err = w.Write(body)
 	}
-	if err == nil && w.Close() == nil {
-		x.countAnswered()
+	if err != nil || w.Close() != nil {
+		x.recordUnanswered(x.enderOfContext(endedByLink))
+		return
 	}
+	x.countAnswered()
 }
 
 // forwardStreamed forwards an answer while it is being received.
 func (x *exchange) forwardStreamed(detach func() bool, length int64) {
 	w, err := x.in.Reply(x.replyHead(length))
 	if err != nil {
+		x.ender = x.enderOfContext(endedByLink)
 		x.awaitBackendClose(detach)
 		return
 	}
@@ -105,10 +105,13 @@
 		x.countAnswered()
 	case fromBackend:
 		x.s.counters.truncated.Inc()
-		x.recordOutcome(failureOutcome(x.s.detectCrash(x, err)))
+		crashed := x.s.detectCrash(x, err)
+		x.ender = x.enderOfBody(err, crashed)
+		x.recordOutcome(failureOutcome(crashed))
 		x.refuse(wire.Refusal{Reason: wire.ReasonCut, MayHaveRun: true})
 		x.awaitBackendClose(detach)
 	default:
+		x.ender = x.enderOfContext(endedByStall)
 		x.recordOutcome(rollout.OutcomeCut)
 		x.in.Refuse(wire.Refusal{Reason: wire.ReasonCut, MayHaveRun: true}) // the caller's side failed: neither counted nor logged
 		x.awaitBackendClose(detach)
--- a/src/booking/counters.go
+++ b/src/booking/counters.go
@@ -53,6 +53,10 @@
 	return c
 }
 
+func (c *counters) countUnanswered(by runEnder) {
+	c.set.GetOrCreateCounter(fmt.Sprintf(`yuccaport_booking_runs_unanswered_total{ended_by="%s"}`, by)).Inc()
+}
+
 func (c *counters) countRefusal(r wire.RefusalReason) {
 	c.set.GetOrCreateCounter(fmt.Sprintf(`yuccaport_booking_calls_refused_total{reason="%s"}`, r)).Inc()
 }
--- a/src/booking/exchange.go
+++ b/src/booking/exchange.go
@@ -51,7 +51,9 @@
 	doubted        atomic.Bool             // its caller's daemon has been told that the answer seems lost
 	answering      bool                    // the head of the answer has arrived; guarded by s.mu
 	resp           *fasthttp.Response
-	released       bool      // the slot has been released
+	released       bool          // the slot has been released
+	held           time.Duration // for which it had the slot
+	ender          runEnder
 	crashed        bool      // the backend server crashed while it ran the request; guarded by s.mu
 	cutAt          time.Time // when the backend server closed the connection, zero if it has not; guarded by s.mu
 	full           bool      // it did so because it is full
@@ -144,13 +146,13 @@
 	}
 	x.released = true
 	x.s.endRun(x)
-	took := x.s.Now().Sub(x.admitted)
-	x.s.step(Release{Call: x.call, Result: r, Took: took, AnswerSize: x.answerSize(r)})
+	x.held = x.s.Now().Sub(x.admitted)
+	x.s.step(Release{Call: x.call, Result: r, Took: x.held, AnswerSize: x.answerSize(r)})
 	if r == ResultFailed || r == ResultReset {
-		x.s.callLog(x.head.Tenant).Info("run ended without an answer", "request_id", x.head.TraceID, "route", x.head.Route, "instance", x.instance, "lost", x.doubted.Load(), "held_ms", took.Milliseconds())
+		x.recordUnanswered(x.ender)
 	}
 	if r == ResultAnswered {
-		x.s.counters.serviceTime.Update(took.Seconds())
+		x.s.counters.serviceTime.Update(x.held.Seconds())
 	}
 }
 
@@ -196,6 +198,7 @@
 		r.Reason = wire.ReasonProtocol
 		x.s.logProtocolError(x, err)
 	}
+	x.ender = x.enderOfFailure(r)
 	x.recordOutcome(x.refusalOutcome(r))
 	x.s.Log.V(1).Info("exchange with the backend server failed", "reason", err.Error(), "request_id", x.head.TraceID)
 	if (r.Reason != wire.ReasonCancelled || x.doubted.Load()) && !x.full {
--- a/src/link/connection.go
+++ b/src/link/connection.go
@@ -25,7 +25,7 @@
 	dialed bool // this end dialled the link
 	peer   Peer
 	ctx    context.Context // cancelled when the link ends
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
 	frames frameReader
 	queue  sendQueue
 
@@ -56,7 +56,7 @@
 
 func newConnection(p *Pool, nc net.Conn, fr frameReader, peer Peer, dialed bool) *connection {
 	c := &connection{pool: p, nc: nc, dialed: dialed, peer: peer, frames: fr, lastUsed: time.Now(), writerDone: make(chan struct{})}
-	c.ctx, c.cancel = context.WithCancel(p.baseCtx)
+	c.ctx, c.cancel = context.WithCancelCause(p.baseCtx)
 	c.queue.init()
 	c.recvLimiter, c.queue.limiter = p.recvLimiter, p.sendLimiter
 	if peer.ID == p.Self {
@@ -83,7 +83,7 @@
 func (c *connection) fail(err error) {
 	c.end(err)
 	c.queue.fail(err)
-	c.cancel()
+	c.cancel(err)
 	_ = c.nc.Close()
 }
 
@@ -97,7 +97,7 @@
 	} else {
 		c.queue.close(err)
 	}
-	c.cancel() // after the queue, so that handlers add nothing about calls that the link ends
+	c.cancel(err) // after the queue, so that handlers add nothing about calls that the link ends
 	time.AfterFunc(closeTimeout, func() { _ = c.nc.Close() })
 }
 
--- a/src/link/dial.go
+++ b/src/link/dial.go
@@ -102,7 +102,7 @@
 	if err == nil && p.stopped {
 		err = errPoolStopped
 		_ = c.nc.Close()
-		c.cancel()
+		c.cancel(err)
 	}
 	if err != nil {
 		p.setBackoff(pl, err)
--- a/src/link/lost_error.go
+++ b/src/link/lost_error.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"context"
 	"errors"
 	"io"
 
@@ -32,3 +33,16 @@
 		return cut.LinkLost
 	}
 }
+
+// EnderOfCall returns who cancelled the context of an inbound call, by its cause.
+func EnderOfCall(cause error) cut.Ender {
+	switch {
+	case errors.Is(cause, errCallCancelled):
+		return cut.Caller
+	case errors.Is(cause, context.DeadlineExceeded):
+		return cut.Timeout
+	case errors.Is(cause, context.Canceled):
+		return cut.KillTimer // of the pool
+	}
+	return linkEnder(cause)
+}
--- a/src/report/builder.go
+++ b/src/report/builder.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/yuccaport/yuccaport/src/cut"
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
@@ -34,6 +35,7 @@
 	servers  map[string]*Server
 	isDown   map[string]bool // by agent, since its last line on it
 	cuts     map[cutKey]*Cut
+	account  account
 	windows  map[int64]*window // by number since the Unix epoch
 }
 
@@ -58,6 +60,7 @@
 	b.routes, b.waits, b.servers = map[string]*Route{}, map[string]*waitSum{}, map[string]*Server{}
 	b.windows, b.isDown = map[int64]*window{}, map[string]bool{}
 	b.cuts = map[cutKey]*Cut{}
+	b.account = newAccount()
 }
 
 // Read adds the lines of a log. A line without an end, as of a log that is still written, counts as
@@ -100,8 +103,10 @@
 	if l.Agent != "" && !b.isDown[l.Agent] {
 		b.window(l.Time).serving[l.Agent] = true
 	}
+	b.account.add(l)
 	if l.Message == "request cut" {
 		b.addCut(l)
+		b.addGone(l)
 		return
 	}
 	switch l.Logger {
@@ -166,14 +171,21 @@
 	case "refused":
 		r.Refused[l.Reason]++
 		w.causes[Cause{Route: l.Route, Reason: "refused " + l.Reason}]++
-	case "call aborted":
-		r.Gone++
 	default:
 		return
 	}
 	delete(b.pending, l.RequestID)
 }
 
+// addGone counts a call that its caller has left before it was answered.
+func (b *Builder) addGone(l line) {
+	if l.Route == "" || l.Answer != "" || l.End != cut.EndCallerLeft.String() && l.End != cut.EndParent.String() {
+		return
+	}
+	b.route(l.Route).Gone++
+	delete(b.pending, l.RequestID)
+}
+
 // addAnswer counts an answer by its status and time.
 func (b *Builder) addAnswer(l line, p pendingCall) {
 	w, r := b.window(l.Time), b.route(l.Route)
@@ -267,6 +279,7 @@
 		out.Routes = append(out.Routes, r)
 	}
 	out.Cuts = b.sortedCuts()
+	out.Account = b.account.result(b.pending)
 	out.Bounds = b.bounds(out.Routes)
 	idle := b.idleSlots()
 	for _, agent := range slices.Sorted(maps.Keys(b.servers)) {
--- a/src/report/line.go
+++ b/src/report/line.go
@@ -28,6 +28,11 @@
 	Leaving   bool      `json:"leaving"`
 	State     any       `json:"state"` // a string in the lines that are read here
 	EndedBy   string    `json:"ended_by"`
+	End       string    `json:"end"`
+	Answer    string    `json:"answer"` // end that the request would have had, empty for none
+	Sent      bool      `json:"sent"`
+	MayRun    bool      `json:"may_have_run"`
+	Replayed  bool      `json:"replayed"`
 	SignalMS  *int64    `json:"since_signal_ms"` // nil outside a planned stop
 }
 
--- a/src/report/report.go
+++ b/src/report/report.go
@@ -11,6 +11,7 @@
 	Routes  []Route   `json:"routes"`  // by name
 	Bounds  []Bound   `json:"bounds"`  // by service
 	Servers []Server  `json:"servers"` // by agent
+	Account Account   `json:"account"`
 	Cuts    []Cut     `json:"cuts"`    // the most frequent first
 	Windows []Window  `json:"windows"` // the worst first
 }
@@ -22,7 +23,7 @@
 	Late        int            `json:"late"`
 	Failed      int            `json:"failed"` // answers of 500 and above
 	Refused     map[string]int `json:"refused"`
-	Gone        int            `json:"gone"` // whose caller left
+	Gone        int            `json:"gone"` // whose caller left, or the call within which they were made ended
 	Attempts    int            `json:"attempts"`
 }
 
--- a/src/report/table.go
+++ b/src/report/table.go
@@ -30,6 +30,7 @@
 		fmt.Fprintf(t, "%s\t%s\t%d\t%.1f s\t%.1f s\t%.1f s\t%.1f s\t%d\n", x.Agent, x.Service, x.Slots, x.Answers, x.InVain, x.Unanswered, x.IdleRefused, x.Refusals)
 	}
 	fmt.Fprintln(t, "\t")
+	r.Account.write(t)
 	r.writeCuts(t)
 	fmt.Fprintln(t, "WINDOW\tASKED\tLOST\tLATE\tIDLE SLOTS\tLARGEST CAUSES")
 	for _, x := range r.Windows[:min(windows, len(r.Windows))] {
