--- a/src/report/report_test.go
+++ b/src/report/report_test.go
@@ -78,6 +78,59 @@
 	c.Check(table.String(), qt.Matches, `(?s).*dispatch +sent +proxy_grace +2 +2 +5300-5400 ms +r1 r2\n.*`)
 }
 
+// TestReportAccount checks that each request is counted once, also if its answer was cut after its
+// line, and that the ends of runs are joined to those of their requests.
+func TestReportAccount(t *testing.T) {
+	c := qt.New(t)
+	log := ""
+	add := func(logger, text string) {
+		log += fmt.Sprintf(`{"time":"2026-03-01T10:00:00Z","logger":%q,"agent":"a",%s}`+"\n", logger, text)
+	}
+	for i := range 10 { // 8 and 9 have no end
+		add("dispatch", fmt.Sprintf(`"msg":"dispatch","route":"read","attempt":1,"request_id":"r%d"`, i))
+	}
+	add("dispatch", `"msg":"dispatch","route":"read","attempt":2,"request_id":"r1"`)
+	add("dispatch", `"msg":"answered","route":"read","request_id":"r0","status":200`)
+	add("dispatch", `"msg":"answered","route":"read","request_id":"r1","status":503,"since_signal_ms":100`)
+	add("dispatch", `"msg":"answered","route":"read","request_id":"r2","status":200`)
+	add("dispatch", `"msg":"request cut","route":"read","request_id":"r2","end":"cut","sent":true,"answer":"answered","state":"answer_streaming","ended_by":"kill_timer","since_signal_ms":5800`)
+	add("dispatch", `"msg":"refused","route":"read","request_id":"r3","reason":"queue_full","may_have_run":false,"sent":true`)
+	add("dispatch", `"msg":"refused","route":"read","request_id":"r4","reason":"leaving","may_have_run":true,"sent":true,"since_signal_ms":5650`)
+	add("dispatch", `"msg":"request cut","route":"read","request_id":"r4","end":"refused_may_have_run","sent":true,"answer":"refused_may_have_run","state":"sent","ended_by":"proxy_grace","reason":"leaving","since_signal_ms":5650`)
+	add("dispatch", `"msg":"request cut","route":"read","request_id":"r5","end":"caller_left","sent":true,"state":"sent","ended_by":"caller"`)
+	add("dispatch", `"msg":"request cut","route":"read","request_id":"r6","end":"timeout","sent":true,"answer":"timeout","state":"sent","ended_by":"timeout","reason":"timeout"`)
+	add("dispatch", `"msg":"request cut","route":"read","request_id":"r7","end":"refused_may_have_run","sent":true,"answer":"refused_may_have_run","state":"sent","ended_by":"backend","reason":"cut"`)
+	add("dispatch", `"msg":"refused","request_id":"n1","reason":"no_route","status":404`)
+	add("dispatch", `"msg":"answered","route":"pay","request_id":"n2","status":200,"replayed":true`)
+	add("booking", `"msg":"run ended without an answer","route":"read","request_id":"r4","ended_by":"caller","held_ms":300`)
+	b := &Builder{}
+	c.Assert(b.Read(strings.NewReader(log)), qt.IsNil)
+	r := b.Report()
+	c.Check(r.Account, qt.DeepEquals, Account{
+		Received: 12, Open: 2, OpenIDs: r.Account.OpenIDs,
+		Ends: []EndCount{
+			{End: "answered", Requests: 2, Sent: 1},
+			{End: "answered_server_failure", Requests: 1, Sent: 1, Stopping: 1},
+			{End: "refused_not_run", Requests: 1, Sent: 1},
+			{End: "rejected", Requests: 1},
+			{"refused_may_have_run", "sent", "backend", "cut", 1, 1, 0},
+			{"refused_may_have_run", "sent", "proxy_grace", "leaving", 1, 1, 1},
+			{"timeout", "sent", "timeout", "timeout", 1, 1, 0},
+			{"caller_left", "sent", "caller", "", 1, 1, 0},
+			{"cut", "answer_streaming", "kill_timer", "", 1, 1, 1},
+		},
+		NearMisses: []NearMiss{
+			{"cut", "answer_streaming", "kill_timer", "", 1, 1, 5800, 5800, map[string]int{}, []string{"r2"}},
+			{"refused_may_have_run", "sent", "proxy_grace", "leaving", 1, 1, 5650, 5650, map[string]int{"caller": 1}, []string{"r4"}},
+			{"timeout", "sent", "timeout", "timeout", 1, 0, 0, 0, map[string]int{}, []string{"r6"}},
+		},
+	})
+	c.Check(r.Account.OpenIDs, qt.Contains, "r9")
+	var table bytes.Buffer
+	c.Assert(r.WriteTable(&table, 1), qt.IsNil)
+	c.Check(table.String(), qt.Matches, `(?s).*answered +2 +1 +0\n.*rest: cut by kill_timer in answer_streaming +1 +1 +1\n.*received +12 .*`)
+}
+
 // TestReportUse checks that a run counts in each window in which it held its slot.
 func TestReportUse(t *testing.T) {
 	c := qt.New(t)
