dispatch: an answer is counted as written when it is, also behind a body

The HTTP library holds an answer back while the next request's header is in its buffer, which is so if that was read together with a request body. Such an answer counted as answered, also if the connection was reset before it was written (trial: POST and GET in one write, the GET's answer cut: no answer to the POST reached the caller). It now ends when it is written or lost. The loss itself is not mended.

The metrics set of the tests' proxies is made before Run, since -race found the new test reading it. The reason of a header of empty lines is set before the close is counted: ServeConn closes the connection itself.

--- a/src/dispatch/caller_conn.go
+++ b/src/dispatch/caller_conn.go
@@ -35,6 +35,7 @@
 
 	mu                 sync.Mutex
 	progress           *progress     // of the last request whose header has been read
+	unflushed          []*progress   // of earlier requests whose answers the HTTP library still holds
 	busy               bool          // a request has begun to arrive and its answer is not yet written
 	headerDeadline     time.Time     // of a header that has begun to arrive, zero for none
 	stopping           bool          // accepts no further request once idleDeadline has passed
@@ -134,7 +135,9 @@
 	if err != nil {
 		c.writeErr.Store(&err)
 		c.noteWriteError(err)
+		return n, err
 	}
+	c.completeUnflushed()
 	return n, err
 }
 
--- a/src/dispatch/caller_cut.go
+++ b/src/dispatch/caller_cut.go
@@ -68,6 +68,9 @@
 		return
 	}
 	c.endProgress()
+	if c.readsHeader() { // the HTTP library ends a header of empty lines without an answer
+		c.noteClose(closeMalformed)
+	}
 	c.countClose()
 	c.mu.Lock()
 	stopping := c.stopping
@@ -83,11 +86,48 @@
 		return
 	}
 	if err := c.writeErr.Load(); err != nil {
-		c.currentProgress().cut(c.cuts.ender(cut.Caller), *err)
+		by := c.cuts.ender(cut.Caller)
+		c.currentProgress().cut(by, *err)
+		c.cutUnflushed(by)
 	}
 	c.currentProgress().complete()
 }
 
+// answerFlushed records that the answer to the last request has been passed to the HTTP library, which
+// writes it at once unless the next request has arrived behind a body.
+func (c *callerConn) answerFlushed() {
+	p := c.currentProgress()
+	if !p.isUnflushed() {
+		p.complete()
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unflushed = append(c.unflushed, p)
+}
+
+// completeUnflushed records that answers that the HTTP library held back have been written.
+func (c *callerConn) completeUnflushed() {
+	for _, p := range c.takeUnflushed() {
+		p.complete()
+	}
+}
+
+// cutUnflushed records that answers that the HTTP library held back are lost.
+func (c *callerConn) cutUnflushed(by cut.Ender) {
+	for _, p := range c.takeUnflushed() {
+		p.cut(by, nil)
+	}
+}
+
+func (c *callerConn) takeUnflushed() []*progress {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := c.unflushed
+	c.unflushed = nil
+	return out
+}
+
 // recordLost records the request in progress, those behind it, and an answer that a reset would discard.
 func (c *callerConn) recordLost(by cut.Ender, resets bool) {
 	p := c.currentProgress()
@@ -100,6 +140,7 @@
 		p.cutWritten(by)
 	}
 	p.cut(by, nil)
+	c.cutUnflushed(p.endedBy(by))
 	if readsHeader {
 		c.cuts.Record(cut.Request{State: cut.Header, By: by, Missing: -1})
 	}
--- a/src/dispatch/caller_listener.go
+++ b/src/dispatch/caller_listener.go
@@ -48,9 +48,6 @@
 		srv := server()
 		wg.Go(func() {
 			_ = srv.ServeConn(c)
-			if c.readsHeader() { // the HTTP library answers a header of empty lines only by the close
-				c.noteClose(closeMalformed)
-			}
 			_ = c.Close()
 			<-sem
 		})
--- a/src/dispatch/ends_test.go
+++ b/src/dispatch/ends_test.go
@@ -166,3 +166,32 @@
 	slices.Sort(out)
 	return out
 }
+
+// TestEndOfHeldAnswer checks that an answer which the HTTP library still holds, since a further
+// request arrived with the body of its own, is not counted as written if the connection is reset.
+func TestEndOfHeldAnswer(t *testing.T) {
+	tests := map[string]struct {
+		length int64
+		want   string
+	}{
+		"written with the next": {50, "answered true  false"},
+		"lost with the next":    {1 << 20, "cut true backend false"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			p := startProxy(t, diaryRoute, func(_ context.Context, _ link.Peer, h wire.CallHead, _ io.Reader) link.Outcome {
+				if h.Method == "POST" {
+					return newReply(200, "answer")
+				}
+				return link.Reply{Head: wire.ReplyHead{Status: 200, BodyLength: tc.length}, Body: io.NopCloser(io.LimitReader(endless{}, 50))}
+			})
+			conn := p.sendRaw(c, "POST /diary HTTP/1.1\r\nHost: bookings.example\r\nContent-Length: 4\r\n\r\nbody"+pipelined(1))
+			got := readAnswers(conn, 2)
+			c.Check(len(got) == 2, qt.Equals, tc.length == 50)
+			for start := time.Now(); time.Since(start) < testTimeout && len(p.nonZero("yuccaport_dispatch_requests_ended_total")) == 0; time.Sleep(time.Millisecond) {
+			}
+			c.Check(p.nonZero("yuccaport_dispatch_requests_ended_total"), qt.DeepEquals, []string{tc.want})
+		})
+	}
+}
--- a/src/dispatch/progress.go
+++ b/src/dispatch/progress.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"os"
 	"sync"
 	"time"
@@ -96,6 +97,7 @@
 	set(&q)
 	p.written = q.End == q.Answer
 	p.atServer = !p.written && q.Sent && (q.Answer == cut.EndUnknown || p.streamed && q.Missing != 0)
+	p.request.By = q.By
 	p.mu.Unlock()
 	p.conn.cuts.ends.Count(q, p.conn.cuts.Stopping())
 	if q.End.IsLogged() {
@@ -143,6 +145,19 @@
 	}
 }
 
+// isUnflushed reports whether nothing has been written to the connection since the request was read.
+func (p *progress) isUnflushed() bool { return p != nil && p.conn.written.Load() == p.writtenBefore }
+
+// endedBy returns who ended the request, or otherwise the given one.
+func (p *progress) endedBy(otherwise cut.Ender) cut.Ender {
+	if p == nil {
+		return otherwise
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return cmp.Or(p.request.By, otherwise)
+}
+
 // wasAtServer reports whether the request ended while a backend server was at work on it.
 func (p *progress) wasAtServer() bool {
 	if p == nil {
--- a/src/dispatch/proxy.go
+++ b/src/dispatch/proxy.go
@@ -276,7 +276,7 @@
 // markIdle marks a caller's connection idle once its answer is written.
 func markIdle(c net.Conn, s fasthttp.ConnState) {
 	if cc, ok := c.(*callerConn); ok && s == fasthttp.StateIdle {
-		cc.currentProgress().complete()
+		cc.answerFlushed()
 		cc.setBusy(false)
 	}
 }
--- a/src/dispatch/proxy_test.go
+++ b/src/dispatch/proxy_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
 	"go.uber.org/goleak"
@@ -81,7 +82,7 @@
 	c.Assert(err, qt.IsNil)
 	p := &testProxy{url: "http://" + l.Addr().String(), done: make(chan error, 1)}
 	p.Proxy = &dispatch.Proxy{
-		Listener: l, Transport: transport, Log: logr.Discard(), Grace: 5 * time.Second,
+		Listener: l, Transport: transport, Log: logr.Discard(), Metrics: metrics.NewSet(), Grace: 5 * time.Second,
 		Self:  func() wire.Member { return wire.Member{Domain: "mid-a"} },
 		Table: func() *dispatch.Table { return table },
 	}
