--- a/src/booking/lost_runs_test.go
+++ b/src/booking/lost_runs_test.go
@@ -150,8 +150,9 @@
 			s.SetInstance("i-1", 4, true)
 			t.Cleanup(s.pool.close)
 			newInbound("GET", "/a", "a", nil, 0).serve(t, s) // its report shows that reports count the answered call
+			overdue := max(300*time.Millisecond, 10*time.Duration(s.Load().Service)*time.Millisecond)
 			lost := newInbound("GET", "/lost", "b", nil, 0)
-			lost.head.Idempotent, lost.head.TakesDoubt, lost.head.TimeoutMS = tc.idempotent, tc.takesDoubt, 2000
+			lost.head.Idempotent, lost.head.TakesDoubt, lost.head.TimeoutMS = tc.idempotent, tc.takesDoubt, (2*time.Second + overdue).Milliseconds()
 			ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 			defer cancel()
 			ended := make(chan struct{})
@@ -159,7 +160,7 @@
 				defer close(ended)
 				s.ServeCall(ctx, lost)
 			}()
-			time.Sleep(300 * time.Millisecond) // many times as long as its service time
+			time.Sleep(overdue) // many times as long as its service time, also beside load
 			for range 3 {
 				newInbound("GET", "/a", "c", nil, 0).serve(t, s)
 				time.Sleep(2 * lostConfirmTime)
--- a/src/dispatch/caller_conn.go
+++ b/src/dispatch/caller_conn.go
@@ -27,6 +27,7 @@
 	cuts         *cuts                 // nil to record none
 	written      atomic.Int64          // bytes
 	writeErr     atomic.Pointer[error] // the answer is incomplete
+	closeReason  atomic.Uint32         // of type closeReason
 	recordOnce   sync.Once
 	closeOnce    sync.Once
 	readFailed   atomic.Bool // a read has returned an error, io.EOF included
@@ -34,6 +35,7 @@
 
 	mu                 sync.Mutex
 	progress           *progress     // of the last request whose header has been read
+	unflushed          []*progress   // of earlier requests whose answers the HTTP library still holds
 	busy               bool          // a request has begun to arrive and its answer is not yet written
 	headerDeadline     time.Time     // of a header that has begun to arrive, zero for none
 	stopping           bool          // accepts no further request once idleDeadline has passed
@@ -64,6 +66,7 @@
 	}
 	if c.hasTooMuchOverhead() {
 		c.readFailed.Store(true)
+		c.noteClose(closeOverhead)
 		return 0, errTooMuchOverhead
 	}
 	n, err := c.Conn.Read(b)
@@ -74,6 +77,7 @@
 	if n > 0 {
 		n = c.startRequest(b[:n])
 	} else if c.isStoppingIdle() {
+		c.noteClose(closeStop)
 		return 0, io.EOF
 	}
 	if err != nil {
@@ -88,6 +92,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.callerEnded = c.callerEnded || !os.IsTimeout(err)
+	c.noteReadError(os.IsTimeout(err))
 }
 
 // hasTooMuchOverhead reports whether a request body sends chunk sizes or trailers on and on.
@@ -132,13 +137,17 @@
 	c.written.Add(int64(n))
 	if err != nil {
 		c.writeErr.Store(&err)
+		c.noteWriteError(err)
+		return n, err
 	}
+	c.completeUnflushed()
 	return n, err
 }
 
 // Close closes the connection once the caller has received what was written, see linger. After a
 // failed write it resets the connection.
 func (c *callerConn) Close() error {
+	defer c.endProgress() // of a request that was read after the connection had been reset
 	if c.writeErr.Load() != nil {
 		c.recordOnce.Do(c.recordClose)
 		c.abort()
@@ -245,5 +254,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.bodyUnread, c.pendingErr = true, os.ErrDeadlineExceeded
+	c.noteClose(closeBodyUnread)
 	_ = c.SetReadDeadline(time.Unix(1, 0))
 }
--- a/src/dispatch/caller_cut.go
+++ b/src/dispatch/caller_cut.go
@@ -6,18 +6,36 @@
 	"errors"
 	"net"
 	"net/textproto"
+	"time"
 
 	"golang.org/x/sys/unix"
 
 	"github.com/yuccaport/yuccaport/src/cut"
 )
 
-// beginProgress starts the progress of a request whose header has been read.
-func (c *callerConn) beginProgress(id string) {
+// readsHeader reports whether a header has begun to arrive and is not complete.
+func (c *callerConn) readsHeader() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.busy && !c.headerDeadline.IsZero()
+}
+
+// hasBegunRequest reports whether a request has begun to arrive.
+func (c *callerConn) hasBegunRequest() bool {
+	if c == nil {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.busy
+}
+
+// beginProgress starts the progress of a request whose header has been read, or could not be read.
+func (c *callerConn) beginProgress(id string, s cut.State) {
 	if c == nil || c.cuts == nil {
 		return
 	}
-	p := &progress{conn: c, writtenBefore: c.written.Load(), request: cut.Request{ID: id, State: cut.Body, Missing: -1}}
+	p := &progress{conn: c, began: time.Now(), writtenBefore: c.written.Load(), request: cut.Request{ID: id, State: s, Missing: -1}}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.progress = p
@@ -35,9 +53,13 @@
 
 // recordAbort records the requests that are lost by resetting the connection.
 func (c *callerConn) recordAbort() {
-	if c.cuts != nil {
-		c.recordLost(c.cuts.ender(cut.Caller), true)
+	if c.cuts == nil {
+		return
 	}
+	by := c.cuts.ender(cut.Caller)
+	c.noteClose(closeReasonOf(by))
+	c.recordLost(by, true)
+	c.countClose()
 }
 
 // recordClose records the requests that are lost by closing the connection.
@@ -45,10 +67,11 @@
 	if c.cuts == nil {
 		return
 	}
-	if err := c.writeErr.Load(); err != nil {
-		c.currentProgress().cut(c.cuts.ender(cut.Caller), (*err).Error())
+	c.endProgress()
+	if c.readsHeader() { // the HTTP library ends a header of empty lines without an answer
+		c.noteClose(closeMalformed)
 	}
-	c.currentProgress().complete()
+	c.countClose()
 	c.mu.Lock()
 	stopping := c.stopping
 	c.mu.Unlock()
@@ -57,18 +80,67 @@
 	}
 }
 
+// endProgress records the end of the last request: after a failed write, it has no whole answer.
+func (c *callerConn) endProgress() {
+	if c.cuts == nil {
+		return
+	}
+	if err := c.writeErr.Load(); err != nil {
+		by := c.cuts.ender(cut.Caller)
+		c.currentProgress().cut(by, *err)
+		c.cutUnflushed(by)
+	}
+	c.currentProgress().complete()
+}
+
+// answerFlushed records that the answer to the last request has been passed to the HTTP library, which
+// writes it at once unless the next request has arrived behind a body.
+func (c *callerConn) answerFlushed() {
+	p := c.currentProgress()
+	if !p.isUnflushed() {
+		p.complete()
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unflushed = append(c.unflushed, p)
+}
+
+// completeUnflushed records that answers that the HTTP library held back have been written.
+func (c *callerConn) completeUnflushed() {
+	for _, p := range c.takeUnflushed() {
+		p.complete()
+	}
+}
+
+// cutUnflushed records that answers that the HTTP library held back are lost.
+func (c *callerConn) cutUnflushed(by cut.Ender) {
+	for _, p := range c.takeUnflushed() {
+		p.cut(by, nil)
+	}
+}
+
+func (c *callerConn) takeUnflushed() []*progress {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := c.unflushed
+	c.unflushed = nil
+	return out
+}
+
 // recordLost records the request in progress, those behind it, and an answer that a reset would discard.
 func (c *callerConn) recordLost(by cut.Ender, resets bool) {
 	p := c.currentProgress()
+	readsHeader := c.readsHeader()
 	c.mu.Lock()
-	readsHeader := c.busy && !c.headerDeadline.IsZero()
 	bodyUnread := c.bodyUnread
 	held := bytes.Clone(c.pending)
 	c.mu.Unlock()
 	if resets {
 		p.cutWritten(by)
 	}
-	p.cut(by, "")
+	p.cut(by, nil)
+	c.cutUnflushed(p.endedBy(by))
 	if readsHeader {
 		c.cuts.Record(cut.Request{State: cut.Header, By: by, Missing: -1})
 	}
