dispatch: a refusal as leaving or replaced speaks of one start of a server, and its mark ends

Cause: the refusal carried nothing that says which start of the server it speaks of, and the mark ended only when a table differed. Change: refusals name the start; one of an earlier start than the table shows changes nothing; a later start in a table ends the mark; and a server that tables go on showing in use is tried again by one call that may be repeated, after heartbeat + max_staleness, doubled with each further refusal. The wire field is optional: without it the start known at the sending counts.

--- a/src/agent/agent.go
+++ b/src/agent/agent.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -125,6 +126,7 @@
 	}
 	a.booking.OnLeaving = a.handleLeavingAnswer
 	a.booking.ResetsWhenFull = s.Backend.ResetsWhenFull
+	a.booking.StartedAt = a.backendStartedAt
 	a.booking.HasTenants = func() bool { t := a.table(); return t != nil && t.Tenants != nil }
 	a.booking.InboundDelay, a.booking.OutboundDelay, a.booking.LinkRate = a.pool.InboundDelay, a.pool.OutboundDelay, linkRate(s)
 	a.proxy = &dispatch.Proxy{
@@ -160,7 +162,13 @@
 
 func (a *Agent) dispatchSettings() dispatch.Settings {
 	b := a.Settings.RetryBudget
-	return dispatch.Settings{RetryShare: b.Share * usedBudgetShare, SharedRetryBurst: b.Reserve * usedBudgetShare, SlowStart: slowStartTime, NotReadyRetryAfter: notReadyRetryAfter, LinkRate: linkRate(a.Settings), PreferDomain: a.Settings.Dispatch.PreferDomain, PreferDomainIfShared: a.Settings.Dispatch.PreferDomainIfShared, ExposureShare: a.Settings.Rollout.WithDefaults().MaxShare}
+	return dispatch.Settings{RetryShare: b.Share * usedBudgetShare, SharedRetryBurst: b.Reserve * usedBudgetShare, SlowStart: slowStartTime, NotReadyRetryAfter: notReadyRetryAfter, LinkRate: linkRate(a.Settings), PreferDomain: a.Settings.Dispatch.PreferDomain, PreferDomainIfShared: a.Settings.Dispatch.PreferDomainIfShared, ExposureShare: a.Settings.Rollout.WithDefaults().MaxShare, DepartureTime: a.departureTime()}
+}
+
+// departureTime returns the time in which a change at a backend server reaches all agents: its next
+// heartbeat, and the distribution of the entry.
+func (a *Agent) departureTime() time.Duration {
+	return a.Settings.Heartbeat.Std() + cmp.Or(a.Settings.Store.MaxStaleness.Std(), registry.DefaultMaxStaleness)
 }
 
 // linkRate returns the speed of the VM's link in bytes per second.
@@ -171,6 +179,13 @@
 	return time.Duration(float64(n) / linkRate(a.Settings) * float64(time.Second))
 }
 
+// backendStartedAt returns the start of the backend server, zero if it is unknown.
+func (a *Agent) backendStartedAt() time.Time {
+	a.backendMu.Lock()
+	defer a.backendMu.Unlock()
+	return a.backend.StartedAt()
+}
+
 // member returns the agent's member entry.
 func (a *Agent) member() wire.Member {
 	a.backendMu.Lock()
--- a/src/booking/server.go
+++ b/src/booking/server.go
@@ -46,6 +46,7 @@
 	Rollout        *rollout.Node                      // decides which calls may run while the service is under a rollout order, and gets the outcome of each run; nil for none
 	HasTenants     func() bool                        // reports whether the configuration holds tenants; nil for never
 	ResetsWhenFull bool                               // the backend server resets connections when it is full; of others, a reset is a fault
+	StartedAt      func() time.Time                   // returns the start of the backend server, zero if it is unknown; nil for unknown
 	OnLeaving      func(instance string)              // called when the answers of an instance begin to say that it is leaving; nil for no call
 	Now            func() time.Time                   // nil for time.Now
 	Log            logr.Logger                        // zero for no logging
@@ -271,6 +272,7 @@
 		r.Reason = reasonForOlderBuild(r.Reason)
 	}
 	r.Load, r.LinkDelayMS, r.SpeedPercent = s.loadFor(h)
+	r.StartedAt = s.startToName(h, r.Reason)
 	in.Refuse(r)
 	s.counters.countRefusal(r.Reason)
 	if log := s.rolloutLog(s.callLog(h.Tenant)); log.Enabled() {
@@ -280,6 +282,18 @@
 	}
 }
 
+// startToName returns the start of the backend server that a refusal for its leave or its replacement
+// speaks of, in Unix milliseconds; 0 if it speaks of none, or of an earlier member, or if it is unknown.
+func (s *Server) startToName(h wire.CallHead, reason wire.RefusalReason) int64 {
+	if s.StartedAt == nil || h.Target != s.Self || reason != wire.ReasonLeaving && reason != wire.ReasonWrongMember {
+		return 0
+	}
+	if at := s.StartedAt(); !at.IsZero() {
+		return at.UnixMilli()
+	}
+	return 0
+}
+
 // callLog returns the logger for per-call lines, with the tenant's name if there is one: at the
 // default level with heartbeats, otherwise at verbosity 1.
 func (s *Server) callLog(tenant string) logr.Logger {
--- a/src/dispatch/arrival.go
+++ b/src/dispatch/arrival.go
@@ -58,7 +58,7 @@
 	}
 	timeout = min(timeout, cs.deadline.Sub(now))
 	maxQueueWait := c.maxQueueWait(now, cs, ch)
-	a := &attemptState{server: ch.server, backendStart: ch.server.StartedAt, sentAt: now, active: true}
+	a := &attemptState{server: ch.server, backendStart: ch.server.StartedAt, sentAt: now, active: true, trial: ch.server.departure.trial}
 	cs.attempts = append(cs.attempts, a)
 	ch.server.addAttempt(a)
 	n := len(cs.attempts)
--- a/src/dispatch/attempt_result.go
+++ b/src/dispatch/attempt_result.go
@@ -17,6 +17,7 @@
 		return nil
 	}
 	a.server.removeUnanswered(a)
+	a.endTrial()
 	c.sharedVMs = c.sharedVMs || e.Load.Speed > 0
 	a.server.recordLoad(now, cs.policy.Route, e.Load)
 	if e.Leaving {
@@ -69,7 +70,14 @@
 	a.end()
 	c.sharedVMs = c.sharedVMs || e.Load.Speed > 0
 	a.server.recordLoad(now, cs.policy.Route, e.Load)
-	c.observeFailure(now, a.server, e.Reason, e.Load)
+	if isDeparture(e.Reason) {
+		c.markDeparted(now, a, e.StartedAt)
+	} else {
+		if e.Reason != wire.ReasonConnect && e.Reason != wire.ReasonLinkLost {
+			a.endTrial()
+		}
+		c.observeFailure(now, a.server, e.Reason, e.Load)
+	}
 	cs.retriesCharged = cs.retriesCharged || e.MayHaveRun || e.Reason == wire.ReasonShed
 	if e.MayHaveRun {
 		cs.mayHaveRun = true
--- a/src/dispatch/call.go
+++ b/src/dispatch/call.go
@@ -200,7 +200,7 @@
 		c.log().Info("attempt failed", "request_id", c.head.TraceID, "attempt", n, "by", a.member.ID, "reason", r.Reason.String(), "may_have_run", r.MayHaveRun, "backlog_ms", r.Load.Backlog)
 		c.perform(c.proxy.step(AttemptRefused{
 			Call: c.id, Attempt: n, Reason: r.Reason, MayHaveRun: r.MayHaveRun, Repeated: r.Repeated,
-			RetryAfter: time.Duration(r.RetryAfterMS) * time.Millisecond, BodyConsumed: c.body.isConsumed(), Load: newLoad(r.Load, r.LinkDelayMS, r.SpeedPercent),
+			RetryAfter: time.Duration(r.RetryAfterMS) * time.Millisecond, StartedAt: startOf(r), BodyConsumed: c.body.isConsumed(), Load: newLoad(r.Load, r.LinkDelayMS, r.SpeedPercent),
 		}))
 		return
 	}
--- a/src/dispatch/call_state.go
+++ b/src/dispatch/call_state.go
@@ -52,6 +52,7 @@
 	active       bool // it has no result yet, or its answer is still being passed on
 	doubted      bool // its answer may not come
 	silent       bool // and its member has sent nothing for some time
+	trial        bool // of a server that has refused calls as leaving or replaced
 	wrongVersion bool // it was refused by the server's gate
 	full         bool // it was refused as not run, since the wait for a slot was too long for a first choice
 }
--- a/src/dispatch/choice.go
+++ b/src/dispatch/choice.go
@@ -99,7 +99,7 @@
 }
 
 func (c *Core) isCandidate(p *Policy, srv *server, cs *callState) bool {
-	return srv.isEligible() && !cs.hasTried(srv) && (p.Locality != document.LocalityStrict || srv.Domain == c.domain)
+	return srv.isEligible() && srv.takesCall(p) && !cs.hasTried(srv) && (p.Locality != document.LocalityStrict || srv.Domain == c.domain)
 }
 
 // tier is a set of servers that is preferred to the servers outside it.
--- a/src/dispatch/core.go
+++ b/src/dispatch/core.go
@@ -24,6 +24,7 @@
 	latencies       []float64 // of expectedLatencies
 	sharedVMs       bool      // a backend server has reported the speed of its VM
 	leaving         leavingServers
+	departed        []*server // with marks that have not expired or ended
 	rollouts        map[string]*serviceRollout // services under an order
 	splitPositions  map[routeKey]float64       // position of a route's last call in the split by weight, from 0 to 1; for routes with several targets
 }
@@ -37,6 +38,7 @@
 		c.calls = map[uint64]*callState{}
 		c.inFlightByRoute = map[routeKey]int{}
 	}
+	c.expireDepartures(now)
 	switch e := e.(type) {
 	case TableChanged:
 		c.tableChanged(now, e)
@@ -76,8 +78,8 @@
 		if !ok {
 			srv = &server{startedAt: now.Add(-m.Age)}
 		}
-		if !ok || srv.State != m.State || srv.Ready != m.Ready {
-			srv.departed = false
+		if !ok || srv.State != m.State || srv.Ready != m.Ready || m.StartedAt.After(srv.StartedAt) {
+			srv.departure.end()
 		}
 		srv.Member, srv.isNew = m, false
 		srv.leaving = c.leaving.contains(m)
--- a/src/dispatch/event.go
+++ b/src/dispatch/event.go
@@ -57,6 +57,7 @@
 	RetryAfter   time.Duration      `json:"retry_after_ns,omitempty"` // 0 if the refusal states none
 	BodyConsumed bool               `json:"body_spent,omitempty"`     // the request body cannot be sent again
 	Repeated     bool               `json:"repeated,omitempty"`       // with ReasonCrashed: not the first backend server to crash under this request
+	StartedAt    time.Time          `json:"started_at,omitzero"`      // with ReasonLeaving and ReasonWrongMember: of the backend server that the refusal speaks of, zero if unknown
 	Load         Load               `json:"load"`
 }
 
--- a/src/dispatch/outlier.go
+++ b/src/dispatch/outlier.go
@@ -27,9 +27,6 @@
 	svc := c.services[srv.Service]
 	reportsFree := load.Slots > 0 && load.Free > 0
 	switch reason {
-	case wire.ReasonLeaving, wire.ReasonWrongMember:
-		c.markDeparted(now, svc, srv)
-		return
 	case wire.ReasonVersion:
 		if srv.isNew {
 			srv.unreachableUntil = now.Add(gateClosedTime) // not an ejection, of which only a share of the servers is allowed
@@ -52,14 +49,6 @@
 	}
 }
 
-// markDeparted makes a server that is leaving or replaced ineligible until a table shows its new state.
-func (c *Core) markDeparted(now time.Time, svc *service, srv *server) {
-	srv.departed = true
-	if svc != nil {
-		svc.limitEjected(now, c.Settings.MaxEjectedShare)
-	}
-}
-
 // observeAnswer records an answer and ejects the server if it is an outlier.
 func (c *Core) observeAnswer(now time.Time, srv *server, status int, latency time.Duration) {
 	svc := c.services[srv.Service]
--- a/src/dispatch/server.go
+++ b/src/dispatch/server.go
@@ -31,7 +31,7 @@
 	Member
 	startedAt  time.Time
 	isNew      bool            // it has the version to which an order moves the calls of its service
-	departed   bool            // it has refused a call as leaving or replaced, and no table has shown that yet
+	departure  departure
 	leaving    bool            // it has said in an answer that it is leaving, which is final for this start of it
 	inFlight   int             // attempts of this daemon
 	unanswered []*attemptState // attempts without an answer yet, oldest first
@@ -62,9 +62,9 @@
 }
 
 // isEligible reports whether calls may be sent to the server at all: it is neither leaving, by the
-// table or by its answers, nor dead nor departed.
+// table or by its answers, nor dead nor marked as departed.
 func (s *server) isEligible() bool {
-	return !s.departed && !s.leaving && s.State != wire.StateLeaving && s.State != wire.StateDead
+	return s.departure.until.IsZero() && !s.leaving && s.State != wire.StateLeaving && s.State != wire.StateDead
 }
 
 // isHealthy reports whether the roster shows the server as alive and ready.
--- a/src/dispatch/settings.go
+++ b/src/dispatch/settings.go
@@ -26,6 +26,7 @@
 	MaxEjectedShare      float64       `json:"aside_share,omitempty"`        // largest share of a service's usable members that may be ejected at a time
 	EjectionTime         time.Duration `json:"aside_time_ns,omitempty"`      // of a first ejection; it doubles with each further one
 	MaxEjectionTime      time.Duration `json:"aside_max_time_ns,omitempty"`
+	DepartureTime        time.Duration `json:"departure_time_ns,omitempty"`       // after which a server that has refused a call as leaving or replaced, and that tables show in use, is tried again; it doubles with each further refusal, up to MaxEjectionTime
 	LatencyFactor        float64       `json:"latency_factor,omitempty"`          // multiple of the service's median latency beyond which a member is an outlier
 	MaxCalls             int           `json:"max_calls,omitempty"`               // maximum number of attempts at one daemon that wait for the head of an answer or read a short answer; the recording of payments' outcomes counts too
 	PreferDomain         bool          `json:"prefer_domain,omitempty"`           // calls with an objective stay in their failure domain while it is expected to answer in time, see otherDomainPenalty
@@ -48,6 +49,7 @@
 	setDefault(&s.MaxEjectedShare, 0.5)
 	setDefault(&s.EjectionTime, time.Second)
 	setDefault(&s.MaxEjectionTime, 30*time.Second)
+	setDefault(&s.DepartureTime, 5*time.Second)
 	setDefault(&s.LatencyFactor, 3)
 	setDefault(&s.MaxCalls, 4096)
 	return s
--- a/src/wire/call.go
+++ b/src/wire/call.go
@@ -91,8 +91,9 @@
 	MayHaveRun   bool          `msg:"may_have_run"` // false: the backend server did not begin to run the call
 	RetryAfterMS int64         `msg:"retry_after_ms"`
 	Load         Load          `msg:"load"`
-	LinkDelayMS  int64         `msg:"link_delay_ms"`      // as in ReplyHead
-	Repeated     bool          `msg:"repeated,omitempty"` // with ReasonCrashed: not the first backend server to crash under this request
+	LinkDelayMS  int64         `msg:"link_delay_ms"`        // as in ReplyHead
+	Repeated     bool          `msg:"repeated,omitempty"`   // with ReasonCrashed: not the first backend server to crash under this request
+	StartedAt    int64         `msg:"started_at,omitempty"` // with ReasonLeaving and ReasonWrongMember: Unix milliseconds of the start of the backend server that the refusal speaks of, 0 if unknown
 
 	SpeedPercent int32 `msg:"speed_percent,omitempty"` // as in ReplyHead
 }
--- a/src/wire/call_gen.go
+++ b/src/wire/call_gen.go
@@ -459,17 +459,21 @@
 func (z *Refusal) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(7)
-	var zb0001Mask uint8 /* 7 bits */
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
 	_ = zb0001Mask
 	if z.Repeated == false {
 		zb0001Len--
 		zb0001Mask |= 0x20
 	}
-	if z.SpeedPercent == 0 {
+	if z.StartedAt == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x40
 	}
+	if z.SpeedPercent == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -500,6 +504,11 @@
 			o = msgp.AppendBool(o, z.Repeated)
 		}
 		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "started_at"
+			o = append(o, 0xaa, 0x73, 0x74, 0x61, 0x72, 0x74, 0x65, 0x64, 0x5f, 0x61, 0x74)
+			o = msgp.AppendInt64(o, z.StartedAt)
+		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
 			// string "speed_percent"
 			o = append(o, 0xad, 0x73, 0x70, 0x65, 0x65, 0x64, 0x5f, 0x70, 0x65, 0x72, 0x63, 0x65, 0x6e, 0x74)
 			o = msgp.AppendInt32(o, z.SpeedPercent)
@@ -570,6 +579,12 @@
 				err = msgp.WrapError(err, "Repeated")
 				return
 			}
+		case "started_at":
+			z.StartedAt, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "StartedAt")
+				return
+			}
 		case "speed_percent":
 			z.SpeedPercent, bts, err = msgp.ReadInt32Bytes(bts)
 			if err != nil {
@@ -590,7 +605,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Refusal) Msgsize() (s int) {
-	s = 1 + 7 + msgp.Uint8Size + 13 + msgp.BoolSize + 15 + msgp.Int64Size + 5 + z.Load.Msgsize() + 14 + msgp.Int64Size + 9 + msgp.BoolSize + 14 + msgp.Int32Size
+	s = 1 + 7 + msgp.Uint8Size + 13 + msgp.BoolSize + 15 + msgp.Int64Size + 5 + z.Load.Msgsize() + 14 + msgp.Int64Size + 9 + msgp.BoolSize + 11 + msgp.Int64Size + 14 + msgp.Int32Size
 	return
 }
 
