dispatch: a run does not end up to 1 ms before its deadline

Cause: the time left is sent to the agent beside the server in whole milliseconds, rounded down; that agent ends the run so much early, and the caller gets a 504 of ours while its server is at work and neither deadline nor timeout has passed. Change: rounded up.

--- a/src/dispatch/attempt.go
+++ b/src/dispatch/attempt.go
@@ -54,7 +54,7 @@
 	c.mayHaveRun = true
 	head := c.head
 	head.Target, head.Service, head.Attempt, head.Final = s.Member, s.Service, uint8(s.Attempt), s.Final
-	head.TimeoutMS = max(1, s.Timeout.Milliseconds())
+	head.TimeoutMS = max(1, (s.Timeout + time.Millisecond - 1).Milliseconds()) // rounded up, since the run would end before its deadline otherwise
 	head.PatienceMS = s.MaxQueueWait.Milliseconds()
 	head.Quarantine = c.proxy.Quarantine.Digest()
 	if !c.body.isComplete() {
--- a/src/dispatch/proxy_limits_test.go
+++ b/src/dispatch/proxy_limits_test.go
@@ -126,14 +126,16 @@
 	}
 }
 
-// TestHeaderNames checks configured header names: the caller's deadline bounds the call, its request ID is passed on and returned, and it cannot forge the calling service.
+// TestHeaderNames checks configured header names: the caller's deadline bounds the call and does not end it sooner, its request ID is passed on and returned, and it cannot forge the calling service.
 func TestHeaderNames(t *testing.T) {
 	c := qt.New(t)
 	names := header.Names{RequestID: "X-Call-Id", Deadline: "X-Left-Ms", Caller: "X-From", Expect: "X-Meant", Fractions: true}
 	var head wire.CallHead
+	var began time.Time
+	var took time.Duration
 	refuse := false
 	p := startProxy(t, diaryRoute, func(_ context.Context, _ link.Peer, h wire.CallHead, _ io.Reader) link.Outcome {
-		head = h
+		head, took = h, time.Since(began)
 		if refuse {
 			return link.Refused{Refusal: wire.Refusal{Reason: wire.ReasonLimit, RetryAfterMS: 250}}
 		}
@@ -143,12 +145,14 @@
 		p.Self = func() wire.Member { return wire.Member{Domain: "mid-a", Service: "bookings"} }
 	})
 	fields := []string{"X-Call-Id", "r-1", "X-Left-Ms", "400", "X-From", "forged", "X-Meant", "forged"}
+	began = time.Now()
 	got, err := p.do("GET", "/diary", nil, fields...)
 	c.Assert(err, qt.IsNil)
 	c.Check(got.header.Get("X-Call-Id"), qt.Equals, "r-1")
 	c.Check(head.TraceID, qt.Equals, "r-1")
 	c.Check(head.Caller, qt.Equals, "bookings")
 	c.Check(head.TimeoutMS <= 400, qt.IsTrue)
+	c.Check(took+time.Duration(head.TimeoutMS)*time.Millisecond >= 400*time.Millisecond, qt.IsTrue)
 	sent := map[string]string{}
 	for _, f := range head.Fields {
 		sent[f.Name] = f.Value
