--- a/src/dispatch/caller_late_test.go
+++ b/src/dispatch/caller_late_test.go
@@ -34,10 +34,10 @@
 			c := qt.New(t)
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			c.Assert(err, qt.IsNil)
-			defer l.Close()
+			defer func() { _ = l.Close() }()
 			caller, err := net.Dial("tcp", l.Addr().String())
 			c.Assert(err, qt.IsNil)
-			defer caller.Close()
+			defer func() { _ = caller.Close() }()
 			nc, err := l.Accept()
 			c.Assert(err, qt.IsNil)
 			conn := &callerConn{
