dispatch: an idle connection is no refused request; the log's account agrees with the counters

A connection that timed out before its first request had a line 'rejected' and counted in refused_not_run_total. TestEnds reads the log of each of its cases with report and compares the account with the counters, which showed it.

--- a/src/dispatch/ends_test.go
+++ b/src/dispatch/ends_test.go
@@ -17,6 +17,7 @@
 	"github.com/yuccaport/yuccaport/src/cut"
 	"github.com/yuccaport/yuccaport/src/dispatch"
 	"github.com/yuccaport/yuccaport/src/link"
+	"github.com/yuccaport/yuccaport/src/report"
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
@@ -87,6 +88,7 @@
 			c := qt.New(t)
 			var mu sync.Mutex
 			var lines []string
+			var log string
 			route := diaryRoute
 			route.Retry.Attempts = 1
 			started := make(chan struct{}, 100)
@@ -101,9 +103,11 @@
 				done := make(chan struct{})
 				time.AfterFunc(100*time.Millisecond, func() { close(done) })
 				p.LookupParent = func(string) (dispatch.Parent, bool) { return dispatch.Parent{Done: done}, true }
-				p.Log = funcr.New(func(_, text string) {
+				p.Log = funcr.NewJSON(func(text string) {
 					mu.Lock()
 					defer mu.Unlock()
+					text = strings.Replace(text, `"logger":""`, `"time":"2026-03-01T10:00:00Z","logger":"dispatch"`, 1)
+					log += text + "\n"
 					if strings.Contains(text, `"request cut"`) {
 						lines = append(lines, text)
 					}
@@ -137,9 +141,19 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
+			b := &report.Builder{}
+			c.Assert(b.Read(strings.NewReader(log)), qt.IsNil)
+			account := b.Report().Account // of the log, which must agree with the counters
+			c.Check(account.Open+account.Unbegun, qt.Equals, 0, qt.Commentf("%s", log))
+			logged := []string{}
+			for _, e := range account.Ends {
+				logged = append(logged, fmt.Sprint(e.End, " ", e.Sent == 1, " ", e.By, " ", e.Stopping == 1))
+			}
+			wantLogged := strings.Replace(tc.ended, " refusal ", "  ", 1) // a line tells why, not by whom
+			c.Check(strings.Join(logged, ", "), qt.Equals, wantLogged, qt.Commentf("%s", log))
 			c.Check(len(lines) > 0, qt.Equals, tc.logged, qt.Commentf("%v", lines))
 			if tc.logged {
-				c.Check(lines[0], qt.Contains, fmt.Sprintf(`"end"=%q "sent"=true`, strings.Fields(tc.ended)[0]))
+				c.Check(lines[0], qt.Contains, fmt.Sprintf(`"end":%q,"sent":true`, strings.Fields(tc.ended)[0]))
 			}
 		})
 	}
--- a/src/dispatch/serve.go
+++ b/src/dispatch/serve.go
@@ -108,12 +108,12 @@
 	case errors.Is(err, os.ErrDeadlineExceeded) || conn.headerTimedOut():
 		status, reason = fasthttp.StatusRequestTimeout, "header_timeout"
 	}
-	if conn.hasBegunRequest() && !errors.Is(err, net.ErrClosed) {
+	if conn.hasBegunRequest() && !errors.Is(err, net.ErrClosed) { // else the connection was idle, or has been closed here
 		conn.beginProgress("", cut.Header)
 		p.counters.calls.Inc()
+		p.counters.notRun.Inc()
+		p.logRejected(p.Log.WithValues("cause", readErrorText(err)), "", reason, status)
 	}
-	p.counters.notRun.Inc()
-	p.logRejected(p.Log.WithValues("cause", readErrorText(err)), "", reason, status)
 	conn.noteClose(closeReasonOfStatus(status))
 	ctx.SetConnectionClose()
 	writeProxyAnswer(ctx, status, outcomeNotRun, refusalBody{Reason: reason, Remedy: "send the whole header of a well-formed request in time"})
