--- a/src/link/cuts_test.go
+++ b/src/link/cuts_test.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 	"github.com/go-logr/logr/funcr"
 
+	"github.com/yuccaport/yuccaport/src/cut"
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
@@ -39,6 +40,7 @@
 				}
 				close(started)
 				<-ctx.Done()
+				c.Check(tc.server, qt.Contains, EnderOfCall(context.Cause(ctx)).String())
 			})}
 			client := startClient(t)
 			serverCuts, clientCuts := make(chan string, 1), make(chan string, 1)
@@ -60,6 +62,33 @@
 	}
 }
 
+// TestEnderOfCall checks who is said to have ended a call whose link goes on.
+func TestEnderOfCall(t *testing.T) {
+	tests := map[string]struct {
+		timeoutMS int64
+		want      cut.Ender
+	}{
+		"cancelled": {want: cut.Caller},
+		"timeout":   {timeoutMS: 20, want: cut.Timeout},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(testContext(t))
+			got := make(chan cut.Ender, 1)
+			to, _ := startPool(t, &Pool{Self: 2, Calls: callHandlerFunc(func(ctx context.Context, _ InboundCall) {
+				if tc.timeoutMS == 0 {
+					cancel()
+				}
+				<-ctx.Done()
+				got <- EnderOfCall(context.Cause(ctx))
+			})})
+			startClient(t).Call(ctx, to, wire.CallHead{Target: 2, TimeoutMS: tc.timeoutMS}, nil)
+			qt.Check(t, <-got, qt.Equals, tc.want)
+			cancel()
+		})
+	}
+}
+
 // cutLog returns a logger that passes on the state and ender of each call that is cut.
 func cutLog(cuts chan<- string) logr.Logger {
 	return funcr.NewJSON(func(text string) {
