agent, dispatch, booking: bound what a process holds by its memory and descriptors

Cause: the bounds were constants that added up to several times the memory of a site: 16,384 callers' connections with 36 kB and 64 kB of a request body each, 4,096 short answers of 64 kB, 32 MB for links and 32 MB for bodies beside the server; the connections were also over the 4,100 descriptors. 1,500 callers with half a body took a process to 211 MB of 134 MB. Change: shares of memory_mb and of the new setting descriptors. Beyond them idle connections are closed for new ones, a request whose body finds no room, or whose connection is one too many, gets 503 with Retry-After, and a short answer without room is passed on while it arrives. Earlier sites: unchanged at 284 MB but for the callers' connections (1,296 with headers of 16 kB).

--- a/src/agent/agent.go
+++ b/src/agent/agent.go
@@ -121,16 +121,17 @@
 	// Four intervals without an answer count as a dead link; together they outlast the transfer of assumedQueuedBytes.
 	a.pool = &link.Pool{
 		Self: a.id, Listener: a.LinkListener, Calls: a.booking, Messages: messageHandler{a}, Insecure: true,
-		Grace: s.StopGrace.Std(), Limits: link.Limits{PingInterval: linkPingInterval + a.transferTime(assumedQueuedBytes)/4, HandshakeTimeout: linkHelloTimeout + a.transferTime(assumedQueuedBytes), Bandwidth: linkRate(s)}, Log: a.Log.WithName("link"), Metrics: a.Metrics,
+		Grace: s.StopGrace.Std(), Limits: link.Limits{PingInterval: linkPingInterval + a.transferTime(assumedQueuedBytes)/4, HandshakeTimeout: linkHelloTimeout + a.transferTime(assumedQueuedBytes), Bandwidth: linkRate(s), Memory: s.bodyMemory(), Links: s.Descriptors / linksDivisor}, Log: a.Log.WithName("link"), Metrics: a.Metrics,
 	}
 	a.booking.OnLeaving = a.handleLeavingAnswer
+	a.booking.BodyMemory = int64(s.bodyMemory())
 	a.booking.ResetsWhenFull = s.Backend.ResetsWhenFull
 	a.booking.HasTenants = func() bool { t := a.table(); return t != nil && t.Tenants != nil }
 	a.booking.InboundDelay, a.booking.OutboundDelay, a.booking.LinkRate = a.pool.InboundDelay, a.pool.OutboundDelay, linkRate(s)
 	a.proxy = &dispatch.Proxy{
 		Listener: a.CallerListener, Self: a.member, Table: a.table, Transport: a.pool, Headers: a.Headers, Limits: a.limits,
 		Settings: a.dispatchSettings(), Grace: s.StopGrace.Std(), StartTimeout: startTimeout, Log: a.Log.WithName("dispatch"), Metrics: a.Metrics,
-		HoldOpen: a.booking.MayRun,
+		HoldOpen: a.booking.MayRun, Conns: s.Descriptors / callerConnsDivisor, ConnMemory: int64(s.memoryShare()), Memory: int64(s.memoryShare()),
 	}
 	a.buildRegistry()
 	a.proxy.KeysOutdated = (&keyAge{revocation: s.Revocation, follower: a.follower, log: a.Log.WithName("tenants")}).isOutdated
--- a/src/agent/settings.go
+++ b/src/agent/settings.go
@@ -14,14 +14,15 @@
 
 // Settings configures an agent. Name, MemoryMB, Listen and Store.Addr are for the process that runs the agent; Heartbeat is validated but not used. A changed StopGrace takes effect without a restart; all other changes but those of Heartbeat need one.
 type Settings struct {
-	Name        string            `toml:"name"`       // of the agent, in its log lines
-	Service     string            `toml:"service"`    // of the agent's backend server
-	Domain      string            `toml:"domain"`     // failure domain
-	Region      string            `toml:"region"`     // of the failure domain
-	Heartbeat   settings.Duration `toml:"heartbeat"`  // interval at which the backend server sends heartbeats
-	StopGrace   settings.Duration `toml:"stop_grace"` // time from the stop signal until the agent's process is killed
-	MemoryMB    int               `toml:"memory_mb"`  // memory above which the agent's process is killed
-	LinkMbps    float64           `toml:"link_mbps"`  // speed of the VM's link in megabits per second
+	Name        string            `toml:"name"`        // of the agent, in its log lines
+	Service     string            `toml:"service"`     // of the agent's backend server
+	Domain      string            `toml:"domain"`      // failure domain
+	Region      string            `toml:"region"`      // of the failure domain
+	Heartbeat   settings.Duration `toml:"heartbeat"`   // interval at which the backend server sends heartbeats
+	StopGrace   settings.Duration `toml:"stop_grace"`  // time from the stop signal until the agent's process is killed
+	MemoryMB    int               `toml:"memory_mb"`   // memory above which the agent's process is killed
+	Descriptors int               `toml:"descriptors"` // file descriptors that the process may use, 0 for no bound
+	LinkMbps    float64           `toml:"link_mbps"`   // speed of the VM's link in megabits per second
 	Listen      Listen            `toml:"listen"`
 	Backend     Backend           `toml:"backend"`
 	Store       Store             `toml:"store"`
@@ -124,6 +125,9 @@
 	if s.MemoryMB <= 0 {
 		return settingsError(file, "memory_mb", s.MemoryMB, "set it to the memory that the process may use, in megabytes")
 	}
+	if s.Descriptors < 0 {
+		return settingsError(file, "descriptors", s.Descriptors, "set it to the file descriptors that the process may use, or leave it out")
+	}
 	if s.LinkMbps <= 0 {
 		return settingsError(file, "link_mbps", s.LinkMbps, "set it to the speed of the VM's link in megabits per second")
 	}
--- a/src/booking/body_buffer.go
+++ b/src/booking/body_buffer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"io"
 	"sync/atomic"
@@ -10,12 +11,13 @@
 const (
 	bufferChunk     = 64 << 10 // bytes; unit of memory allocation
 	maxBufferedBody = 8 << 20  // most bytes of one body that are buffered
-	maxBufferMemory = 32 << 20 // most bytes of all bodies that are buffered
+	maxBufferMemory = 32 << 20 // most bytes of all bodies that are buffered, if Server.BodyMemory is not set
 )
 
 // bodyBuffer bounds the memory of request bodies that are buffered before their calls request a slot, and of long answers that are buffered
 // before they are forwarded, so that a slow caller or network link occupies memory but no slot.
 type bodyBuffer struct {
+	max  int64        // bytes, 0 for maxBufferMemory
 	used atomic.Int64 // bytes reserved
 }
 
@@ -57,7 +59,7 @@
 
 // reserve reserves n bytes of memory and reports whether they were available.
 func (s *bodyBuffer) reserve(n int64) bool {
-	if s.used.Add(n) <= maxBufferMemory {
+	if s.used.Add(n) <= cmp.Or(s.max, maxBufferMemory) {
 		return true
 	}
 	s.release(n)
--- a/src/booking/server.go
+++ b/src/booking/server.go
@@ -45,6 +45,7 @@
 	Quarantine     *quarantine.Node                   // keeps requests away that crash backend servers; nil for none
 	Rollout        *rollout.Node                      // decides which calls may run while the service is under a rollout order, and gets the outcome of each run; nil for none
 	HasTenants     func() bool                        // reports whether the configuration holds tenants; nil for never
+	BodyMemory     int64                              // bytes of the bodies that are buffered, 0 for 32 MiB
 	ResetsWhenFull bool                               // the backend server resets connections when it is full; of others, a reset is a fault
 	OnLeaving      func(instance string)              // called when the answers of an instance begin to say that it is leaving; nil for no call
 	Now            func() time.Time                   // nil for time.Now
@@ -105,6 +106,7 @@
 			s.Log = logr.Discard()
 		}
 		s.counters = newCounters(s.Metrics)
+		s.bodyBuffer.max = s.BodyMemory
 		s.pool.Addr, s.pool.Max, s.pool.Now = s.Backend.Addr, max(1, s.Backend.Connections), s.Now
 		s.core.LinkRate, s.core.Policy = s.LinkRate, s.Policy
 		s.core.Slots, s.core.FixedLimit = max(1, s.Backend.Slots), s.UsesHeartbeats // heartbeats report the slots, so the concurrency limit need not adapt
--- a/src/dispatch/attempt.go
+++ b/src/dispatch/attempt.go
@@ -135,6 +135,9 @@
 	if n < 0 || n > maxBufferedAnswer || a.call.head.Method == fasthttp.MethodHead {
 		return
 	}
+	if !a.call.conn.reserve(int(n)) {
+		return
+	}
 	a.buffered = true
 	a.call.progress.advance(cut.AnswerArriving)
 	a.body = make([]byte, n)
--- a/src/dispatch/caller_conn.go
+++ b/src/dispatch/caller_conn.go
@@ -25,6 +25,8 @@
 	onClose      func(*callerConn)
 	heldBytes    *atomic.Int64         // bytes in pending of all connections
 	cuts         *cuts                 // nil to record none
+	memory       *memory               // nil for no bound
+	surplus      bool                  // its requests are refused, since there are too many connections
 	written      atomic.Int64          // bytes
 	writeErr     atomic.Pointer[error] // the answer is incomplete
 	recordOnce   sync.Once
@@ -34,6 +36,7 @@
 
 	mu                 sync.Mutex
 	progress           *progress     // of the last request whose header has been read
+	idleSince          time.Time     // last answer, or the beginning of the connection
 	busy               bool          // a request has begun to arrive and its answer is not yet written
 	headerDeadline     time.Time     // of a header that has begun to arrive, zero for none
 	stopping           bool          // accepts no further request once idleDeadline has passed
@@ -52,6 +55,7 @@
 	bodyUnread         bool          // part of a request body has not been read
 	readsBody          bool          // a request body is being read
 	overhead           int           // bytes read since it began or since its last bytes
+	reserved           int64         // bytes of memory for the present request
 }
 
 // Read returns the bytes of a background read first.
@@ -217,6 +221,10 @@
 	if c.stopping && c.busy && !busy { // the answer has not announced the close
 		c.idleDeadline = time.Now().Add(idleGrace)
 	}
+	if !busy {
+		c.releaseReserved()
+		c.idleSince = time.Now()
+	}
 	c.busy, c.headerDeadline, c.readsBody = busy, time.Time{}, false
 	c.header = headerScanner{done: busy}
 }
--- a/src/dispatch/caller_held.go
+++ b/src/dispatch/caller_held.go
@@ -62,6 +62,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.release(len(c.pending))
+	c.releaseReserved()
 	c.ended = true
 }
 
--- a/src/dispatch/caller_listener.go
+++ b/src/dispatch/caller_listener.go
@@ -25,31 +25,32 @@
 	limits       func() Limits
 	heldBytes    atomic.Int64 // of further requests, by all connections
 	cuts         *cuts
+	memory       *memory    // of their requests; nil for no bound
+	maxConns     func() int // beyond which requests are refused
 
 	mu    sync.Mutex
 	conns map[*callerConn]struct{}
 }
 
-func newCallerListener(l net.Listener, stallTimeout time.Duration, limits func() Limits) *callerListener {
-	return &callerListener{Listener: l, stallTimeout: stallTimeout, limits: limits, conns: map[*callerConn]struct{}{}}
+func newCallerListener(l net.Listener, stallTimeout time.Duration, limits func() Limits, maxConns func() int) *callerListener {
+	return &callerListener{Listener: l, stallTimeout: stallTimeout, limits: limits, maxConns: maxConns, conns: map[*callerConn]struct{}{}}
 }
 
 // serve serves each connection in a goroutine of its own until the listener is closed and all connections have ended.
 func (l *callerListener) serve(server func() *fasthttp.Server) error {
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	sem := make(chan struct{}, maxConns)
 	for {
-		sem <- struct{}{}
+		l.awaitSurplus()
 		c, err := l.accept()
 		if err != nil {
 			return err
 		}
+		c.surplus = !l.makeRoom()
 		srv := server()
 		wg.Go(func() {
 			_ = srv.ServeConn(c)
 			_ = c.Close()
-			<-sem
 		})
 	}
 }
@@ -64,7 +65,7 @@
 	if err != nil {
 		return nil, err
 	}
-	cc := &callerConn{Conn: c, stallTimeout: l.stallTimeout, limits: l.limits, onClose: l.remove, heldBytes: &l.heldBytes, cuts: l.cuts}
+	cc := &callerConn{Conn: c, stallTimeout: l.stallTimeout, limits: l.limits, onClose: l.remove, heldBytes: &l.heldBytes, cuts: l.cuts, memory: l.memory, idleSince: time.Now()}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns[cc] = struct{}{}
--- a/src/dispatch/proxy.go
+++ b/src/dispatch/proxy.go
@@ -32,9 +32,12 @@
 	defaultHeaderBytes = 32 << 10
 	// requestLineSize is the space in a read buffer for the request line, in bytes, in addition to the largest header.
 	requestLineSize     = 4 << 10
-	maxConns            = 16384    // callers' connections served at once
-	preReadBodySize     = 1        // bytes of a request body that the HTTP library reads before the proxy sees the request; 0 would mean the library's default of 4 MB
-	prefetchSize        = 64 << 10 // bytes of a request body that are read before the call is dispatched
+	defaultConns        = 16384
+	defaultMemory       = 256 << 20 // bytes
+	defaultConnMemory   = 1 << 30   // bytes
+	connOverhead        = 8 << 10   // bytes of a connection beside the buffer of a header: the buffer of an answer and stacks
+	preReadBodySize     = 1         // bytes of a request body that the HTTP library reads before the proxy sees the request; 0 would mean the library's default of 4 MB
+	prefetchSize        = 64 << 10  // bytes of a request body that are read before the call is dispatched
 	defaultStallTimeout = 60 * time.Second
 	defaultGrace        = 30 * time.Second
 	defaultStartTimeout = 2 * time.Second
@@ -64,6 +67,9 @@
 	HoldOpen     func() bool                       // reports whether connections are still accepted after the handover of a planned stop, as while the backend server runs calls that may make calls of their own; nil for never
 	StartTimeout time.Duration                     // longest time that Run waits, before it accepts connections, until every service has a member that is alive and ready
 	StallTimeout time.Duration                     // longest time without progress on a caller's connection
+	Conns        int                               // callers' connections served at once, 0 for 16,384; idle ones are closed for new ones, and a request on one beyond these is refused as not run
+	ConnMemory   int64                             // bytes for the buffers of callers' connections, which bound Conns too; 0 for 1 GiB
+	Memory       int64                             // bytes of request bodies and short answers that are held, 0 for 256 MiB; a request whose body finds no room is refused as not run
 	Now          func() time.Time                  // nil for time.Now
 	Rand         *rand.Rand                        // nil for NewRand with the seed of Record's header, or with a random one if Record is nil
 	Log          logr.Logger
@@ -163,6 +169,9 @@
 		setDefault(&p.Grace, defaultGrace)
 		setDefault(&p.StallTimeout, defaultStallTimeout)
 		setDefault(&p.StartTimeout, defaultStartTimeout)
+		setDefault(&p.Conns, defaultConns)
+		setDefault(&p.Memory, defaultMemory)
+		setDefault(&p.ConnMemory, defaultConnMemory)
 		if p.Now == nil {
 			p.Now = time.Now
 		}
@@ -181,8 +190,10 @@
 		p.traceIDPrefix = strconv.FormatUint(rand.Uint64(), 36) + "-"
 		p.counters = newCounters(p.Metrics)
 		p.cuts = newCuts(p)
-		p.callerListener = newCallerListener(p.Listener, p.StallTimeout, p.limits)
+		p.callerListener = newCallerListener(p.Listener, p.StallTimeout, p.limits, p.maxConns)
 		p.callerListener.cuts = p.cuts
+		p.callerListener.memory = newMemory(p.Memory)
+		p.Metrics.GetOrCreateGauge("yuccaport_dispatch_memory_bytes", func() float64 { return float64(p.callerListener.memory.used.Load()) })
 		p.Metrics.GetOrCreateGauge("yuccaport_dispatch_held_bytes", func() float64 { return float64(p.callerListener.heldBytes.Load()) })
 		p.pool.Max = p.Settings.MaxCalls
 		p.baseCtx, p.kill = context.WithCancel(context.Background())
@@ -205,6 +216,11 @@
 // limits returns the bounds on callers' requests in force.
 func (p *Proxy) limits() Limits { return p.Limits().withDefaults(p.StallTimeout) }
 
+// maxConns returns the number of callers' connections beyond which requests are refused.
+func (p *Proxy) maxConns() int {
+	return max(1, min(p.Conns, int(p.ConnMemory/int64(p.limits().HeaderBytes+requestLineSize+connOverhead))))
+}
+
 // initRand seeds the core, with the recording's seed if there is one so that a replay draws the same numbers, and completes the recording's header.
 func (p *Proxy) initRand() {
 	seed := rand.Int64()
--- a/src/dispatch/request_body.go
+++ b/src/dispatch/request_body.go
@@ -13,6 +13,7 @@
 var (
 	errReaderInvalid = errors.New("request body is no longer open to this attempt: a later attempt reads it, or the call has ended")
 	errBodyTooLarge  = errors.New("request body is too large")
+	errNoMemory      = errors.New("no memory for a request body")
 )
 
 // requestBody is the body of a request. It can be sent again as long as everything read so far is buffered.
@@ -44,6 +45,9 @@
 		return nil, errBodyTooLarge
 	}
 	b := &requestBody{size: int64(max(n, -1)), limit: limit, source: src, conn: conn}
+	if !conn.reserve(b.prefetchLimit()) {
+		return nil, errNoMemory
+	}
 	conn.progressBody()
 	if err := b.prefetch(); err != nil {
 		return nil, err
--- a/src/dispatch/serve.go
+++ b/src/dispatch/serve.go
@@ -16,7 +16,10 @@
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
-const maxDeadlineMS = 24 * 60 * 60 * 1000 // a deadline of a day or more counts as none
+const (
+	maxDeadlineMS  = 24 * 60 * 60 * 1000    // a deadline of a day or more counts as none
+	fullRetryAfter = 200 * time.Millisecond // Retry-After while memory or connections are used up
+)
 
 // serve handles one request of a caller.
 func (p *Proxy) serve(ctx *fasthttp.RequestCtx) {
@@ -27,7 +30,11 @@
 	}
 	p.counters.calls.Inc()
 	isWhole := false
-	if p.checkRequest(ctx) {
+	switch {
+	case conn != nil && conn.surplus:
+		p.refuse(ctx, RefuseCall{Reason: wire.ReasonLimit, RetryAfter: fullRetryAfter})
+		ctx.SetConnectionClose()
+	case p.checkRequest(ctx):
 		isWhole = ctx.RequestBodyStream() == nil
 		p.route(ctx, conn)
 	}
@@ -140,10 +147,15 @@
 		return
 	}
 	body, err := readBody(ctx, conn, p.limits().BodyBytes)
-	if errors.Is(err, errBodyTooLarge) {
+	switch {
+	case errors.Is(err, errBodyTooLarge):
 		p.returnCredit(tenant)
 		p.rejectBody(ctx)
 		return
+	case errors.Is(err, errNoMemory):
+		p.returnCredit(tenant)
+		p.refuse(ctx, RefuseCall{Reason: wire.ReasonLimit, RetryAfter: fullRetryAfter})
+		return
 	}
 	if err != nil {
 		p.returnCredit(tenant)
