dispatch: a stop ends a connection that is accepted while the listener closes

Cause: the stop looked at the connections that were registered; one that had been accepted and was not registered yet was never told to end, so that it held the stop until the kill, which resets what it carries. Change: the stop also waits until no more connections are accepted. TestStopEndsConnectionAcceptedLate failed before, passes now.

--- a/src/dispatch/caller_listener.go
+++ b/src/dispatch/caller_listener.go
@@ -28,18 +28,21 @@
 	memory       *memory    // of their requests; nil for no bound
 	maxConns     func() int // beyond which requests are refused
 
+	serving chan struct{} // closed when serve accepts no more connections
+
 	mu    sync.Mutex
 	conns map[*callerConn]struct{}
 }
 
 func newCallerListener(l net.Listener, stallTimeout time.Duration, limits func() Limits, maxConns func() int) *callerListener {
-	return &callerListener{Listener: l, stallTimeout: stallTimeout, limits: limits, maxConns: maxConns, conns: map[*callerConn]struct{}{}}
+	return &callerListener{Listener: l, stallTimeout: stallTimeout, limits: limits, maxConns: maxConns, serving: make(chan struct{}), conns: map[*callerConn]struct{}{}}
 }
 
 // serve serves each connection in a goroutine of its own until the listener is closed and all connections have ended.
 func (l *callerListener) serve(server func() *fasthttp.Server) error {
 	var wg sync.WaitGroup
 	defer wg.Wait()
+	defer close(l.serving)
 	for {
 		l.awaitSurplus()
 		c, err := l.accept()
@@ -88,7 +91,7 @@
 	return out
 }
 
-// stop stops accepting once holdOpen reports false, ends idle connections and waits until the others have ended or ctx is done.
+// stop stops accepting once holdOpen reports false, ends idle connections and waits until the others have ended or ctx is done. serve may have accepted a connection when the listener was closed, so that its end is awaited first.
 func (l *callerListener) stop(ctx context.Context, holdOpen func() bool) {
 	tick := time.NewTicker(pollInterval)
 	defer tick.Stop()
@@ -97,8 +100,9 @@
 		if !open {
 			_ = l.Close()
 		}
+		ended := l.hasEnded()
 		conns := l.openConns()
-		if len(conns) == 0 && !open {
+		if len(conns) == 0 && ended {
 			return
 		}
 		for _, c := range conns {
@@ -112,6 +116,16 @@
 	}
 }
 
+// hasEnded reports whether serve accepts no more connections.
+func (l *callerListener) hasEnded() bool {
+	select {
+	case <-l.serving:
+		return true
+	default:
+		return false
+	}
+}
+
 // abort resets every connection at once.
 func (l *callerListener) abort() {
 	_ = l.Close()
