--- a/src/dispatch/core.go
+++ b/src/dispatch/core.go
@@ -24,7 +24,7 @@
 	latencies       []float64 // of expectedLatencies
 	sharedVMs       bool      // a backend server has reported the speed of its VM
 	leaving         leavingServers
-	departed        []*server // with marks that have not expired or ended
+	departed        []*server                  // with marks that have not expired or ended
 	rollouts        map[string]*serviceRollout // services under an order
 	splitPositions  map[routeKey]float64       // position of a route's last call in the split by weight, from 0 to 1; for routes with several targets
 }
--- a/src/dispatch/server.go
+++ b/src/dispatch/server.go
@@ -30,7 +30,7 @@
 type server struct {
 	Member
 	startedAt  time.Time
-	isNew      bool            // it has the version to which an order moves the calls of its service
+	isNew      bool // it has the version to which an order moves the calls of its service
 	departure  departure
 	leaving    bool            // it has said in an answer that it is leaving, which is final for this start of it
 	inFlight   int             // attempts of this daemon
