--- a/src/booking/long_answer_test.go
+++ b/src/booking/long_answer_test.go
@@ -5,7 +5,9 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -78,3 +80,41 @@
 		})
 	}
 }
+
+// Downloads too long for a buffer, whose callers read nothing, hold no slot once the backend server has worked on them.
+func TestServeCallUnreadDownloadsHoldNoSlot(t *testing.T) {
+	const slots, size = 2, 8 << 20
+	c := qt.New(t)
+	raw := startRawBackend(t)
+	raw.answer = func(head string) string {
+		n := 2
+		if strings.HasPrefix(head, "GET /calendar") {
+			n = size
+		}
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", n, strings.Repeat("x", n))
+	}
+	s := startServer(t, raw.listener, slots, 8)
+	unblock := make(chan struct{})
+	var downloads sync.WaitGroup
+	for range slots {
+		in := newInbound("GET", "/calendar", "", nil, 0)
+		in.unblock = unblock
+		downloads.Go(func() { in.serve(t, s) })
+	}
+	waitUntil(t, "the downloads are admitted", func() bool { return s.counters.admitted.Get() == slots })
+	read := newInbound("GET", "/diary", "", nil, 0)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		read.serve(t, s)
+	}()
+	select {
+	case <-done:
+		c.Check(read.complete, qt.IsTrue)
+	case <-time.After(2 * time.Second):
+		c.Error("a short read waits for callers that read nothing")
+	}
+	close(unblock)
+	downloads.Wait()
+	<-done
+}
