--- a/src/dispatch/caller_listener_test.go
+++ b/src/dispatch/caller_listener_test.go
@@ -41,7 +41,7 @@
 func TestStopEndsConnectionAcceptedLate(t *testing.T) {
 	c := qt.New(t)
 	caller, nc := net.Pipe()
-	defer caller.Close()
+	defer func() { _ = caller.Close() }()
 	late := &lateListener{closed: make(chan struct{}), late: make(chan net.Conn, 1)}
 	late.late <- nc
 	close(late.late)
