--- a/src/cut/end.go
+++ b/src/cut/end.go
@@ -14,7 +14,7 @@
 	EndTimeout           // answered with 504, or ended at its deadline
 	EndCallerLeft        // its caller left
 	EndParent            // the call within which it was made ended
-	EndStalled           // its caller took no bytes of the answer for too long
+	EndStalled           // its caller took no bytes of the answer, or sent none of the body, for too long
 	EndCut               // its connection was closed before its answer was whole
 	numEnds
 )
