dispatch: an attempt that answers late reserves nothing

Cause: the answer of an attempt that lost its race could reserve memory on a connection that was idle again, until its next request. Found by reading; not seen in a run.

--- a/src/agent/bounds.go
+++ b/src/agent/bounds.go
@@ -6,7 +6,7 @@
 	callerConnsDivisor = 3  // of the descriptors; half as many more may be open while they are refused or end
 	linksDivisor       = 8  // of the descriptors, for the dialled and for the accepted links
 
-	maxBodyMemory = 32 << 20 // bytes; more for the links or beside the backend server would let answers wait for longer than their callers do
+	maxBodyMemory = 32 << 20 // bytes, for the links and for bodies beside the backend server
 )
 
 // memoryShare returns a share of the memory in bytes.
--- a/src/dispatch/memory.go
+++ b/src/dispatch/memory.go
@@ -28,14 +28,14 @@
 }
 
 // reserve takes memory for the present request, until its answer is written or the connection ends, and reports
-// whether there was room.
+// whether there was room. There is none for a request that has been answered.
 func (c *callerConn) reserve(n int) bool {
 	if c == nil || c.memory == nil {
 		return true
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ended || !c.memory.tryAcquire(int64(n)) {
+	if c.ended || !c.busy || !c.memory.tryAcquire(int64(n)) {
 		return false
 	}
 	c.reserved += int64(n)
