dispatch: a long answer is held while its call can still be sent again

Callers saw: a connection reset without an answer, where the link to the agent beside the server was lost under an answer over 64 KiB, also before its first byte, although the call may be repeated.

Cause: such an answer was accepted at its head, after which no attempt follows.

The core counts an answer's time from its head as before. Held answers are passed on at the last answer of a stop. A doubt about an attempt whose answer arrives is ignored.

--- a/src/agent/agent.go
+++ b/src/agent/agent.go
@@ -90,6 +90,7 @@
 	// usedBudgetShare is the share of Settings.RetryBudget that the agent uses, since the calls that a retried call makes count as retries too.
 	usedBudgetShare    = 0.7
 	notReadyRetryAfter = 200 * time.Millisecond // Retry-After of a call that this agent refuses for lack of a configuration or a member; a starting agent has both by then
+	answerMemoryPart   = 16                     // of the memory that the process may use, for answers that are held
 	startTimeout       = 250 * time.Millisecond // longest time that calls wait for a new agent to get a configuration and a ready member of each service
 )
 
@@ -130,7 +131,7 @@
 	a.proxy = &dispatch.Proxy{
 		Listener: a.CallerListener, Self: a.member, Table: a.table, Transport: a.pool, Headers: a.Headers, Limits: a.limits,
 		Settings: a.dispatchSettings(), Grace: s.StopGrace.Std(), StartTimeout: startTimeout, Log: a.Log.WithName("dispatch"), Metrics: a.Metrics,
-		HoldOpen: a.booking.MayRun,
+		HoldOpen: a.booking.MayRun, AnswerMemory: int64(s.MemoryMB) << 20 / answerMemoryPart,
 	}
 	a.buildRegistry()
 	a.proxy.KeysOutdated = (&keyAge{revocation: s.Revocation, follower: a.follower, log: a.Log.WithName("tenants")}).isOutdated
--- a/src/dispatch/attempt.go
+++ b/src/dispatch/attempt.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -26,14 +27,17 @@
 	number int
 	member wire.Member
 	sentAt time.Time
+	holdBy time.Time // when a long answer is passed on at the latest
 	ctx    context.Context
 	cancel context.CancelFunc
 
 	requestBody io.Reader // nil for none
 
 	reply    *link.Reply
-	body     []byte // the answer's body, if buffered
-	buffered bool   // the answer has been read completely, or up to where it was truncated
+	body     []byte    // the answer's body, if buffered
+	buffered bool      // the answer has been read completely, or up to where it was truncated
+	headAt   time.Time // when its head arrived, if it is held
+	held     atomic.Pointer[heldAnswer]
 	refusal  *wire.Refusal
 	accepted bool
 
@@ -45,6 +49,7 @@
 // sendAttempt starts an attempt on a worker of the proxy.
 func (c *call) sendAttempt(s SendAttempt) {
 	a := &attempt{call: c, number: s.Attempt, member: c.proxy.member(s.Member), sentAt: c.proxy.Now()}
+	a.holdBy = a.sentAt.Add(c.holdTime(s.Timeout))
 	a.ctx, a.cancel = context.WithCancel(link.WithDoubt(c.baseCtx, a.onDoubt))
 	a.requestBody = c.body.newReader()
 	c.attempts[s.Attempt] = a
@@ -95,15 +100,24 @@
 	a.deliver(a.call.proxy.Transport.Call(a.ctx, link.Peer{ID: a.member.ID, Addr: a.member.Addr}, head, a.requestBody))
 }
 
-// deliver passes the result to the call, or closes it unread if the attempt has been dropped.
+// deliver passes the result to the call, a long answer once none of it needs to be held any longer.
 func (a *attempt) deliver(o link.Outcome) {
 	switch o := o.(type) {
 	case link.Reply:
 		a.reply = &o
+		if a.isHeld() {
+			a.hold()
+			return
+		}
 		a.bufferAnswer()
 	case link.Refused:
 		a.refusal = &o.Refusal
 	}
+	a.publish()
+}
+
+// publish passes the result to the call, or closes it unread if the attempt has been dropped.
+func (a *attempt) publish() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.dropped {
@@ -146,7 +160,63 @@
 		_ = a.reply.Body.Close()
 		return
 	}
-	a.refusal = &wire.Refusal{Reason: wire.ReasonCut, MayHaveRun: true, Load: a.reply.Head.Load, SpeedPercent: a.reply.Head.SpeedPercent}
+	a.refusal = a.cutRefusal()
+}
+
+// cutRefusal returns the refusal of a call whose answer was lost before any of it was passed on.
+func (a *attempt) cutRefusal() *wire.Refusal {
+	return &wire.Refusal{Reason: wire.ReasonCut, MayHaveRun: true, Load: a.reply.Head.Load, SpeedPercent: a.reply.Head.SpeedPercent}
+}
+
+// holdTime returns how long after its beginning an attempt's answer is held at most: while neither
+// the attempt times out nor another one is hedged.
+func (c *call) holdTime(timeout time.Duration) time.Duration {
+	if d := c.policy.HedgeAfter; d > 0 {
+		timeout = min(timeout, d)
+	}
+	return timeout / 2
+}
+
+// isHeld reports whether the answer is a long one to a call that may be sent again.
+func (a *attempt) isHeld() bool {
+	n, h := a.reply.Head.BodyLength, a.call.head
+	return (n < 0 || n > maxBufferedAnswer) && h.Idempotent && h.Method != fasthttp.MethodHead && a.call.payment == nil
+}
+
+// hold reads a long answer as far as it is held, and delivers it.
+func (a *attempt) hold() {
+	a.call.progress.advance(cut.AnswerArriving)
+	h := newHeldAnswer(a.reply.Body, a.reply.Head.BodyLength, &a.call.proxy.answerMemory)
+	a.headAt, a.reply.Body = a.call.proxy.Now(), h
+	a.held.Store(h)
+	timer := time.AfterFunc(max(0, a.holdBy.Sub(a.headAt)), func() { a.passOnHeld() })
+	defer timer.Stop()
+	h.fill()
+	if !h.release() {
+		return
+	}
+	if h.isBroken() {
+		a.refusal = a.cutRefusal()
+	}
+	a.publish()
+}
+
+// heldFor returns how long ago the head of an answer that was held arrived, 0 if it was not.
+func (a *attempt) heldFor() time.Duration {
+	if a.headAt.IsZero() {
+		return 0
+	}
+	return a.call.proxy.Now().Sub(a.headAt)
+}
+
+// passOnHeld delivers an answer that is held, as far as it has arrived, and reports whether it did.
+func (a *attempt) passOnHeld() bool {
+	h := a.held.Load()
+	if h == nil || !h.release() {
+		return false
+	}
+	a.publish()
+	return a.isDelivered()
 }
 
 // drop cancels the attempt; a result that arrives later is closed unread.
--- a/src/dispatch/attempt_result.go
+++ b/src/dispatch/attempt_result.go
@@ -23,7 +23,7 @@
 		c.leaving.add(now, a.server.Addr, a.backendStart)
 		a.server.leaving = c.leaving.contains(a.server.Member)
 	}
-	c.observeAnswer(now, a.server, e.Status, now.Sub(a.sentAt))
+	c.observeAnswer(now, a.server, e.Status, now.Sub(a.sentAt)-e.Held)
 	if e.Size > 0 && e.Status < 300 {
 		c.answerSizes.add(cs.routeKey(), e.Size)
 	}
@@ -32,7 +32,7 @@
 			return out
 		}
 	}
-	cs.accepted, cs.acceptedAt = true, now
+	cs.accepted, cs.acceptedAt = true, now.Add(-e.Held)
 	return append(c.cancelOthers(now, cs, e.Attempt), AcceptAnswer{Call: cs.id, Attempt: e.Attempt})
 }
 
--- a/src/dispatch/call.go
+++ b/src/dispatch/call.go
@@ -96,7 +96,7 @@
 		case <-c.baseCtx.Done():
 			c.abortCall()
 		case <-graceEnded:
-			graceEnded = nil // a payment goes on
+			graceEnded = nil // a payment goes on, and an answer that has arrived in part
 			c.endAtShutdown()
 		}
 	}
@@ -204,13 +204,13 @@
 		}))
 		return
 	}
-	c.perform(c.proxy.step(AttemptAnswered{Call: c.id, Attempt: n, Status: int(a.reply.Head.Status), Size: a.reply.Head.BodyLength, Load: newLoad(a.reply.Head.Load, a.reply.Head.LinkDelayMS, a.reply.Head.SpeedPercent), Leaving: a.reply.Head.Leaving}))
+	c.perform(c.proxy.step(AttemptAnswered{Call: c.id, Attempt: n, Status: int(a.reply.Head.Status), Size: a.reply.Head.BodyLength, Held: a.heldFor(), Load: newLoad(a.reply.Head.Load, a.reply.Head.LinkDelayMS, a.reply.Head.SpeedPercent), Leaving: a.reply.Head.Leaving}))
 }
 
 // handleDoubt reports to the core that an attempt without a result is doubted. Its backend server has the whole request body.
 func (c *call) handleDoubt(n int) {
 	a := c.attempts[n]
-	if a.isDelivered() || !c.body.isComplete() {
+	if a.isDelivered() || a.held.Load() != nil || !c.body.isComplete() {
 		return
 	}
 	c.log().Info("attempt doubted", "request_id", c.head.TraceID, "attempt", n, "by", a.member.ID)
--- a/src/dispatch/call_stop.go
+++ b/src/dispatch/call_stop.go
@@ -38,12 +38,22 @@
 
 // endAtShutdown refuses a call that is still in flight at the last answer of a planned stop.
 //
+// An answer that has arrived in part is passed on instead, until the kill.
+//
 // A payment is not refused: it continues until the proxy is killed, and its repeat is answered with the outcome if it ends by then.
 func (c *call) endAtShutdown() {
 	if c.payment != nil {
 		c.abortCall()
 		return
 	}
+	for _, a := range c.attempts {
+		if a != nil && a.passOnHeld() {
+			return
+		}
+	}
+	if len(c.results) > 0 {
+		return
+	}
 	sent := c.attempts[1] != nil
 	c.perform(c.proxy.step(CallerGone{Call: c.id}))
 	c.refuse(RefuseCall{Call: c.id, Reason: wire.ReasonLeaving, MayHaveRun: sent, RetryAfter: minRetryAfter})
--- a/src/dispatch/event.go
+++ b/src/dispatch/event.go
@@ -40,12 +40,13 @@
 
 // AttemptAnswered reports that the head of an attempt's answer has arrived; a short answer has arrived completely.
 type AttemptAnswered struct {
-	Call    uint64 `json:"call"`
-	Attempt int    `json:"attempt"`
-	Status  int    `json:"status"`
-	Size    int64  `json:"size,omitempty"` // of the answer's body in bytes, 0 or negative if unknown
-	Load    Load   `json:"load"`
-	Leaving bool   `json:"leaving,omitempty"` // the answer says that the backend server is leaving
+	Call    uint64        `json:"call"`
+	Attempt int           `json:"attempt"`
+	Status  int           `json:"status"`
+	Size    int64         `json:"size,omitempty"`    // of the answer's body in bytes, 0 or negative if unknown
+	Held    time.Duration `json:"held_ns,omitempty"` // time since the head arrived, in which nothing was passed on
+	Load    Load          `json:"load"`
+	Leaving bool          `json:"leaving,omitempty"` // the answer says that the backend server is leaving
 }
 
 // AttemptRefused reports an attempt that ended without an answer.
--- a/src/dispatch/proxy.go
+++ b/src/dispatch/proxy.go
@@ -63,6 +63,7 @@
 	Grace        time.Duration                     // for requests in flight at a graceful shutdown without Drain
 	HoldOpen     func() bool                       // reports whether connections are still accepted after the handover of a planned stop, as while the backend server runs calls that may make calls of their own; nil for never
 	StartTimeout time.Duration                     // longest time that Run waits, before it accepts connections, until every service has a member that is alive and ready
+	AnswerMemory int64                             // bytes of long answers that are held until they are complete, so that the call can be sent again if they are lost on the way; 0 to hold first bytes alone
 	StallTimeout time.Duration                     // longest time without progress on a caller's connection
 	Now          func() time.Time                  // nil for time.Now
 	Rand         *rand.Rand                        // nil for NewRand with the seed of Record's header, or with a random one if Record is nil
@@ -83,6 +84,7 @@
 
 	traceIDPrefix string
 	counters      *counters
+	answerMemory  answerMemory
 	cuts          *cuts
 
 	mu        sync.Mutex
@@ -163,6 +165,7 @@
 		setDefault(&p.Grace, defaultGrace)
 		setDefault(&p.StallTimeout, defaultStallTimeout)
 		setDefault(&p.StartTimeout, defaultStartTimeout)
+		p.answerMemory.max = p.AnswerMemory
 		if p.Now == nil {
 			p.Now = time.Now
 		}
--- a/src/dispatch/proxy_answers_test.go
+++ b/src/dispatch/proxy_answers_test.go
@@ -102,6 +102,77 @@
 	}
 }
 
+// TestLostLongAnswer guards against a reset of the caller's connection by a link that is lost while
+// nothing of a long answer has been passed on.
+func TestLostLongAnswer(t *testing.T) {
+	const size = 100_000
+	tests := map[string]struct {
+		method string
+		memory int64 // for answers that are held
+		length int64 // stated, -1 for none
+		sent   int   // bytes before the loss
+		status int   // 0 for a reset
+		calls  int
+	}{
+		"before its first byte":            {"GET", 0, size, 0, 200, 2},
+		"before its first byte, no length": {"GET", 0, -1, 0, 200, 2},
+		"early":                            {"GET", 8 << 20, size, 30_000, 200, 2},
+		"before its last byte":             {"GET", 8 << 20, size, size - 1, 200, 2},
+		"early, no memory":                 {"GET", size, size, 30_000, 0, 1},
+		"write":                            {"POST", 8 << 20, size, 0, 0, 1},
+		"too long":                         {"GET", 8 << 20, size, size + 1, 200, 2},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			var calls atomic.Int64
+			whole := strings.Repeat("y", size)
+			p := startProxy(t, diaryRoute, func(context.Context, link.Peer, wire.CallHead, io.Reader) link.Outcome {
+				if calls.Add(1) == 1 {
+					return link.Reply{Head: wire.ReplyHead{Status: 200, BodyLength: tc.length}, Body: &truncatedBody{remaining: tc.sent}}
+				}
+				return newReply(200, whole)
+			}, func(p *dispatch.Proxy) { p.AnswerMemory = tc.memory })
+			got, err := p.do(tc.method, "/diary", nil)
+			c.Check(err == nil, qt.Equals, tc.status != 0)
+			if err == nil {
+				c.Check(got.status, qt.Equals, tc.status)
+				c.Check(got.body == whole, qt.IsTrue)
+			}
+			c.Check(int(calls.Load()), qt.Equals, tc.calls)
+		})
+	}
+}
+
+// TestSlowLongAnswer guards against an answer that is held until its attempt has timed out.
+func TestSlowLongAnswer(t *testing.T) {
+	for name, length := range map[string]int64{"stated length": 100_000, "no length": -1} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			route := diaryRoute
+			route.Timeout = document.Duration(500 * time.Millisecond)
+			r, w := io.Pipe()
+			c.Cleanup(func() { _ = w.Close() })
+			p := startProxy(t, route, func(context.Context, link.Peer, wire.CallHead, io.Reader) link.Outcome {
+				return link.Reply{Head: wire.ReplyHead{Status: 200, BodyLength: length}, Body: r}
+			}, func(p *dispatch.Proxy) { p.AnswerMemory = 8 << 20 })
+			conn := p.sendRaw(c, "GET /diary HTTP/1.1\r\nHost: bookings.example\r\n\r\n")
+			_, _ = io.WriteString(w, strings.Repeat("x", 50_000))
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			c.Assert(err, qt.IsNil)
+			const early = 40_000 // the HTTP library writes whole buffers
+			_, err = io.ReadFull(resp.Body, make([]byte, early))
+			c.Assert(err, qt.IsNil)
+			_, _ = io.WriteString(w, strings.Repeat("x", 50_000))
+			_ = w.Close()
+			rest, err := io.ReadAll(resp.Body)
+			c.Assert(err, qt.IsNil)
+			c.Check(len(rest), qt.Equals, 100_000-early)
+			_ = resp.Body.Close()
+		})
+	}
+}
+
 // TestHedgedAnswers guards against answers that reach the wrong caller: the answers of dropped attempts of hedged calls arrive late.
 func TestHedgedAnswers(t *testing.T) {
 	c := qt.New(t)
