dispatch: a call of a route whose answers are unknown ends by its deadline, late in a stop

Callers saw: downloads that were sent 2.0 s after the SIGTERM of their agent, the first of their route, reset at the end of its grace.

Cause: an answer of unknown size was expected to take no time on the link.

Change: during a stop, a call to another VM on a route of which no answer has been seen is taken only if its deadline fits before the last answer; else it is refused as not run. An answer without a body counts as known.

--- a/src/dispatch/answer_time.go
+++ b/src/dispatch/answer_time.go
@@ -34,3 +34,9 @@
 	a := t.byRoute[k]
 	return a.mean + answerDeviations*a.deviation
 }
+
+// isKnown reports whether an answer of a route has been passed on while it arrived.
+func (t *answerTimes) isKnown(k routeKey) bool {
+	_, ok := t.byRoute[k]
+	return ok
+}
--- a/src/dispatch/attempt_result.go
+++ b/src/dispatch/attempt_result.go
@@ -24,7 +24,7 @@
 		a.server.leaving = c.leaving.contains(a.server.Member)
 	}
 	c.observeAnswer(now, a.server, e.Status, now.Sub(a.sentAt)-e.Held)
-	if e.Size > 0 && e.Status < 300 {
+	if e.Size >= 0 && e.Status < 300 {
 		c.answerSizes.add(cs.routeKey(), e.Size)
 	}
 	if isUnavailable(e.Status) && cs.policy.Idempotent {
--- a/src/dispatch/call_stop.go
+++ b/src/dispatch/call_stop.go
@@ -26,11 +26,14 @@
 	}
 }
 
-// endsInTime reports whether an attempt at the chosen server is expected to end before the last answer of this daemon's planned stop.
+// endsInTime reports whether an attempt at the chosen server is expected to end before the last answer of this daemon's planned stop. That of a route whose answers are unknown, from another VM, may take until the call's deadline.
 func (c *Core) endsInTime(now time.Time, cs *callState, ch choice) bool {
 	if c.endBy.IsZero() {
 		return true
 	}
+	if k := cs.routeKey(); ch.server.ID != c.self && !c.answerSizes.isKnown(k) && !c.answerTimes.isKnown(k) {
+		return cs.deadline.Before(c.endBy)
+	}
 	serviceTime := ch.server.serviceTime(now, cs.policy.Route)
 	transfer := max(c.transferTime(ch.server, cs), c.answerTimes.usual(cs.routeKey()))
 	return now.Add(transfer + c.expectedAnswerWait(now, ch.server, cs, serviceTime) + serviceTime).Before(c.endBy)
--- a/src/dispatch/event.go
+++ b/src/dispatch/event.go
@@ -43,7 +43,7 @@
 	Call    uint64        `json:"call"`
 	Attempt int           `json:"attempt"`
 	Status  int           `json:"status"`
-	Size    int64         `json:"size,omitempty"`    // of the answer's body in bytes, 0 or negative if unknown
+	Size    int64         `json:"size,omitempty"`    // of the answer's body in bytes, negative if unknown
 	Held    time.Duration `json:"held_ns,omitempty"` // time since the head arrived, in which nothing was passed on
 	Load    Load          `json:"load"`
 	Leaving bool          `json:"leaving,omitempty"` // the answer says that the backend server is leaving
