--- a/src/dispatch/proxy.go
+++ b/src/dispatch/proxy.go
@@ -66,6 +66,7 @@
 	Grace        time.Duration                     // for requests in flight at a graceful shutdown without Drain
 	HoldOpen     func() bool                       // reports whether connections are still accepted after the handover of a planned stop, as while the backend server runs calls that may make calls of their own; nil for never
 	StartTimeout time.Duration                     // longest time that Run waits, before it accepts connections, until every service has a member that is alive and ready
+	AnswerMemory int64                             // bytes of long answers that are held until they are complete, so that the call can be sent again if they are lost on the way; 0 to hold first bytes alone
 	StallTimeout time.Duration                     // longest time without progress on a caller's connection
 	Conns        int                               // callers' connections served at once, 0 for 16,384; idle ones are closed for new ones, and a request on one beyond these is refused as not run
 	ConnMemory   int64                             // bytes for the buffers of callers' connections, which bound Conns too; 0 for 1 GiB
@@ -89,6 +90,7 @@
 
 	traceIDPrefix string
 	counters      *counters
+	answerMemory  answerMemory
 	cuts          *cuts
 
 	mu        sync.Mutex
@@ -172,6 +174,7 @@
 		setDefault(&p.Conns, defaultConns)
 		setDefault(&p.Memory, defaultMemory)
 		setDefault(&p.ConnMemory, defaultConnMemory)
+		p.answerMemory.max = p.AnswerMemory
 		if p.Now == nil {
 			p.Now = time.Now
 		}
