--- a/src/dispatch/caller_surplus.go
+++ b/src/dispatch/caller_surplus.go
@@ -52,6 +52,7 @@
 	slices.SortFunc(idle, func(a, b *callerConn) int { return since[a].Compare(since[b]) })
 	closed := min(open-n+n/closedDivisor, len(idle))
 	for _, c := range idle[:closed] {
+		c.noteClose(closeLimit)
 		c.stop(time.Now())
 	}
 	return open-closed <= n
--- a/src/dispatch/serve.go
+++ b/src/dispatch/serve.go
@@ -34,6 +34,7 @@
 	isWhole := false
 	switch {
 	case conn != nil && conn.surplus:
+		conn.noteClose(closeLimit)
 		p.refuse(ctx, RefuseCall{Reason: wire.ReasonLimit, RetryAfter: fullRetryAfter})
 		ctx.SetConnectionClose()
 	case p.checkRequest(ctx):
