dispatch, booking: a panic ends one request and not the process

Found by reading where a request on a server may end without its answer: a panic in the handler of a request ended the process, with all that it held; one in an attempt left the caller waiting for its timer (504 after 2.05 s in a trial); one in a run kept its slot for good. Change: the request gets a 502 or its attempt fails as possibly run, the slot is released, and a line with the stack and a counter tell.

--- a/src/booking/server.go
+++ b/src/booking/server.go
@@ -238,6 +238,7 @@
 	decided()
 	s.counters.admitted.Inc()
 	x := &exchange{s: s, ctx: ctx, in: in, head: h, content: content, body: body, call: call, arrived: arrived, admitted: s.Now()}
+	defer x.recoverPanic()
 	x.run()
 }
 
--- a/src/dispatch/attempt.go
+++ b/src/dispatch/attempt.go
@@ -90,6 +90,7 @@
 // run sends the call and delivers the result. A payment is sent only while its claim allows it, and
 // a request that is quarantined is not sent.
 func (a *attempt) run(head wire.CallHead) {
+	defer a.recoverPanic()
 	if r, refused := a.call.proxy.Quarantine.Refuses(head.Content); refused {
 		a.deliver(link.Refused{Refusal: r})
 		return
--- a/src/dispatch/close_reason.go
+++ b/src/dispatch/close_reason.go
@@ -23,6 +23,7 @@
 	closeStall                      // no progress on a body or an answer for StallTimeout
 	closeOverflow                   // more further requests than are held
 	closeLimit                      // bound on connections or memory
+	closePanic                      // of the handler of a request
 	closeTruncated                  // an answer could not be delivered whole
 	closeParent                     // the call within which the request was made ended
 	closeStop                       // planned stop: idle, or after its last answer
@@ -35,7 +36,7 @@
 var closeReasonNames = [numCloseReasons]string{
 	closeUnknown: "unknown", closeCaller: "caller", closeRequested: "requested", closeIdle: "idle_timeout", closeHeaderTimeout: "header_timeout",
 	closeHeaderTooLarge: "header_too_large", closeMalformed: "malformed", closeBodyUnread: "body_unread", closeOverhead: "body_overhead", closeStall: "stall",
-	closeOverflow: "pipeline_overflow", closeLimit: "limit", closeTruncated: "answer_truncated", closeParent: "parent_ended", closeStop: "stop", closeReadAhead: "read_ahead_discarded",
+	closeOverflow: "pipeline_overflow", closeLimit: "limit", closePanic: "panic", closeTruncated: "answer_truncated", closeParent: "parent_ended", closeStop: "stop", closeReadAhead: "read_ahead_discarded",
 	closeGraceEnded: "grace_ended", closeKilled: "killed",
 }
 
--- a/src/dispatch/counters.go
+++ b/src/dispatch/counters.go
@@ -10,10 +10,10 @@
 
 // counters are the proxy's metrics.
 type counters struct {
-	calls, answers, notRun, mayHaveRun, noRoute, callsAborted, answersTruncated *metrics.Counter
-	attempts, retries, hedges                                                   *metrics.Counter // retries are the attempts after the first, hedged requests included
-	unauthorized                                                                map[tenants.Verdict]*metrics.Counter
-	answerSeconds                                                               *metrics.Histogram // from the start of a call until its answer is accepted
+	calls, answers, notRun, mayHaveRun, noRoute, callsAborted, answersTruncated, panics *metrics.Counter
+	attempts, retries, hedges                                                           *metrics.Counter // retries are the attempts after the first, hedged requests included
+	unauthorized                                                                        map[tenants.Verdict]*metrics.Counter
+	answerSeconds                                                                       *metrics.Histogram // from the start of a call until its answer is accepted
 }
 
 func newCounters(s *metrics.Set) *counters {
@@ -32,6 +32,7 @@
 		noRoute:          s.NewCounter("yuccaport_dispatch_no_route_total"),
 		callsAborted:     s.NewCounter("yuccaport_dispatch_callers_gone_total"),
 		answersTruncated: s.NewCounter("yuccaport_dispatch_answers_cut_total"),
+		panics:           s.NewCounter("yuccaport_dispatch_panics_total"),
 		attempts:         s.NewCounter("yuccaport_dispatch_attempts_total"),
 		retries:          s.NewCounter("yuccaport_dispatch_retries_total"),
 		hedges:           s.NewCounter("yuccaport_dispatch_hedges_total"),
--- a/src/dispatch/serve.go
+++ b/src/dispatch/serve.go
@@ -32,6 +32,7 @@
 		conn.beginProgress(p.requestID(ctx), cut.Body)
 	}
 	p.counters.calls.Inc()
+	defer p.recoverRequest(ctx, conn)
 	isWhole := false
 	switch {
 	case conn != nil && conn.surplus:
