booking: a run whose answer has arrived unread is not doubted

Change: before a doubt is told, the run's connection is asked whether bytes wait there. TestLostRunWithUnreadAnswer: its first case failed before.

--- a/src/booking/conn.go
+++ b/src/booking/conn.go
@@ -67,6 +67,25 @@
 	_, _ = io.Copy(io.Discard, tcp)
 }
 
+// hasUnread reports whether bytes have arrived that have not been read. It does not wait for a read
+// that is under way.
+func (c *conn) hasUnread() bool {
+	sc, ok := c.nc.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, _ = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && n > 0
+}
+
 // alive reports whether an idle connection is still open and has received no unsolicited bytes.
 func (c *conn) alive() bool {
 	if c.r.Buffered() > 0 {
--- a/src/booking/lost_exchange.go
+++ b/src/booking/lost_exchange.go
@@ -34,8 +34,8 @@
 func (s *Server) doubtRunLocked(call uint64) {
 	s.counters.lost.Inc()
 	for x := range s.runs {
-		if x.call != call || x.answering {
-			continue
+		if x.call != call || x.answering || x.conn.hasUnread() {
+			continue // its answer has arrived, and this process has been late to read it
 		}
 		s.callLog(x.head.Tenant).Info("answer lost", "reason", "the backend server seems to have ended the request", "request_id", x.head.TraceID, "route", x.head.Route, "instance", x.instance, "held_ms", s.Now().Sub(x.admitted).Milliseconds(), "repeatable", x.head.Idempotent)
 		if !x.head.Idempotent {
--- a/src/booking/lost_runs_test.go
+++ b/src/booking/lost_runs_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -192,3 +194,35 @@
 		})
 	}
 }
+
+// Guards against a run that is taken for lost although its answer has arrived: this process has been late to read it.
+func TestLostRunWithUnreadAnswer(t *testing.T) {
+	for name, arrived := range map[string]bool{"unread answer": true, "no answer": false} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			l := listen(c)
+			defer func() { _ = l.Close() }()
+			nc, err := net.Dial("tcp", l.Addr().String())
+			c.Assert(err, qt.IsNil)
+			defer func() { _ = nc.Close() }()
+			backend, err := l.Accept()
+			c.Assert(err, qt.IsNil)
+			defer func() { _ = backend.Close() }()
+			in := newInbound("GET", "/diary", "", nil, 0)
+			in.head.TakesDoubt = true
+			s := &Server{}
+			s.init()
+			x := &exchange{s: s, in: in, head: in.head, call: 1, conn: newConn(nc)}
+			s.beginRun(x)
+			if arrived {
+				_, err = io.WriteString(backend, "HTTP/1.1 200 OK\r\n")
+				c.Assert(err, qt.IsNil)
+				waitUntil(c, "it has arrived", x.conn.hasUnread)
+			}
+			s.mu.Lock()
+			s.doubtRunLocked(1)
+			s.mu.Unlock()
+			c.Check(in.doubted.Load(), qt.Equals, !arrived)
+		})
+	}
+}
