--- a/src/dispatch/serve.go
+++ b/src/dispatch/serve.go
@@ -28,9 +28,11 @@
 	conn, _ := ctx.Conn().(*callerConn)
 	if conn != nil {
 		conn.setBusy(true)
+		conn.setBodyLength(ctx.Request.Header.ContentLength())
 		conn.beginProgress(p.requestID(ctx), cut.Body)
 	}
 	p.counters.calls.Inc()
+	defer p.recoverRequest(ctx, conn)
 	isWhole := false
 	switch {
 	case conn != nil && conn.surplus:
