dispatch: a server that takes only calls that may run once is tried again too

Found by the review: one false 421 kept all such calls from it for good, since the trial was for calls that may be repeated. Change: after another such time any call may be the trial; a refusal as leaving or replaced has not run it. TestDepartedServer: the new case failed before; the property test ends with such calls.

--- a/src/dispatch/departure.go
+++ b/src/dispatch/departure.go
@@ -9,11 +9,12 @@
 
 // departure is the mark of a server that has refused a call as leaving or replaced. It ends when a
 // table shows another state or a later start of the server. While tables go on showing it in use, the
-// refusal may have come later than the entry that followed it, so that the server is tried again: by
-// one call that may be repeated, after a time that doubles with each further refusal.
+// refusal may have come later than the entry that followed it, so that the server is tried again, after
+// a time that doubles with each further refusal: by one call at a time, at first one that may be repeated.
 type departure struct {
 	until   time.Time // no call is sent before; zero for no mark
 	trial   bool      // it is to be tried again
+	anyCall time.Time // from which on a call that may run once only may be the trial, too: it has not run if it is refused so
 	refused int       // refusals in a row
 }
 
@@ -55,7 +56,8 @@
 // isMarked reports whether no call may be sent to the server.
 func (d *departure) isMarked(now time.Time) bool { return now.Before(d.until) }
 
-// expireDepartures begins the trials of the servers whose marks have expired.
+// expireDepartures begins the trials of the servers whose marks have expired, and lets any call be the
+// trial of those that have had none for DepartureTime.
 func (c *Core) expireDepartures(now time.Time) {
 	c.departed = slices.DeleteFunc(c.departed, func(srv *server) bool {
 		d := &srv.departure
@@ -63,8 +65,12 @@
 			return false
 		}
 		if !d.until.IsZero() {
-			d.until, d.trial = time.Time{}, true
+			d.until, d.trial, d.anyCall = time.Time{}, true, now.Add(c.Settings.DepartureTime)
 		}
+		if now.Before(d.anyCall) {
+			return false
+		}
+		d.anyCall = time.Time{}
 		return true
 	})
 }
@@ -82,5 +88,5 @@
 
 // takesCall reports whether a call may be sent as far as the mark is concerned.
 func (s *server) takesCall(p *Policy) bool {
-	return !s.departure.trial || p.Idempotent && s.inFlight == 0
+	return !s.departure.trial || s.inFlight == 0 && (p.Idempotent || s.departure.anyCall.IsZero())
 }
--- a/src/dispatch/departure_test.go
+++ b/src/dispatch/departure_test.go
@@ -89,6 +89,12 @@
 			d.now = d.now.Add(departureTime)
 			d.sends(true, answers)
 		}, true, true},
+		"after its time, none may be repeated": {func(d *departures) {
+			d.sends(true, refuses(leaving, 0))
+			d.now = d.now.Add(departureTime)
+			d.sends(false, answers)
+			d.now = d.now.Add(departureTime)
+		}, true, true},
 		"after its time, refused again": {steps: func(d *departures) {
 			d.sends(true, refuses(leaving, 0))
 			d.now = d.now.Add(departureTime)
@@ -132,7 +138,9 @@
 		}
 		d.announce(960, true)
 		d.now = d.now.Add(d.sim.core.Settings.MaxEjectionTime)
-		if !d.sends(true, answers) || !d.sends(false, answers) {
+		d.sends(false, answers)
+		d.now = d.now.Add(departureTime)
+		if !d.sends(false, answers) || !d.sends(true, answers) {
 			r.Fatal("a server in use gets no calls")
 		}
 	})
