booking: a streamed answer is not cut since its server pauses

Found by the review: the timeout of 20 s for a caller that takes nothing was restarted by what came from the server, so that a stream with a longer pause was cut (21.5 s: cut). Change: it runs while a write waits. Also: an answer of unknown framing before that to a HEAD is not skipped, and its connection not used again.

--- a/src/booking/answer.go
+++ b/src/booking/answer.go
@@ -13,7 +13,7 @@
 const (
 	maxPooledAnswer   = 64 << 10         // bytes; an answer up to this size is read into a buffer of answerBuffers
 	maxBufferedAnswer = 1 << 20          // bytes; an answer up to this size is read completely while bodyBuffer has room, so that its slot is free before its caller has read it
-	stallTimeout      = 20 * time.Second // a streamed answer is cut off after this long without progress, as when its caller reads nothing
+	stallTimeout      = 20 * time.Second // a streamed answer is cut off once its caller has taken none of it for this long; its server may be silent for longer
 	maxDiscard        = 64 << 10         // bytes of an unneeded answer body that are read to reuse the connection
 )
 
@@ -122,15 +122,15 @@
 func (x *exchange) copyBody(w io.Writer, r io.Reader) (bool, error) {
 	buf := answerBuffers.Get().(*[maxPooledAnswer]byte)
 	defer answerBuffers.Put(buf)
-	stallTimer := time.AfterFunc(stallTimeout, func() {
-		x.in.Refuse(wire.Refusal{Reason: wire.ReasonCut, MayHaveRun: true}) // a pending Write then fails
-	})
-	defer stallTimer.Stop()
 	for {
 		n, err := r.Read(buf[:])
 		if n > 0 {
-			stallTimer.Reset(stallTimeout)
-			if _, err := w.Write(buf[:n]); err != nil {
+			stallTimer := time.AfterFunc(x.s.stallTimeout, func() {
+				x.in.Refuse(wire.Refusal{Reason: wire.ReasonCut, MayHaveRun: true}) // the pending Write then fails
+			})
+			_, err := w.Write(buf[:n])
+			stallTimer.Stop()
+			if err != nil {
 				return false, err
 			}
 		}
--- a/src/booking/exchange.go
+++ b/src/booking/exchange.go
@@ -271,7 +271,7 @@
 // finish returns the connection to the pool if it is reusable, closes it otherwise, and releases the slot.
 // bodyRead is false if the answer body was not read completely or is delimited by the end of the connection.
 func (x *exchange) finish(detach func() bool, bodyRead bool, r Result) {
-	reusable := detach() && bodyRead && x.uploaded() && !x.mayBeUnread() && x.skippedAnswers == 0 && !x.mayBeRepeated() && !x.resp.ConnectionClose()
+	reusable := detach() && bodyRead && x.uploaded() && !x.mayBeUnread() && x.skippedAnswers == 0 && x.head.Method != fasthttp.MethodHead && !x.mayBeRepeated() && !x.resp.ConnectionClose()
 	if reusable {
 		x.s.pool.put(x.conn)
 	} else {
--- a/src/booking/long_answer_test.go
+++ b/src/booking/long_answer_test.go
@@ -1,15 +1,20 @@
 package booking
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
+	"io"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/yuccaport/yuccaport/src/settings"
 )
 
 // Downloads whose callers read slowly hold no slot once the backend server has sent them, so that short reads are still run.
@@ -118,3 +123,28 @@
 	downloads.Wait()
 	<-done
 }
+
+// Guards against a streamed answer that is cut since its server pauses, although its caller takes all of it.
+func TestStreamOutlivesSilentServer(t *testing.T) {
+	c := qt.New(t)
+	l := listen(c)
+	c.Cleanup(func() { _ = l.Close() })
+	go func() {
+		nc, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = nc.Close() }()
+		_, _ = http.ReadRequest(bufio.NewReader(nc))
+		_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n")
+		time.Sleep(200 * time.Millisecond)
+		_, _ = io.WriteString(nc, "6\r\nsecond\r\n0\r\n\r\n")
+		_, _ = nc.Read(make([]byte, 1))
+	}()
+	s := &Server{Backend: settings.Backend{Addr: addrOf(l), Slots: 4, Connections: 8, HealthPath: "/health"}, Service: "bookings", Self: 7, UsesHeartbeats: true, stallTimeout: 50 * time.Millisecond}
+	s.SetInstance("i-1", 4, true)
+	c.Cleanup(s.pool.close)
+	in := newInbound("GET", "/diary", "", nil, 0).serve(t, s)
+	c.Check(in.refusal, qt.IsNil)
+	c.Check(in.answer.String(), qt.Equals, "firstsecond")
+}
--- a/src/booking/request.go
+++ b/src/booking/request.go
@@ -135,7 +135,8 @@
 func (x *exchange) skipAnswer() error {
 	x.s.counters.skipped.Inc()
 	endsWithConnection := !x.hasNoBody() && x.resp.Header.ContentLength() == -2
-	if x.skippedAnswers++; x.skippedAnswers > maxSkipped || endsWithConnection {
+	isHead := x.head.Method == fasthttp.MethodHead // whether the other answer has a body is not known
+	if x.skippedAnswers++; x.skippedAnswers > maxSkipped || endsWithConnection || isHead {
 		return errUnexpectedAnswer
 	}
 	err := x.discardBody(maxSkippedSize)
--- a/src/booking/server.go
+++ b/src/booking/server.go
@@ -54,6 +54,7 @@
 	Metrics        *metrics.Set                       // nil for a new set
 	Record         *trace.Recorder                    // records the events of the core; nil for no recording
 
+	stallTimeout    time.Duration // of streamed answers
 	once            sync.Once
 	closeWaitCtx    context.Context // cancelled by ReleaseCancelled
 	cancelCloseWait context.CancelFunc
@@ -97,6 +98,9 @@
 		if s.Now == nil {
 			s.Now = time.Now
 		}
+		if s.stallTimeout == 0 {
+			s.stallTimeout = stallTimeout
+		}
 		if s.Headers == (header.Names{}) {
 			s.Headers = header.Default()
 		}
