dispatch: what has arrived goes before a timer that is late; a daemon that takes over owes answers

A call that panics leaves the core, and memory of an answer that has been released is not reserved any more (read only).

--- a/src/agent/agent.go
+++ b/src/agent/agent.go
@@ -164,7 +164,7 @@
 
 func (a *Agent) dispatchSettings() dispatch.Settings {
 	b := a.Settings.RetryBudget
-	return dispatch.Settings{RetryShare: b.Share * usedBudgetShare, SharedRetryBurst: b.Reserve * usedBudgetShare, SlowStart: slowStartTime, NotReadyRetryAfter: notReadyRetryAfter, LinkRate: linkRate(a.Settings), PreferDomain: a.Settings.Dispatch.PreferDomain, PreferDomainIfShared: a.Settings.Dispatch.PreferDomainIfShared, ExposureShare: a.Settings.Rollout.WithDefaults().MaxShare, DepartureTime: a.departureTime()}
+	return dispatch.Settings{RetryShare: b.Share * usedBudgetShare, SharedRetryBurst: b.Reserve * usedBudgetShare, SlowStart: slowStartTime, NotReadyRetryAfter: notReadyRetryAfter, LinkRate: linkRate(a.Settings), PreferDomain: a.Settings.Dispatch.PreferDomain, PreferDomainIfShared: a.Settings.Dispatch.PreferDomainIfShared, ExposureShare: a.Settings.Rollout.WithDefaults().MaxShare, DepartureTime: a.departureTime(), StopGrace: a.Settings.StopGrace.Std()}
 }
 
 // departureTime returns the time in which a change at a backend server reaches all agents: its next
--- a/src/dispatch/attempt_result.go
+++ b/src/dispatch/attempt_result.go
@@ -99,7 +99,7 @@
 
 // attemptDoubted sends a further attempt if the doubted one could be retried after a refusal. The doubted one goes on, and the first answer is accepted.
 //
-// Where no further attempt can be sent beside silent ones, an idempotent call is refused, since its caller may repeat it in time. A daemon that stops owes the answer.
+// Where no further attempt can be sent beside silent ones, an idempotent call is refused, so that its caller may repeat it elsewhere. A daemon that stops, or that has started in the place of one that did, owes the answer.
 func (c *Core) attemptDoubted(now time.Time, e AttemptDoubted) []Action {
 	cs := c.calls[e.Call]
 	if cs == nil || cs.accepted {
@@ -119,7 +119,7 @@
 		return nil
 	}
 	out, ok := c.retry(now, cs, false)
-	if ok || !cs.policy.Idempotent || !c.endBy.IsZero() || !cs.isSilent() {
+	if ok || !cs.policy.Idempotent || c.owesAnswers(now) || !cs.isSilent() {
 		return out
 	}
 	cs.mayHaveRun = true
--- a/src/dispatch/call.go
+++ b/src/dispatch/call.go
@@ -66,6 +66,7 @@
 // run processes the call until it is answered, refused or aborted.
 func (c *call) run() {
 	defer c.cleanUp()
+	defer c.forgetAfterPanic()
 	if !c.admitPayment() {
 		return
 	}
@@ -90,7 +91,9 @@
 		case n := <-c.doubts:
 			c.handleDoubt(n)
 		case <-timer.C:
-			c.fireTimers()
+			if !c.handleReady() {
+				c.fireTimers()
+			}
 		case <-c.disconnected:
 			c.abortCall()
 		case <-c.parent.Done:
@@ -100,11 +103,27 @@
 			c.abortCall()
 		case <-graceEnded:
 			graceEnded = nil // a payment goes on, and an answer that has arrived in part
-			c.endAtShutdown()
+			for !c.ended && c.handleReady() {
+			}
+			if !c.ended {
+				c.endAtShutdown()
+			}
 		}
 	}
 }
 
+// handleReady handles a result that is there, and reports whether there was one: this goroutine may
+// run long after a timer was due, and the answer have come before.
+func (c *call) handleReady() bool {
+	select {
+	case n := <-c.results:
+		c.handleResult(n)
+		return true
+	default:
+		return false
+	}
+}
+
 // timeToObjective returns the time until the objective, negative after it; 0 if the call has none.
 func (c *call) timeToObjective() time.Duration {
 	if c.objective.IsZero() {
--- a/src/dispatch/call_stop.go
+++ b/src/dispatch/call_stop.go
@@ -26,6 +26,11 @@
 	}
 }
 
+// owesAnswers reports whether this daemon is stopping, or takes over from one that has just been stopped.
+func (c *Core) owesAnswers(now time.Time) bool {
+	return !c.endBy.IsZero() || now.Sub(c.startedAt) < c.Settings.StopGrace
+}
+
 // endsInTime reports whether an attempt at the chosen server is expected to end before the last answer of this daemon's planned stop. That of a route whose answers are unknown, from another VM, may take until the call's deadline.
 func (c *Core) endsInTime(now time.Time, cs *callState, ch choice) bool {
 	if c.endBy.IsZero() {
--- a/src/dispatch/caller_conn.go
+++ b/src/dispatch/caller_conn.go
@@ -41,6 +41,7 @@
 	idleSince          time.Time     // last answer, or the beginning of the connection
 	busy               bool          // a request has begun to arrive and its answer is not yet written
 	headerDeadline     time.Time     // of a header that has begun to arrive, zero for none
+	lateHeader         bool          // it has been read on after its deadline
 	stopping           bool          // accepts no further request once idleDeadline has passed
 	idleDeadline       time.Time     // if stopping: until then an idle connection still accepts a request that was sent before
 	header             headerScanner // of the request that is being read
@@ -212,7 +213,7 @@
 // beginRequest marks an idle connection busy and starts the timeout of a header; the caller must hold c.mu.
 func (c *callerConn) beginRequest() {
 	if !c.busy {
-		c.busy, c.headerDeadline = true, time.Now().Add(c.limits().HeaderTimeout)
+		c.busy, c.headerDeadline, c.lateHeader = true, time.Now().Add(c.limits().HeaderTimeout), false
 	}
 }
 
--- a/src/dispatch/caller_held.go
+++ b/src/dispatch/caller_held.go
@@ -96,15 +96,17 @@
 	return n, nil
 }
 
-// hasLateArrivals reads what has arrived on an idle connection whose read deadline has passed, and
-// reports whether there was anything. The deadline says only when this process got to run: a request
+// hasLateArrivals reads what has arrived on an idle connection whose read deadline has passed, or once
+// where that of a header has, and reports whether there was anything. The deadline says only when this process got to run: a request
 // may have arrived long before.
 func (c *callerConn) hasLateArrivals() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.busy || c.pendingErr != nil {
+	readsHeader := c.busy && !c.headerDeadline.IsZero()
+	if c.pendingErr != nil || c.busy && (!readsHeader || c.lateHeader) {
 		return false
 	}
+	c.lateHeader = readsHeader
 	c.readArrived()
 	return len(c.pending) > 0 || c.pendingErr != nil
 }
--- a/src/dispatch/core.go
+++ b/src/dispatch/core.go
@@ -24,7 +24,8 @@
 	latencies       []float64 // of expectedLatencies
 	sharedVMs       bool      // a backend server has reported the speed of its VM
 	leaving         leavingServers
-	departed        []*server                  // with marks that have not expired or ended
+	departed        []*server                  // with marks or trials that have not ended
+	startedAt       time.Time                  // first event
 	rollouts        map[string]*serviceRollout // services under an order
 	splitPositions  map[routeKey]float64       // position of a route's last call in the split by weight, from 0 to 1; for routes with several targets
 }
@@ -35,6 +36,7 @@
 // Step processes one event that occurred at now and returns the resulting actions, in order; all concern the event's own call.
 func (c *Core) Step(now time.Time, e Event) []Action {
 	if c.calls == nil {
+		c.startedAt = now
 		c.calls = map[uint64]*callState{}
 		c.inFlightByRoute = map[routeKey]int{}
 	}
--- a/src/dispatch/doubt_test.go
+++ b/src/dispatch/doubt_test.go
@@ -28,6 +28,7 @@
 		"silent, one attempt":    {func(_ *Core, p *Policy, _ *CallArrived) { p.Attempts = 1 }, []Event{silent}, []string{"cancel 1", "refuse link_lost true"}},
 		"silent, once only":      {func(_ *Core, p *Policy, _ *CallArrived) { p.Idempotent = false }, []Event{silent, answered(1, 200)}, []string{"accept 1"}},
 		"silent, stop, one left": {func(_ *Core, p *Policy, e *CallArrived) { p.Attempts, e.EndWithin = 1, time.Minute }, []Event{silent, answered(1, 200)}, []string{"accept 1"}},
+		"silent, just started":   {func(c *Core, p *Policy, _ *CallArrived) { p.Attempts, c.Settings.StopGrace = 1, time.Minute }, []Event{silent, answered(1, 200)}, []string{"accept 1"}},
 		"both silent":            {nil, []Event{silent, AttemptDoubted{Call: 1, Attempt: 2, Silent: true}}, []string{"send 2", "cancel 1", "cancel 2", "refuse link_lost true"}},
 		"silent, other one lost": {nil, []Event{silent, AttemptDoubted{Call: 1, Attempt: 2}, answered(1, 200)}, []string{"send 2", "cancel 2", "accept 1"}},
 		"second answers":         {nil, []Event{answered(2, 200)}, []string{"send 2", "cancel 1", "accept 2"}},
--- a/src/dispatch/held_answer.go
+++ b/src/dispatch/held_answer.go
@@ -53,7 +53,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	n := h.size + 1 // one more shows a body that is too long
-	if h.size < 0 || !h.memory.reserve(n) {
+	if h.closed || h.released.Load() || h.size < 0 || !h.memory.reserve(n) {
 		h.held = make([]byte, 0, firstBytes)
 		return
 	}
--- a/src/dispatch/panic.go
+++ b/src/dispatch/panic.go
@@ -10,8 +10,8 @@
 	"github.com/yuccaport/yuccaport/src/wire"
 )
 
-// A panic ends the request under which it occurs: the process goes on, since all others would end with
-// it, without an answer.
+// A panic in the handler of a request or in an attempt ends that request: the process goes on, since all
+// others would end with it, without an answer.
 
 // recoverRequest answers a request whose handler has panicked and closes its connection.
 func (p *Proxy) recoverRequest(ctx *fasthttp.RequestCtx, conn *callerConn) {
@@ -27,6 +27,14 @@
 	writeProxyAnswer(ctx, fasthttp.StatusBadGateway, outcomeMayHaveRun, refusalBody{Reason: "internal_error", Remedy: "see the log of the daemon; look up whether the request ran before sending it again"})
 }
 
+// forgetAfterPanic removes a call that panics from the core, where it would count as in flight for good.
+func (c *call) forgetAfterPanic() {
+	if r := recover(); r != nil {
+		c.proxy.step(CallerGone{Call: c.id})
+		panic(r)
+	}
+}
+
 // recoverPanic fails an attempt that has panicked, so that its call does not wait for it.
 func (a *attempt) recoverPanic() {
 	if r := recover(); r != nil {
--- a/src/dispatch/settings.go
+++ b/src/dispatch/settings.go
@@ -26,6 +26,7 @@
 	MaxEjectedShare      float64       `json:"aside_share,omitempty"`        // largest share of a service's usable members that may be ejected at a time
 	EjectionTime         time.Duration `json:"aside_time_ns,omitempty"`      // of a first ejection; it doubles with each further one
 	MaxEjectionTime      time.Duration `json:"aside_max_time_ns,omitempty"`
+	StopGrace            time.Duration `json:"stop_grace_ns,omitempty"`           // of a planned stop of a daemon; 0 for none
 	DepartureTime        time.Duration `json:"departure_time_ns,omitempty"`       // after which a server that has refused a call as leaving or replaced, and that tables show in use, is tried again; it doubles with each further refusal, up to MaxEjectionTime
 	LatencyFactor        float64       `json:"latency_factor,omitempty"`          // multiple of the service's median latency beyond which a member is an outlier
 	MaxCalls             int           `json:"max_calls,omitempty"`               // maximum number of attempts at one daemon that wait for the head of an answer or read a short answer; the recording of payments' outcomes counts too
