--- a/src/dispatch/pipelining_test.go
+++ b/src/dispatch/pipelining_test.go
@@ -193,3 +193,24 @@
 		})
 	}
 }
+
+// Guards against a request behind a chunked body that is lost at a stop: it is in the buffer of the HTTP
+// library, and the answer before it says that it is the last.
+func TestStopBehindChunkedBody(t *testing.T) {
+	c := qt.New(t)
+	started, release := make(chan struct{}, 2), make(chan struct{})
+	p := startProxy(t, diaryRoute, func(_ context.Context, _ link.Peer, _ wire.CallHead, body io.Reader) link.Outcome {
+		if body != nil {
+			_, _ = io.Copy(io.Discard, body)
+		}
+		started <- struct{}{}
+		<-release
+		return newReply(200, "ok")
+	})
+	conn := p.sendRaw(c, "POST /diary HTTP/1.1\r\nHost: bookings.example\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"+firstRequest)
+	<-started
+	p.cancel()
+	time.Sleep(50 * time.Millisecond)
+	close(release)
+	c.Check(readAnswers(conn, 2), qt.HasLen, 2)
+}
