dispatch: a request behind a body in chunks is not held by the HTTP library

What callers saw: a further request that arrived with a chunked body was lost at a stop, and the answer before it waited for its own. Change: a scanner finds the end of such a body, so that the library is given no more than it; the library checks the body as before, since the bytes and their order are the same.

--- a/src/dispatch/caller_pipeline.go
+++ b/src/dispatch/caller_pipeline.go
@@ -1,7 +1,7 @@
 package dispatch
 
 // Callers may send further requests before the first is answered. The HTTP server is given one
-// header at a time, and one body if its length is known, and the bytes behind it wait in callerConn.pending: the server sends an answer
+// header and one body at a time, and the bytes behind it wait in callerConn.pending: the server sends an answer
 // only once it has nothing left to read, so that otherwise an answer would wait for the slow request
 // behind it, and only so is it known during a shutdown which requests have been read.
 
--- a/src/dispatch/ends_test.go
+++ b/src/dispatch/ends_test.go
@@ -199,17 +199,21 @@
 // Guards against an answer that waits for a further request, and is lost with it, since both requests
 // arrived at once, one of them behind the body of the other.
 func TestAnswerBeforeFurtherRequest(t *testing.T) {
-	const head = "POST /diary HTTP/1.1\r\nHost: bookings.example\r\nContent-Length: "
+	const head = "POST /diary HTTP/1.1\r\nHost: bookings.example\r\n"
 	tests := map[string]struct {
 		body   string
 		length int64 // of the further answer, of which 50 bytes come
 		want   []string
+		chunk  int // bytes of each chunk, 0 for a body with a length
 	}{
-		"one byte":            {"b", 50, []string{"answered true  false"}},
-		"short":               {"body", 50, []string{"answered true  false"}},
-		"long":                {strings.Repeat("b", 10_000), 50, []string{"answered true  false"}},
-		"longer than is held": {strings.Repeat("b", 300_000), 50, []string{"answered true  false"}},
-		"further one cut":     {"body", 1 << 20, []string{"answered true  false", "cut true backend false"}},
+		"one byte":            {"b", 50, []string{"answered true  false"}, 0},
+		"short":               {"body", 50, []string{"answered true  false"}, 0},
+		"long":                {strings.Repeat("b", 10_000), 50, []string{"answered true  false"}, 0},
+		"longer than is held": {strings.Repeat("b", 300_000), 50, []string{"answered true  false"}, 0},
+		"further one cut":     {"body", 1 << 20, []string{"answered true  false", "cut true backend false"}, 0},
+		"chunk":               {"body", 50, []string{"answered true  false"}, 4},
+		"many chunks":         {strings.Repeat("b", 1000), 50, []string{"answered true  false"}, 17},
+		"long chunks":         {strings.Repeat("\r\n0\r\n\r\n", 30_000), 50, []string{"answered true  false"}, 70_000},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -225,7 +229,15 @@
 				<-release
 				return link.Reply{Head: wire.ReplyHead{Status: 200, BodyLength: tc.length}, Body: io.NopCloser(io.LimitReader(endless{}, 50))}
 			})
-			conn := p.sendRaw(c, head+strconv.Itoa(len(tc.body))+"\r\n\r\n"+tc.body+pipelined(1))
+			body := "Content-Length: " + strconv.Itoa(len(tc.body)) + "\r\n\r\n" + tc.body
+			if tc.chunk > 0 {
+				body = "Transfer-Encoding: chunked\r\n\r\n"
+				for part := range slices.Chunk([]byte(tc.body), tc.chunk) {
+					body += fmt.Sprintf("%x;name=value\r\n%s\r\n", len(part), part)
+				}
+				body += "0\r\nX-Trailer: 1\r\n\r\n"
+			}
+			conn := p.sendRaw(c, head+body+pipelined(1))
 			r := bufio.NewReader(conn)
 			resp, err := http.ReadResponse(r, nil)
 			close(release)
--- a/src/dispatch/header_scanner.go
+++ b/src/dispatch/header_scanner.go
@@ -1,7 +1,7 @@
 package dispatch
 
-// headerScanner finds the end of a request's header, and that of its body if its length is known, in
-// the bytes read from a caller. The zero value is at the start of a request.
+// headerScanner finds the end of a request's header, and that of its body, in the bytes read from a
+// caller. The zero value is at the start of a request.
 type headerScanner struct {
 	done     bool // the header is complete; what follows may be a body
 	started  bool // a line that is not empty has begun
@@ -10,6 +10,7 @@
 	lengthKnown bool
 	length      int64 // bytes of the body, negative for chunks
 	passed      int64 // bytes behind the header that scan has returned
+	chunks      chunkScanner
 }
 
 // setBodyLength sets the length of the body, which the HTTP server tells once it has read the header.
@@ -21,9 +22,13 @@
 func (s *headerScanner) scan(b []byte) int {
 	if s.done {
 		n := len(b)
-		if left := s.length - s.passed; !s.lengthKnown {
+		switch left := s.length - s.passed; {
+		case !s.lengthKnown:
 			n = min(n, 1)
-		} else if left > 0 {
+			s.chunks.scan(b[:n]) // which they may be
+		case s.length < 0:
+			n = s.chunks.scan(b)
+		case left > 0:
 			n = int(min(int64(n), left))
 		}
 		s.passed += int64(n)
