--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+# With TROUBLE=0 it does the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/yuccaport ] && [ -x target/peers ] || exit 2
-exec target/peers streams review/7/record.txt
+TROUBLE="${TROUBLE:-1}" exec target/peers streams review/7/record.txt
